--- /dev/null
+++ b/api/errors.go
@@ -0,0 +1,152 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcome states what is known about the execution of a refused request.
+type Outcome string
+
+// The three outcomes. OutcomeNotRun is a promise: no back end ran the request.
+const (
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeRan     Outcome = "ran"
+)
+
+// Code is the stable, machine-readable name of an error.
+type Code string
+
+// The codes a caller, an operator or a peer can receive.
+const (
+	CodeInvalidRequest   Code = "invalid-request"
+	CodeUnauthenticated  Code = "unauthenticated"
+	CodeForbidden        Code = "forbidden"
+	CodeNotFound         Code = "not-found"
+	CodeUnknownModel     Code = "unknown-model"
+	CodeTooLarge         Code = "too-large"
+	CodeKeyConflict      Code = "key-conflict"
+	CodeKeyRequired      Code = "key-required"
+	CodeKeyExpired       Code = "key-expired"
+	CodeAlreadyClaimed   Code = "already-claimed"
+	CodeTakenOver        Code = "taken-over"
+	CodeTooMany          Code = "too-many-requests"
+	CodeNoCapacity       Code = "no-capacity"
+	CodeDeadline         Code = "deadline-unreachable"
+	CodeNotReady         Code = "not-ready"
+	CodeClaimUnavailable Code = "claim-unavailable"
+	CodeBackendFailed    Code = "backend-failed"
+	CodeCancelled        Code = "cancelled"
+	CodeConflict         Code = "conflict"
+	CodeUnavailable      Code = "unavailable"
+	CodeInternal         Code = "internal"
+)
+
+// Error is the one error type that crosses an interface of the system. It is
+// written to callers as JSON.
+type Error struct {
+	// Code names the error.
+	Code Code
+	// Outcome states whether the request ran.
+	Outcome Outcome
+	// Message explains the error without naming another tenant.
+	Message string
+	// Status is the HTTP status.
+	Status int
+	// RetryAfter is when to try again; zero means that trying again does not help.
+	RetryAfter time.Duration
+}
+
+// NewError returns an Error with the given parts.
+func NewError(status int, code Code, outcome Outcome, format string, args ...any) *Error {
+	return &Error{Status: status, Code: code, Outcome: outcome, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Outcome, e.Message)
+}
+
+// WithRetryAfter returns a copy of e that tells the caller when to come back.
+func (e *Error) WithRetryAfter(after time.Duration) *Error {
+	changed := *e
+	changed.RetryAfter = after
+	return &changed
+}
+
+// WithOutcome returns a copy of e with another outcome.
+func (e *Error) WithOutcome(outcome Outcome) *Error {
+	changed := *e
+	changed.Outcome = outcome
+	return &changed
+}
+
+// errorBody is the JSON form of an Error.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Code              Code    `json:"code"`
+	Outcome           Outcome `json:"outcome"`
+	Message           string  `json:"message"`
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (e *Error) MarshalJSON() ([]byte, error) {
+	return json.Marshal(errorBody{Error: errorFields{e.Code, e.Outcome, e.Message, e.RetryAfter.Seconds()}})
+}
+
+// UnmarshalJSON implements json.Unmarshaler. The status is not part of the body.
+func (e *Error) UnmarshalJSON(data []byte) error {
+	var body errorBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return errors.Wrap(err, "decode error body")
+	}
+	e.Code = body.Error.Code
+	e.Outcome = body.Error.Outcome
+	e.Message = body.Error.Message
+	e.RetryAfter = time.Duration(body.Error.RetryAfterSeconds * float64(time.Second))
+	return nil
+}
+
+// WriteHTTP writes e as the response. It must be called before any other byte
+// of the response is written.
+func (e *Error) WriteHTTP(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	w.WriteHeader(e.Status)
+	body, err := json.Marshal(e)
+	if err != nil {
+		return
+	}
+	_, _ = w.Write(body) // The caller may be gone; nothing is left to do then.
+}
+
+// AsError returns err as an *Error. An error of another type becomes an
+// internal error with the given outcome, and its text stays out of the message,
+// because it may name addresses or other tenants.
+func AsError(err error, outcome Outcome) *Error {
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return NewError(http.StatusInternalServerError, CodeInternal, outcome, "internal error")
+}
+
+// IsCode reports whether err is an Error with the given code.
+func IsCode(err error, code Code) bool {
+	var typed *Error
+	return errors.As(err, &typed) && typed.Code == code
+}
--- /dev/null
+++ b/api/objects.go
@@ -0,0 +1,118 @@
+package api
+
+// Role is what an engine does at present.
+type Role string
+
+// The roles of an engine.
+const (
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Tenant is one customer of the shared service.
+type Tenant struct {
+	// Name identifies the tenant; it is a DNS label.
+	Name string `json:"name"`
+	// TokenHashes are the hex SHA-256 digests of the bearer tokens it may use.
+	TokenHashes []string `json:"token_hashes"`
+	// Classes are the request classes it may use; the first is the default.
+	Classes []string `json:"classes,omitempty"`
+	// Services are the plain services it may call.
+	Services []string `json:"services,omitempty"`
+	// Weight is its share under contention. Default 1.
+	Weight float64 `json:"weight,omitempty"`
+	// MaxConcurrent bounds its requests in flight on one entry node. Default 256.
+	MaxConcurrent int `json:"max_concurrent,omitempty"`
+}
+
+// Class is a kind of request with its latency targets.
+type Class struct {
+	// Name identifies the class; it is a DNS label.
+	Name string `json:"name"`
+	// Model is the model that serves it.
+	Model string `json:"model"`
+	// FirstToken is the target for the time to the first token.
+	FirstToken Duration `json:"first_token"`
+	// TokenInterval is the target for the time between tokens.
+	TokenInterval Duration `json:"token_interval"`
+	// MaxPromptTokens bounds the prompt. Default 65536.
+	MaxPromptTokens int `json:"max_prompt_tokens,omitempty"`
+	// MaxOutputTokens bounds the answer. Default 1024.
+	MaxOutputTokens int `json:"max_output_tokens,omitempty"`
+	// LateAllowed admits a request although its first-token target cannot be met.
+	LateAllowed bool `json:"late_allowed,omitempty"`
+	// Priority is given to the engine; a higher number goes first.
+	Priority int `json:"priority,omitempty"`
+}
+
+// Pool is a bounded set of prefill and decode engines of one model in one zone.
+// A pool is the unit of ownership: one node grants its work at a time.
+type Pool struct {
+	// Name identifies the pool; it is a DNS label.
+	Name string `json:"name"`
+	// Model is the model its engines hold.
+	Model string `json:"model"`
+	// Zone is where its engines stand.
+	Zone string `json:"zone"`
+	// ChecksFence states that its engines reject an order with a stale fence.
+	ChecksFence bool `json:"checks_fence,omitempty"`
+	// Hold is how long an engine keeps a prefill result. Default 5s.
+	Hold Duration `json:"hold,omitempty"`
+	// PrefillTokensPerSecond is the rate of one prefill engine. Default 20000.
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second,omitempty"`
+	// LinkTokensPerSecond is the KV transfer rate of one link. Default 200000.
+	LinkTokensPerSecond float64 `json:"link_tokens_per_second,omitempty"`
+	// StepTime is the interval between tokens of a decode engine with full batch. Default 20ms.
+	StepTime Duration `json:"step_time,omitempty"`
+	// Engines are its members.
+	Engines []Engine `json:"engines"`
+}
+
+// Engine is one model engine.
+type Engine struct {
+	// Name identifies the engine; it is a DNS label, unique over all pools.
+	Name string `json:"name"`
+	// Address is its IP address and port.
+	Address string `json:"address"`
+	// Role is what it does at present.
+	Role Role `json:"role"`
+	// Slots is the number of requests it decodes at once. Default 32.
+	Slots int `json:"slots,omitempty"`
+	// KVTokens is its KV-cache memory in tokens. Default 400000.
+	KVTokens int `json:"kv_tokens,omitempty"`
+	// Adapters are the adapters it holds.
+	Adapters []string `json:"adapters,omitempty"`
+	// ModelVersion is the version of the model it is to hold.
+	ModelVersion string `json:"model_version,omitempty"`
+}
+
+// Service is a plain HTTP service behind the router.
+type Service struct {
+	// Name identifies the service; it is a DNS label.
+	Name string `json:"name"`
+	// Backends are its replicas.
+	Backends []Backend `json:"backends"`
+	// OnceMethods are the HTTP methods whose calls may not be repeated. Default POST and PATCH.
+	OnceMethods []string `json:"once_methods,omitempty"`
+	// Timeout bounds one call. Default 10s.
+	Timeout Duration `json:"timeout,omitempty"`
+}
+
+// Backend is one replica of a plain service.
+type Backend struct {
+	// Name identifies the replica; it is a DNS label.
+	Name string `json:"name"`
+	// Address is its IP address and port.
+	Address string `json:"address"`
+}
+
+// Configuration is everything an operator has confirmed.
+type Configuration struct {
+	// Version rises by one with each accepted change.
+	Version uint64 `json:"version,omitempty"`
+	// Tenants, Classes, Pools and Services are the objects, ordered by name.
+	Tenants  []Tenant  `json:"tenants,omitempty"`
+	Classes  []Class   `json:"classes,omitempty"`
+	Pools    []Pool    `json:"pools,omitempty"`
+	Services []Service `json:"services,omitempty"`
+}
--- /dev/null
+++ b/api/validate.go
@@ -0,0 +1,171 @@
+package api
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+// Finding is one fault in a setting or an object, with its place.
+type Finding struct {
+	// Place is the flag, variable or object field.
+	Place string `json:"place"`
+	// Problem says what is wrong.
+	Problem string `json:"problem"`
+}
+
+// String returns the finding on one line.
+func (f Finding) String() string { return f.Place + ": " + f.Problem }
+
+// Findings is a list of faults that are reported together.
+type Findings []Finding
+
+// Addf records one fault.
+func (f *Findings) Addf(place, format string, args ...any) {
+	*f = append(*f, Finding{Place: place, Problem: fmt.Sprintf(format, args...)})
+}
+
+// String returns one finding a line.
+func (f Findings) String() string {
+	lines := make([]string, len(f))
+	for i, finding := range f {
+		lines[i] = finding.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// labelPattern is a DNS label after RFC 1123.
+var labelPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+const sha256HexLength = 64
+
+// Validate returns every fault of the configuration.
+func (c *Configuration) Validate() Findings {
+	var findings Findings
+	classes := c.validateClasses(&findings)
+	c.validatePools(&findings)
+	services := c.validateServices(&findings)
+	c.validateTenants(&findings, classes, services)
+	return findings
+}
+
+// names checks labels and reports a name that stands twice.
+type names map[string]bool
+
+func (n names) check(findings *Findings, place, name string) {
+	if !labelPattern.MatchString(name) {
+		findings.Addf(place+".name", "%q is not a DNS label", name)
+	}
+	if n[name] {
+		findings.Addf(place+".name", "%q stands twice", name)
+	}
+	n[name] = true
+}
+
+func (c *Configuration) validateClasses(findings *Findings) names {
+	seen := names{}
+	models := map[string]bool{}
+	for _, pool := range c.Pools {
+		models[pool.Model] = true
+	}
+	for _, class := range c.Classes {
+		place := "classes[" + class.Name + "]"
+		seen.check(findings, place, class.Name)
+		if !models[class.Model] {
+			findings.Addf(place+".model", "no pool holds model %q", class.Model)
+		}
+		if class.FirstToken <= 0 {
+			findings.Addf(place+".first_token", "must be above zero")
+		}
+		if class.TokenInterval <= 0 {
+			findings.Addf(place+".token_interval", "must be above zero")
+		}
+		if class.MaxPromptTokens < 0 || class.MaxOutputTokens < 0 {
+			findings.Addf(place, "token limits must not be negative")
+		}
+	}
+	return seen
+}
+
+func (c *Configuration) validatePools(findings *Findings) {
+	pools, engines := names{}, names{}
+	for _, pool := range c.Pools {
+		place := "pools[" + pool.Name + "]"
+		pools.check(findings, place, pool.Name)
+		if pool.Model == "" {
+			findings.Addf(place+".model", "is empty")
+		}
+		if pool.Zone == "" {
+			findings.Addf(place+".zone", "is empty")
+		}
+		for _, engine := range pool.Engines {
+			validateEngine(findings, engines, place, engine)
+		}
+	}
+}
+
+func validateEngine(findings *Findings, seen names, poolPlace string, engine Engine) {
+	place := poolPlace + ".engines[" + engine.Name + "]"
+	seen.check(findings, place, engine.Name)
+	checkAddress(findings, place+".address", engine.Address)
+	if engine.Role != RolePrefill && engine.Role != RoleDecode {
+		findings.Addf(place+".role", "%q is neither %q nor %q", engine.Role, RolePrefill, RoleDecode)
+	}
+	if engine.Slots < 0 || engine.KVTokens < 0 {
+		findings.Addf(place, "slots and kv_tokens must not be negative")
+	}
+}
+
+func (c *Configuration) validateServices(findings *Findings) names {
+	seen := names{}
+	for _, service := range c.Services {
+		place := "services[" + service.Name + "]"
+		seen.check(findings, place, service.Name)
+		backends := names{}
+		for _, backend := range service.Backends {
+			backendPlace := place + ".backends[" + backend.Name + "]"
+			backends.check(findings, backendPlace, backend.Name)
+			checkAddress(findings, backendPlace+".address", backend.Address)
+		}
+	}
+	return seen
+}
+
+func (c *Configuration) validateTenants(findings *Findings, classes, services names) {
+	seen, hashes := names{}, map[string]string{}
+	for _, tenant := range c.Tenants {
+		place := "tenants[" + tenant.Name + "]"
+		seen.check(findings, place, tenant.Name)
+		checkKnown(findings, place+".classes", classes, tenant.Classes)
+		checkKnown(findings, place+".services", services, tenant.Services)
+		if tenant.Weight < 0 {
+			findings.Addf(place+".weight", "must not be negative")
+		}
+		for i, hash := range tenant.TokenHashes {
+			hashPlace := fmt.Sprintf("%s.token_hashes[%d]", place, i)
+			if _, err := hex.DecodeString(hash); err != nil || len(hash) != sha256HexLength {
+				findings.Addf(hashPlace, "is not a hex SHA-256 digest")
+			}
+			if other, taken := hashes[hash]; taken {
+				findings.Addf(hashPlace, "belongs to tenant %q already", other)
+			}
+			hashes[hash] = tenant.Name
+		}
+	}
+}
+
+func checkKnown(findings *Findings, place string, known names, wanted []string) {
+	for _, name := range wanted {
+		if !known[name] {
+			findings.Addf(place, "%q is not configured", name)
+		}
+	}
+}
+
+func checkAddress(findings *Findings, place, address string) {
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		findings.Addf(place, "%q is not an IP address and port", address)
+	}
+}
--- /dev/null
+++ b/claim/writer.go
@@ -0,0 +1,273 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/platform"
+)
+
+const (
+	// writeInterval is the least time between two writes of a shard, which bounds
+	// the fleet's writes to Shards/writeInterval a second.
+	writeInterval = 150 * time.Millisecond
+	// writeTimeout is when the claims of a write are given up.
+	writeTimeout = 1500 * time.Millisecond
+	// RetryAfter is when a caller may try again after an outage.
+	RetryAfter = 2 * time.Second
+)
+
+// ErrUnavailable says that the claim could not be recorded, so the call did not run.
+var ErrUnavailable = api.NewError(http.StatusServiceUnavailable, api.CodeClaimUnavailable, api.OutcomeNotRun,
+	"the claim could not be recorded").WithRetryAfter(RetryAfter)
+
+// operation is one claim, or the withdrawal of one.
+type operation struct {
+	key      Key
+	claimID  string
+	body     []byte
+	withdraw bool
+	done     chan error
+}
+
+// Writer writes the claims of the shards that the node owns. It is safe for
+// concurrent use. Two nodes that both take themselves for the owner do no harm:
+// the platform's conditional update decides.
+type Writer struct {
+	store   platform.Store
+	metrics *metrics.Set
+	now     func() time.Time
+
+	mu      sync.Mutex
+	pending map[string][]*operation
+	running map[int]bool
+	// abandoned are tries that were answered as failed although their claim may
+	// have been recorded. Nothing was dispatched under them, so their claims are
+	// removed with the next write.
+	abandoned map[string]time.Time
+	writes    sync.WaitGroup
+}
+
+// NewWriter returns a writer.
+func NewWriter(store platform.Store, set *metrics.Set, now func() time.Time) *Writer {
+	return &Writer{
+		store: store, metrics: set, now: now,
+		pending: map[string][]*operation{}, running: map[int]bool{}, abandoned: map[string]time.Time{},
+	}
+}
+
+// Claim records that the call runs under claimID. It returns nil if the caller
+// may run the call, now and only once.
+func (w *Writer) Claim(ctx context.Context, key Key, claimID string, body []byte) error {
+	if err := key.CheckAge(w.now()); err != nil {
+		return err
+	}
+	return w.submit(ctx, &operation{key: key, claimID: claimID, body: body, done: make(chan error, 1)})
+}
+
+// Withdraw removes a claim whose call certainly did not run.
+func (w *Writer) Withdraw(ctx context.Context, key Key, claimID string) error {
+	return w.submit(ctx, &operation{key: key, claimID: claimID, withdraw: true, done: make(chan error, 1)})
+}
+
+func (w *Writer) submit(ctx context.Context, added *operation) error {
+	object, shard := added.key.object(), added.key.shard()
+	w.mu.Lock()
+	w.pending[object] = append(w.pending[object], added)
+	start := !w.running[shard]
+	w.running[shard] = true
+	w.mu.Unlock()
+	if start {
+		w.writes.Add(1)
+		go func() {
+			defer w.writes.Done()
+			w.drain(shard)
+		}()
+	}
+	select {
+	case err := <-added.done:
+		return err
+	case <-ctx.Done():
+		w.abandon(added)
+		return ErrUnavailable
+	}
+}
+
+func (w *Writer) abandon(given *operation) {
+	if given.withdraw {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.abandoned[given.claimID] = w.now()
+}
+
+// drain writes what is pending for a shard, one object at a time, until nothing is.
+func (w *Writer) drain(shard int) {
+	for {
+		object, batch := w.next(shard)
+		if batch == nil {
+			return
+		}
+		w.write(object, batch)
+		time.Sleep(writeInterval)
+	}
+}
+
+// next takes the pending operations of one object of the shard.
+func (w *Writer) next(shard int) (string, []*operation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for object, batch := range w.pending {
+		if batch[0].key.shard() == shard {
+			delete(w.pending, object)
+			return object, batch
+		}
+	}
+	w.running[shard] = false
+	return "", nil
+}
+
+func (w *Writer) write(object string, batch []*operation) {
+	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
+	defer cancel()
+	var results []error
+	_, err := platform.Modify(ctx, w.store, platform.Change{
+		Kind: platform.KindClaim, Name: object,
+		Mutate: func(current json.RawMessage) (json.RawMessage, error) {
+			standing, err := decodeBucket(current)
+			if err != nil {
+				return nil, err
+			}
+			var changed bool
+			results, changed = w.applyAll(&standing, batch)
+			if !changed {
+				return nil, nil
+			}
+			return json.Marshal(standing)
+		},
+	})
+	w.metrics.Add("claim_writes", 1)
+	w.metrics.Add("claim_operations", int64(len(batch)))
+	for i, done := range batch {
+		if err != nil {
+			w.metrics.Add("claim_failures", 1)
+			w.abandon(done)
+			done.done <- ErrUnavailable
+			continue
+		}
+		done.done <- w.settle(done, results[i])
+	}
+}
+
+// settle looks at the key's age again: a node that was paused during the write
+// may have recorded the claim in place of a deleted one.
+func (w *Writer) settle(done *operation, result error) error {
+	if result != nil || done.withdraw {
+		return result
+	}
+	return done.key.CheckAge(w.now())
+}
+
+// applyAll applies the operations to a bucket. It reports whether it changed.
+func (w *Writer) applyAll(standing *bucket, batch []*operation) ([]error, bool) {
+	changed := w.removeAbandoned(standing)
+	results := make([]error, len(batch))
+	for i, applied := range batch {
+		var touched bool
+		touched, results[i] = w.apply(standing, applied)
+		changed = changed || touched
+	}
+	return results, changed
+}
+
+func (w *Writer) removeAbandoned(standing *bucket) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	changed := false
+	for field, held := range standing.Claims {
+		if _, given := w.abandoned[held.ClaimID]; given {
+			delete(standing.Claims, field)
+			changed = true
+		}
+	}
+	for claimID, at := range w.abandoned {
+		if w.now().Sub(at) > Retention+clockSlack {
+			delete(w.abandoned, claimID)
+		}
+	}
+	return changed
+}
+
+func (w *Writer) apply(standing *bucket, applied *operation) (bool, error) {
+	field := applied.key.field()
+	held, exists := standing.Claims[field]
+	if applied.withdraw {
+		if exists && held.ClaimID == applied.claimID {
+			delete(standing.Claims, field)
+			return true, nil
+		}
+		return false, nil
+	}
+	if err := applied.key.CheckAge(w.now()); err != nil {
+		return false, err
+	}
+	switch {
+	case w.isAbandoned(applied.claimID):
+		return false, ErrUnavailable
+	case !exists:
+		standing.Claims[field] = record{ClaimID: applied.claimID, Body: applied.body}
+		return true, nil
+	case held.ClaimID == applied.claimID:
+		return false, nil
+	case !bytes.Equal(held.Body, applied.body):
+		return false, api.NewError(http.StatusConflict, api.CodeKeyConflict, api.OutcomeNotRun, "the key belongs to a call with another body")
+	default:
+		return false, api.NewError(http.StatusConflict, api.CodeAlreadyClaimed, api.OutcomeUnknown, "a call with this key has been started before")
+	}
+}
+
+func (w *Writer) isAbandoned(claimID string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, given := w.abandoned[claimID]
+	return given
+}
+
+// Wait returns when no write is under way.
+func (w *Writer) Wait() { w.writes.Wait() }
+
+// sweepDepth is how many expired buckets a sweep looks for.
+const sweepDepth = 5
+
+// Sweep deletes the expired buckets of the shards for which owns is true.
+func (w *Writer) Sweep(ctx context.Context, owns func(shard int) bool) {
+	newest := w.now().Add(-Retention-clockSlack).UnixMilli()/bucketLength.Milliseconds() - 1
+	for shard := range Shards {
+		if !owns(shard) {
+			continue
+		}
+		for bucket := newest; bucket > newest-sweepDepth; bucket-- {
+			w.deleteBucket(ctx, objectName(shard, bucket))
+		}
+	}
+}
+
+func (w *Writer) deleteBucket(ctx context.Context, name string) {
+	object, err := w.store.Get(ctx, platform.KindClaim, name)
+	if err != nil {
+		return
+	}
+	err = w.store.Delete(ctx, platform.KindClaim, name, object.Version)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		w.metrics.Add("claim_sweep_errors", 1)
+	}
+}
--- /dev/null
+++ b/cluster/cluster.go
@@ -0,0 +1,119 @@
+package cluster
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/placement"
+)
+
+// ErrNoOwner is returned when no node is ready.
+var ErrNoOwner = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "no node is ready").WithRetryAfter(time.Second)
+
+// Cluster is a node's view of who owns what. It is safe for concurrent use.
+type Cluster struct {
+	table  *membership.Table
+	client membership.Caller
+	local  peer.Handler
+	now    func() time.Time
+}
+
+// New returns a cluster that answers calls to the node itself with local.
+func New(table *membership.Table, client membership.Caller, local peer.Handler, now func() time.Time) *Cluster {
+	return &Cluster{table: table, client: client, local: local, now: now}
+}
+
+// Self returns the node itself.
+func (c *Cluster) Self() membership.Member { return c.table.Self() }
+
+// Live returns the live members.
+func (c *Cluster) Live() []membership.Member { return c.table.Live(c.now()) }
+
+// IsGone reports whether a start of a node has ended.
+func (c *Cluster) IsGone(node string, incarnation uint64) bool {
+	return c.table.IsGone(c.now(), node, incarnation)
+}
+
+// SeesMajority reports whether the node hears most of its zone.
+func (c *Cluster) SeesMajority() bool { return c.table.SeesMajority(c.now()) }
+
+// ready returns the ready members among the given ones.
+func ready(members []membership.Member) []membership.Member {
+	selected := make([]membership.Member, 0, len(members))
+	for _, member := range members {
+		if member.State == membership.StateReady {
+			selected = append(selected, member)
+		}
+	}
+	return selected
+}
+
+// Owner returns the owner of a key among the ready members of a zone, or of the
+// whole fleet if the zone is empty or has none.
+func (c *Cluster) Owner(zone, key string) (membership.Member, error) {
+	var candidates []membership.Member
+	if zone != "" {
+		candidates = ready(c.table.ZoneMembers(c.now(), zone))
+	}
+	if len(candidates) == 0 {
+		candidates = ready(c.Live())
+	}
+	name := placement.Owner(key, membership.Names(candidates))
+	for _, member := range candidates {
+		if member.Name == name {
+			return member, nil
+		}
+	}
+	return membership.Member{}, ErrNoOwner
+}
+
+// Owns reports whether the node itself owns a key.
+func (c *Cluster) Owns(zone, key string) bool {
+	owner, err := c.Owner(zone, key)
+	return err == nil && owner.Name == c.Self().Name
+}
+
+// IsAmong reports whether the node is one of the first count members of its
+// zone for a key.
+func (c *Cluster) IsAmong(key string, count int) bool {
+	self := c.Self()
+	names := membership.Names(c.table.ZoneMembers(c.now(), self.Zone))
+	for _, name := range placement.Top(key, names, count) {
+		if name == self.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// Call sends a request to a member.
+func (c *Cluster) Call(ctx context.Context, member membership.Member, request *peerpb.Request) (*peerpb.Response, error) {
+	if member.Name == c.Self().Name {
+		request.Node = member.Name
+		return c.local(ctx, request)
+	}
+	return c.client.Call(ctx, member.Address, request)
+}
+
+// CallOwner sends a request to the owner of a key.
+func (c *Cluster) CallOwner(ctx context.Context, zone, key string, request *peerpb.Request) (*peerpb.Response, error) {
+	owner, err := c.Owner(zone, key)
+	if err != nil {
+		return nil, err
+	}
+	return c.Call(ctx, owner, request)
+}
+
+// CallNode sends a request to a live node by name.
+func (c *Cluster) CallNode(ctx context.Context, node string, request *peerpb.Request) (*peerpb.Response, error) {
+	member, live := c.table.Lookup(c.now(), node)
+	if !live {
+		return nil, peer.ErrNotSent
+	}
+	return c.Call(ctx, member, request)
+}
--- /dev/null
+++ b/completion/cancel.go
@@ -0,0 +1,52 @@
+package completion
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// Retry intervals of a cancellation. It is given up when the engine must have
+// been restarted or the owner's look at the engine has made up for it.
+const (
+	cancelFirstInterval = 50 * time.Millisecond
+	cancelMaxInterval   = time.Second
+	cancelMaxElapsed    = 2 * time.Minute
+)
+
+// canceller cancels attempts at engines until they acknowledge.
+type canceller struct {
+	engines *engine.Client
+	metrics *metrics.Set
+	events  *timeline.Ring
+	running sync.WaitGroup
+}
+
+// cancel returns at once; the cancellation goes on by itself.
+func (c *canceller) cancel(name, address string, attempt engine.Attempt) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		policy := backoff.NewExponentialBackOff(
+			backoff.WithInitialInterval(cancelFirstInterval),
+			backoff.WithMaxInterval(cancelMaxInterval),
+			backoff.WithMaxElapsedTime(cancelMaxElapsed),
+		)
+		err := backoff.Retry(func() error { return c.engines.Cancel(context.Background(), address, attempt) }, policy)
+		if err != nil {
+			c.metrics.Add("cancel_failures", 1)
+			return
+		}
+		c.metrics.Add("cancels", 1)
+		c.events.Record(timeline.Event{Kind: "cancelled", Request: attempt.RequestID, Engine: name})
+	}()
+}
+
+// wait returns when every cancellation has ended.
+func (c *canceller) wait() { c.running.Wait() }
--- /dev/null
+++ b/completion/decode.go
@@ -0,0 +1,214 @@
+package completion
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/engine"
+)
+
+const (
+	// progressTimeout bounds the wait for a decode engine while the prefill
+	// result lives.
+	progressTimeout = 4 * time.Second
+	// stallIntervals is how many token intervals may pass before a stream counts
+	// as stalled.
+	stallIntervals = 40
+	// minStall is the shortest such time.
+	minStall = 2 * time.Second
+	// resumeTries bounds the resumption of a broken stream at the same engine.
+	resumeTries = 3
+	// firstResumeDelay is the pause before the second try.
+	firstResumeDelay = 50 * time.Millisecond
+)
+
+// decode moves the prefill result to a decode engine and relays its tokens. If
+// the transfer fails while the result lives, another decode engine is tried.
+func (r *run) decode(ctx context.Context, held *grant, result engine.PrefillResult, source string) error {
+	expires := r.service.options.Now().Add(time.Duration(result.HoldMillis) * time.Millisecond)
+	failed := ""
+	for {
+		name, err := r.decodeEngine(ctx, held, failed)
+		if err != nil {
+			r.abandon(ctx, held, "")
+			return err
+		}
+		err = r.decodeAt(ctx, held, name, source, result.ResultID)
+		switch {
+		case err == nil:
+			r.service.grants.giveBack(held, r.offset, "")
+			return nil
+		case errors.Is(err, errTakenOver):
+			r.service.grants.forget(held)
+			return err
+		}
+		r.cancelAt(name)
+		started := !errors.Is(err, errNoStream)
+		if started || ctx.Err() != nil || !r.service.options.Now().Before(expires) {
+			r.abandon(ctx, held, r.failedEngine(ctx, err, name))
+			return err
+		}
+		r.service.options.Metrics.Add("transfer_retries", 1)
+		r.event("transfer-retried", name, "")
+		failed = name
+	}
+}
+
+// errNoStream marks the failure of a transfer: no token was produced.
+var errNoStream = errors.New("completion: no stream")
+
+func (r *run) decodeEngine(ctx context.Context, held *grant, failed string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, progressTimeout)
+	defer cancel()
+	return r.service.grants.decodeEngine(ctx, held, failed)
+}
+
+// abandon gives a grant back and drops its prefill result.
+func (r *run) abandon(ctx context.Context, held *grant, failedEngine string) {
+	r.service.grants.giveBack(held, -1, failedEngine)
+	if ctx.Err() == nil && failedEngine == "" {
+		r.excluded = append(r.excluded, held.prefillEngine())
+	}
+	if ref, err := r.engineOf(held.prefillEngine()); err == nil {
+		r.service.cancels.cancel(held.prefillEngine(), ref.Engine.Address, r.engineAttempt())
+	}
+}
+
+func (r *run) cancelAt(name string) {
+	if ref, err := r.engineOf(name); err == nil {
+		r.service.cancels.cancel(name, ref.Engine.Address, r.engineAttempt())
+	}
+}
+
+// decodeAt starts a stream at an engine and relays it.
+func (r *run) decodeAt(ctx context.Context, held *grant, name, source, resultID string) error {
+	ref, err := r.engineOf(name)
+	if err != nil {
+		return err
+	}
+	r.event("decode", name, "")
+	watched := newWatchdog(ctx, r.stallTime())
+	defer watched.stop()
+	stream, err := r.service.options.Engines.Decode(watched.ctx, ref.Engine.Address, engine.DecodeRequest{
+		Attempt: r.engineAttempt(), Holder: r.service.holder(), SourceAddress: source, ResultID: resultID,
+		Model: r.request.class.Model, MaxTokens: r.request.maxTokens, Offset: r.offset, Priority: r.request.class.Priority,
+	})
+	if err != nil {
+		return errors.CombineErrors(errors.Mark(err, errNoStream), err)
+	}
+	r.turn.placed(held, name)
+	r.reportPlace()
+	err = r.relay(ctx, stream, watched)
+	if err != nil && r.attempted(err) {
+		return r.resume(ctx, ref.Engine.Address, err)
+	}
+	return err
+}
+
+// attempted reports whether the failure is of the stream and not of the caller.
+func (r *run) attempted(err error) bool {
+	return !errors.Is(err, errCallerGone) && !errors.Is(err, errTakenOver)
+}
+
+func (r *run) stallTime() time.Duration {
+	return max(stallIntervals*r.request.class.TokenInterval.Std(), minStall)
+}
+
+// relay hands the tokens of a stream to the caller until it ends.
+func (r *run) relay(ctx context.Context, stream *engine.Stream, watched *watchdog) error {
+	defer stream.Close()
+	release := r.turn.onYield(watched.cancel)
+	defer release()
+	for {
+		token, _, err := stream.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return r.finish()
+		case r.turn.mustYield():
+			return errTakenOver
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case err != nil:
+			return err
+		}
+		// A slow caller holds the stream back; this is no stall of the engine.
+		watched.pause()
+		if err := r.deliver(token.Offset, token.Text); err != nil {
+			return err
+		}
+		watched.reset()
+	}
+}
+
+// resume reads on at the same engine after a broken connection.
+func (r *run) resume(ctx context.Context, address string, cause error) error {
+	delays := backoff.NewExponentialBackOff(backoff.WithInitialInterval(firstResumeDelay))
+	for range resumeTries {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r.service.options.Metrics.Add("stream_resumes", 1)
+		r.event("stream-resumed", "", "")
+		err := r.resumeOnce(ctx, address)
+		if err == nil || !r.attempted(err) || isFinal(err) {
+			return err
+		}
+		cause = err
+		if !pause(ctx, delays.NextBackOff()) {
+			return ctx.Err()
+		}
+	}
+	return cause
+}
+
+// isFinal reports whether the engine has said that it does not hold the stream.
+func isFinal(err error) bool {
+	return api.IsCode(err, api.CodeNotFound) || api.IsCode(err, api.CodeCancelled)
+}
+
+func (r *run) resumeOnce(ctx context.Context, address string) error {
+	watched := newWatchdog(ctx, r.stallTime())
+	defer watched.stop()
+	stream, err := r.service.options.Engines.Resume(watched.ctx, address, r.engineAttempt(), r.service.holder(), r.offset)
+	if err != nil {
+		return err
+	}
+	return r.relay(ctx, stream, watched)
+}
+
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// watchdog cancels a context when it has not been reset for a while.
+type watchdog struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+	limit  time.Duration
+}
+
+func newWatchdog(parent context.Context, limit time.Duration) *watchdog {
+	ctx, cancel := context.WithCancel(parent)
+	return &watchdog{ctx: ctx, cancel: cancel, timer: time.AfterFunc(limit, cancel), limit: limit}
+}
+
+func (w *watchdog) reset() { w.timer.Reset(w.limit) }
+func (w *watchdog) pause() { w.timer.Stop() }
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.cancel()
+}
--- /dev/null
+++ b/completion/grants.go
@@ -0,0 +1,173 @@
+package completion
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/cluster"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/owner"
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
+
+// releaseTimeout bounds the return of a grant. A lost return is made up for by
+// the owner's look at the engines.
+const releaseTimeout = 2 * time.Second
+
+// grant is work granted to this node.
+type grant struct {
+	request *peerpb.Grant
+	zone    string
+
+	mu      sync.Mutex
+	granted *peerpb.Granted
+	// owner is the node that knows of the grant.
+	owner string
+}
+
+func (g *grant) prefillEngine() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.granted.GetPrefillEngine()
+}
+
+// grants asks the owners of pools for work, and tells new owners of what the
+// node holds. It is safe for concurrent use.
+type grants struct {
+	cluster *cluster.Cluster
+	metrics *metrics.Set
+
+	mu   sync.Mutex
+	held map[*grant]struct{}
+}
+
+func newGrants(fleet *cluster.Cluster, set *metrics.Set) *grants {
+	return &grants{cluster: fleet, metrics: set, held: map[*grant]struct{}{}}
+}
+
+// ask waits for a prefill engine of the pool.
+func (g *grants) ask(ctx context.Context, pool *api.Pool, request *peerpb.Grant) (*grant, error) {
+	request.Pool = pool.Name
+	node, err := g.cluster.Owner(pool.Zone, owner.Key(pool.Name))
+	if err != nil {
+		return nil, err
+	}
+	g.metrics.Add("grant_calls", 1)
+	response, err := g.cluster.Call(ctx, node, &peerpb.Request{Body: &peerpb.Request_Grant{Grant: request}})
+	asked := &grant{request: request, zone: pool.Zone, owner: node.Name}
+	if err != nil {
+		// The owner may have granted although the reply was lost.
+		g.giveBack(asked, -1, "")
+		return nil, err
+	}
+	asked.granted = response.GetGranted()
+	g.hold(asked)
+	return asked, nil
+}
+
+func (g *grants) hold(held *grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held[held] = struct{}{}
+}
+
+// adopt books a grant that another node held, under this node's name.
+func (g *grants) adopt(ctx context.Context, pool *api.Pool, request *peerpb.Grant, granted *peerpb.Granted) *grant {
+	request.Pool = pool.Name
+	adopted := &grant{request: request, zone: pool.Zone, granted: granted}
+	g.hold(adopted)
+	g.restore(ctx, adopted)
+	return adopted
+}
+
+// decodeEngine reports the end of the prefill, or the failure of a decode
+// engine, and waits for a decode engine.
+func (g *grants) decodeEngine(ctx context.Context, held *grant, failedEngine string) (string, error) {
+	request := &peerpb.Request{Body: &peerpb.Request_Progress{Progress: &peerpb.Progress{
+		Pool: held.request.GetPool(), RequestId: held.request.GetRequestId(), Attempt: held.request.GetAttempt(), FailedEngine: failedEngine,
+	}}}
+	response, err := g.cluster.CallOwner(ctx, held.zone, owner.Key(held.request.GetPool()), request)
+	if api.IsCode(err, api.CodeNotFound) || api.IsCode(err, api.CodeUnavailable) {
+		// Another node owns the pool by now and does not know the grant yet.
+		g.restore(ctx, held)
+		response, err = g.cluster.CallOwner(ctx, held.zone, owner.Key(held.request.GetPool()), request)
+	}
+	if err != nil {
+		return "", err
+	}
+	decode := response.GetGranted().GetDecodeEngine()
+	held.mu.Lock()
+	defer held.mu.Unlock()
+	held.granted = &peerpb.Granted{PrefillEngine: held.granted.GetPrefillEngine(), DecodeEngine: decode, Epoch: held.granted.GetEpoch()}
+	return decode, nil
+}
+
+// giveBack returns a grant. It does not wait for the owner.
+func (g *grants) giveBack(held *grant, outputTokens int, failedEngine string) {
+	g.forget(held)
+	request := &peerpb.Request{Body: &peerpb.Request_Release{Release: &peerpb.Release{
+		Pool: held.request.GetPool(), RequestId: held.request.GetRequestId(), Attempt: held.request.GetAttempt(),
+		OutputTokens: int32(outputTokens), FailedEngine: failedEngine,
+	}}}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		if _, err := g.cluster.CallOwner(ctx, held.zone, owner.Key(held.request.GetPool()), request); err != nil {
+			g.metrics.Add("release_errors", 1)
+		}
+	}()
+}
+
+// forget drops a grant that another node has adopted.
+func (g *grants) forget(held *grant) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.held, held)
+}
+
+// restore tells the present owner of a grant.
+func (g *grants) restore(ctx context.Context, held *grant) {
+	node, err := g.cluster.Owner(held.zone, owner.Key(held.request.GetPool()))
+	if err != nil {
+		return
+	}
+	held.mu.Lock()
+	granted := held.granted
+	held.mu.Unlock()
+	request := &peerpb.Request{Body: &peerpb.Request_Restore{Restore: &peerpb.Restore{Grant: held.request, Granted: granted}}}
+	if _, err := g.cluster.Call(ctx, node, request); err != nil {
+		g.metrics.Add("restore_errors", 1)
+		return
+	}
+	held.mu.Lock()
+	held.owner = node.Name
+	held.mu.Unlock()
+}
+
+// reconcile tells owners that are new of the grants that the node holds.
+func (g *grants) reconcile(ctx context.Context) {
+	g.mu.Lock()
+	all := make([]*grant, 0, len(g.held))
+	for held := range g.held {
+		all = append(all, held)
+	}
+	g.mu.Unlock()
+	for _, held := range all {
+		node, err := g.cluster.Owner(held.zone, owner.Key(held.request.GetPool()))
+		held.mu.Lock()
+		known := held.owner
+		held.mu.Unlock()
+		if err == nil && node.Name != known {
+			g.restore(ctx, held)
+		}
+	}
+}
+
+// count returns the number of grants held.
+func (g *grants) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.held)
+}
--- /dev/null
+++ b/completion/sink.go
@@ -0,0 +1,159 @@
+package completion
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/reelrun/reelrun/api"
+)
+
+// writeTimeout is when a caller that does not read counts as gone.
+const writeTimeout = 30 * time.Second
+
+// errCallerGone is returned when the caller's connection has failed.
+var errCallerGone = errors.New("completion: caller is gone")
+
+// sink takes the tokens of an answer in order.
+type sink interface {
+	// token takes the token at the given offset.
+	token(offset int, text string) error
+	// finish ends a whole answer of the given length.
+	finish(tokens int) error
+	// fail ends an answer that has begun. It reports false if nothing has been
+	// sent, so that the error can still be the response.
+	fail(err *api.Error) bool
+}
+
+// identity is what every part of an answer repeats.
+type identity struct {
+	id    string
+	model string
+	chat  bool
+}
+
+func (i identity) object() string {
+	if i.chat {
+		return "chat.completion"
+	}
+	return "text_completion"
+}
+
+// choice is the part of an OpenAI answer that carries text.
+type choice struct {
+	Index        int      `json:"index"`
+	Text         string   `json:"text,omitempty"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// answer is an OpenAI answer, or one chunk of it.
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+const assistantRole = "assistant"
+
+// streamSink sends server-sent events.
+type streamSink struct {
+	identity
+	w       http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+func newStreamSink(w http.ResponseWriter, who identity) *streamSink {
+	return &streamSink{identity: who, w: w, control: http.NewResponseController(w)}
+}
+
+func (s *streamSink) token(offset int, text string) error {
+	part := choice{Text: text}
+	if s.chat {
+		part = choice{Delta: &Message{Role: assistantRole, Content: text}}
+	}
+	chunk := answer{ID: s.id, Object: s.object(), Model: s.model, Choices: []choice{part}}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return errors.Wrap(err, "encode chunk")
+	}
+	return s.send("", strconv.Itoa(offset), string(data))
+}
+
+func (s *streamSink) finish(int) error { return s.send("", "", "[DONE]") }
+
+func (s *streamSink) fail(failure *api.Error) bool {
+	if !s.started {
+		return false
+	}
+	data, err := json.Marshal(failure)
+	if err == nil {
+		_ = s.send("error", "", string(data)) // The caller may be gone.
+	}
+	return true
+}
+
+func (s *streamSink) send(kind, id, data string) error {
+	if !s.started {
+		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Cache-Control", "no-store")
+		s.started = true
+	}
+	message := &sse.Message{}
+	message.AppendData(data)
+	if kind != "" {
+		message.Type = sse.Type(kind)
+	}
+	if id != "" {
+		message.ID = sse.ID(id)
+	}
+	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := message.WriteTo(s.w); err != nil {
+		return errors.CombineErrors(errCallerGone, err)
+	}
+	if err := s.control.Flush(); err != nil {
+		return errors.CombineErrors(errCallerGone, err)
+	}
+	return nil
+}
+
+// wholeSink collects a bounded answer and sends it as one JSON object.
+type wholeSink struct {
+	identity
+	w    http.ResponseWriter
+	text strings.Builder
+}
+
+func (s *wholeSink) token(_ int, text string) error {
+	s.text.WriteString(text)
+	return nil
+}
+
+func (s *wholeSink) finish(tokens int) error {
+	reason := "length"
+	part := choice{Text: s.text.String(), FinishReason: &reason}
+	if s.chat {
+		part = choice{Message: &Message{Role: assistantRole, Content: s.text.String()}, FinishReason: &reason}
+	}
+	s.w.Header().Set("Content-Type", "application/json")
+	whole := answer{ID: s.id, Object: s.object(), Model: s.model, Choices: []choice{part}, Usage: &usage{CompletionTokens: tokens}}
+	if err := json.NewEncoder(s.w).Encode(whole); err != nil {
+		return errors.CombineErrors(errCallerGone, err)
+	}
+	return nil
+}
+
+func (s *wholeSink) fail(*api.Error) bool { return false }
--- /dev/null
+++ b/configuration/head.go
@@ -0,0 +1,164 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+)
+
+// HeadName is the name of the head object.
+const HeadName = "head"
+
+// Head names the parts of one version of the configuration.
+type Head struct {
+	Version uint64 `json:"version"`
+	// Change identifies the change that made this version, so that its author
+	// recognizes it after a lost reply.
+	Change string `json:"change"`
+	// Recent are the newest accepted changes, this one first: a change whose reply
+	// was lost may have been followed by another before its author asks again.
+	Recent []string `json:"recent,omitempty"`
+	// Moved names the objects that the change touched.
+	Moved []string `json:"moved,omitempty"`
+	// Parts are the digests of the parts, the fleet part first.
+	Parts []string `json:"parts"`
+	// Dropped are parts of the version before that this one no longer has.
+	Dropped []string `json:"dropped,omitempty"`
+}
+
+// maxRecent bounds the accepted changes that a head remembers.
+const maxRecent = 32
+
+// Accepted reports whether a change is among the newest accepted ones.
+func (h Head) Accepted(change string) bool { return slices.Contains(h.Recent, change) }
+
+// Part is one immutable piece of the configuration.
+type Part struct {
+	Digest string
+	Data   []byte
+}
+
+func newPart(value any) (Part, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return Part{}, errors.Wrap(err, "encode part")
+	}
+	return Part{Digest: digestOf(data), Data: data}, nil
+}
+
+func digestOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// tenantsPerPart keeps a tenant part near 100 kB.
+const tenantsPerPart = 256
+
+// Split cuts a configuration into parts: one with the classes, pools and
+// services, and as many with tenants as their number asks for. A tenant's part
+// follows from its name, so a change of one tenant changes one part.
+func Split(configuration api.Configuration) ([]Part, error) {
+	fleet := configuration
+	fleet.Version = 0
+	fleet.Tenants = nil
+	first, err := newPart(fleet)
+	if err != nil {
+		return nil, err
+	}
+	parts := []Part{first}
+	for _, tenants := range splitTenants(configuration.Tenants) {
+		part, err := newPart(api.Configuration{Tenants: tenants})
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+func splitTenants(tenants []api.Tenant) [][]api.Tenant {
+	count := 1
+	for count*tenantsPerPart < len(tenants) {
+		count *= 2
+	}
+	groups := make([][]api.Tenant, count)
+	for _, tenant := range tenants {
+		at := xxhash.Sum64String(tenant.Name) % uint64(count)
+		groups[at] = append(groups[at], tenant)
+	}
+	return groups
+}
+
+// Join builds the configuration of a head from its parts.
+func Join(head Head, parts map[string][]byte) (*api.Configuration, error) {
+	whole := &api.Configuration{Version: head.Version}
+	for _, digest := range head.Parts {
+		data, ok := parts[digest]
+		if !ok {
+			return nil, errors.Newf("part %s is missing", digest)
+		}
+		var part api.Configuration
+		if err := json.Unmarshal(data, &part); err != nil {
+			return nil, errors.Wrapf(err, "decode part %s", digest)
+		}
+		whole.Tenants = append(whole.Tenants, part.Tenants...)
+		whole.Classes = append(whole.Classes, part.Classes...)
+		whole.Pools = append(whole.Pools, part.Pools...)
+		whole.Services = append(whole.Services, part.Services...)
+	}
+	Sort(whole)
+	return whole, nil
+}
+
+// Sort orders the objects of a configuration by name.
+func Sort(c *api.Configuration) {
+	slices.SortFunc(c.Tenants, func(a, b api.Tenant) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Classes, func(a, b api.Class) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Pools, func(a, b api.Pool) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Services, func(a, b api.Service) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Objects returns a digest for each object, by its reference such as "pools/x".
+func Objects(c *api.Configuration) (map[string]string, error) {
+	objects := map[string]string{}
+	add := func(kind, name string, value any) error {
+		part, err := newPart(value)
+		objects[kind+"/"+name] = part.Digest
+		return err
+	}
+	var failed error
+	for _, tenant := range c.Tenants {
+		failed = errors.CombineErrors(failed, add("tenants", tenant.Name, tenant))
+	}
+	for _, class := range c.Classes {
+		failed = errors.CombineErrors(failed, add("classes", class.Name, class))
+	}
+	for _, pool := range c.Pools {
+		failed = errors.CombineErrors(failed, add("pools", pool.Name, pool))
+	}
+	for _, service := range c.Services {
+		failed = errors.CombineErrors(failed, add("services", service.Name, service))
+	}
+	return objects, failed
+}
+
+// ErrConflict says that the configuration moved since a plan was made.
+type ErrConflict struct {
+	// Planned and Current are the versions.
+	Planned, Current uint64
+	// Moved names the objects that the newest change touched.
+	Moved []string
+}
+
+// Error implements error.
+func (e *ErrConflict) Error() string {
+	return fmt.Sprintf("configuration moved from version %d to %d: %s", e.Planned, e.Current, strings.Join(e.Moved, ", "))
+}
--- /dev/null
+++ b/configuration/holder.go
@@ -0,0 +1,119 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/platform"
+)
+
+// ErrNoPart is returned when a node or the platform lacks a part.
+var ErrNoPart = errors.New("configuration: part not found")
+
+// FetchPart fetches a part by its digest.
+type FetchPart func(ctx context.Context, digest string) ([]byte, error)
+
+// Holder holds the configuration in force at a node. The version only rises.
+// It is safe for concurrent use.
+type Holder struct {
+	fetching sync.Mutex
+
+	mu      sync.Mutex
+	current *Snapshot
+	parts   map[string][]byte
+	changed []func(*Snapshot)
+}
+
+// NewHolder returns a holder with an empty configuration of version zero.
+func NewHolder() *Holder {
+	return &Holder{current: NewSnapshot(Head{}, &api.Configuration{}), parts: map[string][]byte{}}
+}
+
+// OnChange registers a function that is called with each new version.
+func (h *Holder) OnChange(call func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changed = append(h.changed, call)
+}
+
+// Current returns the configuration in force.
+func (h *Holder) Current() *Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// Part returns a part that the node holds.
+func (h *Holder) Part(digest string) ([]byte, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	data, ok := h.parts[digest]
+	return data, ok
+}
+
+// Advance puts a newer head in force, with missing parts from fetch. An older or
+// equal head changes nothing.
+func (h *Holder) Advance(ctx context.Context, head Head, fetch FetchPart) error {
+	h.fetching.Lock()
+	defer h.fetching.Unlock()
+	if head.Version <= h.Current().Version() {
+		return nil
+	}
+	parts := make(map[string][]byte, len(head.Parts))
+	for _, digest := range head.Parts {
+		data, err := h.part(ctx, digest, fetch)
+		if err != nil {
+			return err
+		}
+		parts[digest] = data
+	}
+	whole, err := Join(head, parts)
+	if err != nil {
+		return err
+	}
+	h.install(NewSnapshot(head, whole), parts)
+	return nil
+}
+
+func (h *Holder) part(ctx context.Context, digest string, fetch FetchPart) ([]byte, error) {
+	if data, ok := h.Part(digest); ok {
+		return data, nil
+	}
+	data, err := fetch(ctx, digest)
+	if err != nil {
+		return nil, errors.Wrapf(err, "fetch part %s", digest)
+	}
+	if digestOf(data) != digest {
+		return nil, errors.Newf("part %s has another digest", digest)
+	}
+	return data, nil
+}
+
+func (h *Holder) install(snapshot *Snapshot, parts map[string][]byte) {
+	h.mu.Lock()
+	h.current = snapshot
+	h.parts = parts
+	calls := append([]func(*Snapshot){}, h.changed...)
+	h.mu.Unlock()
+	for _, call := range calls {
+		call(snapshot)
+	}
+}
+
+// FromStore returns a FetchPart that reads from the platform.
+func FromStore(store platform.Store) FetchPart {
+	return func(ctx context.Context, digest string) ([]byte, error) {
+		object, err := store.Get(ctx, KindPart, digest)
+		if errors.Is(err, platform.ErrNotFound) {
+			return nil, ErrNoPart
+		}
+		return object.Spec, err
+	}
+}
+
+// EncodeHead returns the wire form of a head.
+func EncodeHead(head Head) ([]byte, error) { return json.Marshal(head) }
--- /dev/null
+++ b/configuration/publish.go
@@ -0,0 +1,130 @@
+package configuration
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/platform"
+)
+
+// KindPart is the platform's kind for parts. They are kept apart from the head,
+// so that a watch of the head does not carry them.
+const KindPart platform.Kind = "configurationparts"
+
+// maxMoved bounds the references that a head carries.
+const maxMoved = 32
+
+// ReadHead returns the newest accepted head, or an empty one if there is none.
+func ReadHead(ctx context.Context, store platform.Store) (Head, error) {
+	object, err := store.Get(ctx, platform.KindConfiguration, HeadName)
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{}, nil
+	}
+	if err != nil {
+		return Head{}, err
+	}
+	return decodeHead(object.Spec)
+}
+
+func decodeHead(spec []byte) (Head, error) {
+	var head Head
+	if len(spec) == 0 {
+		return head, nil
+	}
+	err := json.Unmarshal(spec, &head)
+	return head, errors.Wrap(err, "decode head")
+}
+
+// Publish makes configuration the successor of version base. It returns an
+// *ErrConflict if another change was accepted first. When it returns another
+// error, the change may be accepted; Publish with the same change tells.
+func Publish(ctx context.Context, store platform.Store, base uint64, change string, moved []string, configuration api.Configuration) (Head, error) {
+	parts, err := Split(configuration)
+	if err != nil {
+		return Head{}, err
+	}
+	head := Head{Version: base + 1, Change: change, Moved: moved[:min(len(moved), maxMoved)]}
+	for _, part := range parts {
+		head.Parts = append(head.Parts, part.Digest)
+	}
+	if err := storeParts(ctx, store, parts); err != nil {
+		return Head{}, err
+	}
+	var superseded []string
+	_, err = platform.Modify(ctx, store, platform.Change{
+		Kind: platform.KindConfiguration, Name: HeadName,
+		Mutate: func(current json.RawMessage) (json.RawMessage, error) {
+			standing, err := decodeHead(current)
+			if err != nil {
+				return nil, err
+			}
+			if standing.Accepted(change) {
+				return nil, nil
+			}
+			if standing.Version != base {
+				return nil, &ErrConflict{Planned: base, Current: standing.Version, Moved: standing.Moved}
+			}
+			superseded = standing.Dropped
+			head.Recent = append([]string{change}, standing.Recent[:min(len(standing.Recent), maxRecent-1)]...)
+			head.Dropped = without(standing.Parts, head.Parts)
+			return json.Marshal(head)
+		},
+	})
+	if err != nil {
+		return Head{}, err
+	}
+	// A racing change may have collected a part that this one found in place.
+	if err := storeParts(ctx, store, parts); err != nil {
+		return Head{}, err
+	}
+	collect(ctx, store, without(superseded, head.Parts))
+	return head, nil
+}
+
+// storeParts writes the parts that the platform lacks.
+func storeParts(ctx context.Context, store platform.Store, parts []Part) error {
+	for _, part := range parts {
+		_, err := platform.Modify(ctx, store, platform.Change{
+			Kind: KindPart, Name: part.Digest,
+			Mutate: func(current json.RawMessage) (json.RawMessage, error) {
+				if current != nil {
+					return nil, nil
+				}
+				return part.Data, nil
+			},
+		})
+		if err != nil {
+			return errors.Wrap(err, "store part")
+		}
+	}
+	return nil
+}
+
+// collect deletes parts that neither the newest head nor the one before needs.
+// A part left behind by a failure costs room and nothing else.
+func collect(ctx context.Context, store platform.Store, digests []string) {
+	for _, digest := range digests {
+		object, err := store.Get(ctx, KindPart, digest)
+		if err == nil {
+			_ = store.Delete(ctx, KindPart, digest, object.Version)
+		}
+	}
+}
+
+// without returns the members of list that are not in other.
+func without(list, other []string) []string {
+	present := make(map[string]bool, len(other))
+	for _, name := range other {
+		present[name] = true
+	}
+	var left []string
+	for _, name := range list {
+		if !present[name] {
+			left = append(left, name)
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/configuration/syncer.go
@@ -0,0 +1,239 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/platform"
+)
+
+const (
+	// watchersPerZone is the number of nodes of a zone that watch the head.
+	watchersPerZone = 2
+	watcherKey      = "configuration-watcher"
+	// roleInterval is how often a node looks whether it is to watch.
+	roleInterval = time.Second
+	// pullTimeout bounds the fetch of a version from a peer.
+	pullTimeout = 5 * time.Second
+)
+
+// Placement tells whether the node is one of the first of its zone for a key.
+type Placement interface {
+	IsAmong(key string, count int) bool
+}
+
+// PeerCaller calls a node by its address.
+type PeerCaller interface {
+	Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error)
+}
+
+// Syncer keeps a Holder at the newest accepted version.
+type Syncer struct {
+	holder    *Holder
+	store     platform.Store
+	placement Placement
+	caller    PeerCaller
+	metrics   *metrics.Set
+	now       func() time.Time
+
+	mu sync.Mutex
+	// confirmed is when the platform or a peer last answered what is newest.
+	confirmed time.Time
+	// asked states that the platform or a peer has answered since the start.
+	asked   bool
+	pulling map[string]bool
+	pulls   sync.WaitGroup
+}
+
+// NewSyncer returns a syncer that does nothing until Run.
+func NewSyncer(holder *Holder, store platform.Store, placement Placement, caller PeerCaller, set *metrics.Set, now func() time.Time) *Syncer {
+	return &Syncer{
+		holder: holder, store: store, placement: placement, caller: caller,
+		metrics: set, now: now, pulling: map[string]bool{},
+	}
+}
+
+// Run asks the platform once, and then watches it whenever the node is chosen
+// to, until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	defer s.pulls.Wait()
+	ticker := time.NewTicker(roleInterval)
+	defer ticker.Stop()
+	for {
+		if !s.Asked() || s.placement.IsAmong(watcherKey, watchersPerZone) {
+			s.watch(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// watch reads the head and follows it until the watch ends or the node is no
+// longer chosen.
+func (s *Syncer) watch(ctx context.Context) {
+	objects, revision, err := s.store.List(ctx, platform.KindConfiguration)
+	if err != nil {
+		s.metrics.Add("configuration_platform_errors", 1)
+		return
+	}
+	s.confirm()
+	for _, object := range objects {
+		s.advance(ctx, object)
+	}
+	if !s.placement.IsAmong(watcherKey, watchersPerZone) {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go s.resign(ctx, cancel)
+	s.metrics.Add("configuration_watches", 1)
+	err = s.store.Watch(ctx, platform.KindConfiguration, revision, func(event platform.Event) {
+		s.confirm()
+		s.advance(ctx, event.Object)
+	})
+	if err != nil && !errors.Is(err, context.Canceled) {
+		s.metrics.Add("configuration_watch_ends", 1)
+	}
+}
+
+// resign ends the watch when another node has taken the node's place.
+func (s *Syncer) resign(ctx context.Context, cancel context.CancelFunc) {
+	ticker := time.NewTicker(roleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !s.placement.IsAmong(watcherKey, watchersPerZone) {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+func (s *Syncer) advance(ctx context.Context, object platform.Object) {
+	if object.Name != HeadName {
+		return
+	}
+	head, err := decodeHead(object.Spec)
+	if err == nil {
+		err = s.holder.Advance(ctx, head, FromStore(s.store))
+	}
+	if err != nil {
+		s.metrics.Add("configuration_advance_errors", 1)
+	}
+}
+
+func (s *Syncer) confirm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed = s.now()
+	s.asked = true
+}
+
+// Asked reports whether the platform or a peer has told the newest version
+// since the start of the node.
+func (s *Syncer) Asked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// ConfirmedAt returns when the platform last answered.
+func (s *Syncer) ConfirmedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+// Observe learns from a heartbeat which version its sender has in force, and
+// fetches it if it is newer.
+func (s *Syncer) Observe(address string, version uint64) {
+	if version <= s.holder.Current().Version() {
+		s.heardFromPeer(version)
+		return
+	}
+	s.mu.Lock()
+	busy := s.pulling[address]
+	s.pulling[address] = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	s.pulls.Add(1)
+	go func() {
+		defer s.pulls.Done()
+		s.pull(address)
+	}()
+}
+
+// heardFromPeer notes that a peer which has a configuration has nothing newer.
+func (s *Syncer) heardFromPeer(version uint64) {
+	if version == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = true
+}
+
+func (s *Syncer) pull(address string) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.pulling, address)
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	response, err := s.caller.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_FetchHead{FetchHead: &peerpb.FetchHead{}}})
+	if err != nil {
+		s.metrics.Add("configuration_pull_errors", 1)
+		return
+	}
+	head, err := decodeHead(response.GetContent().GetData())
+	if err == nil {
+		err = s.holder.Advance(ctx, head, s.fromPeer(address))
+	}
+	if err != nil {
+		s.metrics.Add("configuration_pull_errors", 1)
+		return
+	}
+	s.metrics.Add("configuration_pulls", 1)
+	s.heardFromPeer(head.Version)
+}
+
+// fromPeer fetches parts from a peer, and from the platform if the peer has
+// moved on meanwhile.
+func (s *Syncer) fromPeer(address string) FetchPart {
+	return func(ctx context.Context, digest string) ([]byte, error) {
+		request := &peerpb.Request{Body: &peerpb.Request_FetchPart{FetchPart: &peerpb.FetchPart{Digest: digest}}}
+		response, err := s.caller.Call(ctx, address, request)
+		if err == nil {
+			return response.GetContent().GetData(), nil
+		}
+		return FromStore(s.store)(ctx, digest)
+	}
+}
+
+// Probe asks the platform for the head, which shows whether it can be reached.
+func (s *Syncer) Probe(ctx context.Context) {
+	head, err := ReadHead(ctx, s.store)
+	if err != nil {
+		s.metrics.Add("configuration_platform_errors", 1)
+		return
+	}
+	s.confirm()
+	if err := s.holder.Advance(ctx, head, FromStore(s.store)); err != nil {
+		s.metrics.Add("configuration_advance_errors", 1)
+	}
+}
--- /dev/null
+++ b/controller/manager.go
@@ -0,0 +1,130 @@
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/metrics"
+)
+
+// Request names the object to reconcile.
+type Request struct {
+	Name string
+}
+
+// Result tells when to reconcile the object again.
+type Result struct {
+	// RequeueAfter runs the object again sooner than the controller's interval,
+	// if it is above zero.
+	RequeueAfter time.Duration
+}
+
+// Reconciler brings one object to its wanted state.
+type Reconciler interface {
+	Reconcile(ctx context.Context, request Request) (Result, error)
+}
+
+// ReconcilerFunc is a function that is a Reconciler.
+type ReconcilerFunc func(ctx context.Context, request Request) (Result, error)
+
+// Reconcile implements Reconciler.
+func (f ReconcilerFunc) Reconcile(ctx context.Context, request Request) (Result, error) {
+	return f(ctx, request)
+}
+
+// Controller is a reconciler with the objects it looks after.
+type Controller struct {
+	// Name appears in the counters reconciles_<name> and reconcile_errors_<name>.
+	Name string
+	// Reconciler does the work.
+	Reconciler Reconciler
+	// Requests lists the objects. Nil stands for one object without a name.
+	Requests func() []Request
+	// Interval is the time between two rounds. Default 1s.
+	Interval time.Duration
+	// Concurrency bounds the objects reconciled at once. Default 8.
+	Concurrency int
+}
+
+const (
+	defaultInterval    = time.Second
+	defaultConcurrency = 8
+)
+
+// Manager runs controllers.
+type Manager struct {
+	metrics     *metrics.Set
+	controllers []Controller
+}
+
+// NewManager returns a manager without controllers.
+func NewManager(set *metrics.Set) *Manager { return &Manager{metrics: set} }
+
+// Add registers a controller. It must not be called once Run has been.
+func (m *Manager) Add(added Controller) {
+	if added.Interval == 0 {
+		added.Interval = defaultInterval
+	}
+	if added.Concurrency == 0 {
+		added.Concurrency = defaultConcurrency
+	}
+	if added.Requests == nil {
+		added.Requests = func() []Request { return []Request{{}} }
+	}
+	m.controllers = append(m.controllers, added)
+}
+
+// Run runs the controllers until the context ends.
+func (m *Manager) Run(ctx context.Context) {
+	var running sync.WaitGroup
+	for _, added := range m.controllers {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			m.loop(ctx, added)
+		}()
+	}
+	running.Wait()
+}
+
+func (m *Manager) loop(ctx context.Context, run Controller) {
+	timer := time.NewTimer(run.Interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			timer.Reset(m.round(ctx, run))
+		}
+	}
+}
+
+// round reconciles every object once and returns the time until the next round.
+func (m *Manager) round(ctx context.Context, run Controller) time.Duration {
+	var mu sync.Mutex
+	next := run.Interval
+	slots := make(chan struct{}, run.Concurrency)
+	var running sync.WaitGroup
+	for _, request := range run.Requests() {
+		slots <- struct{}{}
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			defer func() { <-slots }()
+			result, err := run.Reconciler.Reconcile(ctx, request)
+			m.metrics.Add("reconciles_"+run.Name, 1)
+			if err != nil {
+				m.metrics.Add("reconcile_errors_"+run.Name, 1)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if result.RequeueAfter > 0 {
+				next = min(next, result.RequeueAfter)
+			}
+		}()
+	}
+	running.Wait()
+	return next
+}
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,217 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+)
+
+const (
+	maxReplyBytes  = 4 << 20
+	maxErrorBytes  = 64 << 10
+	controlTimeout = 2 * time.Second
+)
+
+// Client calls engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client that uses the given transport.
+func NewClient(transport http.RoundTripper) *Client {
+	return &Client{http: &http.Client{Transport: transport}}
+}
+
+// Prefill computes a prompt's KV cache. It returns when the result is ready.
+func (c *Client) Prefill(ctx context.Context, address string, request PrefillRequest) (PrefillResult, error) {
+	var result PrefillResult
+	err := c.call(ctx, http.MethodPost, address, PathPrefill, request, &result)
+	return result, err
+}
+
+// Decode starts a stream and reads it from the request's offset.
+func (c *Client) Decode(ctx context.Context, address string, request DecodeRequest) (*Stream, error) {
+	response, err := c.send(ctx, http.MethodPost, address, PathDecode, nil, request) //nolint:bodyclose // Stream.Close does
+	if err != nil {
+		return nil, err
+	}
+	return newStream(response.Body, request.Attempt, request.Offset), nil
+}
+
+// Resume reads a held stream from the given offset and makes holder its holder.
+func (c *Client) Resume(ctx context.Context, address string, attempt Attempt, holder Holder, offset int) (*Stream, error) {
+	query := url.Values{
+		"offset":      {strconv.Itoa(offset)},
+		"node":        {holder.Node},
+		"incarnation": {strconv.FormatUint(holder.Incarnation, 10)},
+	}
+	response, err := c.send(ctx, http.MethodGet, address, PathStreams+"/"+attempt.String(), query, nil) //nolint:bodyclose // Stream.Close does
+	if err != nil {
+		return nil, err
+	}
+	return newStream(response.Body, attempt, offset), nil
+}
+
+// Cancel ends an attempt at an engine and frees its memory. The engine refuses
+// the attempt if it arrives later. Cancel can be repeated.
+func (c *Client) Cancel(ctx context.Context, address string, attempt Attempt) error {
+	return c.control(ctx, http.MethodPost, address, PathStreams+"/"+attempt.String()+"/cancel", nil)
+}
+
+// Streams lists what the engine holds.
+func (c *Client) Streams(ctx context.Context, address string) ([]StreamStatus, error) {
+	var streams []StreamStatus
+	err := c.control(ctx, http.MethodGet, address, PathStreams, &streams)
+	return streams, err
+}
+
+// Load returns the engine's lagging load report.
+func (c *Client) Load(ctx context.Context, address string) (Load, error) {
+	var load Load
+	err := c.control(ctx, http.MethodGet, address, PathLoad, &load)
+	return load, err
+}
+
+// CacheEvents returns the prefix-cache events after a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, after uint64) ([]CacheEvent, error) {
+	var events []CacheEvent
+	path := PathCacheEvents + "?after=" + strconv.FormatUint(after, 10)
+	err := c.control(ctx, http.MethodGet, address, path, &events)
+	return events, err
+}
+
+// Order sends a fenced order. The context bounds the time it can be under way.
+// Guard is asked when the connection stands, right before the order is written;
+// its error keeps the order from being sent.
+func (c *Client) Order(ctx context.Context, address string, order Order, guard func() error) error {
+	encoded, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	body := &guardedReader{reader: bytes.NewReader(encoded), guard: guard}
+	response, err := c.sendBody(ctx, http.MethodPost, address, PathOrders, nil, body)
+	if body.refused != nil {
+		return body.refused
+	}
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// guardedReader asks its guard before the first byte is read.
+type guardedReader struct {
+	reader  io.Reader
+	guard   func() error
+	asked   bool
+	refused error
+}
+
+// Read implements io.Reader.
+func (r *guardedReader) Read(buffer []byte) (int, error) {
+	if !r.asked {
+		r.asked = true
+		r.refused = r.guard()
+	}
+	if r.refused != nil {
+		return 0, r.refused
+	}
+	return r.reader.Read(buffer)
+}
+
+func (c *Client) control(ctx context.Context, method, address, path string, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	return c.call(ctx, method, address, path, nil, result)
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, body, result any) error {
+	parsed, err := url.Parse(path)
+	if err != nil {
+		return errors.Wrap(err, "parse path")
+	}
+	response, err := c.send(ctx, method, address, parsed.Path, parsed.Query(), body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if result == nil {
+		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxReplyBytes))
+		return errors.Wrap(err, "read reply")
+	}
+	decoder := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes))
+	if err := decoder.Decode(result); err != nil {
+		return unknown(err)
+	}
+	return nil
+}
+
+// send encodes the body and calls sendBody.
+func (c *Client) send(ctx context.Context, method, address, path string, query url.Values, body any) (*http.Response, error) {
+	var reader io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode request")
+		}
+		// The wrapper hides the reader's type, so that net/http cannot send the
+		// request a second time on its own.
+		reader = struct{ io.Reader }{bytes.NewReader(encoded)}
+	}
+	return c.sendBody(ctx, method, address, path, query, reader)
+}
+
+// sendBody returns the response if its status is 200. Its errors state whether
+// the engine may have run the request.
+func (c *Client) sendBody(ctx context.Context, method, address, path string, query url.Values, reader io.Reader) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, target.String(), reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		if !connected.Load() {
+			return nil, api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeNotRun, "engine cannot be reached")
+		}
+		return nil, unknown(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer func() { _ = response.Body.Close() }()
+		return nil, errorReply(response)
+	}
+	return response, nil
+}
+
+// unknown hides the cause, which may name addresses, from the caller's message
+// but keeps it for logs.
+func unknown(cause error) error {
+	typed := api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeUnknown, "engine failed during the request")
+	return errors.WithSecondaryError(typed, cause)
+}
+
+func errorReply(response *http.Response) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err != nil {
+		return unknown(err)
+	}
+	typed := &api.Error{}
+	if json.Unmarshal(body, typed) != nil || typed.Code == "" {
+		return unknown(errors.Newf("status %d", response.StatusCode))
+	}
+	typed.Status = response.StatusCode
+	return typed
+}
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,208 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/platform"
+)
+
+// ErrHeld is returned when another node holds the lease.
+var ErrHeld = errors.New("lease: held by another node")
+
+// ErrLapsed is returned when too little of the lease is left to act.
+var ErrLapsed = errors.New("lease: lapsed")
+
+// Record is the stored form of a lease.
+type Record struct {
+	// Holder is the node and incarnation that holds the lease; empty if released.
+	Holder string `json:"holder"`
+	// Fence rises by one with each holder.
+	Fence uint64 `json:"fence"`
+	// Renewals rises with each renewal, so that a candidate sees a live holder.
+	Renewals uint64 `json:"renewals"`
+	// DurationMillis is how long the lease lasts without renewal.
+	DurationMillis int64 `json:"duration_ms"`
+}
+
+// Options describe one lease.
+type Options struct {
+	Store platform.Store
+	// Name is the lease object's name.
+	Name string
+	// Holder identifies this start of the node.
+	Holder string
+	// Duration is how long the lease lasts without renewal. Default 10s.
+	Duration time.Duration
+	// Margin is kept between the last action and the end of the lease. Default 1s.
+	Margin time.Duration
+	// Now reads a monotonic clock. Default time.Now.
+	Now func() time.Time
+}
+
+const (
+	defaultDuration = 10 * time.Second
+	defaultMargin   = time.Second
+)
+
+// Lease is one node's part in a lease. It is safe for concurrent use.
+type Lease struct {
+	options Options
+
+	mu       sync.Mutex
+	observed Record
+	seenAt   time.Time
+	version  int64
+	held     bool
+	until    time.Time
+	// takenOverAt is when the lease was taken from a holder that had not released it.
+	takenOverAt time.Time
+}
+
+// New returns a lease that is not held.
+func New(options Options) *Lease {
+	if options.Duration == 0 {
+		options.Duration = defaultDuration
+	}
+	if options.Margin == 0 {
+		options.Margin = defaultMargin
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Lease{options: options}
+}
+
+// Acquire takes or renews the lease and returns its fence. It returns ErrHeld
+// while another holder may be alive.
+func (l *Lease) Acquire(ctx context.Context) (uint64, error) {
+	started := l.options.Now()
+	current, err := l.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	wanted, mayTake := l.next(current)
+	if !mayTake {
+		return 0, ErrHeld
+	}
+	if err := l.write(ctx, wanted); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if current.Holder != "" && current.Holder != wanted.Holder {
+		l.takenOverAt = l.options.Now()
+	}
+	l.observed, l.seenAt = wanted, l.options.Now()
+	l.held = true
+	l.until = started.Add(l.options.Duration)
+	return wanted.Fence, nil
+}
+
+// read fetches the record and notes when it last changed.
+func (l *Lease) read(ctx context.Context) (Record, error) {
+	object, err := l.options.Store.Get(ctx, platform.KindLease, l.options.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return Record{}, errors.Wrap(err, "read lease")
+	}
+	var record Record
+	if len(object.Spec) > 0 {
+		if err := json.Unmarshal(object.Spec, &record); err != nil {
+			return Record{}, errors.Wrap(err, "decode lease")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.version = object.Version
+	if l.seenAt.IsZero() || record != l.observed {
+		l.observed, l.seenAt = record, l.options.Now()
+	}
+	return record, nil
+}
+
+// next returns the record to write, and whether this node may write it.
+func (l *Lease) next(current Record) (Record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.options.Now()
+	wanted := current
+	wanted.Renewals++
+	wanted.DurationMillis = l.options.Duration.Milliseconds()
+	if current.Holder == l.options.Holder {
+		return wanted, true
+	}
+	lasts := time.Duration(current.DurationMillis) * time.Millisecond
+	if current.Holder != "" && now.Sub(l.seenAt) <= lasts {
+		return Record{}, false
+	}
+	wanted.Holder = l.options.Holder
+	wanted.Fence++
+	return wanted, true
+}
+
+// write stores the record. A write without a definite answer does not make the
+// node the holder; the next Acquire finds its name in the record.
+func (l *Lease) write(ctx context.Context, record Record) error {
+	spec, err := json.Marshal(record)
+	if err != nil {
+		return errors.Wrap(err, "encode lease")
+	}
+	l.mu.Lock()
+	version := l.version
+	l.mu.Unlock()
+	object := platform.Object{Kind: platform.KindLease, Name: l.options.Name, Version: version, Spec: spec}
+	if _, err := l.options.Store.Put(ctx, object); err != nil {
+		if errors.Is(err, platform.ErrConflict) {
+			return ErrHeld
+		}
+		return errors.Wrap(err, "write lease")
+	}
+	return nil
+}
+
+// Check returns nil if the node holds the lease for at least the given time and
+// the margin. It is called right before an order is sent, with the longest time
+// that the order can be under way.
+func (l *Lease) Check(longest time.Duration) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held || l.options.Now().Add(longest+l.options.Margin).After(l.until) {
+		return ErrLapsed
+	}
+	return nil
+}
+
+// WaitedOut reports whether the given time has passed since the lease was taken
+// from a holder that had not released it: an order of that holder may have been
+// under way. Engines that check fences need no such wait.
+func (l *Lease) WaitedOut(longest time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.takenOverAt.IsZero() || l.options.Now().Sub(l.takenOverAt) >= longest
+}
+
+// Release gives the lease up, so that the next holder need not wait. It must not
+// be called while an order may be under way.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	held, record := l.held, l.observed
+	l.held = false
+	l.mu.Unlock()
+	if !held || record.Holder != l.options.Holder {
+		return nil
+	}
+	current, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	if current.Holder != l.options.Holder {
+		return nil
+	}
+	current.Holder = ""
+	current.Renewals++
+	return l.write(ctx, current)
+}
--- /dev/null
+++ b/machines/list.go
@@ -0,0 +1,134 @@
+package machines
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/platform"
+)
+
+// State is whether a machine stays.
+type State string
+
+// The states of a machine.
+const (
+	StateLive    State = "live"
+	StateLeaving State = "leaving"
+)
+
+// Machine is one entry of the platform's list. Engines and back ends of services
+// are found by their names.
+type Machine struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone,omitempty"`
+	Address string `json:"address,omitempty"`
+	State   State  `json:"state"`
+}
+
+// View is the list as of a revision of the platform.
+type View struct {
+	Revision int64     `json:"revision"`
+	Machines []Machine `json:"machines"`
+}
+
+// List holds the newest view. It is safe for concurrent use.
+type List struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	revision int64
+	machines map[string]Machine
+	// fresh is when the view was last known to be the newest.
+	fresh time.Time
+}
+
+// NewList returns an empty list.
+func NewList(now func() time.Time) *List {
+	return &List{now: now, machines: map[string]Machine{}}
+}
+
+// Replace puts a view in force unless it is older than the one held. Age is how
+// long ago the view was known to be the newest.
+func (l *List) Replace(view View, age time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(view.Revision, age)
+	if view.Revision <= l.revision {
+		return false
+	}
+	l.revision = view.Revision
+	l.machines = make(map[string]Machine, len(view.Machines))
+	for _, machine := range view.Machines {
+		l.machines[machine.Name] = machine
+	}
+	return true
+}
+
+// Refresh notes that a view of the given revision was the newest some time ago.
+func (l *List) Refresh(revision int64, age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refresh(revision, age)
+}
+
+func (l *List) refresh(revision int64, age time.Duration) {
+	at := l.now().Add(-age)
+	if revision >= l.revision && at.After(l.fresh) {
+		l.fresh = at
+	}
+}
+
+// apply changes one machine.
+func (l *List) apply(object platform.Object, deleted bool) error {
+	var machine Machine
+	if !deleted {
+		if err := json.Unmarshal(object.Spec, &machine); err != nil {
+			return errors.Wrap(err, "decode machine")
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.revision = max(l.revision, object.Version)
+	l.fresh = l.now()
+	if deleted {
+		delete(l.machines, object.Name)
+		return nil
+	}
+	l.machines[object.Name] = machine
+	return nil
+}
+
+// IsLeaving reports whether a machine is leaving.
+func (l *List) IsLeaving(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.machines[name].State == StateLeaving
+}
+
+// Revision returns the revision of the view.
+func (l *List) Revision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+// Age returns how long ago the view was last known to be the newest.
+func (l *List) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now().Sub(l.fresh)
+}
+
+// View returns the view.
+func (l *List) View() View {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	view := View{Revision: l.revision, Machines: make([]Machine, 0, len(l.machines))}
+	for _, machine := range l.machines {
+		view.Machines = append(view.Machines, machine)
+	}
+	return view
+}
--- /dev/null
+++ b/machines/syncer.go
@@ -0,0 +1,175 @@
+package machines
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/platform"
+)
+
+const (
+	watchersPerZone = 2
+	watcherKey      = "machine-watcher"
+	roleInterval    = time.Second
+	// watchLength bounds one watch, after which the list is read anew: a frozen
+	// platform must not pass for one without news.
+	watchLength = 5 * time.Second
+	// maxAge is the age from which an owner asks the platform itself.
+	maxAge = 8 * time.Second
+	// askInterval is the least time between two such questions.
+	askInterval = 2 * time.Second
+	pullTimeout = 2 * time.Second
+)
+
+// Placement tells whether the node is one of the first of its zone for a key.
+type Placement interface {
+	IsAmong(key string, count int) bool
+}
+
+// PeerCaller calls a node by its address.
+type PeerCaller interface {
+	Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error)
+}
+
+// Syncer keeps a List at the newest view.
+type Syncer struct {
+	list      *List
+	store     platform.Store
+	placement Placement
+	caller    PeerCaller
+	metrics   *metrics.Set
+	changed   func()
+
+	mu      sync.Mutex
+	pulling bool
+	asked   time.Time
+	pulls   sync.WaitGroup
+}
+
+// NewSyncer returns a syncer that calls changed when the view changes.
+func NewSyncer(list *List, store platform.Store, placement Placement, caller PeerCaller, set *metrics.Set, changed func()) *Syncer {
+	return &Syncer{list: list, store: store, placement: placement, caller: caller, metrics: set, changed: changed}
+}
+
+// Run watches the list whenever the node is chosen to, until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	defer s.pulls.Wait()
+	ticker := time.NewTicker(roleInterval)
+	defer ticker.Stop()
+	for {
+		if s.placement.IsAmong(watcherKey, watchersPerZone) {
+			s.watch(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (s *Syncer) watch(ctx context.Context) {
+	revision, err := s.read(ctx)
+	if err != nil {
+		s.metrics.Add("machine_list_errors", 1)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchLength)
+	defer cancel()
+	err = s.store.Watch(ctx, platform.KindMachine, revision, func(event platform.Event) {
+		if err := s.list.apply(event.Object, event.Deleted); err != nil {
+			s.metrics.Add("machine_list_errors", 1)
+			return
+		}
+		s.changed()
+	})
+	if err != nil && ctx.Err() == nil {
+		s.metrics.Add("machine_watch_ends", 1)
+	}
+}
+
+// read replaces the view by the platform's list.
+func (s *Syncer) read(ctx context.Context) (int64, error) {
+	objects, revision, err := s.store.List(ctx, platform.KindMachine)
+	if err != nil {
+		return 0, err
+	}
+	view := View{Machines: make([]Machine, len(objects))}
+	for i, object := range objects {
+		if err := json.Unmarshal(object.Spec, &view.Machines[i]); err != nil {
+			return 0, errors.Wrapf(err, "decode machine %s", object.Name)
+		}
+		view.Revision = max(view.Revision, object.Version)
+	}
+	if s.list.Replace(view, 0) {
+		s.changed()
+	}
+	return revision, nil
+}
+
+// EnsureFresh asks the platform if the view is too old to grant work by.
+func (s *Syncer) EnsureFresh(ctx context.Context) {
+	if s.list.Age() < maxAge {
+		return
+	}
+	s.mu.Lock()
+	recent := time.Since(s.asked) < askInterval
+	if !recent {
+		s.asked = time.Now()
+	}
+	s.mu.Unlock()
+	if recent {
+		return
+	}
+	s.metrics.Add("machine_list_asked", 1)
+	if _, err := s.read(ctx); err != nil {
+		s.metrics.Add("machine_list_errors", 1)
+	}
+}
+
+// Observe learns from a heartbeat which view its sender holds.
+func (s *Syncer) Observe(address string, revision int64, age time.Duration) {
+	if revision <= s.list.Revision() {
+		s.list.Refresh(revision, age)
+		return
+	}
+	s.mu.Lock()
+	busy := s.pulling
+	s.pulling = true
+	s.mu.Unlock()
+	if busy {
+		return
+	}
+	s.pulls.Add(1)
+	go func() {
+		defer s.pulls.Done()
+		s.pull(address, age)
+	}()
+}
+
+func (s *Syncer) pull(address string, age time.Duration) {
+	defer func() {
+		s.mu.Lock()
+		s.pulling = false
+		s.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
+	defer cancel()
+	response, err := s.caller.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_FetchHead{FetchHead: &peerpb.FetchHead{Machines: true}}})
+	if err != nil {
+		s.metrics.Add("machine_pull_errors", 1)
+		return
+	}
+	var view View
+	if err := json.Unmarshal(response.GetContent().GetData(), &view); err != nil {
+		s.metrics.Add("machine_pull_errors", 1)
+		return
+	}
+	s.list.Replace(view, age)
+}
--- /dev/null
+++ b/membership/service.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
+
+// Caller calls another node.
+type Caller interface {
+	Call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error)
+	Reset(address string)
+}
+
+// Payload fills the part of a heartbeat that belongs to other packages.
+type Payload func(heartbeat *peerpb.Heartbeat)
+
+// Observer learns of each heartbeat received, with the address of its sender.
+type Observer func(address string, heartbeat *peerpb.Heartbeat)
+
+// Service exchanges heartbeats with other nodes.
+type Service struct {
+	table    *Table
+	caller   Caller
+	payload  Payload
+	observer Observer
+	seeds    []string
+	now      func() time.Time
+
+	wake chan struct{}
+	done sync.WaitGroup
+}
+
+// ServiceOptions are the parts of a Service.
+type ServiceOptions struct {
+	Table    *Table
+	Caller   Caller
+	Payload  Payload
+	Observer Observer
+	// Seeds are addresses to ask while no other node is known.
+	Seeds []string
+	// Now reads the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// NewService returns a service that does nothing until Run.
+func NewService(options ServiceOptions) *Service {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Service{
+		table: options.Table, caller: options.Caller, payload: options.Payload, observer: options.Observer,
+		seeds: options.Seeds, now: options.Now, wake: make(chan struct{}, 1),
+	}
+}
+
+// ticksPerInterval is how often within an interval due heartbeats are looked for.
+const ticksPerInterval = 4
+
+// Run exchanges heartbeats until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.table.options.Interval / ticksPerInterval)
+	defer ticker.Stop()
+	defer s.done.Wait()
+	s.joinSeeds(ctx)
+	for round := 1; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+			s.exchangeAll(ctx)
+		case <-ticker.C:
+			s.table.Tick(s.now())
+			s.exchangeDue(ctx)
+			if round%(ticksPerInterval*retryFactor) == 0 {
+				s.joinSeeds(ctx)
+			}
+		}
+	}
+}
+
+// Announce sends a heartbeat to every live node of the zone at once. It is used
+// when the node's state or configuration has changed.
+func (s *Service) Announce() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *Service) exchangeDue(ctx context.Context) {
+	for _, target := range s.table.Targets(s.now()) {
+		s.start(ctx, target)
+	}
+}
+
+func (s *Service) exchangeAll(ctx context.Context) {
+	self := s.table.Self()
+	for _, member := range s.table.ZoneMembers(s.now(), self.Zone) {
+		if member.Name != self.Name {
+			s.start(ctx, Target{Name: member.Name, Zone: member.Zone, Address: member.Address})
+		}
+	}
+	for _, target := range s.table.RemoteContacts(s.now()) {
+		s.start(ctx, target)
+	}
+}
+
+// joinSeeds asks the seeds while the node hears nobody, or too few to have
+// heard of the other zones.
+func (s *Service) joinSeeds(ctx context.Context) {
+	self := s.table.Self()
+	for _, address := range s.seeds {
+		if address != self.Address && !s.table.HearsAddress(s.now(), address) {
+			s.start(ctx, Target{Address: address, Join: true})
+		}
+	}
+}
+
+func (s *Service) start(ctx context.Context, target Target) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		s.exchange(ctx, target)
+	}()
+}
+
+func (s *Service) exchange(ctx context.Context, target Target) {
+	ctx, cancel := context.WithTimeout(ctx, s.table.options.FailureTimeout)
+	defer cancel()
+	request := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: s.heartbeat(target.Zone)}}
+	response, err := s.caller.Call(ctx, target.Address, request)
+	if err != nil {
+		s.caller.Reset(target.Address)
+		return
+	}
+	reply := response.GetHeartbeat()
+	stale := s.observe(reply)
+	if target.Join {
+		s.fetch(ctx, target.Address, "")
+		return
+	}
+	for _, zone := range stale {
+		s.fetch(ctx, target.Address, zone)
+	}
+}
+
+func (s *Service) heartbeat(receiverZone string) *peerpb.Heartbeat {
+	heartbeat := &peerpb.Heartbeat{
+		Member:  s.table.Self().message(),
+		Digests: s.table.Digests(s.now(), receiverZone),
+	}
+	s.payload(heartbeat)
+	return heartbeat
+}
+
+// observe records a heartbeat and returns the zones to fetch from its sender.
+func (s *Service) observe(heartbeat *peerpb.Heartbeat) []string {
+	member := memberOf(heartbeat.GetMember())
+	if !s.table.ObserveMember(s.now(), member) {
+		return nil
+	}
+	s.observer(member.Address, heartbeat)
+	return s.table.ObserveDigests(s.now(), heartbeat.GetDigests())
+}
+
+// fetch asks a node for the members of one zone, or of all.
+func (s *Service) fetch(ctx context.Context, address, zone string) {
+	request := &peerpb.Request{Body: &peerpb.Request_FetchZone{FetchZone: &peerpb.FetchZone{Zone: zone}}}
+	response, err := s.caller.Call(ctx, address, request)
+	if err != nil {
+		return
+	}
+	byZone := map[string][]Member{}
+	for _, message := range response.GetZoneView().GetMembers() {
+		member := memberOf(message)
+		byZone[member.Zone] = append(byZone[member.Zone], member)
+	}
+	for zone, members := range byZone {
+		s.table.ReplaceZone(s.now(), zone, members, 0)
+	}
+}
+
+// HandleHeartbeat answers a heartbeat with the node's own.
+func (s *Service) HandleHeartbeat(ctx context.Context, received *peerpb.Heartbeat) *peerpb.Heartbeat {
+	stale := s.observe(received)
+	if len(stale) > 0 {
+		s.fetchLater(ctx, received.GetMember().GetAddress(), stale)
+	}
+	return s.heartbeat(received.GetMember().GetZone())
+}
+
+func (s *Service) fetchLater(ctx context.Context, address string, zones []string) {
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		ctx, cancel := context.WithTimeout(ctx, s.table.options.FailureTimeout)
+		defer cancel()
+		for _, zone := range zones {
+			s.fetch(ctx, address, zone)
+		}
+	}()
+}
+
+// HandleFetchZone answers with the members of the asked zone, or of all.
+func (s *Service) HandleFetchZone(request *peerpb.FetchZone) *peerpb.ZoneView {
+	members := s.table.ZoneMembers(s.now(), request.GetZone())
+	if request.GetZone() == "" {
+		members = s.table.Live(s.now())
+	}
+	view := &peerpb.ZoneView{Members: make([]*peerpb.Member, len(members))}
+	for i, member := range members {
+		view.Members[i] = member.message()
+	}
+	return view
+}
--- /dev/null
+++ b/membership/targets.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"time"
+)
+
+// retryFactor is how many intervals pass between tries of a silent node.
+const retryFactor = 4
+
+// Target is a node to exchange a heartbeat with.
+type Target struct {
+	Name    string
+	Zone    string
+	Address string
+	// Join states that the node has not been heard yet, so that all of its views
+	// are to be fetched.
+	Join bool
+}
+
+// Targets returns the nodes whose heartbeat is due and marks them as tried.
+//
+// Of each pair in a zone the node with the lower name calls; the other one
+// steps in when the pair has been silent for longer.
+func (t *Table) Targets(now time.Time) []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	remote := t.remoteTargets(now)
+	var targets []Target
+	for name, known := range t.contacts {
+		if t.forget(now, name, known) {
+			continue
+		}
+		own := known.member.Zone == t.self.Zone
+		if (own || remote[name] || known.heard.IsZero()) && t.due(now, known) {
+			known.tried = now
+			targets = append(targets, Target{
+				Name: name, Zone: known.member.Zone, Address: known.member.Address, Join: known.heard.IsZero(),
+			})
+		}
+	}
+	return targets
+}
+
+// remoteTargets returns the nodes of other zones with which this node exchanges
+// heartbeats: their representatives if this node is one of its zone's, or any
+// known node of a zone that has not been heard of.
+func (t *Table) remoteTargets(now time.Time) map[string]bool {
+	selected := map[string]bool{}
+	if !t.represents(t.ownZone(now)) {
+		return selected
+	}
+	for zone, view := range t.zones {
+		if now.Sub(view.heard) > t.options.ZoneTimeout {
+			// Nobody there answers; any node of the zone may be back first.
+			t.selectZone(zone, selected)
+			continue
+		}
+		for _, name := range t.representatives(zone, view.members) {
+			selected[name] = true
+			t.ensureContact(view.members, name)
+		}
+	}
+	return selected
+}
+
+func (t *Table) ensureContact(members []Member, name string) {
+	known, exists := t.contacts[name]
+	for _, member := range members {
+		if member.Name != name {
+			continue
+		}
+		switch {
+		case !exists:
+			t.contacts[name] = &contact{member: Member{Name: name, Zone: member.Zone, Address: member.Address}}
+		case known.member.Address != member.Address && known.member.Incarnation < member.Incarnation:
+			known.member.Address = member.Address
+		}
+	}
+}
+
+func (t *Table) selectZone(zone string, selected map[string]bool) {
+	for name, known := range t.contacts {
+		if known.member.Zone == zone {
+			selected[name] = true
+		}
+	}
+}
+
+func (t *Table) due(now time.Time, known *contact) bool {
+	last := known.heard
+	if known.tried.After(last) {
+		last = known.tried
+	}
+	wait := t.options.Interval - t.options.Interval/8
+	if !t.isLive(now, known) {
+		wait = retryFactor * t.options.Interval
+	} else if t.self.Name > known.member.Name {
+		wait += t.options.Interval / 2
+	}
+	return now.Sub(last) >= wait
+}
+
+// forget drops a node that has been silent for too long.
+func (t *Table) forget(now time.Time, name string, known *contact) bool {
+	if known.heard.IsZero() || now.Sub(known.heard) <= t.options.ForgetTimeout {
+		return false
+	}
+	delete(t.contacts, name)
+	return true
+}
+
+// RemoteContacts returns the live nodes of other zones that this node exchanges
+// heartbeats with.
+func (t *Table) RemoteContacts(now time.Time) []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var targets []Target
+	for name := range t.remoteTargets(now) {
+		known, ok := t.contacts[name]
+		if ok && t.isLive(now, known) {
+			targets = append(targets, Target{Name: name, Zone: known.member.Zone, Address: known.member.Address})
+		}
+	}
+	return targets
+}
+
+// HearsAddress reports whether a live node answers at the address.
+func (t *Table) HearsAddress(now time.Time, address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, known := range t.contacts {
+		if known.member.Address == address && t.isLive(now, known) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/core.go
@@ -0,0 +1,233 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/reelrun/reelrun/claim"
+	"github.com/reelrun/reelrun/cluster"
+	"github.com/reelrun/reelrun/completion"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/controller"
+	"github.com/reelrun/reelrun/controller/engineorder"
+	"github.com/reelrun/reelrun/directory"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/machines"
+	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/owner"
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/scheduler"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// CoreOptions are the parts of a Core.
+type CoreOptions struct {
+	Name        string
+	Zone        string
+	PeerAddress string
+	Seeds       []string
+	// Dial opens connections to other nodes.
+	Dial  peer.DialFunc
+	Store platform.Store
+	// Engines calls the model engines.
+	Engines *engine.Client
+	// Membership are the intervals of the membership protocol.
+	Membership membership.Options
+	// ResumeWindow is how long the stream of a failed node waits to be taken over.
+	ResumeWindow time.Duration
+	// Scheduler chooses the routing policy. The zero value is the one measured best.
+	Scheduler scheduler.Options
+	// ReconcileInterval is the time between two looks at the engines. Default 1s.
+	ReconcileInterval time.Duration
+	// EventCapacity bounds the kept events. Default timeline.DefaultCapacity.
+	EventCapacity int
+	// Now reads the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Core is a node without its listeners for callers and operators.
+type Core struct {
+	options CoreOptions
+	started time.Time
+
+	Metrics       *metrics.Set
+	Events        *timeline.Ring
+	Configuration *configuration.Holder
+	Table         *membership.Table
+	Cluster       *cluster.Cluster
+	Completions   *completion.Service
+	Claims        *claim.Client
+	Machines      *machines.List
+	Owner         *owner.Owner
+
+	client      *peer.Client
+	server      *peer.Server
+	members     *membership.Service
+	syncer      *configuration.Syncer
+	machineSync *machines.Syncer
+	claimWriter *claim.Writer
+	directory   *directory.Directory
+	manager     *controller.Manager
+	// confirmedAt is when the platform last answered, in nanoseconds since 1970.
+	confirmedAt atomic.Int64
+	draining    atomic.Bool
+}
+
+// NewCore assembles a core that does nothing until Run.
+func NewCore(options CoreOptions) *Core {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.EventCapacity == 0 {
+		options.EventCapacity = timeline.DefaultCapacity
+	}
+	if options.ReconcileInterval == 0 {
+		options.ReconcileInterval = time.Second
+	}
+	options.Membership.SetDefaults()
+	c := &Core{options: options, started: options.Now()}
+	clock := timeline.NewClock(options.Now)
+	c.Metrics = metrics.NewSet()
+	c.Events = timeline.NewRing(options.Name, clock, options.EventCapacity)
+	c.Configuration = configuration.NewHolder()
+	self := membership.Member{
+		Name: options.Name, Zone: options.Zone, Address: options.PeerAddress,
+		Incarnation: uint64(clock.Now()), State: membership.StateStarting,
+	}
+	c.Table = membership.NewTable(self, options.Membership)
+	c.client = peer.NewClient(options.Name, options.Dial, clock)
+	c.server = peer.NewServer(c.handle, clock)
+	c.Cluster = cluster.New(c.Table, c.client, c.handle, options.Now)
+	c.assembleSync()
+	c.assembleWork(self)
+	c.assembleControllers(self)
+	return c
+}
+
+// assembleSync builds what follows the platform and the other nodes.
+func (c *Core) assembleSync() {
+	store := &observedStore{Store: c.options.Store, answered: c.platformAnswered}
+	c.syncer = configuration.NewSyncer(c.Configuration, store, c.Cluster, c.client, c.Metrics, c.options.Now)
+	c.Machines = machines.NewList(c.options.Now)
+	c.members = membership.NewService(membership.ServiceOptions{
+		Table: c.Table, Caller: c.client, Payload: c.fillHeartbeat, Observer: c.observeHeartbeat,
+		Seeds: c.options.Seeds, Now: c.options.Now,
+	})
+	c.machineSync = machines.NewSyncer(c.Machines, store, c.Cluster, c.client, c.Metrics, c.members.Announce)
+	c.Configuration.OnChange(func(snapshot *configuration.Snapshot) {
+		c.Metrics.Add("configuration_changes", 1)
+		c.Events.Record(timeline.Event{Kind: "configuration-in-force", Detail: versionText(snapshot.Version())})
+		c.members.Announce()
+	})
+}
+
+// assembleWork builds what serves requests and other nodes.
+func (c *Core) assembleWork(self membership.Member) {
+	c.claimWriter = claim.NewWriter(c.options.Store, c.Metrics, c.options.Now)
+	c.Claims = claim.NewClient(c.Cluster)
+	c.directory = directory.New(c.options.Now)
+	c.Owner = owner.New(owner.Options{
+		Configuration: c.Configuration, Engines: c.options.Engines, Members: c.Cluster, Leaving: c.Machines.IsLeaving,
+		Scheduler: c.options.Scheduler, Metrics: c.Metrics, Events: c.Events, Epoch: self.Incarnation,
+		ResumeWindow: c.options.ResumeWindow, Now: c.options.Now,
+	})
+	c.Completions = completion.NewService(completion.Options{
+		Cluster: c.Cluster, Engines: c.options.Engines, Metrics: c.Metrics, Events: c.Events, Now: c.options.Now,
+	})
+}
+
+func (c *Core) assembleControllers(self membership.Member) {
+	c.manager = controller.NewManager(c.Metrics)
+	c.manager.Add(controller.Controller{
+		Name: "pools", Reconciler: c.Owner, Requests: c.Owner.Requests, Interval: c.options.ReconcileInterval,
+	})
+	orders := engineorder.New(engineorder.Options{
+		Configuration: c.Configuration, Store: c.options.Store, Engines: c.options.Engines, Owner: c.Cluster,
+		Metrics: c.Metrics, Events: c.Events, Holder: holderName(self), Now: c.options.Now,
+	})
+	const orderInterval = 5 * time.Second
+	c.manager.Add(controller.Controller{Name: "engine_orders", Reconciler: orders, Requests: orders.Requests, Interval: orderInterval})
+	c.manager.Add(controller.Controller{Name: "completions", Reconciler: once(c.Completions.Reconcile), Interval: c.options.Membership.Interval})
+	c.manager.Add(controller.Controller{Name: "machines", Reconciler: once(c.machineSync.EnsureFresh)})
+	c.manager.Add(controller.Controller{Name: "readiness", Reconciler: once(c.reconcileReadiness), Interval: c.options.Membership.Interval / 2})
+	const sweepInterval = time.Minute
+	c.manager.Add(controller.Controller{Name: "claims", Reconciler: once(c.sweepClaims), Interval: sweepInterval})
+}
+
+// once adapts a function that looks after one object without a name.
+func once(run func(context.Context)) controller.Reconciler {
+	return controller.ReconcilerFunc(func(ctx context.Context, _ controller.Request) (controller.Result, error) {
+		run(ctx)
+		return controller.Result{}, nil
+	})
+}
+
+// sweepClaims deletes the expired claims of the node's shards.
+func (c *Core) sweepClaims(ctx context.Context) {
+	c.claimWriter.Sweep(ctx, func(shard int) bool { return c.Cluster.Owns("", claim.OwnerKey(shard)) })
+}
+
+// Run serves peers on the listener until the context ends.
+func (c *Core) Run(ctx context.Context, listener net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- c.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, run := range []func(context.Context){c.members.Run, c.syncer.Run, c.machineSync.Run, c.manager.Run} {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			run(ctx)
+		}()
+	}
+	<-ctx.Done()
+	running.Wait()
+	c.claimWriter.Wait()
+	_ = listener.Close()
+	c.server.Close()
+	c.client.Close()
+	<-served
+	return nil
+}
+
+func (c *Core) platformAnswered() { c.confirmedAt.Store(c.options.Now().UnixNano()) }
+
+// status is what a node reports of itself.
+type status struct {
+	Node    membership.Member  `json:"node"`
+	State   string             `json:"state"`
+	Version uint64             `json:"configuration_version"`
+	Live    int                `json:"live_nodes"`
+	Pools   []owner.PoolStatus `json:"pools,omitempty"`
+	Grants  int                `json:"grants"`
+	Metrics json.RawMessage    `json:"metrics"`
+}
+
+// Status returns the node's status as JSON.
+func (c *Core) Status() ([]byte, error) {
+	self := c.Table.Self()
+	return json.Marshal(status{
+		Node: self, State: self.State.String(), Version: c.Configuration.Current().Version(),
+		Live: len(c.Cluster.Live()), Pools: c.Owner.Status(), Grants: c.Completions.Held(), Metrics: json.RawMessage(c.Metrics.String()),
+	})
+}
+
+// fillHeartbeat adds what the other packages tell to peers.
+func (c *Core) fillHeartbeat(heartbeat *peerpb.Heartbeat) {
+	heartbeat.ConfigurationVersion = c.Configuration.Current().Version()
+	heartbeat.MachinesRevision = c.Machines.Revision()
+	heartbeat.MachinesAgeMs = uint64(c.Machines.Age().Milliseconds())
+}
+
+func (c *Core) observeHeartbeat(address string, heartbeat *peerpb.Heartbeat) {
+	c.syncer.Observe(address, heartbeat.GetConfigurationVersion())
+	c.machineSync.Observe(address, heartbeat.GetMachinesRevision(), time.Duration(heartbeat.GetMachinesAgeMs())*time.Millisecond)
+}
--- /dev/null
+++ b/node/store.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/platform"
+)
+
+// observedStore tells whenever the platform answers.
+type observedStore struct {
+	platform.Store
+	answered func()
+}
+
+func (s *observedStore) observe(err error) {
+	if err == nil || errors.Is(err, platform.ErrNotFound) {
+		s.answered()
+	}
+}
+
+// Get implements platform.Store.
+func (s *observedStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	object, err := s.Store.Get(ctx, kind, name)
+	s.observe(err)
+	return object, err
+}
+
+// List implements platform.Store.
+func (s *observedStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	objects, revision, err := s.Store.List(ctx, kind)
+	s.observe(err)
+	return objects, revision, err
+}
+
+func versionText(version uint64) string {
+	const decimal = 10
+	return strconv.FormatUint(version, decimal)
+}
+
+// holderName identifies one start of a node in leases.
+func holderName(self membership.Member) string {
+	return self.Name + "/" + versionText(self.Incarnation)
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,239 @@
+package operator
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/filter"
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// Paths of the API.
+const (
+	PathPlan          = "/v1/plan"
+	PathConfirm       = "/v1/confirm"
+	PathConfiguration = "/v1/configuration"
+	PathStatus        = "/v1/status"
+	PathTimeline      = "/v1/timeline"
+)
+
+const (
+	// maxBodyBytes bounds an intent.
+	maxBodyBytes = 16 << 20
+	// confirmTimeout bounds the work of a confirmation at the platform.
+	confirmTimeout = 8 * time.Second
+	retryAfter     = 2 * time.Second
+)
+
+// Fleet gathers what all nodes know.
+type Fleet interface {
+	// Status returns the status of every node, as JSON.
+	Status(ctx context.Context) []json.RawMessage
+	// Timeline returns the events of every node in order.
+	Timeline(ctx context.Context, filter timeline.Filter) []timeline.Event
+}
+
+// Options are the parts of a Server.
+type Options struct {
+	Configuration *configuration.Holder
+	Store         platform.Store
+	Fleet         Fleet
+	// TokenHash is the hex SHA-256 digest of the operators' token.
+	TokenHash string
+	// Events receives an event for each accepted change.
+	Events *timeline.Ring
+}
+
+// Server is the operators' API.
+type Server struct {
+	options Options
+}
+
+// NewHandler returns the API as an http.Handler.
+func NewHandler(options Options) (http.Handler, error) {
+	server := &Server{options: options}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Use(server.authenticate)
+	app.Post(PathPlan, server.plan)
+	app.Post(PathConfirm, server.confirm)
+	app.Get(PathConfiguration, server.configuration)
+	app.Get(PathStatus, server.status)
+	app.Get(PathTimeline, server.timeline)
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "build operator API")
+	}
+	return app, nil
+}
+
+var errToken = api.NewError(http.StatusUnauthorized, api.CodeUnauthenticated, api.OutcomeNotRun, "the operator token is missing or wrong")
+
+// isOperator reports whether a request carries the operators' token.
+func isOperator(r *http.Request, tokenHash string) bool {
+	token, ok := filter.BearerToken(r)
+	digest := configuration.HashToken(token)
+	return ok && subtle.ConstantTimeCompare([]byte(digest), []byte(tokenHash)) == 1
+}
+
+// RequireToken returns a handler that serves operators only.
+func RequireToken(tokenHash string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isOperator(r, tokenHash) {
+			errToken.WriteHTTP(w)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) authenticate(ctx iris.Context) {
+	if !isOperator(ctx.Request(), s.options.TokenHash) {
+		fail(ctx, errToken)
+		return
+	}
+	ctx.Next()
+}
+
+// findingsBody is the reply to an intent with faults.
+type findingsBody struct {
+	Findings api.Findings `json:"findings"`
+}
+
+func fail(ctx iris.Context, err error) {
+	var found *FindingsError
+	if errors.As(err, &found) {
+		reply(ctx, http.StatusUnprocessableEntity, findingsBody{found.Findings})
+		return
+	}
+	api.AsError(err, api.OutcomeUnknown).WriteHTTP(ctx.ResponseWriter())
+}
+
+func reply(ctx iris.Context, status int, value any) {
+	ctx.StatusCode(status)
+	if err := ctx.JSON(value); err != nil {
+		ctx.StopWithStatus(http.StatusInternalServerError)
+	}
+}
+
+func read(ctx iris.Context, value any) error {
+	body := http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBodyBytes)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil {
+		return api.NewError(http.StatusBadRequest, api.CodeInvalidRequest, api.OutcomeNotRun, "malformed body: %s", err)
+	}
+	return nil
+}
+
+func (s *Server) plan(ctx iris.Context) {
+	var intent Intent
+	if err := read(ctx, &intent); err != nil {
+		fail(ctx, err)
+		return
+	}
+	plan, _, err := MakePlan(s.options.Configuration.Current(), intent)
+	if err != nil {
+		fail(ctx, err)
+		return
+	}
+	reply(ctx, http.StatusOK, plan)
+}
+
+// Confirmed is the reply to an accepted plan.
+type Confirmed struct {
+	Version uint64 `json:"version"`
+}
+
+func (s *Server) confirm(ctx iris.Context) {
+	var plan Plan
+	if err := read(ctx, &plan); err != nil {
+		fail(ctx, err)
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx.Request().Context(), confirmTimeout)
+	defer cancel()
+	head, err := s.accept(callCtx, &plan)
+	if err != nil {
+		fail(ctx, typed(err))
+		return
+	}
+	s.options.Events.Record(timeline.Event{Kind: "configuration-accepted", Detail: plan.Digest})
+	reply(ctx, http.StatusOK, Confirmed{Version: head.Version})
+}
+
+// typed turns the errors of an acceptance into those of the API.
+func typed(err error) error {
+	var conflict *configuration.ErrConflict
+	var known *api.Error
+	var found *FindingsError
+	switch {
+	case errors.As(err, &conflict):
+		return api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "%s", conflict.Error())
+	case errors.As(err, &known), errors.As(err, &found):
+		return err
+	default:
+		return api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeUnknown,
+			"the platform did not answer; confirm the same plan again to learn the outcome").WithRetryAfter(retryAfter)
+	}
+}
+
+// accept computes the plan again from the newest configuration and publishes
+// what it leads to. The digest identifies the change, so a confirmation whose
+// reply was lost can be repeated.
+func (s *Server) accept(ctx context.Context, plan *Plan) (configuration.Head, error) {
+	head, err := configuration.ReadHead(ctx, s.options.Store)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	if head.Accepted(plan.Digest) {
+		return configuration.Head{Version: plan.BaseVersion + 1}, nil
+	}
+	if err := s.options.Configuration.Advance(ctx, head, configuration.FromStore(s.options.Store)); err != nil {
+		return configuration.Head{}, err
+	}
+	if head.Version != plan.BaseVersion {
+		return configuration.Head{}, &configuration.ErrConflict{Planned: plan.BaseVersion, Current: head.Version, Moved: head.Moved}
+	}
+	current := s.options.Configuration.Current()
+	computed, next, err := MakePlan(current, plan.Intent)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	if computed.Digest != plan.Digest {
+		return configuration.Head{}, api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "the digest does not fit the plan")
+	}
+	published, err := configuration.Publish(ctx, s.options.Store, plan.BaseVersion, plan.Digest, computed.Moved(), *next)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	// The node serves the new version at once; the others learn it from the watch.
+	// So does this one if it fails here: the change stands.
+	_ = s.options.Configuration.Advance(ctx, published, configuration.FromStore(s.options.Store))
+	return published, nil
+}
+
+func (s *Server) configuration(ctx iris.Context) {
+	current := s.options.Configuration.Current()
+	shown := *current.Configuration
+	shown.Version = current.Version()
+	reply(ctx, http.StatusOK, shown)
+}
+
+func (s *Server) status(ctx iris.Context) {
+	reply(ctx, http.StatusOK, s.options.Fleet.Status(ctx.Request().Context()))
+}
+
+func (s *Server) timeline(ctx iris.Context) {
+	query := ctx.Request().URL.Query()
+	selected := timeline.Filter{Request: query.Get("request"), Engine: query.Get("engine"), Tenant: query.Get("tenant")}
+	reply(ctx, http.StatusOK, s.options.Fleet.Timeline(ctx.Request().Context(), selected))
+}
--- /dev/null
+++ b/owner/reconcile.go
@@ -0,0 +1,192 @@
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/controller"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// listTimeout bounds the listing of an engine's streams.
+const listTimeout = time.Second
+
+// list asks each engine of a pool what it holds.
+func (o *Owner) list(ctx context.Context, configured *api.Pool) []report {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	reports := make([]report, len(configured.Engines))
+	var asked sync.WaitGroup
+	for i, member := range configured.Engines {
+		asked.Add(1)
+		go func() {
+			defer asked.Done()
+			streams, err := o.options.Engines.Streams(ctx, member.Address)
+			reports[i] = report{engine: member.Name, streams: streams, err: err}
+		}()
+	}
+	asked.Wait()
+	return reports
+}
+
+func (o *Owner) holders() holderState {
+	return holderState{
+		isGone: func(holder engine.Holder) bool {
+			return o.options.Members.IsGone(holder.Node, holder.Incarnation)
+		},
+		majority: o.options.Members.SeesMajority(),
+	}
+}
+
+// Reconcile compares the books of a pool with what its engines hold: it cancels
+// streams whose callers are gone, frees what is lost, and takes engines that do
+// not answer or are leaving out of the choice. It is safe to repeat, and does
+// nothing for a pool that another node owns.
+func (o *Owner) Reconcile(ctx context.Context, request controller.Request) (controller.Result, error) {
+	snapshot := o.options.Configuration.Current()
+	configured, ok := snapshot.Pool(request.Name)
+	if !ok || !o.options.Members.Owns(configured.Zone, Key(configured.Name)) {
+		o.retire(request.Name)
+		return controller.Result{}, nil
+	}
+	target, err := o.pool(ctx, configured.Name)
+	if err != nil {
+		return controller.Result{}, err
+	}
+	target.update(configured, snapshot.Version())
+	reports := o.list(ctx, configured)
+	o.mu.Lock()
+	cancels := target.inspect(reports, o.holders(), o.options.ResumeWindow, o.suspects[configured.Name])
+	o.applyLeaving(target, configured)
+	o.mu.Unlock()
+	o.cancelAll(ctx, configured, cancels)
+	o.followCaches(ctx, target, configured, reports)
+	return controller.Result{}, nil
+}
+
+// Requests lists the pools to reconcile: the configured ones, and those that the
+// node still keeps.
+func (o *Owner) Requests() []controller.Request {
+	snapshot := o.options.Configuration.Current()
+	names := map[string]bool{}
+	for _, configured := range snapshot.Configuration.Pools {
+		names[configured.Name] = true
+	}
+	o.mu.Lock()
+	for name := range o.pools {
+		names[name] = true
+	}
+	o.mu.Unlock()
+	requests := make([]controller.Request, 0, len(names))
+	for name := range names {
+		requests = append(requests, controller.Request{Name: name})
+	}
+	return requests
+}
+
+// applyLeaving takes engines that are leaving out of the choice.
+func (o *Owner) applyLeaving(target *pool, configured *api.Pool) {
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	for _, member := range configured.Engines {
+		if o.options.Leaving(member.Name) {
+			target.books.SetReady(member.Name, false)
+		}
+	}
+}
+
+func (o *Owner) cancelAll(ctx context.Context, configured *api.Pool, cancels []orphan) {
+	for _, lost := range cancels {
+		for _, member := range configured.Engines {
+			if member.Name != lost.engine {
+				continue
+			}
+			if o.options.Engines.Cancel(ctx, member.Address, lost.attempt) == nil {
+				o.options.Metrics.Add("orphans_cancelled", 1)
+				o.options.Events.Record(timeline.Event{Kind: "orphan-cancelled", Request: lost.attempt.RequestID, Engine: lost.engine})
+				o.forget(configured.Name, lost)
+			}
+		}
+	}
+}
+
+func (o *Owner) forget(pool string, lost orphan) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.suspects[pool], lost)
+}
+
+// followCaches reads the engines' cache events into the prefix index.
+func (o *Owner) followCaches(ctx context.Context, target *pool, configured *api.Pool, reports []report) {
+	for i, member := range configured.Engines {
+		if member.Role != api.RolePrefill || reports[i].err != nil {
+			continue
+		}
+		o.mu.Lock()
+		after := o.offsets[member.Name]
+		o.mu.Unlock()
+		events, err := o.options.Engines.CacheEvents(ctx, member.Address, after)
+		if err != nil {
+			continue
+		}
+		target.applyCacheEvents(member.Name, events)
+		if len(events) > 0 {
+			o.mu.Lock()
+			o.offsets[member.Name] = events[len(events)-1].Sequence
+			o.mu.Unlock()
+		}
+	}
+}
+
+func (p *pool) applyCacheEvents(engineName string, events []engine.CacheEvent) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	index := p.books.Index()
+	for _, event := range events {
+		if event.Evicted {
+			index.Evict(engineName, event.Block)
+			continue
+		}
+		index.Store(engineName, []uint64{event.Block})
+	}
+}
+
+// retire drops the state of a pool that the node no longer owns. Its waiting
+// requests are sent to the new owner; the granted ones end here.
+func (o *Owner) retire(name string) {
+	o.mu.Lock()
+	kept, ok := o.pools[name]
+	if ok && o.options.Now().Sub(kept.touchedAt()) >= keepPool {
+		delete(o.pools, name)
+		delete(o.suspects, name)
+	} else {
+		ok = false
+	}
+	o.mu.Unlock()
+	if ok {
+		kept.close()
+		o.options.Events.Record(timeline.Event{Kind: "pool-retired", Detail: name})
+	}
+}
+
+func (p *pool) touchedAt() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.touched
+}
+
+// HandOver sends all waiting requests to the new owners. It is called when the
+// node is draining and no longer counts as ready.
+func (o *Owner) HandOver() {
+	o.mu.Lock()
+	kept := o.pools
+	o.pools = map[string]*pool{}
+	o.suspects = map[string]map[orphan]time.Time{}
+	o.mu.Unlock()
+	for _, target := range kept {
+		target.close()
+	}
+}
--- /dev/null
+++ b/peer/codec.go
@@ -0,0 +1,33 @@
+package peer
+
+import (
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxMessageBytes bounds one message. It holds one part of the configuration
+// (the platform's largest value) with room for its envelope.
+const MaxMessageBytes = (1 << 20) + (64 << 10)
+
+// ErrMessageTooLarge is returned for a message beyond MaxMessageBytes.
+var ErrMessageTooLarge = errors.New("peer: message too large")
+
+func writeMessage(w io.Writer, message proto.Message) error {
+	if proto.Size(message) > MaxMessageBytes {
+		return ErrMessageTooLarge
+	}
+	_, err := protodelim.MarshalTo(w, message)
+	return errors.Wrap(err, "write message")
+}
+
+func readMessage(r protodelim.Reader, message proto.Message) error {
+	err := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}.UnmarshalFrom(r, message)
+	var tooLarge *protodelim.SizeTooLargeError
+	if errors.As(err, &tooLarge) {
+		return ErrMessageTooLarge
+	}
+	return err
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
+
+const (
+	// maxIdleStreams bounds the streams kept for reuse on one session.
+	maxIdleStreams = 16
+	// streamReadBuffer is small, because most messages are.
+	streamReadBuffer = 512
+	// writeTimeout ends a session whose peer does not read.
+	writeTimeout = 5 * time.Second
+)
+
+// sessionConfig turns yamux's own keep-alive off: heartbeats take its place.
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false
+	config.ConnectionWriteTimeout = writeTimeout
+	config.LogOutput = nil
+	config.Logger = log.New(io.Discard, "", 0)
+	return config
+}
+
+// stream is one yamux stream with its read buffer.
+type stream struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func newStream(conn net.Conn) *stream {
+	return &stream{Conn: conn, reader: bufio.NewReaderSize(conn, streamReadBuffer)}
+}
+
+// clientSession is a connection to another node.
+type clientSession struct {
+	mux *yamux.Session
+
+	mu   sync.Mutex
+	idle []*stream
+}
+
+func newClientSession(conn net.Conn) (*clientSession, error) {
+	mux, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		return nil, errors.Wrap(err, "open session")
+	}
+	return &clientSession{mux: mux}, nil
+}
+
+func (s *clientSession) take() (*stream, error) {
+	s.mu.Lock()
+	if last := len(s.idle) - 1; last >= 0 {
+		taken := s.idle[last]
+		s.idle = s.idle[:last]
+		s.mu.Unlock()
+		return taken, nil
+	}
+	s.mu.Unlock()
+	opened, err := s.mux.OpenStream()
+	if err != nil {
+		return nil, errors.Wrap(err, "open stream")
+	}
+	return newStream(opened), nil
+}
+
+func (s *clientSession) put(returned *stream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.idle) >= maxIdleStreams {
+		_ = returned.Close()
+		return
+	}
+	s.idle = append(s.idle, returned)
+}
+
+// call sends a request and waits for its response. When the context ends, the
+// stream is closed, and the effect of the call is unknown.
+func (s *clientSession) call(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	taken, err := s.take()
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = taken.Close() })
+	response, err := exchange(taken, request)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = taken.Close()
+		return nil, err
+	}
+	s.put(taken)
+	return response, nil
+}
+
+func exchange(on *stream, request *peerpb.Request) (*peerpb.Response, error) {
+	if err := writeMessage(on, request); err != nil {
+		return nil, err
+	}
+	response := &peerpb.Response{}
+	if err := readMessage(on.reader, response); err != nil {
+		return nil, err
+	}
+	return response, nil
+}
--- /dev/null
+++ b/scheduler/filter.go
@@ -0,0 +1,100 @@
+package scheduler
+
+import "time"
+
+// seconds converts a number of seconds to a duration.
+func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
+
+// candidate is one way to place a prefill.
+type candidate struct {
+	index      int
+	cached     int
+	start      time.Duration
+	prefillEnd time.Duration
+	// moved is when the KV cache is predicted to be at the decode engine.
+	moved time.Duration
+}
+
+// prefillCandidates filters the prefill engines that can take the request and
+// predicts each.
+func prefillCandidates(snapshot *Snapshot, request *Request, options *Options) []candidate {
+	candidates := make([]candidate, 0, len(snapshot.Prefill))
+	for i := range snapshot.Prefill {
+		engine := &snapshot.Prefill[i]
+		if !engine.Ready || request.excludes(engine.Name) || engine.TokensPerSecond <= 0 {
+			continue
+		}
+		candidates = append(candidates, predict(snapshot, request, options, i))
+	}
+	return candidates
+}
+
+func predict(snapshot *Snapshot, request *Request, options *Options, index int) candidate {
+	engine := &snapshot.Prefill[index]
+	cached := 0
+	if !options.NoAffinity {
+		cached = min(snapshot.Index.CachedTokens(engine.Name, request.Prefixes), request.PromptTokens)
+	}
+	start := max(snapshot.Now, engine.FreeAt)
+	end := start + seconds(float64(request.PromptTokens-cached)/engine.TokensPerSecond)
+	moved := end
+	if !request.IsLocal() && snapshot.LinkTokensPerSecond > 0 {
+		moved = max(end, engine.LinkFreeAt) + seconds(float64(request.PromptTokens)/snapshot.LinkTokensPerSecond)
+	}
+	return candidate{index: index, cached: cached, start: start, prefillEnd: end, moved: moved}
+}
+
+// requestKV is the memory a request needs at its decode engine.
+func requestKV(request *Request) int { return request.PromptTokens + request.MaxTokens }
+
+// batchLimit is the number of slots of an engine that keeps the step time
+// within the target, when its held context stays as it is.
+func batchLimit(engine *DecodeState, interval time.Duration, options *Options) int {
+	if options.NoBatchLimit || interval <= 0 || engine.Step.PerRequest <= 0 {
+		return engine.Slots
+	}
+	left := interval - engine.Step.Time(0, engine.KVUsed)
+	return min(engine.Slots, max(int(left/engine.Step.PerRequest), 0))
+}
+
+// canEverDecode reports whether an idle decode engine could hold the request.
+func canEverDecode(snapshot *Snapshot, request *Request) bool {
+	for i := range snapshot.Decode {
+		engine := &snapshot.Decode[i]
+		if engine.Ready && !request.excludes(engine.Name) && engine.KVTokens >= requestKV(request) {
+			return true
+		}
+	}
+	return false
+}
+
+// freeSlots counts the decode slots that are open to the request at a time:
+// those free now and, if ahead is set, those of requests predicted to end by then.
+func freeSlots(snapshot *Snapshot, request *Request, options *Options, at time.Duration, ahead bool) int {
+	free := 0
+	for i := range snapshot.Decode {
+		engine := &snapshot.Decode[i]
+		if !engine.Ready || request.excludes(engine.Name) {
+			continue
+		}
+		ending := 0
+		if ahead {
+			ending = countBefore(engine.Finishes, at)
+		}
+		if engine.KVUsed+requestKV(request) > engine.KVTokens && ending == 0 {
+			continue
+		}
+		free += max(batchLimit(engine, request.TokenInterval, options)-engine.SlotsUsed+ending, 0)
+	}
+	return free
+}
+
+func countBefore(times []time.Duration, at time.Duration) int {
+	count := 0
+	for _, finish := range times {
+		if finish <= at {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/scheduler/prefix.go
@@ -0,0 +1,78 @@
+package scheduler
+
+// maxIndexBlocks bounds the blocks remembered for one engine.
+const maxIndexBlocks = 8192
+
+// BlockTokens is the size of a prefix block, as engine.BlockTokens.
+const BlockTokens = 64
+
+// PrefixIndex remembers which engine holds which prompt blocks. It follows the
+// engines' events, which come late and with gaps, and is therefore a guess; a
+// wrong guess costs time and nothing else.
+type PrefixIndex struct {
+	engines map[string]*blockSet
+}
+
+// blockSet holds the newest blocks of one engine, the oldest first in order.
+type blockSet struct {
+	held  map[uint64]struct{}
+	order []uint64
+}
+
+// NewPrefixIndex returns an empty index.
+func NewPrefixIndex() *PrefixIndex { return &PrefixIndex{engines: map[string]*blockSet{}} }
+
+// Store records that an engine holds blocks.
+func (x *PrefixIndex) Store(engine string, blocks []uint64) {
+	set, ok := x.engines[engine]
+	if !ok {
+		set = &blockSet{held: map[uint64]struct{}{}}
+		x.engines[engine] = set
+	}
+	for _, block := range blocks {
+		if _, known := set.held[block]; known {
+			continue
+		}
+		set.held[block] = struct{}{}
+		set.order = append(set.order, block)
+	}
+	set.trim()
+}
+
+func (s *blockSet) trim() {
+	if len(s.order) <= maxIndexBlocks {
+		return
+	}
+	excess := len(s.order) - maxIndexBlocks
+	for _, block := range s.order[:excess] {
+		delete(s.held, block)
+	}
+	s.order = append([]uint64(nil), s.order[excess:]...)
+}
+
+// Evict records that an engine has dropped a block.
+func (x *PrefixIndex) Evict(engine string, block uint64) {
+	if set, ok := x.engines[engine]; ok {
+		delete(set.held, block)
+	}
+}
+
+// Forget drops what is known of an engine.
+func (x *PrefixIndex) Forget(engine string) { delete(x.engines, engine) }
+
+// CachedTokens returns how many leading tokens an engine is thought to hold.
+func (x *PrefixIndex) CachedTokens(engine string, blocks []uint64) int {
+	if x == nil {
+		return 0
+	}
+	set, ok := x.engines[engine]
+	if !ok {
+		return 0
+	}
+	for i, block := range blocks {
+		if _, held := set.held[block]; !held {
+			return i * BlockTokens
+		}
+	}
+	return len(blocks) * BlockTokens
+}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// waiting is the queue of one tenant, ordered by deadline (by arrival for the
+// orderings that ignore deadlines).
+type waiting struct {
+	tenant   string
+	weight   float64
+	requests []*Request
+	// credit is the deficit counter; counter is the service received.
+	credit  float64
+	counter float64
+	// position is the place in the heap, or -1.
+	position int
+	// idleSince is when the last request left, for forgetting the tenant.
+	idleSince time.Duration
+}
+
+// fairQueue orders waiting requests between tenants.
+type fairQueue struct {
+	ordering Ordering
+	quantum  float64
+	tenants  map[string]*waiting
+	order    tenantHeap
+	length   int
+	tokens   int
+}
+
+func newFairQueue(ordering Ordering, quantum float64) *fairQueue {
+	return &fairQueue{ordering: ordering, quantum: quantum, tenants: map[string]*waiting{}, order: tenantHeap{ordering: ordering}}
+}
+
+// tenantHeap holds the tenants that have waiting requests.
+type tenantHeap struct {
+	ordering Ordering
+	tenants  []*waiting
+}
+
+// Len implements heap.Interface.
+func (h *tenantHeap) Len() int { return len(h.tenants) }
+
+// Less implements heap.Interface.
+func (h *tenantHeap) Less(i, j int) bool {
+	a, b := h.tenants[i], h.tenants[j]
+	switch h.ordering {
+	case OrderVTC:
+		if a.counter != b.counter {
+			return a.counter < b.counter
+		}
+	case OrderArrival:
+		if a.requests[0].Arrival != b.requests[0].Arrival {
+			return a.requests[0].Arrival < b.requests[0].Arrival
+		}
+	case OrderDeficit:
+		if (a.credit > 0) != (b.credit > 0) {
+			return a.credit > 0
+		}
+		fallthrough
+	default:
+		if a.requests[0].Deadline() != b.requests[0].Deadline() {
+			return a.requests[0].Deadline() < b.requests[0].Deadline()
+		}
+	}
+	return a.tenant < b.tenant
+}
+
+// Swap implements heap.Interface.
+func (h *tenantHeap) Swap(i, j int) {
+	h.tenants[i], h.tenants[j] = h.tenants[j], h.tenants[i]
+	h.tenants[i].position = i
+	h.tenants[j].position = j
+}
+
+// Push implements heap.Interface.
+func (h *tenantHeap) Push(value any) {
+	added := value.(*waiting)
+	added.position = len(h.tenants)
+	h.tenants = append(h.tenants, added)
+}
+
+// Pop implements heap.Interface.
+func (h *tenantHeap) Pop() any {
+	last := len(h.tenants) - 1
+	removed := h.tenants[last]
+	h.tenants[last] = nil
+	h.tenants = h.tenants[:last]
+	removed.position = -1
+	return removed
+}
+
+func (q *fairQueue) tenant(name string, weight float64) *waiting {
+	found, ok := q.tenants[name]
+	if !ok {
+		found = &waiting{tenant: name, position: -1, credit: q.quantum * max(weight, minWeight)}
+		q.tenants[name] = found
+	}
+	found.weight = max(weight, minWeight)
+	return found
+}
+
+// minWeight keeps a weight usable as a divisor.
+const minWeight = 0.001
+
+func (q *fairQueue) push(request *Request) {
+	tenant := q.tenant(request.Tenant, request.Weight)
+	if len(tenant.requests) == 0 {
+		q.lift(tenant)
+	}
+	at, _ := slices.BinarySearchFunc(tenant.requests, request, q.compare)
+	tenant.requests = slices.Insert(tenant.requests, at, request)
+	q.length++
+	q.tokens += request.PromptTokens
+	q.fix(tenant)
+}
+
+func (q *fairQueue) compare(a, b *Request) int {
+	keyA, keyB := a.Deadline(), b.Deadline()
+	if q.ordering == OrderArrival || q.ordering == OrderVTC {
+		keyA, keyB = a.Arrival, b.Arrival
+	}
+	switch {
+	case keyA < keyB:
+		return -1
+	case keyA > keyB:
+		return 1
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// lift keeps a tenant that was idle from using the time it was away as credit.
+func (q *fairQueue) lift(tenant *waiting) {
+	if q.ordering != OrderVTC || q.order.Len() == 0 {
+		return
+	}
+	tenant.counter = max(tenant.counter, q.order.tenants[0].counter)
+}
+
+// fix restores the heap after a change of the tenant.
+func (q *fairQueue) fix(tenant *waiting) {
+	switch {
+	case len(tenant.requests) == 0 && tenant.position >= 0:
+		heap.Remove(&q.order, tenant.position)
+	case len(tenant.requests) == 0:
+	case tenant.position < 0:
+		heap.Push(&q.order, tenant)
+	default:
+		heap.Fix(&q.order, tenant.position)
+	}
+}
+
+func (q *fairQueue) remove(request *Request) bool {
+	tenant, ok := q.tenants[request.Tenant]
+	if !ok {
+		return false
+	}
+	at := slices.Index(tenant.requests, request)
+	if at < 0 {
+		return false
+	}
+	tenant.requests = slices.Delete(tenant.requests, at, at+1)
+	tenant.idleSince = request.Arrival
+	q.length--
+	q.tokens -= request.PromptTokens
+	q.fix(tenant)
+	return true
+}
+
+// charge takes the cost of work from a tenant's credit; a negative cost gives it back.
+func (q *fairQueue) charge(name string, cost float64) {
+	tenant, ok := q.tenants[name]
+	if !ok {
+		return
+	}
+	tenant.credit -= cost
+	tenant.counter += cost / tenant.weight
+	q.fix(tenant)
+}
+
+// refill adds credit when no waiting tenant has any.
+func (q *fairQueue) refill() {
+	if q.ordering != OrderDeficit || q.order.Len() == 0 || q.order.tenants[0].credit > 0 {
+		return
+	}
+	rounds := q.roundsToCredit()
+	for _, tenant := range q.order.tenants {
+		tenant.credit = min(tenant.credit+rounds*q.quantum*tenant.weight, q.quantum*tenant.weight)
+	}
+	heap.Init(&q.order)
+}
+
+// roundsToCredit is the number of refills after which some tenant has credit.
+func (q *fairQueue) roundsToCredit() float64 {
+	fewest := -1.0
+	for _, tenant := range q.order.tenants {
+		needed := -tenant.credit/(q.quantum*tenant.weight) + 1
+		if fewest < 0 || needed < fewest {
+			fewest = needed
+		}
+	}
+	return float64(int(fewest))
+}
+
+// heads returns the first requests of up to limit tenants in order.
+func (q *fairQueue) heads(limit int) []*Request {
+	q.refill()
+	limit = min(limit, q.order.Len())
+	popped := make([]*waiting, 0, limit)
+	heads := make([]*Request, 0, limit)
+	for range limit {
+		tenant := heap.Pop(&q.order).(*waiting)
+		popped = append(popped, tenant)
+		heads = append(heads, tenant.requests[0])
+	}
+	for _, tenant := range popped {
+		heap.Push(&q.order, tenant)
+	}
+	return heads
+}
+
+// ahead predicts the work that is granted before a new request of the tenant:
+// its own waiting requests and, tenant by tenant, as many tokens of the others.
+func (q *fairQueue) ahead(name string, tokens int) Backlog {
+	own := tokens
+	var backlog Backlog
+	if tenant, ok := q.tenants[name]; ok {
+		for _, request := range tenant.requests {
+			own += request.PromptTokens
+			backlog.Requests++
+			backlog.PrefillTokens += request.PromptTokens
+		}
+	}
+	others := q.tokens - (own - tokens)
+	share := own * max(q.order.Len()-1, 0)
+	backlog.PrefillTokens += min(others, share)
+	return backlog
+}
--- /dev/null
+++ b/scheduler/types.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import "time"
+
+// Request is what the scheduler knows of a request.
+type Request struct {
+	ID     string
+	Tenant string
+	// Weight is the tenant's share under contention.
+	Weight float64
+	// Arrival is when the request reached the router.
+	Arrival      time.Duration
+	PromptTokens int
+	MaxTokens    int
+	// FirstToken and TokenInterval are the class's targets.
+	FirstToken    time.Duration
+	TokenInterval time.Duration
+	// LateAllowed admits the request although its first token will be late.
+	LateAllowed bool
+	// Prefixes are the hashes of the prompt's blocks, see engine.BlockHashes.
+	Prefixes []uint64
+	// Excluded are engines that have failed this request.
+	Excluded []string
+}
+
+// Deadline is when the first token is due.
+func (r *Request) Deadline() time.Duration { return r.Arrival + r.FirstToken }
+
+// IsLocal reports whether the request ends with the token that the prefill
+// itself yields, so that nothing needs to move.
+func (r *Request) IsLocal() bool { return r.MaxTokens <= 1 }
+
+func (r *Request) excludes(engine string) bool {
+	for _, excluded := range r.Excluded {
+		if excluded == engine {
+			return true
+		}
+	}
+	return false
+}
+
+// StepModel predicts the time of one decode step.
+type StepModel struct {
+	// Base is the time of a step with an empty batch.
+	Base time.Duration
+	// PerRequest is added for each request in the batch.
+	PerRequest time.Duration
+	// PerContextToken is added for each token of held context.
+	PerContextToken time.Duration
+}
+
+// Time returns the step time for a batch with the given held context.
+func (m StepModel) Time(batch, contextTokens int) time.Duration {
+	return m.Base + time.Duration(batch)*m.PerRequest + time.Duration(contextTokens)*m.PerContextToken
+}
+
+// PrefillState is a prefill engine as a snapshot shows it.
+type PrefillState struct {
+	Name  string
+	Ready bool
+	// TokensPerSecond is the rate of its prefill.
+	TokensPerSecond float64
+	// FreeAt is when the prefills granted so far are predicted to end.
+	FreeAt time.Duration
+	// LinkFreeAt is when the transfers granted so far are predicted to end.
+	LinkFreeAt time.Duration
+}
+
+// DecodeState is a decode engine as a snapshot shows it.
+type DecodeState struct {
+	Name  string
+	Ready bool
+	// Slots and KVTokens are its limits.
+	Slots    int
+	KVTokens int
+	Step     StepModel
+	// SlotsUsed and KVUsed are what granted requests take.
+	SlotsUsed int
+	KVUsed    int
+	// Finishes are the predicted ends of its requests, in no order.
+	Finishes []time.Duration
+}
+
+// Backlog is the work that will be granted before the request at hand.
+type Backlog struct {
+	Requests      int
+	PrefillTokens int
+}
+
+// Snapshot is a pool at one moment. Decide reads it and changes nothing.
+type Snapshot struct {
+	Now     time.Duration
+	Prefill []PrefillState
+	Decode  []DecodeState
+	// Reserved and ReservedKV are the slots and memory promised to requests that
+	// are not yet at a decode engine.
+	Reserved   int
+	ReservedKV int
+	// LinkTokensPerSecond is the rate of a KV transfer.
+	LinkTokensPerSecond float64
+	// OutputRatio is the mean of output tokens over MaxTokens.
+	OutputRatio float64
+	// Ahead is the backlog.
+	Ahead Backlog
+	// Index knows the cached prefixes. It may be nil.
+	Index *PrefixIndex
+}
+
+// Kind is what a Decision says.
+type Kind int
+
+// The kinds of a Decision.
+const (
+	// KindWait leaves the request in the queue.
+	KindWait Kind = iota
+	// KindPrefill grants a prefill engine.
+	KindPrefill
+	// KindDecode grants a decode engine to a request whose prefill has ended.
+	KindDecode
+	// KindRefuse gives the request up.
+	KindRefuse
+)
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonNoEngine Reason = "no engine can take the request"
+	ReasonTooLarge Reason = "no decode engine has the memory for the request"
+	ReasonDeadline Reason = "the first token cannot be in time"
+)
+
+// Decision is the answer to one request.
+type Decision struct {
+	Kind      Kind
+	RequestID string
+	// Prefill and Decode name the granted engine.
+	Prefill string
+	Decode  string
+	// CachedTokens is the predicted prefix-cache hit.
+	CachedTokens int
+	// FirstToken is the predicted time of the first token.
+	FirstToken time.Duration
+	// RetryAfter and Reason are set for a refusal.
+	RetryAfter time.Duration
+	Reason     Reason
+}
--- /dev/null
+++ b/service/handler.go
@@ -0,0 +1,277 @@
+package service
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/claim"
+	"github.com/reelrun/reelrun/filter"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+const (
+	// headerKey names a call that may not be repeated.
+	headerKey = "Idempotency-Key"
+	// maxOnceBody bounds the body of a call that may not be repeated: it is held
+	// in memory, because its digest goes into the claim.
+	maxOnceBody = 256 << 10
+	// maxTries bounds the replicas tried for a call.
+	maxTries = 3
+	// Retries a second, and at once, that one service may cost.
+	retriesPerSecond = 20
+	retryBurst       = 40
+	retryAfter       = time.Second
+)
+
+// Claims makes claims for calls that may not be repeated.
+type Claims interface {
+	Claim(ctx context.Context, key claim.Key, claimID string, body []byte) error
+	Withdraw(ctx context.Context, key claim.Key, claimID string) error
+}
+
+// Options are the parts of a Handler.
+type Options struct {
+	Claims    Claims
+	Transport http.RoundTripper
+	Metrics   *metrics.Set
+	Events    *timeline.Ring
+	// Leaving reports whether a machine is leaving.
+	Leaving func(machine string) bool
+	// Now reads the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Handler serves /services/{name}/….
+type Handler struct {
+	options  Options
+	balancer *balancer
+	retries  *rate.Limiter
+}
+
+// NewHandler returns a handler.
+func NewHandler(options Options) *Handler {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Handler{
+		options: options, balancer: newBalancer(options.Leaving, options.Now),
+		retries: rate.NewLimiter(retriesPerSecond, retryBurst),
+	}
+}
+
+// call is one call on its way.
+type call struct {
+	exchange *filter.Exchange
+	service  *api.Service
+	path     string
+	request  *http.Request
+	// body is set for a call whose body is held in memory.
+	body []byte
+	once bool
+	key  claim.Key
+}
+
+// ServeHTTP implements filter.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) error {
+	exchange := filter.ExchangeOf(r)
+	name := r.PathValue("name")
+	service, ok := exchange.Snapshot.Service(name)
+	if !ok || !slices.Contains(exchange.Tenant.Services, name) {
+		return api.NewError(http.StatusNotFound, api.CodeNotFound, api.OutcomeNotRun, "no such service")
+	}
+	started := &call{exchange: exchange, service: service, path: "/" + r.PathValue("path"), request: r}
+	started.once = slices.Contains(service.OnceMethods, r.Method)
+	ctx, cancel := context.WithTimeout(r.Context(), service.Timeout.Std())
+	defer cancel()
+	if started.once {
+		return h.serveOnce(ctx, w, started)
+	}
+	return h.serveRepeatable(ctx, w, started)
+}
+
+// serveOnce claims the call and sends it to at most one replica.
+func (h *Handler) serveOnce(ctx context.Context, w http.ResponseWriter, started *call) error {
+	if err := started.readOnce(); err != nil {
+		return err
+	}
+	digest := sha256.Sum256(slices.Concat([]byte(started.request.Method+" "+started.service.Name+started.path+"\n"), started.body))
+	claimID := started.exchange.RequestID
+	if err := h.options.Claims.Claim(ctx, started.key, claimID, digest[:]); err != nil {
+		return err
+	}
+	err := h.tryReplicas(ctx, w, started)
+	if typed := api.AsError(err, api.OutcomeUnknown); err != nil && typed.Outcome == api.OutcomeNotRun {
+		// The key stays usable, since the call certainly did not run.
+		if withdrawn := h.options.Claims.Withdraw(context.WithoutCancel(ctx), started.key, claimID); withdrawn != nil {
+			h.options.Metrics.Add("claim_withdraw_errors", 1)
+		}
+	}
+	return err
+}
+
+func (c *call) readOnce() error {
+	key, err := claim.ParseKey(c.exchange.Tenant.Name, c.request.Header.Get(headerKey))
+	if err != nil {
+		return err
+	}
+	c.key = key
+	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxOnceBody+1))
+	if err != nil {
+		return api.NewError(http.StatusBadRequest, api.CodeInvalidRequest, api.OutcomeNotRun, "the body could not be read")
+	}
+	if len(body) > maxOnceBody {
+		return api.NewError(http.StatusRequestEntityTooLarge, api.CodeTooLarge, api.OutcomeNotRun, "the body of this call may have %d bytes", maxOnceBody)
+	}
+	c.body = body
+	return nil
+}
+
+// serveRepeatable sends the call to replicas in turn while that is safe. A body
+// is streamed and can be sent only once.
+func (h *Handler) serveRepeatable(ctx context.Context, w http.ResponseWriter, started *call) error {
+	return h.tryReplicas(ctx, w, started)
+}
+
+func (h *Handler) tryReplicas(ctx context.Context, w http.ResponseWriter, started *call) error {
+	var last error = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "no replica can take the call").WithRetryAfter(retryAfter)
+	for tries, replica := range h.balancer.order(started.service.Backends) {
+		if tries >= maxTries || (tries > 0 && !h.retries.Allow()) {
+			break
+		}
+		err := h.try(ctx, w, started, replica)
+		if err == nil || !started.canRetry(ctx, err) {
+			return err
+		}
+		last = err
+		h.options.Metrics.Add("service_retries", 1)
+	}
+	return last
+}
+
+// canRetry reports whether another replica may get the call.
+func (c *call) canRetry(ctx context.Context, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	var typed *api.Error
+	if !errors.As(err, &typed) {
+		return false
+	}
+	if typed.Outcome == api.OutcomeNotRun {
+		return true
+	}
+	return !c.once && c.request.ContentLength == 0 && typed.Code == api.CodeBackendFailed
+}
+
+// try sends the call to one replica and copies its response.
+func (h *Handler) try(ctx context.Context, w http.ResponseWriter, started *call, replica api.Backend) error {
+	h.balancer.start(replica)
+	h.options.Events.Record(timeline.Event{Kind: "service-call", Request: started.exchange.RequestID, Tenant: started.exchange.Tenant.Name, Engine: replica.Name})
+	response, err := h.send(ctx, started, replica)
+	h.balancer.end(replica, err != nil && ctx.Err() == nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	copyHeader(w.Header(), response.Header)
+	w.WriteHeader(response.StatusCode)
+	control := http.NewResponseController(w)
+	if err := copyBody(w, control, response.Body); err != nil {
+		return errors.CombineErrors(api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeUnknown, "the response was cut off"), err)
+	}
+	return nil
+}
+
+func (h *Handler) send(ctx context.Context, started *call, replica api.Backend) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	target := url.URL{Scheme: "http", Host: replica.Address, Path: started.path, RawQuery: started.request.URL.RawQuery}
+	outgoing, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), started.request.Method, target.String(), started.reader())
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	if started.once {
+		outgoing.ContentLength = int64(len(started.body))
+	} else {
+		outgoing.ContentLength = started.request.ContentLength
+	}
+	copyHeader(outgoing.Header, started.request.Header)
+	outgoing.Header.Del("Authorization")
+	outgoing.Header.Set("Reelrun-Tenant", started.exchange.Tenant.Name)
+	response, err := h.options.Transport.RoundTrip(outgoing)
+	switch {
+	case err == nil:
+		return response, nil
+	case connected.Load():
+		return nil, errors.CombineErrors(api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeUnknown, "the service failed during the call"), err)
+	default:
+		return nil, errors.CombineErrors(api.NewError(http.StatusServiceUnavailable, api.CodeBackendFailed, api.OutcomeNotRun, "the service cannot be reached").WithRetryAfter(retryAfter), err)
+	}
+}
+
+// reader returns the body to send. Its type is hidden from net/http, which would
+// otherwise send a request with an Idempotency-Key a second time by itself when
+// a reused connection breaks.
+func (c *call) reader() io.Reader {
+	if c.once {
+		return struct{ io.Reader }{bytes.NewReader(c.body)}
+	}
+	if c.request.ContentLength == 0 {
+		return nil
+	}
+	return struct{ io.Reader }{c.request.Body}
+}
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func copyHeader(to, from http.Header) {
+	skipped := slices.Clone(hopHeaders)
+	for _, value := range from.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			skipped = append(skipped, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	for name, values := range from {
+		if !slices.Contains(skipped, name) {
+			to[name] = slices.Clone(values)
+		}
+	}
+}
+
+// copyBody copies and flushes what has arrived, so that a stream stays one.
+func copyBody(w io.Writer, control *http.ResponseController, body io.Reader) error {
+	const bufferBytes = 32 << 10
+	buffer := make([]byte, bufferBytes)
+	for {
+		read, err := body.Read(buffer)
+		if read > 0 {
+			if _, err := w.Write(buffer[:read]); err != nil {
+				return errors.Wrap(err, "write response")
+			}
+			if err := control.Flush(); err != nil {
+				return errors.Wrap(err, "flush response")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read response")
+		}
+	}
+}
--- /dev/null
+++ b/sim/answer/answer.go
@@ -0,0 +1,23 @@
+package answer
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Token returns the token of an answer at the given offset.
+func Token(model, prompt string, offset int) string {
+	sum := xxhash.Sum64String(model + "\x00" + prompt + "\x00" + strconv.Itoa(offset))
+	return strconv.FormatUint(sum%46656, 36) + " "
+}
+
+// Whole returns the answer of the given length.
+func Whole(model, prompt string, tokens int) string {
+	var text strings.Builder
+	for offset := range tokens {
+		text.WriteString(Token(model, prompt, offset))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/sim/enginesim/orders.go
@@ -0,0 +1,50 @@
+package enginesim
+
+import (
+	"context"
+	"net/http"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/engine"
+)
+
+// Take carries out an order. An order that was taken before has no further effect.
+func (e *Engine) Take(ctx context.Context, order engine.Order) error {
+	if err := e.checkFence(order); err != nil {
+		return err
+	}
+	if order.Kind == engine.OrderModel && e.options.LoadModel != nil {
+		if err := e.options.LoadModel(ctx, e.options.Model, order.Value); err != nil {
+			return errors.Wrap(err, "load weights")
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch order.Kind {
+	case engine.OrderRole:
+		e.role = order.Role
+	case engine.OrderModel:
+		e.version = order.Value
+	case engine.OrderAdapter:
+		if !slices.Contains(e.adapters, order.Value) {
+			e.adapters = append(e.adapters, order.Value)
+		}
+	}
+	e.orders[order.ID] = true
+	e.ledger.add(Entry{Kind: EntryOrderTaken, Order: &order})
+	return nil
+}
+
+func (e *Engine) checkFence(order engine.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.options.ChecksFence && order.Fence < e.fence {
+		e.ledger.add(Entry{Kind: EntryOrderRefused, Order: &order})
+		return refuse(http.StatusConflict, api.CodeConflict, "fence is stale")
+	}
+	e.fence = max(e.fence, order.Fence)
+	return nil
+}
--- /dev/null
+++ b/sim/load/caller.go
@@ -0,0 +1,270 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/completion"
+	"github.com/reelrun/reelrun/filter"
+	"github.com/reelrun/reelrun/sim/answer"
+	"github.com/reelrun/reelrun/sim/servicesim"
+)
+
+const (
+	// maxTries bounds the connections a caller makes for one request.
+	maxTries = 8
+	// retryPause is the time between two of them.
+	retryPause = 300 * time.Millisecond
+	// tryTimeout bounds one connection.
+	tryTimeout = 30 * time.Second
+	// maxReplyBytes bounds a reply that is not streamed.
+	maxReplyBytes = 4 << 20
+)
+
+// caller follows one request to its end, over several connections if need be.
+type caller struct {
+	client *http.Client
+	// nodes are tried in turn.
+	nodes  []string
+	kind   *Kind
+	prompt string
+	tokens int
+	body   string
+	key    string
+
+	started  time.Time
+	first    time.Time
+	last     time.Time
+	received strings.Builder
+	next     int
+	result   Result
+}
+
+// errAgain asks for another connection.
+var errAgain = errors.New("load: no final answer")
+
+func (c *caller) run(ctx context.Context) Result {
+	c.started = time.Now()
+	c.result = Result{Kind: c.kind, Key: c.key, Ending: EndingLost}
+	for try := range maxTries {
+		c.result.Tries++
+		err := c.try(ctx, c.nodes[try%len(c.nodes)])
+		if err == nil {
+			return c.result
+		}
+		c.result.Detail = err.Error()
+		if ctx.Err() != nil {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	return c.result
+}
+
+func (c *caller) try(ctx context.Context, node string) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	request, err := c.request(ctx, node)
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.CombineErrors(errAgain, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	c.result.RequestIDs = append(c.result.RequestIDs, response.Header.Get(filter.HeaderRequestID))
+	switch {
+	case response.StatusCode != http.StatusOK:
+		return c.refused(response)
+	case c.kind.Service != "":
+		return c.readEcho(response.Body)
+	case c.kind.Stream:
+		return c.readStream(response.Body)
+	default:
+		return c.readWhole(response.Body)
+	}
+}
+
+func (c *caller) request(ctx context.Context, node string) (*http.Request, error) {
+	if c.kind.Service != "" {
+		return c.serviceRequest(ctx, node)
+	}
+	body, err := json.Marshal(completion.Body{Model: c.kind.Model, Prompt: c.prompt, MaxTokens: c.tokens, Stream: c.kind.Stream})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode body")
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	c.setHeaders(request)
+	request.Header.Set(completion.HeaderClass, c.kind.Class)
+	if c.next > 0 {
+		request.Header.Set(completion.HeaderLastEvent, strconv.Itoa(c.next-1))
+	}
+	return request, nil
+}
+
+func (c *caller) serviceRequest(ctx context.Context, node string) (*http.Request, error) {
+	target := "http://" + node + "/services/" + c.kind.Service + c.kind.Path
+	var body io.Reader
+	if c.body != "" {
+		body = strings.NewReader(c.body)
+	}
+	request, err := http.NewRequestWithContext(ctx, c.kind.Method, target, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	c.setHeaders(request)
+	return request, nil
+}
+
+func (c *caller) setHeaders(request *http.Request) {
+	request.Header.Set("Authorization", "Bearer "+c.kind.Token)
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set(completion.HeaderKey, c.key)
+	// Each connection is new: a caller that was cut off does not come back on an
+	// old one, and net/http must not send a call twice by itself.
+	request.Close = true
+}
+
+// refused reads a typed error. One that leaves the outcome open is worth another
+// try under the same key, unless it says that the key has been used.
+func (c *caller) refused(response *http.Response) error {
+	failure := &api.Error{Status: response.StatusCode}
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	if err != nil {
+		return errors.CombineErrors(errAgain, err)
+	}
+	if json.Unmarshal(data, failure) != nil || failure.Code == "" {
+		return errors.Wrapf(errAgain, "status %d without a typed error", response.StatusCode)
+	}
+	return c.fail(failure)
+}
+
+func (c *caller) fail(failure *api.Error) error {
+	final := failure.Code == api.CodeAlreadyClaimed || failure.Code == api.CodeKeyExpired
+	starting := failure.Code == api.CodeNotReady || failure.Code == api.CodeUnavailable
+	if !final && (failure.Outcome != api.OutcomeNotRun || starting) {
+		return errors.Wrapf(errAgain, "%s", failure)
+	}
+	c.result.Ending, c.result.Failure = EndingRefused, failure
+	return nil
+}
+
+func (c *caller) readEcho(body io.Reader) error {
+	var echo servicesim.Echo
+	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&echo); err != nil {
+		return errors.CombineErrors(errAgain, err)
+	}
+	c.result.FirstToken = time.Since(c.started)
+	c.result.Ending = EndingAnswered
+	if echo.Service == "" || echo.Body != c.body || echo.Path != c.kind.Path {
+		c.result.Ending = EndingAltered
+	}
+	return nil
+}
+
+func (c *caller) readWhole(body io.Reader) error {
+	var reply struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&reply); err != nil {
+		return errors.CombineErrors(errAgain, err)
+	}
+	if len(reply.Choices) != 1 {
+		return errors.Wrap(errAgain, "reply without a choice")
+	}
+	now := time.Now()
+	c.first, c.last = now, now
+	c.received.WriteString(reply.Choices[0].Text)
+	c.next = c.tokens
+	c.judge()
+	return nil
+}
+
+func (c *caller) readStream(body io.Reader) error {
+	for event, err := range sse.Read(body, nil) {
+		if err != nil {
+			return errors.CombineErrors(errAgain, err)
+		}
+		if event.Type == "error" {
+			failure := &api.Error{}
+			if json.Unmarshal([]byte(event.Data), failure) == nil && failure.Code != "" {
+				return c.fail(failure.WithOutcome(api.OutcomeUnknown))
+			}
+			return errAgain
+		}
+		if event.Data == "[DONE]" {
+			c.judge()
+			return nil
+		}
+		if err := c.take(event); err != nil {
+			return err
+		}
+	}
+	return errors.Wrap(errAgain, "stream ended early")
+}
+
+// take takes one token.
+func (c *caller) take(event sse.Event) error {
+	offset, err := strconv.Atoi(event.LastEventID)
+	if err != nil {
+		return errors.CombineErrors(errAgain, err)
+	}
+	if offset < c.next {
+		c.result.Repeated++
+		return nil
+	}
+	if offset > c.next {
+		return errors.Wrapf(errAgain, "gap before token %d", offset)
+	}
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		return errors.Wrap(errAgain, "malformed chunk")
+	}
+	now := time.Now()
+	if c.first.IsZero() {
+		c.first = now
+	}
+	c.last = now
+	c.next++
+	c.received.WriteString(chunk.Choices[0].Text)
+	return nil
+}
+
+// judge compares what arrived with the only right answer.
+func (c *caller) judge() {
+	c.result.Ending = EndingAnswered
+	if c.received.String() != answer.Whole(c.kind.Model, c.prompt, c.tokens) {
+		c.result.Ending = EndingAltered
+	}
+	c.result.FirstToken = c.first.Sub(c.started)
+	if c.next > 1 && c.kind.Stream {
+		c.result.Interval = c.last.Sub(c.first) / time.Duration(c.next-1)
+	}
+}
+
+// newKey returns a UUIDv7.
+func newKey() (string, error) {
+	id, err := uuid.NewV7()
+	return id.String(), errors.Wrap(err, "make key")
+}
--- /dev/null
+++ b/sim/load/judge.go
@@ -0,0 +1,214 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/sim/servicesim"
+)
+
+// Verdict sums a run up.
+type Verdict struct {
+	Requests   int     `json:"requests"`
+	Answered   int     `json:"answered"`
+	Refused    int     `json:"refused"`
+	Lost       int     `json:"lost"`
+	Altered    int     `json:"altered"`
+	Duplicated int     `json:"duplicated"`
+	Goodput    float64 `json:"goodput"`
+	Wasted     float64 `json:"wasted_prefill"`
+	// HeldStreams is what engines still hold when every caller has gone.
+	HeldStreams int `json:"held_streams"`
+	// FalseNotRun counts refusals that said not-run although the request ran.
+	FalseNotRun int `json:"false_not_run"`
+	// TTFTP95 and IntervalP95 are of answered completions, in seconds.
+	TTFTP95     float64 `json:"ttft_p95_s"`
+	IntervalP95 float64 `json:"interval_p95_s"`
+	// Kinds counts offered requests and those that met their targets.
+	Kinds map[string][2]int `json:"kinds"`
+	// Violations say what went wrong, the first few.
+	Violations []string `json:"violations,omitempty"`
+}
+
+// Failed reports whether a promise was broken.
+func (v *Verdict) Failed() bool {
+	return v.Lost+v.Altered+v.Duplicated+v.HeldStreams+v.FalseNotRun > 0
+}
+
+// Line is the summary on one line.
+func (v *Verdict) Line() string {
+	return fmt.Sprintf("requests=%d answered=%d refused=%d lost=%d duplicated=%d goodput=%.2f wasted_prefill=%.2f",
+		v.Requests, v.Answered, v.Refused, v.Lost+v.Altered, v.Duplicated, v.Goodput, v.Wasted)
+}
+
+// Ledgers are what the stand-ins did.
+type Ledgers struct {
+	Engines  []enginesim.Report
+	Services []servicesim.Report
+}
+
+// ReadLedgers fetches the ledgers of the stand-ins at the given addresses.
+func ReadLedgers(ctx context.Context, engines, services []string) (Ledgers, error) {
+	var ledgers Ledgers
+	for _, address := range engines {
+		var report enginesim.Report
+		if err := fetch(ctx, address, enginesim.PathLedger, &report); err != nil {
+			return Ledgers{}, err
+		}
+		ledgers.Engines = append(ledgers.Engines, report)
+	}
+	for _, address := range services {
+		var report servicesim.Report
+		if err := fetch(ctx, address, servicesim.PathLedger, &report); err != nil {
+			return Ledgers{}, err
+		}
+		ledgers.Services = append(ledgers.Services, report)
+	}
+	return ledgers, nil
+}
+
+func fetch(ctx context.Context, address, path string, value any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "fetch ledger")
+	}
+	defer func() { _ = response.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(value), "decode ledger")
+}
+
+// Judge judges a run by what callers received and what the stand-ins did.
+func Judge(results []Result, ledgers Ledgers) *Verdict {
+	verdict := &Verdict{Requests: len(results), Kinds: map[string][2]int{}}
+	verdict.judgeCallers(results)
+	verdict.judgeServices(results, ledgers.Services)
+	verdict.judgeEngines(results, ledgers.Engines)
+	return verdict
+}
+
+// maxViolations bounds the violations that are spelled out.
+const maxViolations = 20
+
+func (v *Verdict) violatef(format string, args ...any) {
+	if len(v.Violations) < maxViolations {
+		v.Violations = append(v.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+func (v *Verdict) judgeCallers(results []Result) {
+	met := 0
+	var first, intervals []time.Duration
+	for i := range results {
+		result := &results[i]
+		counts := v.Kinds[result.Kind.Name]
+		counts[0]++
+		switch result.Ending {
+		case EndingAnswered:
+			v.Answered++
+		case EndingRefused:
+			v.Refused++
+		case EndingAltered:
+			v.Altered++
+			v.violatef("%s %s: altered answer", result.Kind.Name, result.Key)
+		default:
+			v.Lost++
+			v.violatef("%s %s: lost: %s", result.Kind.Name, result.Key, result.Detail)
+		}
+		if result.Repeated > 0 {
+			v.Duplicated++
+			v.violatef("%s %s: %d tokens twice", result.Kind.Name, result.Key, result.Repeated)
+		}
+		if result.meets() {
+			met++
+			counts[1]++
+		}
+		if result.Ending == EndingAnswered && result.Kind.Service == "" {
+			first = append(first, result.FirstToken)
+			intervals = append(intervals, result.Interval)
+		}
+		v.Kinds[result.Kind.Name] = counts
+	}
+	v.Goodput = float64(met) / float64(max(len(results), 1))
+	v.TTFTP95, v.IntervalP95 = percentile95(first), percentile95(intervals)
+}
+
+func percentile95(values []time.Duration) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	const numerator, denominator = 95, 100
+	return values[(len(values)-1)*numerator/denominator].Seconds()
+}
+
+// judgeServices counts calls that may not be repeated and ran more than once,
+// and those that ran although their caller was told they did not.
+func (v *Verdict) judgeServices(results []Result, reports []servicesim.Report) {
+	runs := map[string]int{}
+	for _, report := range reports {
+		for _, call := range report.Calls {
+			runs[call.Key]++
+		}
+	}
+	for i := range results {
+		result := &results[i]
+		if !result.Kind.Once {
+			continue
+		}
+		if runs[result.Key] > 1 {
+			v.Duplicated++
+			v.violatef("%s %s: ran %d times", result.Kind.Name, result.Key, runs[result.Key])
+		}
+		if result.saysNotRun() && runs[result.Key] > 0 {
+			v.FalseNotRun++
+			v.violatef("%s %s: ran although refused as not-run", result.Kind.Name, result.Key)
+		}
+		if result.Ending == EndingAnswered && runs[result.Key] == 0 {
+			v.Altered++
+			v.violatef("%s %s: answered but never ran", result.Kind.Name, result.Key)
+		}
+	}
+}
+
+// saysNotRun reports whether the only try was refused as not run. After several
+// tries the refusal speaks of the last arrival alone.
+func (r *Result) saysNotRun() bool {
+	return r.Ending == EndingRefused && r.Failure.Outcome == api.OutcomeNotRun && r.Tries == 1
+}
+
+func (v *Verdict) judgeEngines(results []Result, reports []enginesim.Report) {
+	total, wasted := 0, 0
+	ran := map[string]bool{}
+	for _, report := range reports {
+		total += report.PrefillTokens
+		wasted += report.PrefillTokensWasted
+		v.HeldStreams += report.HeldStreams
+		if report.HeldStreams > 0 {
+			v.violatef("%s holds %d streams", report.Engine, report.HeldStreams)
+		}
+		for _, entry := range report.Entries {
+			if entry.Kind == enginesim.EntryPrefillDone {
+				ran[entry.Stream.RequestID] = true
+			}
+		}
+	}
+	v.Wasted = float64(wasted) / float64(max(total, 1))
+	for i := range results {
+		result := &results[i]
+		if result.Kind.Service == "" && result.saysNotRun() && ran[result.RequestIDs[0]] {
+			v.FalseNotRun++
+			v.violatef("%s %s: ran although refused as not-run", result.Kind.Name, result.Key)
+		}
+	}
+}
--- /dev/null
+++ b/sim/load/result.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+)
+
+// Ending is how a request ended for its caller.
+type Ending string
+
+// The endings of a request.
+const (
+	// EndingAnswered means that the whole, right answer arrived.
+	EndingAnswered Ending = "answered"
+	// EndingRefused means that a typed error arrived, with its outcome.
+	EndingRefused Ending = "refused"
+	// EndingLost means that no final answer arrived.
+	EndingLost Ending = "lost"
+	// EndingAltered means that a wrong answer arrived.
+	EndingAltered Ending = "altered"
+)
+
+// Result is what one caller saw.
+type Result struct {
+	Kind *Kind
+	// Key is the Idempotency-Key.
+	Key string
+	// RequestIDs are the identities that the nodes gave the request's arrivals.
+	RequestIDs []string
+	Ending     Ending
+	// Failure is the typed error of a refusal.
+	Failure *api.Error
+	// Repeated is the number of tokens that arrived more than once.
+	Repeated int
+	// Tries is the number of connections made.
+	Tries      int
+	FirstToken time.Duration
+	// Interval is the mean time between tokens.
+	Interval time.Duration
+	Detail   string
+}
+
+// meets reports whether the request met both targets.
+func (r *Result) meets() bool {
+	if r.Ending != EndingAnswered || r.FirstToken > r.Kind.FirstToken.Std() {
+		return false
+	}
+	return r.Kind.TokenInterval == 0 || r.Interval <= r.Kind.TokenInterval.Std()
+}
--- /dev/null
+++ b/sim/platformsim/handler.go
@@ -0,0 +1,143 @@
+package platformsim
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/platform"
+)
+
+// PathCounts is where the stand-in reports its calls.
+const PathCounts = "/counts"
+
+// Handler serves the store by the object API's REST conventions, and the weights.
+func Handler(store *Store, weights *Weights) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+PathWeights+"{model}/{version}", weights)
+	served := handler{store}
+	mux.HandleFunc("GET "+platform.BasePath+"{kind}", served.listOrWatch)
+	mux.HandleFunc("GET "+platform.BasePath+"{kind}/{name}", served.get)
+	mux.HandleFunc("PUT "+platform.BasePath+"{kind}/{name}", served.put)
+	mux.HandleFunc("DELETE "+platform.BasePath+"{kind}/{name}", served.remove)
+	mux.HandleFunc("GET "+PathCounts, served.counts)
+	return mux
+}
+
+type handler struct{ store *Store }
+
+func (h handler) get(w http.ResponseWriter, r *http.Request) {
+	object, err := h.store.Get(r.Context(), platform.Kind(r.PathValue("kind")), r.PathValue("name"))
+	reply(w, platform.ToDocument(object), err)
+}
+
+func (h handler) put(w http.ResponseWriter, r *http.Request) {
+	const envelope = 64 << 10
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes+envelope))
+	if err != nil {
+		reply(w, nil, platform.ErrTooLarge)
+		return
+	}
+	var document platform.Document
+	if err := json.Unmarshal(body, &document); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	object, err := platform.FromDocument(document)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	object.Kind = platform.Kind(r.PathValue("kind"))
+	object.Name = r.PathValue("name")
+	if object.Kind == platform.KindMachine {
+		h.store.SetMachine(object.Name, object.Spec)
+		reply(w, platform.ToDocument(object), nil)
+		return
+	}
+	stored, err := h.store.Put(r.Context(), object)
+	reply(w, platform.ToDocument(stored), err)
+}
+
+func (h handler) remove(w http.ResponseWriter, r *http.Request) {
+	version, err := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	err = h.store.Delete(r.Context(), platform.Kind(r.PathValue("kind")), r.PathValue("name"), version)
+	reply(w, struct{}{}, err)
+}
+
+func (h handler) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	kind := platform.Kind(r.PathValue("kind"))
+	if r.URL.Query().Get("watch") == "true" {
+		h.watch(w, r, kind)
+		return
+	}
+	objects, revision, err := h.store.List(r.Context(), kind)
+	list := platform.ListDocument{
+		APIVersion: platform.APIVersion,
+		Metadata:   platform.Metadata{ResourceVersion: strconv.FormatInt(revision, 10)},
+		Items:      make([]platform.Document, len(objects)),
+	}
+	for i, object := range objects {
+		list.Items[i] = platform.ToDocument(object)
+	}
+	reply(w, list, err)
+}
+
+func (h handler) watch(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
+	after, err := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	control := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	_ = control.Flush()
+	err = h.store.Watch(r.Context(), kind, after, func(event platform.Event) {
+		line := platform.WatchDocument{Type: platform.WatchModified, Object: platform.ToDocument(event.Object)}
+		if event.Deleted {
+			line.Type = platform.WatchDeleted
+		}
+		_ = encoder.Encode(line)
+		_ = control.Flush()
+	})
+	if errors.Is(err, platform.ErrTooOld) {
+		_ = encoder.Encode(platform.WatchDocument{Type: platform.WatchError})
+	}
+}
+
+func (h handler) counts(w http.ResponseWriter, _ *http.Request) {
+	reply(w, h.store.Counts(), nil)
+}
+
+func reply(w http.ResponseWriter, value any, err error) {
+	w.Header().Set("Content-Type", "application/json")
+	if err != nil {
+		w.WriteHeader(statusOf(err))
+		value = map[string]string{"message": err.Error()}
+	}
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, platform.ErrThrottled):
+		return http.StatusTooManyRequests
+	case errors.Is(err, platform.ErrTooOld):
+		return http.StatusGone
+	case errors.Is(err, platform.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
--- /dev/null
+++ b/sim/platformsim/store.go
@@ -0,0 +1,271 @@
+package platformsim
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/reelrun/reelrun/platform"
+)
+
+// watchHistory is the number of changes kept for watches that start late.
+const watchHistory = 4096
+
+// Options are the limits of the store. Zero means no limit.
+type Options struct {
+	// WritesPerSecond and ReadsPerSecond bound the calls; a watch counts as a read.
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+	// MachineLag delays what readers of the machine list see.
+	MachineLag time.Duration
+}
+
+// Counts is the number of calls the store has taken.
+type Counts struct {
+	Reads     int64 `json:"reads"`
+	Writes    int64 `json:"writes"`
+	Watches   int64 `json:"watches"`
+	Waiting   int64 `json:"waiting"`
+	Throttled int64 `json:"throttled"`
+	Conflicts int64 `json:"conflicts"`
+}
+
+type key struct {
+	kind platform.Kind
+	name string
+}
+
+type change struct {
+	revision int64
+	event    platform.Event
+}
+
+// Store is an in-memory object API. It is safe for concurrent use.
+type Store struct {
+	options Options
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+
+	mu       sync.Mutex
+	revision int64
+	objects  map[key]platform.Object
+	history  []change
+	trimmed  int64
+	changed  chan struct{}
+	counts   Counts
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// NewStore returns an empty store.
+func NewStore(options Options) *Store {
+	return &Store{
+		options: options,
+		writes:  limiter(options.WritesPerSecond),
+		reads:   limiter(options.ReadsPerSecond),
+		objects: map[key]platform.Object{},
+		changed: make(chan struct{}),
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond == 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(int(perSecond/4), 1))
+}
+
+// Counts returns the calls taken so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// read counts a read and reports whether the rate allows it.
+func (s *Store) read() error {
+	s.counts.Reads++
+	if !s.reads.Allow() {
+		s.counts.Throttled++
+		return platform.ErrThrottled
+	}
+	return nil
+}
+
+func (s *Store) write() error {
+	s.counts.Writes++
+	if !s.writes.Allow() {
+		s.counts.Throttled++
+		return platform.ErrThrottled
+	}
+	return nil
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.read(); err != nil {
+		return platform.Object{}, err
+	}
+	object, ok := s.objects[key{kind, name}]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return object, nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(_ context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.read(); err != nil {
+		return nil, 0, err
+	}
+	var listed []platform.Object
+	for at, object := range s.objects {
+		if at.kind == kind {
+			listed = append(listed, object)
+		}
+	}
+	slices.SortFunc(listed, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	return listed, s.revision, nil
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(_ context.Context, object platform.Object) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.write(); err != nil {
+		return platform.Object{}, err
+	}
+	if len(object.Spec) > platform.MaxValueBytes {
+		return platform.Object{}, platform.ErrTooLarge
+	}
+	at := key{object.Kind, object.Name}
+	if s.objects[at].Version != object.Version {
+		s.counts.Conflicts++
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.revision++
+	object.Version = s.revision
+	object.Spec = slices.Clone(object.Spec)
+	s.objects[at] = object
+	s.record(platform.Event{Object: object})
+	return object, nil
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(_ context.Context, kind platform.Kind, name string, version int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.write(); err != nil {
+		return err
+	}
+	at := key{kind, name}
+	object, ok := s.objects[at]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	if object.Version != version {
+		s.counts.Conflicts++
+		return platform.ErrConflict
+	}
+	delete(s.objects, at)
+	s.revision++
+	object.Version = s.revision
+	s.record(platform.Event{Object: object, Deleted: true})
+	return nil
+}
+
+func (s *Store) record(event platform.Event) {
+	s.history = append(s.history, change{s.revision, event})
+	if len(s.history) > watchHistory {
+		s.trimmed = s.history[len(s.history)-watchHistory-1].revision
+		s.history = slices.Clone(s.history[len(s.history)-watchHistory:])
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Watch implements platform.Store.
+func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+	s.mu.Lock()
+	s.counts.Watches++
+	s.counts.Waiting++
+	err := s.read()
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.counts.Waiting--
+		s.mu.Unlock()
+	}()
+	for err == nil {
+		var events []change
+		var changed chan struct{}
+		events, changed, err = s.since(kind, after)
+		for _, recorded := range events {
+			handle(recorded.event)
+			after = recorded.revision
+		}
+		if err != nil || len(events) > 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+	return err
+}
+
+func (s *Store) since(kind platform.Kind, after int64) ([]change, chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.trimmed {
+		return nil, nil, platform.ErrTooOld
+	}
+	var selected []change
+	for _, recorded := range s.history {
+		if recorded.revision > after && recorded.event.Object.Kind == kind {
+			selected = append(selected, recorded)
+		}
+	}
+	return selected, s.changed, nil
+}
+
+// Snapshot returns all objects of a kind without counting a call. Oracles use it.
+func (s *Store) Snapshot(kind platform.Kind) []platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var objects []platform.Object
+	for at, object := range s.objects {
+		if at.kind == kind {
+			objects = append(objects, object)
+		}
+	}
+	return objects
+}
+
+// SetMachine records a machine as the platform's own list does: readers see it
+// after the configured lag.
+func (s *Store) SetMachine(name string, spec []byte) {
+	apply := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.revision++
+		object := platform.Object{Kind: platform.KindMachine, Name: name, Version: s.revision, Spec: spec}
+		s.objects[key{platform.KindMachine, name}] = object
+		s.record(platform.Event{Object: object})
+	}
+	if s.options.MachineLag == 0 {
+		apply()
+		return
+	}
+	time.AfterFunc(s.options.MachineLag, apply)
+}
--- /dev/null
+++ b/timeline/clock.go
@@ -0,0 +1,39 @@
+package timeline
+
+import (
+	"sync"
+	"time"
+)
+
+// logicalBits is the number of low bits of a Stamp that hold the logical count.
+const logicalBits = 16
+
+// Stamp is a hybrid logical time: milliseconds since the Unix epoch in the high
+// 48 bits and a logical count in the low 16 bits.
+type Stamp uint64
+
+// Time returns the physical part.
+func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> logicalBits)) }
+
+// Clock produces stamps that rise strictly. It is safe for concurrent use.
+type Clock struct {
+	mu   sync.Mutex
+	last Stamp
+	now  func() time.Time
+}
+
+// NewClock returns a clock that reads physical time from now.
+func NewClock(now func() time.Time) *Clock { return &Clock{now: now} }
+
+// Now returns the stamp of a local event.
+func (c *Clock) Now() Stamp { return c.Observe(0) }
+
+// Observe merges the stamp of a received message and returns the stamp of its
+// receipt.
+func (c *Clock) Observe(received Stamp) Stamp {
+	physical := Stamp(c.now().UnixMilli()) << logicalBits
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = max(c.last+1, physical, received+1)
+	return c.last
+}
--- /dev/null
+++ b/timeline/doc.go
@@ -0,0 +1,8 @@
+// Package timeline records typed events with hybrid logical clock stamps in a
+// bounded ring, and merges the rings of several processes into one ordered
+// time line.
+//
+// The clock follows Kulkarni et al., "Logical Physical Clocks" (2014): a stamp
+// is never below the physical clock, and an event that follows a received
+// message is stamped above the message.
+package timeline
--- /dev/null
+++ b/timeline/ring.go
@@ -0,0 +1,105 @@
+package timeline
+
+import (
+	"sort"
+	"sync"
+)
+
+// DefaultCapacity is the number of events a process keeps by default.
+const DefaultCapacity = 4096
+
+// Kind is the type of an event.
+type Kind string
+
+// Event is one thing that happened in one process. The fields that do not
+// apply to its kind are empty.
+type Event struct {
+	Stamp   Stamp  `json:"stamp"`
+	Process string `json:"process"`
+	Kind    Kind   `json:"kind"`
+	Request string `json:"request,omitempty"`
+	Tenant  string `json:"tenant,omitempty"`
+	Engine  string `json:"engine,omitempty"`
+	Detail  string `json:"detail,omitempty"`
+}
+
+// Ring keeps the newest events of one process. It is safe for concurrent use.
+type Ring struct {
+	process string
+	clock   *Clock
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+	lost   uint64
+}
+
+// NewRing returns a ring of the given capacity for the named process.
+func NewRing(process string, clock *Clock, capacity int) *Ring {
+	return &Ring{process: process, clock: clock, events: make([]Event, 0, capacity)}
+}
+
+// Clock returns the clock that stamps the ring's events.
+func (r *Ring) Clock() *Clock { return r.clock }
+
+// Record stamps the event and stores it, in place of the oldest one if the ring
+// is full.
+func (r *Ring) Record(event Event) {
+	event.Stamp = r.clock.Now()
+	event.Process = r.process
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.events) < cap(r.events) {
+		r.events = append(r.events, event)
+		return
+	}
+	r.events[r.next] = event
+	r.next = (r.next + 1) % len(r.events)
+	r.lost++
+}
+
+// Filter selects events; an empty field selects all.
+type Filter struct {
+	Request string
+	Engine  string
+	Tenant  string
+}
+
+func (f Filter) matches(event Event) bool {
+	if f.Request != "" && f.Request != event.Request {
+		return false
+	}
+	if f.Engine != "" && f.Engine != event.Engine {
+		return false
+	}
+	return f.Tenant == "" || f.Tenant == event.Tenant
+}
+
+// Events returns the kept events that match, oldest first.
+func (r *Ring) Events(filter Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var selected []Event
+	for i := range r.events {
+		event := r.events[(r.next+i)%len(r.events)]
+		if filter.matches(event) {
+			selected = append(selected, event)
+		}
+	}
+	return selected
+}
+
+// Merge orders the events of several processes by stamp, then by process.
+func Merge(rings ...[]Event) []Event {
+	var all []Event
+	for _, events := range rings {
+		all = append(all, events...)
+	}
+	sort.SliceStable(all, func(i, j int) bool {
+		if all[i].Stamp != all[j].Stamp {
+			return all[i].Stamp < all[j].Stamp
+		}
+		return all[i].Process < all[j].Process
+	})
+	return all
+}
