Ask the successor when a claim or directory owner does not answer

Cause: with one node killed and one frozen, 46 of 600 requests of 'make demo-faults' were refused. The counters showed 40 as internal errors: the directory node of the request was the dead or frozen one, and the arrival gave up after one call. Five more were claims whose shard's owner was gone.

Ruled out: a shorter failure timeout (more messages, false alarms); asking two nodes each time (twice the messages for every request).

Change: cluster.CallOwnerOrSuccessor asks the node that would own the key next. For claims each try has an identity of its own, and a later try of the same request supersedes an earlier one: an owner that thaws must not undo the claim under which the call has run.

Conclusion: the rest is refused while a pool's owner is silent but not yet taken for failed (three heartbeat intervals).

--- a/claim/client.go
+++ b/claim/client.go
@@ -7,15 +7,17 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
 
-// callTimeout bounds the wait for a claim shard's owner.
-const callTimeout = 2 * time.Second
+// callTimeout bounds the wait for a claim shard's owner, and then for the node
+// that would follow it. It is above the time an owner takes to give a write up.
+const callTimeout = writeTimeout + 200*time.Millisecond
 
-// OwnerCaller calls the owner of a key.
+// OwnerCaller calls the owner of a key, or the node that would follow it.
 type OwnerCaller interface {
-	CallOwner(ctx context.Context, zone, key string, request *peerpb.Request) (*peerpb.Response, error)
+	CallOwnerOrSuccessor(ctx context.Context, key string, timeout time.Duration, build func(try int) *peerpb.Request) (*peerpb.Response, membership.Member, error)
 }
 
 // Client makes claims at the owners of their shards.
@@ -24,34 +26,36 @@
 // NewClient returns a client.
 func NewClient(owners OwnerCaller) *Client { return &Client{owners: owners} }
 
-// Claim returns nil if the call may run under claimID. Any error means that the
-// caller must not run it.
-func (c *Client) Claim(ctx context.Context, key Key, claimID string, body []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request := &peerpb.Request{Body: &peerpb.Request_Claim{Claim: &peerpb.Claim{
-		Tenant: key.Tenant, Key: key.ID.String(), BodyDigest: body, ClaimId: claimID,
-	}}}
-	_, err := c.owners.CallOwner(ctx, "", OwnerKey(key.shard()), request)
+// Claim returns the identity of the claim under which the call may run. Any
+// error means that the caller must not run it. Each node that is asked gets an
+// identity of its own: one that answers too late must not undo the claim that
+// another has made.
+func (c *Client) Claim(ctx context.Context, key Key, requestID string, body []byte) (string, error) {
+	var claimID string
+	_, _, err := c.owners.CallOwnerOrSuccessor(ctx, OwnerKey(key.shard()), callTimeout, func(try int) *peerpb.Request {
+		claimID = identity(requestID, try)
+		return &peerpb.Request{Body: &peerpb.Request_Claim{Claim: &peerpb.Claim{
+			Tenant: key.Tenant, Key: key.ID.String(), BodyDigest: body, ClaimId: claimID,
+		}}}
+	})
 	if err == nil {
-		return nil
+		return claimID, nil
 	}
 	var typed *api.Error
 	if errors.As(err, &typed) {
-		return typed
+		return "", typed
 	}
 	// The claim may have been recorded, but this node does not use it.
-	return ErrUnavailable
+	return "", ErrUnavailable
 }
 
 // Withdraw removes the claim of a call that certainly did not run, so that the
 // caller can use the key again.
 func (c *Client) Withdraw(ctx context.Context, key Key, claimID string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request := &peerpb.Request{Body: &peerpb.Request_ReleaseClaim{ReleaseClaim: &peerpb.ReleaseClaim{
-		Tenant: key.Tenant, Key: key.ID.String(), ClaimId: claimID,
-	}}}
-	_, err := c.owners.CallOwner(ctx, "", OwnerKey(key.shard()), request)
+	_, _, err := c.owners.CallOwnerOrSuccessor(ctx, OwnerKey(key.shard()), callTimeout, func(int) *peerpb.Request {
+		return &peerpb.Request{Body: &peerpb.Request_ReleaseClaim{ReleaseClaim: &peerpb.ReleaseClaim{
+			Tenant: key.Tenant, Key: key.ID.String(), ClaimId: claimID,
+		}}}
+	})
 	return err
 }
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -223,7 +223,7 @@
 	switch {
 	case w.isAbandoned(applied.claimID):
 		return false, ErrUnavailable
-	case !exists:
+	case !exists, supersedes(applied.claimID, held.ClaimID):
 		standing.Claims[field] = record{ClaimID: applied.claimID, Body: applied.body}
 		return true, nil
 	case held.ClaimID == applied.claimID:
--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/peer"
@@ -53,23 +55,42 @@
 	return selected
 }
 
+// candidates returns the ready members of a zone, or of the whole fleet if the
+// zone is empty or has none.
+func (c *Cluster) candidates(zone string) []membership.Member {
+	var found []membership.Member
+	if zone != "" {
+		found = ready(c.table.ZoneMembers(c.now(), zone))
+	}
+	if len(found) == 0 {
+		found = ready(c.Live())
+	}
+	return found
+}
+
 // Owner returns the owner of a key among the ready members of a zone, or of the
 // whole fleet if the zone is empty or has none.
 func (c *Cluster) Owner(zone, key string) (membership.Member, error) {
-	var candidates []membership.Member
-	if zone != "" {
-		candidates = ready(c.table.ZoneMembers(c.now(), zone))
+	ranked := c.ranked(zone, key, 1)
+	if len(ranked) == 0 {
+		return membership.Member{}, ErrNoOwner
 	}
-	if len(candidates) == 0 {
-		candidates = ready(c.Live())
-	}
-	name := placement.Owner(key, membership.Names(candidates))
-	for _, member := range candidates {
-		if member.Name == name {
-			return member, nil
+	return ranked[0], nil
+}
+
+// ranked returns the owner of a key and those that would follow it.
+func (c *Cluster) ranked(zone, key string, count int) []membership.Member {
+	found := c.candidates(zone)
+	names := placement.Top(key, membership.Names(found), count)
+	ranked := make([]membership.Member, 0, len(names))
+	for _, name := range names {
+		for _, member := range found {
+			if member.Name == name {
+				ranked = append(ranked, member)
+			}
 		}
 	}
-	return membership.Member{}, ErrNoOwner
+	return ranked
 }
 
 // Owns reports whether the node itself owns a key.
@@ -109,6 +130,32 @@
 	return c.Call(ctx, owner, request)
 }
 
+// successorTries is how many nodes are asked when an owner does not answer.
+const successorTries = 2
+
+// CallOwnerOrSuccessor sends a request to the owner of a key and, when it does
+// not answer in time, to the node that would follow it. It is meant for calls
+// that any node can serve; the owner is only the usual place. The request is
+// built anew for each try, numbered from zero. It returns the node that answered.
+func (c *Cluster) CallOwnerOrSuccessor(ctx context.Context, key string, timeout time.Duration, build func(try int) *peerpb.Request) (*peerpb.Response, membership.Member, error) {
+	var last error = ErrNoOwner
+	for try, member := range c.ranked("", key, successorTries) {
+		response, err := c.callWithin(ctx, member, timeout, build(try))
+		var answered *api.Error
+		if err == nil || errors.As(err, &answered) || ctx.Err() != nil {
+			return response, member, err
+		}
+		last = err
+	}
+	return nil, membership.Member{}, last
+}
+
+func (c *Cluster) callWithin(ctx context.Context, member membership.Member, timeout time.Duration, request *peerpb.Request) (*peerpb.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return c.Call(ctx, member, request)
+}
+
 // CallNode sends a request to a live node by name.
 func (c *Cluster) CallNode(ctx context.Context, node string, request *peerpb.Request) (*peerpb.Response, error) {
 	member, live := c.table.Lookup(c.now(), node)
--- a/cmd/reelrunctl/show.go
+++ b/cmd/reelrunctl/show.go
@@ -188,4 +188,3 @@
 		},
 	}
 }
-
--- a/completion/takeover.go
+++ b/completion/takeover.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/directory"
 	"github.com/reelrun/reelrun/peer/peerpb"
@@ -12,7 +15,7 @@
 
 const (
 	// directoryTimeout bounds a call to a directory node.
-	directoryTimeout = 2 * time.Second
+	directoryTimeout = 500 * time.Millisecond
 	// yieldTimeout bounds the wait for the earlier holder, which finishes its
 	// prefill before it yields.
 	yieldTimeout = 10 * time.Second
@@ -86,11 +89,18 @@
 	return resumed
 }
 
+// errNoDirectory says that neither the directory node nor its successor answered.
+var errNoDirectory = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "the request could not be registered").WithRetryAfter(time.Second)
+
 // arrive registers a request with a key and takes over from its earlier turn.
 func (s *Service) arrive(ctx context.Context, started *run) error {
 	registered, err := s.register(ctx, peerpb.RegisterMode_REGISTER_MODE_ARRIVE, started, started.running())
+	var answered *api.Error
+	if err != nil && !errors.As(err, &answered) {
+		return errNoDirectory
+	}
 	if err != nil {
-		return api.AsError(err, api.OutcomeNotRun)
+		return answered
 	}
 	started.turn.number = registered.GetTurn()
 	previous := registered.GetPrevious()
@@ -251,23 +261,16 @@
 }
 
 func (r *run) report(running *peerpb.Running) {
-	ctx, cancel := context.WithTimeout(context.Background(), directoryTimeout)
-	defer cancel()
-	if _, err := r.service.register(ctx, peerpb.RegisterMode_REGISTER_MODE_UPDATE, r, running); err != nil {
+	if _, err := r.service.register(context.Background(), peerpb.RegisterMode_REGISTER_MODE_UPDATE, r, running); err != nil {
 		r.service.options.Metrics.Add("directory_errors", 1)
 	}
 }
 
 func (s *Service) register(ctx context.Context, mode peerpb.RegisterMode, started *run, running *peerpb.Running) (*peerpb.Registered, error) {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	node, err := s.options.Cluster.Owner("", directory.Key(running.GetTenant(), running.GetKey()))
-	if err != nil {
-		return nil, err
-	}
-	response, err := s.options.Cluster.Call(ctx, node, &peerpb.Request{Body: &peerpb.Request_Register{
-		Register: &peerpb.Register{Mode: mode, Running: running},
-	}})
+	key := directory.Key(running.GetTenant(), running.GetKey())
+	response, node, err := s.options.Cluster.CallOwnerOrSuccessor(ctx, key, directoryTimeout, func(int) *peerpb.Request {
+		return &peerpb.Request{Body: &peerpb.Request_Register{Register: &peerpb.Register{Mode: mode, Running: running}}}
+	})
 	if err == nil {
 		started.turn.setDirectoryNode(node.Name)
 	}
--- a/service/handler.go
+++ b/service/handler.go
@@ -39,7 +39,7 @@
 
 // Claims makes claims for calls that may not be repeated.
 type Claims interface {
-	Claim(ctx context.Context, key claim.Key, claimID string, body []byte) error
+	Claim(ctx context.Context, key claim.Key, requestID string, body []byte) (string, error)
 	Withdraw(ctx context.Context, key claim.Key, claimID string) error
 }
 
@@ -109,11 +109,11 @@
 		return err
 	}
 	digest := sha256.Sum256(slices.Concat([]byte(started.request.Method+" "+started.service.Name+started.path+"\n"), started.body))
-	claimID := started.exchange.RequestID
-	if err := h.options.Claims.Claim(ctx, started.key, claimID, digest[:]); err != nil {
+	claimID, err := h.options.Claims.Claim(ctx, started.key, started.exchange.RequestID, digest[:])
+	if err != nil {
 		return err
 	}
-	err := h.tryReplicas(ctx, w, started)
+	err = h.tryReplicas(ctx, w, started)
 	if typed := api.AsError(err, api.OutcomeUnknown); err != nil && typed.Outcome == api.OutcomeNotRun {
 		// The key stays usable, since the call certainly did not run.
 		if withdrawn := h.options.Claims.Withdraw(context.WithoutCancel(ctx), started.key, claimID); withdrawn != nil {
