--- a/claim/writer.go
+++ b/claim/writer.go
@@ -13,6 +13,7 @@
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/tasks"
 )
 
 const (
@@ -53,7 +54,7 @@
 	// have been recorded. Nothing was dispatched under them, so their claims are
 	// removed with the next write.
 	abandoned map[string]time.Time
-	writes    sync.WaitGroup
+	writes    tasks.Group
 }
 
 // NewWriter returns a writer.
@@ -86,11 +87,7 @@
 	w.running[shard] = true
 	w.mu.Unlock()
 	if start {
-		w.writes.Add(1)
-		go func() {
-			defer w.writes.Done()
-			w.drain(shard)
-		}()
+		w.writes.Go(func() { w.drain(shard) })
 	}
 	select {
 	case err := <-added.done:
--- a/completion/cancel.go
+++ b/completion/cancel.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
 
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/tasks"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -25,27 +25,27 @@
 	engines *engine.Client
 	metrics *metrics.Set
 	events  *timeline.Ring
-	running sync.WaitGroup
+	// ctx ends with the service.
+	ctx     context.Context
+	running tasks.Group
 }
 
 // cancel returns at once; the cancellation goes on by itself.
 func (c *canceller) cancel(name, address string, attempt engine.Attempt) {
-	c.running.Add(1)
-	go func() {
-		defer c.running.Done()
+	c.running.Go(func() {
 		policy := backoff.NewExponentialBackOff(
 			backoff.WithInitialInterval(cancelFirstInterval),
 			backoff.WithMaxInterval(cancelMaxInterval),
 			backoff.WithMaxElapsedTime(cancelMaxElapsed),
 		)
-		err := backoff.Retry(func() error { return c.engines.Cancel(context.Background(), address, attempt) }, policy)
+		err := backoff.Retry(func() error { return c.engines.Cancel(c.ctx, address, attempt) }, backoff.WithContext(policy, c.ctx))
 		if err != nil {
 			c.metrics.Add("cancel_failures", 1)
 			return
 		}
 		c.metrics.Add("cancels", 1)
 		c.events.Record(timeline.Event{Kind: "cancelled", Request: attempt.RequestID, Engine: name})
-	}()
+	})
 }
 
 // wait returns when every cancellation has ended.
--- a/completion/grants.go
+++ b/completion/grants.go
@@ -10,6 +10,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/owner"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/tasks"
 )
 
 // releaseTimeout bounds the return of a grant. A lost return is made up for by
@@ -39,12 +40,16 @@
 	cluster *cluster.Cluster
 	metrics *metrics.Set
 
+	// ctx ends with the service.
+	ctx     context.Context
+	running tasks.Group
+
 	mu   sync.Mutex
 	held map[*grant]struct{}
 }
 
-func newGrants(fleet *cluster.Cluster, set *metrics.Set) *grants {
-	return &grants{cluster: fleet, metrics: set, held: map[*grant]struct{}{}}
+func newGrants(ctx context.Context, fleet *cluster.Cluster, set *metrics.Set) *grants {
+	return &grants{ctx: ctx, cluster: fleet, metrics: set, held: map[*grant]struct{}{}}
 }
 
 // ask waits for a prefill engine of the pool.
@@ -111,13 +116,13 @@
 		Pool: held.request.GetPool(), RequestId: held.request.GetRequestId(), Attempt: held.request.GetAttempt(),
 		OutputTokens: int32(outputTokens), FailedEngine: failedEngine,
 	}}}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	g.running.Go(func() {
+		ctx, cancel := context.WithTimeout(g.ctx, releaseTimeout)
 		defer cancel()
 		if _, err := g.cluster.CallOwner(ctx, held.zone, owner.Key(held.request.GetPool()), request); err != nil {
 			g.metrics.Add("release_errors", 1)
 		}
-	}()
+	})
 }
 
 // forget drops a grant that another node has adopted.
--- a/completion/service.go
+++ b/completion/service.go
@@ -29,6 +29,7 @@
 	options Options
 	grants  *grants
 	cancels *canceller
+	close   context.CancelFunc
 
 	mu sync.Mutex
 	// runs are the running requests that carry a key.
@@ -40,14 +41,23 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
 		options: options,
-		grants:  newGrants(options.Cluster, options.Metrics),
-		cancels: &canceller{engines: options.Engines, metrics: options.Metrics, events: options.Events},
+		grants:  newGrants(ctx, options.Cluster, options.Metrics),
+		cancels: &canceller{ctx: ctx, engines: options.Engines, metrics: options.Metrics, events: options.Events},
+		close:   cancel,
 		runs:    map[string]*run{},
 	}
 }
 
+// Close ends what goes on in the background. A planned stop calls WaitCancels first.
+func (s *Service) Close() {
+	s.close()
+	s.cancels.running.Close()
+	s.grants.running.Close()
+}
+
 // Completions returns the handler of POST /v1/completions.
 func (s *Service) Completions() filter.Handler { return s.handler(false) }
 
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -26,10 +26,11 @@
 	if err != nil {
 		return Head{}, err
 	}
-	return decodeHead(object.Spec)
+	return DecodeHead(object.Spec)
 }
 
-func decodeHead(spec []byte) (Head, error) {
+// DecodeHead reads the stored form of a head.
+func DecodeHead(spec []byte) (Head, error) {
 	var head Head
 	if len(spec) == 0 {
 		return head, nil
@@ -57,7 +58,7 @@
 	_, err = platform.Modify(ctx, store, platform.Change{
 		Kind: platform.KindConfiguration, Name: HeadName,
 		Mutate: func(current json.RawMessage) (json.RawMessage, error) {
-			standing, err := decodeHead(current)
+			standing, err := DecodeHead(current)
 			if err != nil {
 				return nil, err
 			}
--- a/configuration/syncer.go
+++ b/configuration/syncer.go
@@ -10,6 +10,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/tasks"
 )
 
 const (
@@ -47,7 +48,7 @@
 	// asked states that the platform or a peer has answered since the start.
 	asked   bool
 	pulling map[string]bool
-	pulls   sync.WaitGroup
+	pulls   tasks.Group
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
@@ -61,7 +62,7 @@
 // Run asks the platform once, and then watches it whenever the node is chosen
 // to, until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
-	defer s.pulls.Wait()
+	defer s.pulls.Close()
 	ticker := time.NewTicker(roleInterval)
 	defer ticker.Stop()
 	for {
@@ -125,7 +126,7 @@
 	if object.Name != HeadName {
 		return
 	}
-	head, err := decodeHead(object.Spec)
+	head, err := DecodeHead(object.Spec)
 	if err == nil {
 		err = s.holder.Advance(ctx, head, FromStore(s.store))
 	}
@@ -170,11 +171,7 @@
 	if busy {
 		return
 	}
-	s.pulls.Add(1)
-	go func() {
-		defer s.pulls.Done()
-		s.pull(address)
-	}()
+	s.pulls.Go(func() { s.pull(address) })
 }
 
 // heardFromPeer notes that a peer which has a configuration has nothing newer.
@@ -200,7 +197,7 @@
 		s.metrics.Add("configuration_pull_errors", 1)
 		return
 	}
-	head, err := decodeHead(response.GetContent().GetData())
+	head, err := DecodeHead(response.GetContent().GetData())
 	if err == nil {
 		err = s.holder.Advance(ctx, head, s.fromPeer(address))
 	}
--- a/machines/syncer.go
+++ b/machines/syncer.go
@@ -11,6 +11,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/tasks"
 )
 
 const (
@@ -49,7 +50,7 @@
 	mu      sync.Mutex
 	pulling bool
 	asked   time.Time
-	pulls   sync.WaitGroup
+	pulls   tasks.Group
 }
 
 // NewSyncer returns a syncer that calls changed when the view changes.
@@ -59,7 +60,7 @@
 
 // Run watches the list whenever the node is chosen to, until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
-	defer s.pulls.Wait()
+	defer s.pulls.Close()
 	ticker := time.NewTicker(roleInterval)
 	defer ticker.Stop()
 	for {
@@ -146,11 +147,7 @@
 	if busy {
 		return
 	}
-	s.pulls.Add(1)
-	go func() {
-		defer s.pulls.Done()
-		s.pull(address, age)
-	}()
+	s.pulls.Go(func() { s.pull(address, age) })
 }
 
 func (s *Syncer) pull(address string, age time.Duration) {
--- a/membership/service.go
+++ b/membership/service.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/tasks"
 )
 
 // Caller calls another node.
@@ -29,8 +29,8 @@
 	seeds    []string
 	now      func() time.Time
 
-	wake chan struct{}
-	done sync.WaitGroup
+	wake    chan struct{}
+	running tasks.Group
 }
 
 // ServiceOptions are the parts of a Service.
@@ -63,7 +63,7 @@
 func (s *Service) Run(ctx context.Context) {
 	ticker := time.NewTicker(s.table.options.Interval / ticksPerInterval)
 	defer ticker.Stop()
-	defer s.done.Wait()
+	defer s.running.Close()
 	s.joinSeeds(ctx)
 	for round := 1; ; round++ {
 		select {
@@ -120,11 +120,7 @@
 }
 
 func (s *Service) start(ctx context.Context, target Target) {
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
-		s.exchange(ctx, target)
-	}()
+	s.running.Go(func() { s.exchange(ctx, target) })
 }
 
 func (s *Service) exchange(ctx context.Context, target Target) {
@@ -193,15 +189,13 @@
 }
 
 func (s *Service) fetchLater(ctx context.Context, address string, zones []string) {
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
+	s.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, s.table.options.FailureTimeout)
 		defer cancel()
 		for _, zone := range zones {
 			s.fetch(ctx, address, zone)
 		}
-	}()
+	})
 }
 
 // HandleFetchZone answers with the members of the asked zone, or of all.
--- a/membership/table.go
+++ b/membership/table.go
@@ -301,9 +301,9 @@
 	return !live || member.Incarnation > incarnation
 }
 
-// SeesMajority reports whether the node hears more than half of the nodes of its
-// zone that it has heard within the forget timeout. A node that does not is
-// likely to be the one that is cut off.
+// SeesMajority reports whether the node hears, directly or through
+// representatives, of more than half of the nodes that it has known within the
+// forget timeout. A node that does not is likely to be the one that is cut off.
 func (t *Table) SeesMajority(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -318,6 +318,15 @@
 			live++
 		}
 	}
+	for _, view := range t.zones {
+		if now.Sub(view.heard) > t.options.ForgetTimeout {
+			continue
+		}
+		known += len(view.members)
+		if now.Sub(view.heard) <= t.options.ZoneTimeout {
+			live += len(view.members)
+		}
+	}
 	return 2*live > known
 }
 
--- a/node/core.go
+++ b/node/core.go
@@ -191,6 +191,7 @@
 	<-ctx.Done()
 	running.Wait()
 	c.claimWriter.Wait()
+	c.Completions.Close()
 	_ = listener.Close()
 	c.server.Close()
 	c.client.Close()
--- a/node/node.go
+++ b/node/node.go
@@ -61,7 +61,7 @@
 		Membership:   membership.Options{Interval: from.HeartbeatInterval},
 		ResumeWindow: from.ResumeWindow,
 	})
-	n.callers = n.newServer(n.callerHandler(transport))
+	n.callers = n.newServer(CallerHandler(n.core, transport, from.MaxBodyBytes))
 	handler, err := n.operatorHandler(store)
 	if err != nil {
 		return nil, err
@@ -117,13 +117,12 @@
 	}
 }
 
-// callerHandler is the chain that every caller's request passes.
-func (n *Node) callerHandler(transport http.RoundTripper) http.Handler {
-	core := n.core
+// CallerHandler returns the chain that every caller's request passes.
+func CallerHandler(core *Core, transport http.RoundTripper, maxBodyBytes int64) http.Handler {
 	services := service.NewHandler(service.Options{
 		Claims: core.Claims, Transport: transport, Metrics: core.Metrics, Events: core.Events, Leaving: core.Machines.IsLeaving,
 	})
-	limit := &filter.Limit{MaxBodyBytes: n.settings.MaxBodyBytes}
+	limit := &filter.Limit{MaxBodyBytes: maxBodyBytes}
 	chain := func(last filter.Handler) http.Handler {
 		return filter.Chain(last,
 			&filter.Identify{Configuration: core.Configuration, Metrics: core.Metrics, Events: core.Events, Now: time.Now},
@@ -137,15 +136,15 @@
 	mux.Handle("POST /v1/chat/completions", chain(core.Completions.ChatCompletions()))
 	mux.Handle("/services/{name}/{path...}", chain(services))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", n.readyz)
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { readyz(core, w) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { errNoPath.WriteHTTP(w) })
 	return mux
 }
 
 var errNoPath = api.NewError(http.StatusNotFound, api.CodeNotFound, api.OutcomeNotRun, "no such path or method")
 
-func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !n.core.IsReady() {
+func readyz(core *Core, w http.ResponseWriter) {
+	if !core.IsReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- /dev/null
+++ b/operator/accept.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/platform"
+)
+
+// Acceptor accepts confirmed plans.
+type Acceptor struct {
+	// Configuration is the node's configuration, which an accepted plan advances.
+	Configuration *configuration.Holder
+	Store         platform.Store
+}
+
+// typed turns the errors of an acceptance into those of the API.
+func typed(err error) error {
+	var conflict *configuration.ErrConflict
+	var known *api.Error
+	var found *FindingsError
+	switch {
+	case errors.As(err, &conflict):
+		return api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "%s", conflict.Error())
+	case errors.As(err, &known), errors.As(err, &found):
+		return err
+	default:
+		return api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeUnknown,
+			"the platform did not answer; confirm the same plan again to learn the outcome").WithRetryAfter(retryAfter)
+	}
+}
+
+// Accept computes the plan again from the newest configuration and publishes
+// what it leads to. The digest identifies the change, so a confirmation whose
+// reply was lost can be repeated.
+func (a Acceptor) Accept(ctx context.Context, plan *Plan) (configuration.Head, error) {
+	head, err := configuration.ReadHead(ctx, a.Store)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	if head.Accepted(plan.Digest) {
+		return configuration.Head{Version: plan.BaseVersion + 1}, nil
+	}
+	if err := a.Configuration.Advance(ctx, head, configuration.FromStore(a.Store)); err != nil {
+		return configuration.Head{}, err
+	}
+	if head.Version != plan.BaseVersion {
+		return configuration.Head{}, &configuration.ErrConflict{Planned: plan.BaseVersion, Current: head.Version, Moved: head.Moved}
+	}
+	current := a.Configuration.Current()
+	computed, next, err := MakePlan(current, plan.Intent)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	if computed.Digest != plan.Digest {
+		return configuration.Head{}, api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "the digest does not fit the plan")
+	}
+	published, err := configuration.Publish(ctx, a.Store, plan.BaseVersion, plan.Digest, computed.Moved(), *next)
+	if err != nil {
+		return configuration.Head{}, err
+	}
+	// The node serves the new version at once; the others learn it from the watch.
+	// So does this one if it fails here: the change stands.
+	_ = a.Configuration.Advance(ctx, published, configuration.FromStore(a.Store))
+	return published, nil
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -55,12 +55,13 @@
 
 // Server is the operators' API.
 type Server struct {
-	options Options
+	options  Options
+	acceptor Acceptor
 }
 
 // NewHandler returns the API as an http.Handler.
 func NewHandler(options Options) (http.Handler, error) {
-	server := &Server{options: options}
+	server := &Server{options: options, acceptor: Acceptor{Configuration: options.Configuration, Store: options.Store}}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Use(server.authenticate)
@@ -161,7 +162,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx.Request().Context(), confirmTimeout)
 	defer cancel()
-	head, err := s.accept(callCtx, &plan)
+	head, err := s.acceptor.Accept(callCtx, &plan)
 	if err != nil {
 		fail(ctx, typed(err))
 		return
@@ -170,57 +171,6 @@
 	reply(ctx, http.StatusOK, Confirmed{Version: head.Version})
 }
 
-// typed turns the errors of an acceptance into those of the API.
-func typed(err error) error {
-	var conflict *configuration.ErrConflict
-	var known *api.Error
-	var found *FindingsError
-	switch {
-	case errors.As(err, &conflict):
-		return api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "%s", conflict.Error())
-	case errors.As(err, &known), errors.As(err, &found):
-		return err
-	default:
-		return api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeUnknown,
-			"the platform did not answer; confirm the same plan again to learn the outcome").WithRetryAfter(retryAfter)
-	}
-}
-
-// accept computes the plan again from the newest configuration and publishes
-// what it leads to. The digest identifies the change, so a confirmation whose
-// reply was lost can be repeated.
-func (s *Server) accept(ctx context.Context, plan *Plan) (configuration.Head, error) {
-	head, err := configuration.ReadHead(ctx, s.options.Store)
-	if err != nil {
-		return configuration.Head{}, err
-	}
-	if head.Accepted(plan.Digest) {
-		return configuration.Head{Version: plan.BaseVersion + 1}, nil
-	}
-	if err := s.options.Configuration.Advance(ctx, head, configuration.FromStore(s.options.Store)); err != nil {
-		return configuration.Head{}, err
-	}
-	if head.Version != plan.BaseVersion {
-		return configuration.Head{}, &configuration.ErrConflict{Planned: plan.BaseVersion, Current: head.Version, Moved: head.Moved}
-	}
-	current := s.options.Configuration.Current()
-	computed, next, err := MakePlan(current, plan.Intent)
-	if err != nil {
-		return configuration.Head{}, err
-	}
-	if computed.Digest != plan.Digest {
-		return configuration.Head{}, api.NewError(http.StatusConflict, api.CodeConflict, api.OutcomeNotRun, "the digest does not fit the plan")
-	}
-	published, err := configuration.Publish(ctx, s.options.Store, plan.BaseVersion, plan.Digest, computed.Moved(), *next)
-	if err != nil {
-		return configuration.Head{}, err
-	}
-	// The node serves the new version at once; the others learn it from the watch.
-	// So does this one if it fails here: the change stands.
-	_ = s.options.Configuration.Advance(ctx, published, configuration.FromStore(s.options.Store))
-	return published, nil
-}
-
 func (s *Server) configuration(ctx iris.Context) {
 	current := s.options.Configuration.Current()
 	shown := *current.Configuration
--- a/peer/client.go
+++ b/peer/client.go
@@ -29,6 +29,9 @@
 	clock *timeline.Clock
 
 	dialing singleflight.Group
+	// ctx ends with the client.
+	ctx   context.Context
+	close context.CancelFunc
 
 	mu       sync.Mutex
 	sessions map[string]*clientSession
@@ -37,7 +40,8 @@
 
 // NewClient returns a client that calls in the name of the given node.
 func NewClient(node string, dial DialFunc, clock *timeline.Clock) *Client {
-	return &Client{node: node, dial: dial, clock: clock, sessions: map[string]*clientSession{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Client{node: node, dial: dial, clock: clock, ctx: ctx, close: cancel, sessions: map[string]*clientSession{}}
 }
 
 // Call sends the request to the node at address. An error of type *api.Error is
@@ -94,7 +98,7 @@
 	if session := c.lookup(address); session != nil {
 		return session, nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, address)
 	if err != nil {
@@ -138,6 +142,7 @@
 
 // Close ends every session.
 func (c *Client) Close() {
+	c.close()
 	c.mu.Lock()
 	sessions := c.sessions
 	c.sessions = map[string]*clientSession{}
--- a/sim/enginesim/ledger.go
+++ b/sim/enginesim/ledger.go
@@ -12,6 +12,7 @@
 
 // The kinds of an Entry.
 const (
+	EntryPrefillStart     EntryKind = "prefill-start"
 	EntryPrefillDone      EntryKind = "prefill-done"
 	EntryPrefillUsed      EntryKind = "prefill-used"
 	EntryPrefillLapsed    EntryKind = "prefill-lapsed"
--- a/sim/enginesim/prefill.go
+++ b/sim/enginesim/prefill.go
@@ -28,6 +28,7 @@
 		e.mu.Unlock()
 		return engine.PrefillResult{}, err
 	}
+	e.record(added, EntryPrefillStart, 0)
 	e.queue = append(e.queue, added)
 	slices.SortStableFunc(e.queue, func(a, b *stream) int { return b.priority - a.priority })
 	hashes := engine.BlockHashes(request.Salt, request.Model, request.Prompt)
--- a/sim/load/caller.go
+++ b/sim/load/caller.go
@@ -81,7 +81,7 @@
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
-		return errors.CombineErrors(errAgain, err)
+		return errors.Wrapf(errAgain, "%v", err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	c.result.RequestIDs = append(c.result.RequestIDs, response.Header.Get(filter.HeaderRequestID))
@@ -146,7 +146,7 @@
 	failure := &api.Error{Status: response.StatusCode}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
 	if err != nil {
-		return errors.CombineErrors(errAgain, err)
+		return errors.Wrapf(errAgain, "%v", err)
 	}
 	if json.Unmarshal(data, failure) != nil || failure.Code == "" {
 		return errors.Wrapf(errAgain, "status %d without a typed error", response.StatusCode)
@@ -167,7 +167,7 @@
 func (c *caller) readEcho(body io.Reader) error {
 	var echo servicesim.Echo
 	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&echo); err != nil {
-		return errors.CombineErrors(errAgain, err)
+		return errors.Wrapf(errAgain, "%v", err)
 	}
 	c.result.FirstToken = time.Since(c.started)
 	c.result.Ending = EndingAnswered
@@ -184,7 +184,7 @@
 		} `json:"choices"`
 	}
 	if err := json.NewDecoder(io.LimitReader(body, maxReplyBytes)).Decode(&reply); err != nil {
-		return errors.CombineErrors(errAgain, err)
+		return errors.Wrapf(errAgain, "%v", err)
 	}
 	if len(reply.Choices) != 1 {
 		return errors.Wrap(errAgain, "reply without a choice")
@@ -200,7 +200,7 @@
 func (c *caller) readStream(body io.Reader) error {
 	for event, err := range sse.Read(body, nil) {
 		if err != nil {
-			return errors.CombineErrors(errAgain, err)
+			return errors.Wrapf(errAgain, "%v", err)
 		}
 		if event.Type == "error" {
 			failure := &api.Error{}
@@ -224,7 +224,7 @@
 func (c *caller) take(event sse.Event) error {
 	offset, err := strconv.Atoi(event.LastEventID)
 	if err != nil {
-		return errors.CombineErrors(errAgain, err)
+		return errors.Wrapf(errAgain, "%v", err)
 	}
 	if offset < c.next {
 		c.result.Repeated++
--- a/sim/load/run.go
+++ b/sim/load/run.go
@@ -49,6 +49,30 @@
 	return results, nil
 }
 
+// Call describes one request to send.
+type Call struct {
+	// Client sends it.
+	Client *http.Client
+	// Nodes are tried in turn.
+	Nodes []string
+	Kind  *Kind
+	// Key is the Idempotency-Key.
+	Key string
+	// Prompt and Tokens are set for completions, Body for calls to services.
+	Prompt string
+	Tokens int
+	Body   string
+}
+
+// Send follows one request to its end and returns what its caller saw.
+func Send(ctx context.Context, call Call) Result {
+	made := &caller{
+		client: call.Client, nodes: call.Nodes, kind: call.Kind, key: call.Key,
+		prompt: call.Prompt, tokens: call.Tokens, body: call.Body,
+	}
+	return made.run(ctx)
+}
+
 func newCaller(client *http.Client, options Options, index int, random *rand.Rand) (*caller, error) {
 	kind := options.Workload.draw(random)
 	key, err := newKey()
--- /dev/null
+++ b/sim/memnet/conn.go
@@ -0,0 +1,151 @@
+package memnet
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrRefused is returned when nobody listens at an address.
+var ErrRefused = errors.New("memnet: connection refused")
+
+// Network connects peers. Hosts are named by their addresses.
+type Network struct {
+	gate *Gate
+
+	mu        sync.Mutex
+	listeners map[string]*listener
+	conns     map[*conn]struct{}
+}
+
+// NewNetwork returns a network whose links the gate controls.
+func NewNetwork(gate *Gate) *Network {
+	return &Network{gate: gate, listeners: map[string]*listener{}, conns: map[*conn]struct{}{}}
+}
+
+// Listen accepts connections to an address.
+func (n *Network) Listen(address string) net.Listener {
+	opened := &listener{network: n, address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = opened
+	return opened
+}
+
+// Dial connects one host to another.
+func (n *Network) Dial(ctx context.Context, from, to string) (net.Conn, error) {
+	if err := n.gate.wait(linkOf(from, to), ctx.Done()); err != nil {
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	target, ok := n.listeners[to]
+	n.mu.Unlock()
+	if !ok {
+		return nil, ErrRefused
+	}
+	near, far := net.Pipe()
+	client, server := n.wrap(near, from, to), n.wrap(far, to, from)
+	select {
+	case target.accepted <- server:
+		return client, nil
+	case <-target.closed:
+		return nil, ErrRefused
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Network) wrap(raw net.Conn, local, remote string) *conn {
+	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[wrapped] = struct{}{}
+	return wrapped
+}
+
+// Kill closes a host's listener and every connection from or to it, as the end
+// of its process does.
+func (n *Network) Kill(host string) {
+	n.mu.Lock()
+	var ended []*conn
+	for open := range n.conns {
+		if open.link.From == host || open.link.To == host {
+			ended = append(ended, open)
+		}
+	}
+	for served, target := range n.listeners {
+		if hostOf(served) == host {
+			delete(n.listeners, served)
+			_ = target.Close()
+		}
+	}
+	n.mu.Unlock()
+	for _, open := range ended {
+		_ = open.Close()
+	}
+}
+
+type listener struct {
+	network  *Network
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case accepted := <-l.accepted:
+		return accepted, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+// Network implements net.Addr.
+func (a address) Network() string { return "memory" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
+
+// conn holds written bytes back while its link is blocked.
+type conn struct {
+	net.Conn
+	network *Network
+	link    Link
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(data []byte) (int, error) {
+	if err := c.network.gate.wait(c.link, c.closed); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(data)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/sim/memnet/web.go
@@ -0,0 +1,227 @@
+package memnet
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrCut is what a reader sees when an exchange is cut.
+var ErrCut = errors.New("memnet: connection cut")
+
+// Web carries HTTP exchanges between hosts. It is safe for concurrent use.
+type Web struct {
+	gate *Gate
+
+	mu        sync.Mutex
+	handlers  map[string]http.Handler
+	exchanges map[*exchange]struct{}
+}
+
+// NewWeb returns a web whose links the gate controls.
+func NewWeb(gate *Gate) *Web {
+	return &Web{gate: gate, handlers: map[string]http.Handler{}, exchanges: map[*exchange]struct{}{}}
+}
+
+// Handle serves an address.
+func (w *Web) Handle(address string, handler http.Handler) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.handlers[address] = handler
+}
+
+// Cut ends every exchange that the function selects.
+func (w *Web) Cut(selected func(Link) bool) int {
+	w.mu.Lock()
+	var ended []*exchange
+	for open := range w.exchanges {
+		if selected(open.link) {
+			ended = append(ended, open)
+		}
+	}
+	w.mu.Unlock()
+	for _, open := range ended {
+		open.cut()
+	}
+	return len(ended)
+}
+
+// Kill stops serving a host's addresses and cuts every exchange from or to it.
+func (w *Web) Kill(host string) {
+	w.mu.Lock()
+	for served := range w.handlers {
+		if hostOf(served) == host {
+			delete(w.handlers, served)
+		}
+	}
+	w.mu.Unlock()
+	w.Cut(func(link Link) bool { return link.From == host || link.To == host })
+}
+
+// Transport returns the transport of a host.
+func (w *Web) Transport(from string) http.RoundTripper { return &transport{web: w, from: from} }
+
+type transport struct {
+	web  *Web
+	from string
+}
+
+// exchange is one request with its response.
+type exchange struct {
+	link   Link
+	cancel context.CancelFunc
+	body   *io.PipeWriter
+	ended  chan struct{}
+	once   sync.Once
+}
+
+func (e *exchange) cut() {
+	e.once.Do(func() {
+		close(e.ended)
+		e.cancel()
+		_ = e.body.CloseWithError(ErrCut)
+	})
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	link := linkOf(t.from, request.URL.Host)
+	if err := t.web.gate.wait(link, request.Context().Done()); err != nil {
+		return nil, request.Context().Err()
+	}
+	t.web.mu.Lock()
+	handler, ok := t.web.handlers[request.URL.Host]
+	t.web.mu.Unlock()
+	if !ok {
+		return nil, ErrRefused
+	}
+	if trace := httptrace.ContextClientTrace(request.Context()); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{})
+	}
+	return t.exchange(handler, request, link)
+}
+
+func (t *transport) exchange(handler http.Handler, request *http.Request, link Link) (*http.Response, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	reader, writer := io.Pipe()
+	open := &exchange{link: link, cancel: cancel, body: writer, ended: make(chan struct{})}
+	t.web.mu.Lock()
+	t.web.exchanges[open] = struct{}{}
+	t.web.mu.Unlock()
+	stop := context.AfterFunc(request.Context(), open.cut)
+	answer := &responseWriter{header: http.Header{}, exchange: open, gate: t.web.gate, started: make(chan struct{})}
+	go func() {
+		defer t.web.remove(open)
+		defer stop()
+		serve(handler, answer, serverSide(ctx, request))
+	}()
+	select {
+	case <-answer.started:
+	case <-open.ended:
+		if request.Context().Err() != nil {
+			return nil, request.Context().Err()
+		}
+		return nil, ErrCut
+	}
+	if err := t.web.gate.wait(Link{link.To, link.From}, open.ended); err != nil {
+		return nil, ErrCut
+	}
+	return &http.Response{
+		StatusCode: answer.status, Header: answer.sent, Request: request, ContentLength: -1,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: &body{PipeReader: reader, exchange: open},
+	}, nil
+}
+
+func (w *Web) remove(open *exchange) {
+	w.mu.Lock()
+	delete(w.exchanges, open)
+	w.mu.Unlock()
+	open.cancel()
+}
+
+// serverSide is the request as its server sees it.
+func serverSide(ctx context.Context, request *http.Request) *http.Request {
+	received := request.Clone(ctx)
+	received.RequestURI = request.URL.RequestURI()
+	if received.Body == nil {
+		received.Body = http.NoBody
+	}
+	return received
+}
+
+// serve runs the handler and ends the response, or cuts it if the handler aborts.
+func serve(handler http.Handler, answer *responseWriter, request *http.Request) {
+	defer func() {
+		failure := recover()
+		if err, ok := failure.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			answer.exchange.cut()
+			return
+		}
+		if failure != nil {
+			panic(failure)
+		}
+		answer.WriteHeader(http.StatusOK)
+		_ = answer.exchange.body.Close()
+	}()
+	handler.ServeHTTP(answer, request)
+}
+
+type responseWriter struct {
+	header   http.Header
+	sent     http.Header
+	status   int
+	exchange *exchange
+	gate     *Gate
+	started  chan struct{}
+	once     sync.Once
+}
+
+// Header implements http.ResponseWriter.
+func (w *responseWriter) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *responseWriter) WriteHeader(status int) {
+	w.once.Do(func() {
+		w.status, w.sent = status, w.header.Clone()
+		close(w.started)
+	})
+}
+
+// Write implements http.ResponseWriter.
+func (w *responseWriter) Write(data []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	link := w.exchange.link
+	if err := w.gate.wait(Link{link.To, link.From}, w.exchange.ended); err != nil {
+		return 0, err
+	}
+	return w.exchange.body.Write(data)
+}
+
+// FlushError lets http.ResponseController flush.
+func (w *responseWriter) FlushError() error {
+	w.WriteHeader(http.StatusOK)
+	select {
+	case <-w.exchange.ended:
+		return net.ErrClosed
+	default:
+		return nil
+	}
+}
+
+// body ends the exchange when its reader closes it.
+type body struct {
+	*io.PipeReader
+	exchange *exchange
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.exchange.cut()
+	return b.PipeReader.Close()
+}
--- /dev/null
+++ b/sim/rehearsal/fleet.go
@@ -0,0 +1,393 @@
+package rehearsal
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/machines"
+	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/node"
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/scheduler"
+	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/sim/fault"
+	"github.com/reelrun/reelrun/sim/load"
+	"github.com/reelrun/reelrun/sim/memnet"
+	"github.com/reelrun/reelrun/sim/platformsim"
+	"github.com/reelrun/reelrun/sim/servicesim"
+)
+
+const (
+	callerPort   = ":8000"
+	peerPort     = ":9000"
+	maxBodyBytes = 1 << 20
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Zones are the zones of the nodes; each has NodesPerZone nodes.
+	Zones        []string
+	NodesPerZone int
+	// Configuration is accepted before the nodes start. Its engines and replicas
+	// are started as stand-ins.
+	Configuration api.Configuration
+	// Platform are the limits of the platform.
+	Platform platformsim.Options
+	// Engine is the pattern of the stand-in engines.
+	Engine enginesim.Options
+	// Scheduler is the routing policy.
+	Scheduler scheduler.Options
+	// Interval is the time between heartbeats. Default 1s.
+	Interval time.Duration
+	// Defects break the system on purpose, to show that an oracle notices.
+	Defects Defects
+}
+
+// Defects are deliberate defects of every node. The zero value has none.
+type Defects struct {
+	// Handler wraps the handler of callers.
+	Handler func(http.Handler) http.Handler
+	// Transport wraps the connections to engines and services.
+	Transport func(http.RoundTripper) http.RoundTripper
+	// Store wraps the platform.
+	Store func(platform.Store) platform.Store
+}
+
+// Node is one node of a fleet.
+type Node struct {
+	Name string
+	Zone string
+	// Host is its IP address.
+	Host string
+	Core *node.Core
+
+	cancel  context.CancelFunc
+	stopped chan struct{}
+	// down is closed when the node has ended and its ports are free.
+	down    chan struct{}
+	alive   bool
+	serving sync.WaitGroup
+	// dead keeps what a killed node still wants to send from leaving it.
+	dead atomic.Bool
+}
+
+// hostTransport is the transport of one start of a node.
+type hostTransport struct {
+	http.RoundTripper
+	node *Node
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *hostTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.node.dead.Load() {
+		return nil, memnet.ErrCut
+	}
+	return t.RoundTripper.RoundTrip(request)
+}
+
+// CallerAddress is where callers reach the node.
+func (n *Node) CallerAddress() string { return n.Host + callerPort }
+
+// Engine is one stand-in engine of a fleet.
+type Engine struct {
+	*enginesim.Engine
+	Faults *fault.Injector
+	Host   string
+}
+
+// Service is one stand-in replica of a fleet.
+type Service struct {
+	*servicesim.Service
+	Faults *fault.Injector
+	Host   string
+}
+
+// Fleet is a whole system in one process.
+type Fleet struct {
+	Options  Options
+	Gate     *memnet.Gate
+	Network  *memnet.Network
+	Web      *memnet.Web
+	Platform *Platform
+	Engines  map[string]*Engine
+	Services map[string]*Service
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+}
+
+// NewFleet starts the stand-ins and accepts the configuration. Nodes are started
+// by StartAll.
+func NewFleet(ctx context.Context, options Options) (*Fleet, error) {
+	gate := memnet.NewGate()
+	created := &Fleet{
+		Options: options, Gate: gate, Network: memnet.NewNetwork(gate), Web: memnet.NewWeb(gate),
+		Platform: NewPlatform(options.Platform), Engines: map[string]*Engine{}, Services: map[string]*Service{}, nodes: map[string]*Node{},
+	}
+	for _, pool := range options.Configuration.Pools {
+		for _, member := range pool.Engines {
+			created.addEngine(pool, member)
+		}
+	}
+	for _, service := range options.Configuration.Services {
+		for _, backend := range service.Backends {
+			created.addService(backend)
+		}
+	}
+	initial := options.Configuration
+	initial.SetDefaults()
+	configuration.Sort(&initial)
+	_, err := configuration.Publish(ctx, created.Platform.Store, 0, "initial", nil, initial)
+	return created, err
+}
+
+func (f *Fleet) addEngine(pool api.Pool, member api.Engine) {
+	options := f.Options.Engine
+	options.Name, options.Model, options.Role, options.ChecksFence = member.Name, pool.Model, member.Role, pool.ChecksFence
+	host, _, _ := net.SplitHostPort(member.Address)
+	options.HTTP = &http.Client{Transport: f.Web.Transport(host)}
+	started := &Engine{Engine: enginesim.New(options), Faults: fault.NewInjector(), Host: host}
+	f.Engines[member.Name] = started
+	f.Web.Handle(member.Address, started.Faults.Wrap(enginesim.Handler(started.Engine)))
+}
+
+func (f *Fleet) addService(backend api.Backend) {
+	host, _, _ := net.SplitHostPort(backend.Address)
+	const work = 2 * time.Millisecond
+	started := &Service{Service: servicesim.New(backend.Name, work), Faults: fault.NewInjector(), Host: host}
+	f.Services[backend.Name] = started
+	f.Web.Handle(backend.Address, started.Faults.Wrap(started.Service))
+}
+
+// NodeNames returns the names of all nodes, running or not.
+func (f *Fleet) NodeNames() []string {
+	var names []string
+	for zone := range f.Options.Zones {
+		for number := range f.Options.NodesPerZone {
+			names = append(names, nodeName(zone, number))
+		}
+	}
+	return names
+}
+
+func nodeName(zone, number int) string { return fmt.Sprintf("node-%d-%03d", zone, number) }
+
+// hostOfNode gives every node an address of its own.
+func hostOfNode(zone, number int) string { return fmt.Sprintf("10.%d.0.%d", zone+1, number+1) }
+
+// StartAll starts every node.
+func (f *Fleet) StartAll() {
+	for _, name := range f.NodeNames() {
+		f.Start(name)
+	}
+}
+
+// Start starts a node under its name; an earlier start must have ended.
+func (f *Fleet) Start(name string) {
+	var zone, number int
+	_, _ = fmt.Sscanf(name, "node-%d-%d", &zone, &number)
+	started := &Node{Name: name, Zone: f.Options.Zones[zone], Host: hostOfNode(zone, number), alive: true, stopped: make(chan struct{}), down: make(chan struct{})}
+	var transport http.RoundTripper = &hostTransport{f.Web.Transport(started.Host), started}
+	if wrap := f.Options.Defects.Transport; wrap != nil {
+		transport = wrap(transport)
+	}
+	var store platform.Store = &nodeStore{platform: f.Platform, node: name, dead: started.dead.Load}
+	if wrap := f.Options.Defects.Store; wrap != nil {
+		store = wrap(store)
+	}
+	started.Core = node.NewCore(node.CoreOptions{
+		Name: name, Zone: started.Zone, PeerAddress: started.Host + peerPort, Seeds: f.seeds(),
+		Dial: func(ctx context.Context, to string) (net.Conn, error) {
+			if started.dead.Load() {
+				return nil, memnet.ErrCut
+			}
+			return f.Network.Dial(ctx, started.Host, to)
+		},
+		Store: store, Engines: engine.NewClient(transport),
+		Membership: membership.Options{Interval: f.Options.Interval}, Scheduler: f.Options.Scheduler,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	started.cancel = cancel
+	listener := f.Network.Listen(started.Host + peerPort)
+	go func() {
+		defer close(started.stopped)
+		_ = started.Core.Run(ctx, listener)
+	}()
+	chain := node.CallerHandler(started.Core, transport, maxBodyBytes)
+	if wrap := f.Options.Defects.Handler; wrap != nil {
+		chain = wrap(chain)
+	}
+	f.Web.Handle(started.CallerAddress(), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started.serving.Add(1)
+		defer started.serving.Done()
+		chain.ServeHTTP(w, r)
+	}))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.nodes[name] = started
+}
+
+// seeds are the first nodes of each zone.
+func (f *Fleet) seeds() []string {
+	seeds := make([]string, len(f.Options.Zones))
+	for zone := range f.Options.Zones {
+		seeds[zone] = hostOfNode(zone, 0) + peerPort
+	}
+	return seeds
+}
+
+// Node returns a node by name.
+func (f *Fleet) Node(name string) *Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.nodes[name]
+}
+
+// IsDown reports whether a node has ended, so that it can be started again.
+func (f *Fleet) IsDown(name string) bool {
+	select {
+	case <-f.Node(name).down:
+		return true
+	default:
+		return false
+	}
+}
+
+// Alive returns the running nodes, ordered by name.
+func (f *Fleet) Alive() []*Node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var alive []*Node
+	for _, running := range f.nodes {
+		if running.alive {
+			alive = append(alive, running)
+		}
+	}
+	slices.SortFunc(alive, func(a, b *Node) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return alive
+}
+
+// markStopped reports whether the node was running.
+func (f *Fleet) markStopped(stopped *Node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if stopped == nil || !stopped.alive {
+		return false
+	}
+	stopped.alive = false
+	return true
+}
+
+// Kill ends a node as the end of its process does: every connection closes, and
+// nothing that it still wants to send leaves it.
+func (f *Fleet) Kill(name string) {
+	killed := f.Node(name)
+	if !f.markStopped(killed) {
+		return
+	}
+	killed.dead.Store(true)
+	f.Network.Kill(killed.Host)
+	f.Web.Kill(killed.Host)
+	killed.cancel()
+	<-killed.stopped
+	close(killed.down)
+}
+
+// drainDelay is the time in which the balancer takes a draining node out.
+const drainDelay = 5 * time.Second
+
+// Stop stops a node as planned: unready, drained, and ended when its last
+// request has.
+func (f *Fleet) Stop(name string) {
+	stopping := f.Node(name)
+	if !f.markStopped(stopping) {
+		return
+	}
+	stopping.Core.Drain()
+	time.Sleep(drainDelay)
+	stopping.serving.Wait()
+	stopping.Core.Completions.WaitCancels()
+	f.Web.Kill(stopping.Host)
+	stopping.cancel()
+	<-stopping.stopped
+	f.Network.Kill(stopping.Host)
+	stopping.dead.Store(true)
+	close(stopping.down)
+}
+
+// Close ends every node.
+func (f *Fleet) Close() {
+	for _, running := range f.Alive() {
+		f.Kill(running.Name)
+	}
+}
+
+// WaitReady waits until every running node is ready, and reports whether that
+// came about in time.
+func (f *Fleet) WaitReady(limit time.Duration) bool {
+	const step = 100 * time.Millisecond
+	for waited := time.Duration(0); waited < limit; waited += step {
+		if f.allReady() {
+			return true
+		}
+		time.Sleep(step)
+	}
+	return false
+}
+
+func (f *Fleet) allReady() bool {
+	alive := f.Alive()
+	for _, running := range alive {
+		if !running.Core.IsReady() || len(running.Core.Cluster.Live()) < len(alive) {
+			return false
+		}
+	}
+	return true
+}
+
+// SetMachine sets the state of a machine in the platform's list.
+func (f *Fleet) SetMachine(name string, state machines.State) error {
+	spec, err := json.Marshal(machines.Machine{Name: name, State: state})
+	if err != nil {
+		return err
+	}
+	f.Platform.Store.SetMachine(name, spec)
+	return nil
+}
+
+// Ledgers returns what the stand-ins did.
+func (f *Fleet) Ledgers() load.Ledgers {
+	var ledgers load.Ledgers
+	for _, started := range f.Engines {
+		ledgers.Engines = append(ledgers.Engines, started.Report())
+	}
+	for _, started := range f.Services {
+		ledgers.Services = append(ledgers.Services, started.Report())
+	}
+	return ledgers
+}
+
+// Client returns the HTTP client of a caller.
+func (f *Fleet) Client(host string) *http.Client {
+	return &http.Client{Transport: f.Web.Transport(host)}
+}
+
+// StoreOf returns the platform as a node of the given name reaches it.
+func (f *Fleet) StoreOf(name string) platform.Store {
+	return &nodeStore{platform: f.Platform, node: name, dead: func() bool { return false }}
+}
--- /dev/null
+++ b/sim/rehearsal/generate.go
@@ -0,0 +1,86 @@
+package rehearsal
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/sim/enginesim"
+)
+
+// longOutput is the longest answer of the class "long".
+const longOutput = 20000
+
+// Shape is the size of a generated configuration.
+type Shape struct {
+	Zones []string
+	// Models is the number of models; each gets a pool in as many zones as
+	// PoolsPerModel says.
+	Models        int
+	PoolsPerModel int
+	// EnginesPerPool counts prefill and decode engines together, half of each.
+	EnginesPerPool int
+	Tenants        int
+	Services       int
+	// ChecksFence states whether the engines check fences.
+	ChecksFence bool
+}
+
+// Token returns the bearer token of a generated tenant.
+func Token(tenant int) string { return fmt.Sprintf("token-%d", tenant) }
+
+// Generate returns a configuration of the given shape. Tenants may use the class
+// "short", which ends with the prefill, and the class "long" of each model.
+func Generate(shape Shape) api.Configuration {
+	var generated api.Configuration
+	var classes []string
+	engines := 0
+	for model := range shape.Models {
+		name := fmt.Sprintf("model-%d", model)
+		short, long := fmt.Sprintf("short-%d", model), fmt.Sprintf("long-%d", model)
+		generated.Classes = append(generated.Classes,
+			api.Class{Name: short, Model: name, FirstToken: api.Duration(1500 * time.Millisecond), TokenInterval: api.Duration(50 * time.Millisecond), MaxOutputTokens: 1},
+			api.Class{Name: long, Model: name, FirstToken: api.Duration(1500 * time.Millisecond), TokenInterval: api.Duration(50 * time.Millisecond), MaxOutputTokens: longOutput},
+		)
+		classes = append(classes, long, short)
+		for number := range shape.PoolsPerModel {
+			zone := shape.Zones[(model+number)%len(shape.Zones)]
+			pool := api.Pool{Name: fmt.Sprintf("pool-%d-%d", model, number), Model: name, Zone: zone, ChecksFence: shape.ChecksFence}
+			for member := range shape.EnginesPerPool {
+				role := []api.Role{api.RolePrefill, api.RoleDecode}[member%2]
+				pool.Engines = append(pool.Engines, api.Engine{
+					Name: fmt.Sprintf("engine-%d", engines), Address: fmt.Sprintf("10.100.%d.%d:80", engines/250, engines%250+1), Role: role,
+				})
+				engines++
+			}
+			generated.Pools = append(generated.Pools, pool)
+		}
+	}
+	var services []string
+	for number := range shape.Services {
+		name := fmt.Sprintf("service-%d", number)
+		services = append(services, name)
+		generated.Services = append(generated.Services, api.Service{Name: name, Backends: []api.Backend{
+			{Name: name + "-a", Address: fmt.Sprintf("10.200.%d.1:80", number)},
+			{Name: name + "-b", Address: fmt.Sprintf("10.200.%d.2:80", number)},
+		}})
+	}
+	for number := range shape.Tenants {
+		generated.Tenants = append(generated.Tenants, api.Tenant{
+			Name: fmt.Sprintf("tenant-%d", number), TokenHashes: []string{configuration.HashToken(Token(number))}, Classes: classes, Services: services,
+		})
+	}
+	return generated
+}
+
+// EnginePattern returns the properties of the engines that fit a generated
+// configuration.
+func EnginePattern() enginesim.Options {
+	const linger, cacheBlocks = 5 * time.Second, 4096
+	return enginesim.Options{
+		Slots: api.DefaultSlots, KVTokens: api.DefaultKVTokens, PrefillTokensPerSecond: api.DefaultPrefillTokensPerSecond,
+		StepTime: api.DefaultStepTime, LinkTokensPerSecond: api.DefaultLinkTokensPerSecond, Hold: api.DefaultHold,
+		Linger: linger, LoadLag: 500 * time.Millisecond, CacheBlocks: cacheBlocks, CacheDelay: time.Second, CacheGapEvery: 17,
+	}
+}
--- /dev/null
+++ b/sim/rehearsal/monitor.go
@@ -0,0 +1,149 @@
+package rehearsal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/sim/enginesim"
+)
+
+const (
+	// monitorStep is the time between two looks at the nodes.
+	monitorStep = 250 * time.Millisecond
+	// InForceWithin is when an accepted configuration must be in force everywhere.
+	InForceWithin = 6 * time.Second
+	// LeavingWithin is when a leaving back end must get no new work, counted from
+	// the moment at which the platform's list shows it.
+	LeavingWithin = 5 * time.Second
+)
+
+// accepted is when a version was first seen in the platform.
+type accepted struct {
+	version uint64
+	at      time.Time
+}
+
+// Monitor watches a fleet for broken promises that only show over time. It looks
+// at the platform's store and at the nodes from outside.
+type Monitor struct {
+	fleet *Fleet
+
+	mu         sync.Mutex
+	versions   []accepted
+	seen       map[*Node]uint64
+	leaving    map[string]time.Time
+	violations []string
+}
+
+// NewMonitor returns a monitor of a fleet.
+func NewMonitor(fleet *Fleet) *Monitor {
+	return &Monitor{fleet: fleet, seen: map[*Node]uint64{}, leaving: map[string]time.Time{}}
+}
+
+// Run watches until the context ends.
+func (m *Monitor) Run(ctx context.Context) {
+	ticker := time.NewTicker(monitorStep)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.look()
+		}
+	}
+}
+
+// Violations returns what was seen to break.
+func (m *Monitor) Violations() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string(nil), m.violations...)
+}
+
+func (m *Monitor) violatef(format string, args ...any) {
+	m.violations = append(m.violations, fmt.Sprintf(format, args...))
+}
+
+func (m *Monitor) look() {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.noteAccepted(now)
+	required := m.required(now)
+	for _, running := range m.fleet.Alive() {
+		version := running.Core.Configuration.Current().Version()
+		if version < m.seen[running] {
+			m.violatef("%s went from version %d back to %d", running.Name, m.seen[running], version)
+		}
+		m.seen[running] = version
+		if running.Core.AcceptsWork() && version < required {
+			m.violatef("%s takes work with version %d, %d was accepted over %s ago", running.Name, version, required, InForceWithin)
+		}
+	}
+}
+
+// noteAccepted records a version that the platform has accepted.
+func (m *Monitor) noteAccepted(now time.Time) {
+	for _, object := range m.fleet.Platform.Store.Snapshot(platform.KindConfiguration) {
+		head, err := configuration.DecodeHead(object.Spec)
+		if err != nil {
+			m.violatef("head is unreadable: %s", err)
+			return
+		}
+		if len(m.versions) == 0 || m.versions[len(m.versions)-1].version != head.Version {
+			m.versions = append(m.versions, accepted{head.Version, now})
+		}
+	}
+}
+
+// required is the newest version that must be in force everywhere.
+func (m *Monitor) required(now time.Time) uint64 {
+	var version uint64
+	for _, seen := range m.versions {
+		if now.Sub(seen.at) > InForceWithin {
+			version = max(version, seen.version)
+		}
+	}
+	return version
+}
+
+// NoteLeaving records when the platform's list began to show a back end as
+// leaving.
+func (m *Monitor) NoteLeaving(machine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leaving[machine] = time.Now()
+}
+
+// JudgeLeaving compares the ledgers with the times at which back ends began to
+// leave.
+func (m *Monitor) JudgeLeaving() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for machine, since := range m.leaving {
+		if started, ok := m.fleet.Engines[machine]; ok {
+			m.judgeEngine(started, machine, since)
+		}
+		if started, ok := m.fleet.Services[machine]; ok {
+			for _, call := range started.Report().Calls {
+				if call.Time.Sub(since) > LeavingWithin {
+					m.violatef("%s got a call %s after it began to leave", machine, call.Time.Sub(since))
+				}
+			}
+		}
+	}
+}
+
+func (m *Monitor) judgeEngine(started *Engine, machine string, since time.Time) {
+	for _, entry := range started.Report().Entries {
+		newWork := entry.Kind == enginesim.EntryDecodeStart || entry.Kind == enginesim.EntryPrefillStart
+		if newWork && entry.Time.Sub(since) > LeavingWithin {
+			m.violatef("%s began %s %s after it began to leave", machine, entry.Stream, entry.Time.Sub(since))
+		}
+	}
+}
--- /dev/null
+++ b/sim/rehearsal/platform.go
@@ -0,0 +1,136 @@
+package rehearsal
+
+import (
+	"context"
+	"sync"
+
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/sim/platformsim"
+)
+
+// Platform is the platform with faults. It is safe for concurrent use.
+type Platform struct {
+	Store *platformsim.Store
+
+	mu      sync.Mutex
+	outage  bool
+	cutOff  map[string]bool
+	lost    int
+	changed chan struct{}
+}
+
+// NewPlatform returns a platform without faults.
+func NewPlatform(options platformsim.Options) *Platform {
+	return &Platform{Store: platformsim.NewStore(options), cutOff: map[string]bool{}, changed: make(chan struct{})}
+}
+
+func (p *Platform) change(apply func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	apply()
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetOutage begins or ends an outage for everyone.
+func (p *Platform) SetOutage(outage bool) { p.change(func() { p.outage = outage }) }
+
+// CutOff begins or ends an outage for one node.
+func (p *Platform) CutOff(node string, cut bool) { p.change(func() { p.cutOff[node] = cut }) }
+
+// LoseReplies makes the next writes take effect and lose their replies.
+func (p *Platform) LoseReplies(count int) { p.change(func() { p.lost = count }) }
+
+func (p *Platform) isDown(node string) (bool, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.outage || p.cutOff[node], p.changed
+}
+
+func (p *Platform) losesReply() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.lost == 0 {
+		return false
+	}
+	p.lost--
+	return true
+}
+
+// nodeStore is the platform as one node reaches it.
+type nodeStore struct {
+	platform *Platform
+	node     string
+	dead     func() bool
+}
+
+func (s *nodeStore) down() bool {
+	down, _ := s.platform.isDown(s.node)
+	return down || s.dead()
+}
+
+// Get implements platform.Store.
+func (s *nodeStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if s.down() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return s.platform.Store.Get(ctx, kind, name)
+}
+
+// List implements platform.Store.
+func (s *nodeStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	if s.down() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.platform.Store.List(ctx, kind)
+}
+
+// Put implements platform.Store.
+func (s *nodeStore) Put(ctx context.Context, object platform.Object) (platform.Object, error) {
+	if s.down() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	stored, err := s.platform.Store.Put(ctx, object)
+	if s.platform.losesReply() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return stored, err
+}
+
+// Delete implements platform.Store.
+func (s *nodeStore) Delete(ctx context.Context, kind platform.Kind, name string, version int64) error {
+	if s.down() {
+		return platform.ErrUnavailable
+	}
+	err := s.platform.Store.Delete(ctx, kind, name, version)
+	if s.platform.losesReply() {
+		return platform.ErrUnavailable
+	}
+	return err
+}
+
+// Watch implements platform.Store. It ends when an outage begins.
+func (s *nodeStore) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if s.down() {
+		return platform.ErrUnavailable
+	}
+	go s.endOnOutage(ctx, cancel)
+	return s.platform.Store.Watch(ctx, kind, after, handle)
+}
+
+func (s *nodeStore) endOnOutage(ctx context.Context, cancel context.CancelFunc) {
+	for {
+		down, changed := s.platform.isDown(s.node)
+		if down {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/sim/rehearsal/schedule_test.go
@@ -0,0 +1,342 @@
+package rehearsal
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/machines"
+	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/sim/fault"
+	"github.com/reelrun/reelrun/sim/load"
+	"github.com/reelrun/reelrun/sim/memnet"
+)
+
+// operation is one kind of step of a schedule.
+type operation int
+
+const (
+	opRequest operation = iota
+	opKill
+	opStart
+	opStop
+	opIsolate
+	opHeal
+	opCutPlatform
+	opOutage
+	opLoseReplies
+	opCutEngine
+	opFreezeEngine
+	opStallTransfers
+	opThaw
+	opLeave
+	opConfigure
+	opRace
+	opCount
+)
+
+// step is one operation with its arguments and the pause after it.
+type step struct {
+	op    operation
+	a, b  int
+	pause time.Duration
+}
+
+func (s step) String() string { return fmt.Sprintf("%d(%d,%d)+%s", s.op, s.a, s.b, s.pause) }
+
+func drawStep(t *rapid.T) step {
+	// Half of the steps are requests, or the faults would meet an idle fleet.
+	op := operation(rapid.IntRange(0, 2*int(opCount)-1).Draw(t, "op"))
+	if op >= opCount {
+		op = opRequest
+	}
+	return step{
+		op: op, a: rapid.IntRange(0, 63).Draw(t, "a"), b: rapid.IntRange(0, 63).Draw(t, "b"),
+		pause: time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause")) * time.Millisecond,
+	}
+}
+
+// play is one schedule under way.
+type play struct {
+	fleet    *Fleet
+	monitor  *Monitor
+	random   *rand.Rand
+	isolated map[string]bool
+	requests int
+	stopping sync.WaitGroup
+
+	mu      sync.Mutex
+	results []load.Result
+	running sync.WaitGroup
+}
+
+func (p *play) apply(s step) {
+	names := p.fleet.NodeNames()
+	name := names[s.a%len(names)]
+	switch s.op {
+	case opRequest:
+		p.request(s)
+	case opKill:
+		if len(p.fleet.Alive()) > 1 {
+			p.fleet.Kill(name)
+		}
+	case opStart:
+		if p.fleet.IsDown(name) {
+			p.fleet.Start(name)
+		}
+	case opStop:
+		p.stop(name)
+	case opIsolate:
+		p.isolated[p.fleet.Node(name).Host] = true
+		p.block()
+	case opHeal:
+		p.heal()
+	case opCutPlatform:
+		p.fleet.Platform.CutOff(name, s.b%2 == 0)
+	case opOutage:
+		p.fleet.Platform.SetOutage(s.b%2 == 0)
+	case opLoseReplies:
+		p.fleet.Platform.LoseReplies(s.b % 4)
+	default:
+		p.applyToEngines(s)
+	}
+}
+
+func (p *play) applyToEngines(s step) {
+	engine := p.fleet.Engines[fmt.Sprintf("engine-%d", s.a%len(p.fleet.Engines))]
+	switch s.op {
+	case opCutEngine:
+		p.fleet.Web.Cut(func(link memnet.Link) bool { return link.To == engine.Host })
+	case opFreezeEngine:
+		engine.Faults.Set(fault.Faults{Freeze: true})
+	case opStallTransfers:
+		engine.Faults.Set(fault.Faults{Freeze: true, PathPrefix: "/v1/kv"})
+	case opThaw:
+		for _, frozen := range p.fleet.Engines {
+			frozen.Faults.Set(fault.Faults{})
+		}
+	case opLeave:
+		p.leave(s)
+	case opConfigure:
+		p.configure(s.a, s.b)
+	case opRace:
+		p.configure(s.a, s.b)
+		p.configure(s.a+1, s.b+1)
+	}
+}
+
+// stop begins a planned stop, unless the node is the last one.
+func (p *play) stop(name string) {
+	if len(p.fleet.Alive()) < 2 {
+		return
+	}
+	p.stopping.Add(1)
+	go func() {
+		defer p.stopping.Done()
+		p.fleet.Stop(name)
+	}()
+}
+
+// block holds back every byte from and to the isolated hosts.
+func (p *play) block() {
+	isolated := make(map[string]bool, len(p.isolated))
+	for host := range p.isolated {
+		isolated[host] = true
+	}
+	p.fleet.Gate.Block(func(link memnet.Link) bool { return isolated[link.From] || isolated[link.To] })
+	for _, running := range p.fleet.Alive() {
+		p.fleet.Platform.CutOff(running.Name, isolated[running.Host])
+	}
+}
+
+func (p *play) heal() {
+	p.isolated = map[string]bool{}
+	p.block()
+}
+
+// leave makes a back end leave. The list shows it at once here; the fleet's
+// pools keep one engine of each role that stays.
+func (p *play) leave(s step) {
+	leaving := []string{"engine-0", "engine-1", "service-0-a"}[s.b%3]
+	if p.fleet.SetMachine(leaving, machines.StateLeaving) == nil {
+		p.monitor.NoteLeaving(leaving)
+	}
+}
+
+// configure changes a tenant's weight through one node, as an operator does.
+func (p *play) configure(node, weight int) {
+	alive := p.fleet.Alive()
+	through := alive[node%len(alive)]
+	acceptor := operator.Acceptor{Configuration: through.Core.Configuration, Store: p.fleet.StoreOf(through.Name)}
+	current := through.Core.Configuration.Current()
+	tenant, ok := current.Tenant("tenant-0")
+	if !ok {
+		return
+	}
+	changed := *tenant
+	changed.Weight = float64(weight + 1)
+	plan, _, err := operator.MakePlan(current, operator.Intent{Action: operator.ActionApply, Objects: api.Configuration{Tenants: []api.Tenant{changed}}})
+	if err != nil {
+		return
+	}
+	p.running.Add(1)
+	go func() {
+		defer p.running.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, _ = acceptor.Accept(ctx, plan) // Conflicts and outages are expected.
+	}()
+}
+
+// request sends one request of some kind from a caller that may give up.
+func (p *play) request(s step) {
+	p.requests++
+	number := p.requests
+	alive := p.fleet.Alive()
+	nodes := make([]string, 0, len(alive))
+	for i := range alive {
+		nodes = append(nodes, alive[(s.a+i)%len(alive)].CallerAddress())
+	}
+	call := load.Call{Client: p.client(number), Nodes: nodes, Key: newKey()}
+	tenant := s.a % 2
+	switch s.b % 4 {
+	case 0, 1:
+		call.Kind = longKind(tenant)
+		call.Tokens = 20 + 4*s.b
+		call.Prompt = prompt(p.random, 200+s.a*40)
+	case 2:
+		short := *longKind(tenant)
+		short.Name, short.Class, short.Stream = "short", "short-0", false
+		call.Kind, call.Tokens, call.Prompt = &short, 1, prompt(p.random, 1000+s.a*100)
+	default:
+		call.Kind = &load.Kind{
+			Name: "log", Token: Token(tenant), Service: "service-0", Method: http.MethodPost, Path: "/entries", Once: true,
+			FirstToken: api.Duration(time.Second),
+		}
+		call.Body = fmt.Sprintf(`{"entry":%d}`, number)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	if s.b >= 44 {
+		// Some callers hang up in the middle of an answer that would go on for
+		// minutes: only a cancellation frees its memory.
+		if call.Kind.Stream {
+			call.Tokens = longOutput
+		}
+		time.AfterFunc(time.Duration(s.a)*40*time.Millisecond, cancel)
+	}
+	p.running.Add(1)
+	go func() {
+		defer p.running.Done()
+		defer cancel()
+		p.keep(load.Send(ctx, call))
+	}()
+}
+
+func (p *play) client(number int) *http.Client {
+	return p.fleet.Client(fmt.Sprintf("192.0.2.%d", number))
+}
+
+func (p *play) keep(result load.Result) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results = append(p.results, result)
+}
+
+func prompt(random *rand.Rand, tokens int) string {
+	var text strings.Builder
+	for range tokens {
+		fmt.Fprintf(&text, "%03d ", random.IntN(1000))
+	}
+	return text.String()
+}
+
+// settleTime is the quiet time at the end, above the resume window, the hold
+// time and the retries of cancellations.
+const settleTime = 40 * time.Second
+
+// runSchedule plays a schedule in virtual time, heals every fault, and returns
+// the promises that were broken.
+func runSchedule(t *testing.T, options Options, steps []step) (violations []string, injected map[operation]int) {
+	injected = map[operation]int{}
+	bubble(t, func(t *testing.T) {
+		fleet := startFleet(t, options)
+		monitor := NewMonitor(fleet)
+		ctx, cancel := context.WithCancel(context.Background())
+		var watching sync.WaitGroup
+		watching.Add(1)
+		go func() {
+			defer watching.Done()
+			monitor.Run(ctx)
+		}()
+		started := &play{fleet: fleet, monitor: monitor, random: rand.New(rand.NewPCG(1, 2)), isolated: map[string]bool{}}
+		for _, next := range steps {
+			injected[next.op]++
+			started.apply(next)
+			time.Sleep(next.pause)
+		}
+		started.recover()
+		violations = append(violations, started.finish()...)
+		cancel()
+		watching.Wait()
+		monitor.JudgeLeaving()
+		violations = append(violations, monitor.Violations()...)
+		fleet.Close()
+	})
+	return violations, injected
+}
+
+// recover heals every fault and starts every node.
+func (p *play) recover() {
+	p.heal()
+	p.fleet.Platform.SetOutage(false)
+	p.fleet.Platform.LoseReplies(0)
+	for _, engine := range p.fleet.Engines {
+		engine.Faults.Set(fault.Faults{})
+	}
+	for _, name := range p.fleet.NodeNames() {
+		p.fleet.Platform.CutOff(name, false)
+	}
+	p.stopping.Wait()
+	for _, name := range p.fleet.NodeNames() {
+		if p.fleet.IsDown(name) {
+			p.fleet.Start(name)
+		}
+	}
+}
+
+// finish waits for every caller, proves that the fleet serves again, and judges.
+func (p *play) finish() []string {
+	var broken []string
+	p.running.Wait()
+	if !p.fleet.WaitReady(time.Minute) {
+		broken = append(broken, "the fleet does not become ready again")
+	}
+	time.Sleep(settleTime)
+	for i, running := range p.fleet.Alive() {
+		result := load.Send(context.Background(), load.Call{
+			Client: p.client(1000 + i), Nodes: []string{running.CallerAddress()}, Kind: longKind(0), Key: newKey(), Prompt: prompt(p.random, 300), Tokens: 8,
+		})
+		if result.Ending != load.EndingAnswered {
+			broken = append(broken, fmt.Sprintf("%s does not answer after recovery: %s %v", running.Name, result.Detail, result.Failure))
+		}
+	}
+	time.Sleep(settleTime)
+	verdict := load.Judge(p.results, p.fleet.Ledgers())
+	verdict.Lost = 0 // A caller that meets only dead nodes, or hangs up, gets no answer.
+	if verdict.Failed() {
+		for _, violation := range verdict.Violations {
+			if !strings.Contains(violation, ": lost") {
+				broken = append(broken, violation)
+			}
+		}
+	}
+	return broken
+}
