Show that the oracle catches a break of each promise

Cause: a check that cannot fail proves nothing.

Change: Defects of a rehearsal fleet break the system from outside, one promise each: cancels swallowed, tokens sent twice, answers altered, a false not-run, a call sent twice, the machine list hidden, kill in place of a planned stop, a configuration kept back, a version that reverts. Each test fails if the oracle stays quiet; two more want it quiet without a defect.

--- a/sim/enginesim/engine.go
+++ b/sim/enginesim/engine.go
@@ -175,6 +175,15 @@
 	e.remove(held, phaseCancelled)
 }
 
+// Close ends everything that the engine holds.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, held := range e.streams {
+		e.remove(held, phaseCancelled)
+	}
+}
+
 func (e *Engine) recordCancel(held *stream) {
 	switch held.phase {
 	case phaseHeld:
--- /dev/null
+++ b/sim/rehearsal/defects_test.go
@@ -0,0 +1,320 @@
+package rehearsal
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/platform"
+)
+
+// The tests of this file break the system on purpose, one promise each, and fail
+// if the oracle does not notice.
+
+// roundTripper is a function that is an http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func emptyReply(r *http.Request, body string) *http.Response {
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}},
+		Body: io.NopCloser(strings.NewReader(body)), Request: r,
+	}
+}
+
+// requestSteps is a schedule of requests of all kinds, some of which hang up.
+func requestSteps() []step {
+	random := rand.New(rand.NewPCG(11, 11))
+	steps := make([]step, 60)
+	for i := range steps {
+		steps[i] = step{op: opRequest, a: random.IntN(64), b: random.IntN(64), pause: 100 * time.Millisecond}
+	}
+	return steps
+}
+
+// mustNotice runs a schedule on a defective fleet and wants a violation with the
+// given text.
+func mustNotice(t *testing.T, defects Defects, text string) {
+	t.Helper()
+	options := smallOptions()
+	options.Defects = defects
+	violations, _ := runSchedule(t, options, requestSteps())
+	for _, violation := range violations {
+		if strings.Contains(violation, text) {
+			return
+		}
+	}
+	t.Fatalf("the oracle did not notice; it said %q", violations)
+}
+
+func TestOracleIsQuietWithoutDefects(t *testing.T) {
+	violations, _ := runSchedule(t, smallOptions(), requestSteps())
+	if len(violations) > 0 {
+		t.Fatal(violations)
+	}
+}
+
+func TestOracleNoticesHeldMemory(t *testing.T) {
+	mustNotice(t, Defects{Transport: func(next http.RoundTripper) http.RoundTripper {
+		return roundTripper(func(r *http.Request) (*http.Response, error) {
+			switch {
+			case strings.HasSuffix(r.URL.Path, "/cancel"):
+				return emptyReply(r, "{}"), nil
+			case strings.HasSuffix(r.URL.Path, "/v1/streams"):
+				return emptyReply(r, "[]"), nil
+			}
+			return next.RoundTrip(r)
+		})
+	}}, "holds")
+}
+
+// repeatingWriter writes each token of a stream twice.
+type repeatingWriter struct {
+	http.ResponseWriter
+	pending bytes.Buffer
+}
+
+func (w *repeatingWriter) Write(data []byte) (int, error) { return w.pending.Write(data) }
+
+func (w *repeatingWriter) FlushError() error {
+	event := bytes.Clone(w.pending.Bytes())
+	w.pending.Reset()
+	if bytes.Contains(event, []byte("id: ")) {
+		event = append(event, event...)
+	}
+	if _, err := w.ResponseWriter.Write(event); err != nil {
+		return err
+	}
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func TestOracleNoticesTokensTwice(t *testing.T) {
+	mustNotice(t, Defects{Handler: func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			repeating := &repeatingWriter{ResponseWriter: w}
+			next.ServeHTTP(repeating, r)
+			_ = repeating.FlushError()
+		})
+	}}, "tokens twice")
+}
+
+// alteringWriter changes a letter of every answer.
+type alteringWriter struct{ http.ResponseWriter }
+
+func (w alteringWriter) Write(data []byte) (int, error) {
+	altered := bytes.Replace(data, []byte(`"text":"`), []byte(`"text":"x`), 1)
+	if _, err := w.ResponseWriter.Write(altered); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+func (w alteringWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func TestOracleNoticesAlteredAnswer(t *testing.T) {
+	mustNotice(t, Defects{Handler: func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { next.ServeHTTP(alteringWriter{w}, r) })
+	}}, "altered")
+}
+
+func TestOracleNoticesFalseNotRun(t *testing.T) {
+	mustNotice(t, Defects{Handler: func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && strings.HasPrefix(r.URL.Path, "/services/") {
+				discarded := &discardingWriter{header: http.Header{}}
+				next.ServeHTTP(discarded, r)
+				api.NewError(http.StatusServiceUnavailable, api.CodeNoCapacity, api.OutcomeNotRun, "said falsely").WriteHTTP(w)
+				return
+			}
+			next.ServeHTTP(w, r)
+		})
+	}}, "ran although refused")
+}
+
+type discardingWriter struct{ header http.Header }
+
+func (w *discardingWriter) Header() http.Header            { return w.header }
+func (w *discardingWriter) Write(data []byte) (int, error) { return len(data), nil }
+func (w *discardingWriter) WriteHeader(int)                {}
+func (w *discardingWriter) FlushError() error              { return nil }
+
+func TestOracleNoticesSecondRun(t *testing.T) {
+	mustNotice(t, Defects{Transport: func(next http.RoundTripper) http.RoundTripper {
+		return roundTripper(func(r *http.Request) (*http.Response, error) {
+			if r.Method != http.MethodPost || !strings.HasPrefix(r.URL.Host, "10.200.") {
+				return next.RoundTrip(r)
+			}
+			body, err := io.ReadAll(r.Body)
+			if err != nil {
+				return nil, err
+			}
+			again := r.Clone(r.Context())
+			again.Body = io.NopCloser(bytes.NewReader(body))
+			if response, err := next.RoundTrip(again); err == nil {
+				_ = response.Body.Close()
+			}
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			return next.RoundTrip(r)
+		})
+	}}, "ran 2 times")
+}
+
+// blindStore hides one kind of object.
+type blindStore struct {
+	platform.Store
+	kind platform.Kind
+}
+
+func (s blindStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	if kind == s.kind {
+		return nil, 0, platform.ErrUnavailable
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func TestOracleNoticesWorkForLeavingBackEnd(t *testing.T) {
+	options := smallOptions()
+	options.Defects.Store = func(next platform.Store) platform.Store { return blindStore{next, platform.KindMachine} }
+	if len(leaveUnderLoad(t, options)) == 0 {
+		t.Fatal("the oracle did not notice that leaving back ends got new work")
+	}
+}
+
+func TestOracleNoticesStopThatCutsOff(t *testing.T) {
+	if plannedStop(t, (*Fleet).Kill) == 0 {
+		t.Fatal("the oracle did not notice that requests were cut off")
+	}
+}
+
+// staleStore shows a node the first configuration for ever, once it is switched on.
+type staleStore struct {
+	platform.Store
+	stale *atomic.Bool
+}
+
+func (s staleStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+	if kind == platform.KindConfiguration && s.stale.Load() {
+		return nil, 1, nil
+	}
+	return s.Store.List(ctx, kind)
+}
+
+func (s staleStore) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+	if kind == platform.KindConfiguration && s.stale.Load() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.Store.Watch(ctx, kind, after, handle)
+}
+
+func TestOracleNoticesStaleConfiguration(t *testing.T) {
+	var stale atomic.Bool
+	options := smallOptions()
+	options.Defects.Store = func(next platform.Store) platform.Store { return staleStore{next, &stale} }
+	if violations := changeConfiguration(t, options, &stale); len(violations) == 0 {
+		t.Fatal("the oracle did not notice that nodes kept the old configuration")
+	}
+}
+
+// changeConfiguration accepts a version behind the nodes' backs and returns what
+// the monitor says after a while.
+func changeConfiguration(t *testing.T, options Options, stale *atomic.Bool) (violations []string) {
+	bubble(t, func(t *testing.T) {
+		fleet := startFleet(t, options)
+		defer fleet.Close()
+		stale.Store(true)
+		// The watches under way end, so that the defect takes hold.
+		fleet.Platform.SetOutage(true)
+		time.Sleep(time.Second)
+		fleet.Platform.SetOutage(false)
+		monitor := NewMonitor(fleet)
+		ctx, cancel := context.WithCancel(context.Background())
+		var watching sync.WaitGroup
+		watching.Add(1)
+		go func() {
+			defer watching.Done()
+			monitor.Run(ctx)
+		}()
+		publishWeight(t, fleet, 7)
+		time.Sleep(2 * InForceWithin)
+		cancel()
+		watching.Wait()
+		violations = monitor.Violations()
+	})
+	return violations
+}
+
+func TestMonitorIsQuietWhenConfigurationSpreads(t *testing.T) {
+	var never atomic.Bool
+	options := smallOptions()
+	options.Defects.Store = func(next platform.Store) platform.Store { return staleStore{next, new(atomic.Bool)} }
+	if violations := changeConfiguration(t, options, &never); len(violations) > 0 {
+		t.Fatal(violations)
+	}
+}
+
+func TestOracleNoticesVersionThatReverts(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		fleet := startFleet(t, smallOptions())
+		defer fleet.Close()
+		publishWeight(t, fleet, 7)
+		waitUntil(t, InForceWithin, "version 2", func() bool { return fleet.Alive()[0].Core.Configuration.Current().Version() == 2 })
+		monitor := NewMonitor(fleet)
+		monitor.look()
+		reverted := fleet.Alive()[0]
+		reverted.Core.Configuration = newOldHolder(t, fleet)
+		monitor.look()
+		if len(monitor.Violations()) == 0 {
+			t.Fatal("the oracle did not notice that a version went back")
+		}
+	})
+}
+
+// newOldHolder returns a holder of the first version.
+func newOldHolder(t *testing.T, fleet *Fleet) *configuration.Holder {
+	t.Helper()
+	holder := configuration.NewHolder()
+	store := fleet.Platform.Store
+	initial := fleet.Options.Configuration
+	initial.SetDefaults()
+	configuration.Sort(&initial)
+	parts, err := configuration.Split(initial)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := configuration.Head{Version: 1}
+	for _, part := range parts {
+		head.Parts = append(head.Parts, part.Digest)
+	}
+	if err := holder.Advance(context.Background(), head, configuration.FromStore(store)); err != nil {
+		t.Fatal(err)
+	}
+	return holder
+}
+
+// publishWeight accepts a change of a tenant's weight as an operator would.
+func publishWeight(t *testing.T, fleet *Fleet, weight float64) {
+	t.Helper()
+	through := fleet.Alive()[0]
+	current := through.Core.Configuration.Current()
+	plan, next, err := operator.MakePlan(current, operator.Intent{Action: operator.ActionApply, Objects: api.Configuration{
+		Tenants: []api.Tenant{{Name: "tenant-0", Weight: weight}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := configuration.Publish(context.Background(), fleet.Platform.Store, current.Version(), plan.Digest, plan.Moved(), *next); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -330,11 +330,14 @@
 	close(stopping.down)
 }
 
-// Close ends every node.
+// Close ends every node and engine.
 func (f *Fleet) Close() {
 	for _, running := range f.Alive() {
 		f.Kill(running.Name)
 	}
+	for _, started := range f.Engines {
+		started.Close()
+	}
 }
 
 // WaitReady waits until every running node is ready, and reports whether that
