--- /dev/null
+++ b/claim/property_test.go
@@ -0,0 +1,278 @@
+package claim
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/sim/platformsim"
+)
+
+// try is one arrival of a call at an entry node.
+type try struct {
+	key   int
+	pause time.Duration
+	// owners are the writers that the entry node takes for owner and successor.
+	owners [2]int
+	// slow is how long the first owner's answer is held back.
+	slow time.Duration
+	// effects are what the platform does with the next calls.
+	effects []platformsim.Effect
+}
+
+func drawTry(t *rapid.T) try {
+	return try{
+		key:     rapid.IntRange(0, 2).Draw(t, "key"),
+		pause:   time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond,
+		owners:  [2]int{rapid.IntRange(0, 2).Draw(t, "owner"), rapid.IntRange(0, 2).Draw(t, "successor")},
+		slow:    time.Duration(rapid.SampledFrom([]int{0, 0, 1000, 1800, 5000, 700_000}).Draw(t, "slow")) * time.Millisecond,
+		effects: rapid.SliceOfN(rapid.SampledFrom([]platformsim.Effect{platformsim.Pass, platformsim.Pass, platformsim.Refuse, platformsim.LoseReply}), 0, 6).Draw(t, "effects"),
+	}
+}
+
+// script hands out the drawn effects and then passes everything.
+type script struct {
+	mu      sync.Mutex
+	effects []platformsim.Effect
+}
+
+func (s *script) add(effects []platformsim.Effect) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effects = append(s.effects, effects...)
+}
+
+func (s *script) next(bool) platformsim.Effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.effects) == 0 {
+		return platformsim.Pass
+	}
+	first := s.effects[0]
+	s.effects = s.effects[1:]
+	return first
+}
+
+// owners sends a claim to the first writer, and to the second when the first is
+// too slow, as cluster.CallOwnerOrSuccessor does.
+type owners struct {
+	writers []*Writer
+	try     try
+	running *sync.WaitGroup
+}
+
+func (o owners) CallOwnerOrSuccessor(ctx context.Context, _ string, timeout time.Duration, build func(int) *peerpb.Request) (*peerpb.Response, membership.Member, error) {
+	for number, index := range o.try.owners {
+		claim := build(number).GetClaim()
+		slow := time.Duration(0)
+		if number == 0 {
+			slow = o.try.slow
+		}
+		answer := make(chan error, 1)
+		o.running.Add(1)
+		go func() {
+			defer o.running.Done()
+			key, err := ParseKey(claim.GetTenant(), claim.GetKey())
+			if err != nil {
+				answer <- err
+				return
+			}
+			// Half of the delay is on the way to the owner, half on the way back.
+			time.Sleep(slow / 2)
+			err = o.writers[index].Claim(context.Background(), key, claim.GetClaimId(), claim.GetBodyDigest())
+			time.Sleep(slow / 2)
+			answer <- err
+		}()
+		select {
+		case err := <-answer:
+			return nil, membership.Member{}, err
+		case <-time.After(timeout):
+		case <-ctx.Done():
+			return nil, membership.Member{}, ctx.Err()
+		}
+	}
+	return nil, membership.Member{}, fmt.Errorf("no answer")
+}
+
+// atMostOnce plays arrivals of a few keys at several owners over a platform that
+// refuses calls and loses replies. Whatever happens, a key is granted at most once.
+func atMostOnce(outer *testing.T, newWriter func(*platformsim.Flaky) *Writer) func(*rapid.T) {
+	return func(t *rapid.T) {
+		tries := rapid.SliceOfN(rapid.Custom(drawTry), 2, 25).Draw(t, "tries")
+		for key, count := range playTries(outer, tries, newWriter) {
+			if count > 1 {
+				t.Errorf("key %d was granted %d times", key, count)
+			}
+		}
+	}
+}
+
+func playTries(t *testing.T, tries []try, newWriter func(*platformsim.Flaky) *Writer) (granted map[int]int) {
+	granted = map[int]int{}
+	synctest.Test(t, func(t *testing.T) {
+		effects := &script{}
+		flaky := platformsim.NewFlaky(platformsim.NewStore(platformsim.Options{}), effects.next)
+		writers := []*Writer{newWriter(flaky), newWriter(flaky), newWriter(flaky)}
+		var keys [3]Key
+		for i := range keys {
+			id, err := uuid.NewV7()
+			if err != nil {
+				t.Fatal(err)
+			}
+			keys[i] = Key{Tenant: "tenant", ID: id}
+		}
+		body := sha256.Sum256([]byte("body"))
+		var mu sync.Mutex
+		var running sync.WaitGroup
+		for number, next := range tries {
+			effects.add(next.effects)
+			running.Add(1)
+			go func() {
+				defer running.Done()
+				client := NewClient(owners{writers, next, &running})
+				_, err := client.Claim(context.Background(), keys[next.key], fmt.Sprintf("request-%d", number), body[:])
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					granted[next.key]++
+				}
+			}()
+			time.Sleep(next.pause)
+			writers[number%len(writers)].Sweep(context.Background(), func(int) bool { return true })
+		}
+		running.Wait()
+		for _, writer := range writers {
+			writer.Wait()
+		}
+	})
+	return granted
+}
+
+func soundWriter(flaky *platformsim.Flaky) *Writer {
+	return NewWriter(flaky, metrics.NewSet(), time.Now)
+}
+
+func TestKeyIsGrantedAtMostOnce(t *testing.T) {
+	rapid.Check(t, atMostOnce(t, soundWriter))
+}
+
+func FuzzKeyIsGrantedAtMostOnce(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rapid.MakeFuzz(atMostOnce(t, soundWriter))(t, data)
+	})
+}
+
+// TestOracleNoticesClaimThatIsUndone gives a late owner the power to undo the
+// claim of another try, by letting all tries share an identity.
+func TestOracleNoticesClaimThatIsUndone(t *testing.T) {
+	tries := []try{
+		// The first owner writes the claim and answers too late; the successor grants.
+		{key: 0, owners: [2]int{0, 1}, slow: 1800 * time.Millisecond, pause: 6 * time.Second},
+		{key: 0, owners: [2]int{0, 1}},
+	}
+	if granted := playTries(t, tries, soundWriter); granted[0] != 1 {
+		t.Fatalf("granted %d times", granted[0])
+	}
+	forgetful := func(flaky *platformsim.Flaky) *Writer {
+		writer := soundWriter(flaky)
+		// This writer takes every claim for an abandoned one.
+		for number := range 2 {
+			for attempt := range 2 {
+				writer.abandoned[identity(fmt.Sprintf("request-%d", number), attempt)] = time.Now()
+			}
+		}
+		return writer
+	}
+	mixed := 0
+	broken := func(flaky *platformsim.Flaky) *Writer {
+		mixed++
+		if mixed == 1 {
+			return forgetful(flaky)
+		}
+		return soundWriter(flaky)
+	}
+	tries = []try{
+		{key: 0, owners: [2]int{1, 2}, pause: time.Second},
+		// The forgetful writer removes the standing claim with its next write.
+		{key: 1, owners: [2]int{0, 0}, pause: time.Second},
+		{key: 0, owners: [2]int{0, 0}, pause: 3 * time.Second},
+		{key: 0, owners: [2]int{2, 1}, pause: time.Second},
+	}
+	if granted := playTries(t, tries, broken); granted[0] < 2 {
+		t.Fatalf("the broken writer granted the key %d times, so the oracle was not tried", granted[0])
+	}
+}
+
+func TestOldKeyIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformsim.NewStore(platformsim.Options{})
+		writer := NewWriter(store, metrics.NewSet(), time.Now)
+		id, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := Key{Tenant: "tenant", ID: id}
+		if err := writer.Claim(context.Background(), key, "first#0", nil); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(Retention + clockSlack + 3*bucketLength)
+		writer.Sweep(context.Background(), func(int) bool { return true })
+		err = writer.Claim(context.Background(), key, "second#0", nil)
+		if !api.IsCode(err, api.CodeKeyExpired) {
+			t.Fatalf("got %v", err)
+		}
+		writer.Wait()
+	})
+}
+
+func TestAnotherBodyConflicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		writer := NewWriter(platformsim.NewStore(platformsim.Options{}), metrics.NewSet(), time.Now)
+		id, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := Key{Tenant: "tenant", ID: id}
+		if err := writer.Claim(context.Background(), key, "first#0", []byte("one")); err != nil {
+			t.Fatal(err)
+		}
+		if err := writer.Claim(context.Background(), key, "second#0", []byte("two")); !api.IsCode(err, api.CodeKeyConflict) {
+			t.Fatalf("got %v", err)
+		}
+		if err := writer.Withdraw(context.Background(), key, "first#0"); err != nil {
+			t.Fatal(err)
+		}
+		if err := writer.Claim(context.Background(), key, "third#0", []byte("two")); err != nil {
+			t.Fatalf("a withdrawn key must be usable: %v", err)
+		}
+		writer.Wait()
+	})
+}
+
+func TestOutageIsRefusedAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		flaky := platformsim.NewFlaky(platformsim.NewStore(platformsim.Options{}), func(bool) platformsim.Effect { return platformsim.Refuse })
+		writer := NewWriter(flaky, metrics.NewSet(), time.Now)
+		id, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = writer.Claim(context.Background(), Key{Tenant: "tenant", ID: id}, "first#0", nil)
+		typed := api.AsError(err, api.OutcomeUnknown)
+		if typed.Code != api.CodeClaimUnavailable || typed.Outcome != api.OutcomeNotRun || typed.RetryAfter == 0 {
+			t.Fatalf("got %v", typed)
+		}
+		writer.Wait()
+	})
+}
