--- a/peer/session.go
+++ b/peer/session.go
@@ -93,7 +93,11 @@
 	if err != nil {
 		return nil, err
 	}
-	stop := context.AfterFunc(ctx, func() { _ = taken.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		// Closing a yamux stream does not end a read; its deadline does.
+		_ = taken.SetDeadline(time.Now())
+		_ = taken.Close()
+	})
 	response, err := exchange(taken, request)
 	if !stop() && err == nil {
 		err = ctx.Err()
