--- /dev/null
+++ b/placement/rendezvous_test.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func members(count int) []string {
+	names := make([]string, count)
+	for i := range names {
+		names[i] = fmt.Sprintf("node-%d", i)
+	}
+	return names
+}
+
+// TestOnlyKeysOfALeaverMove removes one member: a key keeps its owner unless the
+// owner is the one that left, and then goes to the one that was second.
+func TestOnlyKeysOfALeaverMove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := members(rapid.IntRange(2, 60).Draw(t, "members"))
+		key := rapid.String().Draw(t, "key")
+		leaver := rapid.IntRange(0, len(all)-1).Draw(t, "leaver")
+		before := Top(key, all, 2)
+		if Owner(key, all) != before[0] {
+			t.Fatalf("owner %q, first %q", Owner(key, all), before[0])
+		}
+		left := append(append([]string{}, all[:leaver]...), all[leaver+1:]...)
+		want := before[0]
+		if want == all[leaver] {
+			want = before[1]
+		}
+		if after := Owner(key, left); after != want {
+			t.Fatalf("owner %q became %q, want %q", before[0], after, want)
+		}
+	})
+}
+
+func TestKeysSpread(t *testing.T) {
+	const nodes, keys = 8, 8000
+	counts := map[string]int{}
+	for i := range keys {
+		counts[Owner(fmt.Sprintf("pool/%d", i), members(nodes))]++
+	}
+	for name, count := range counts {
+		if count < keys/nodes*8/10 || count > keys/nodes*12/10 {
+			t.Errorf("%s owns %d of %d keys", name, count, keys)
+		}
+	}
+	if Owner("key", nil) != "" || len(Top("key", nil, 3)) != 0 {
+		t.Error("no members must give no owner")
+	}
+}
