Test kills, pauses, planned stops and outages with real processes

Cause: a process that its machine pauses cannot be shown in virtual time.

Change: package processtest builds the commands and starts small fleets on loopback. It kills the node of a running answer, freezes it while its caller goes, freezes the nodes around it, stops it by SIGTERM, takes the platform away and restarts a node meanwhile, and changes an engine's role by a confirmed plan. All waits are on conditions.

--- /dev/null
+++ b/processtest/doc.go
@@ -0,0 +1,3 @@
+// Package processtest holds the tests that need real processes: kills, pauses
+// and planned stops by signals. It has no other code.
+package processtest
--- /dev/null
+++ b/processtest/fleet_test.go
@@ -0,0 +1,307 @@
+package processtest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/sim/fault"
+	"github.com/reelrun/reelrun/sim/load"
+)
+
+const operatorToken = "operator"
+
+// binaries is the folder with the built commands.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "processtest")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	build := exec.Command("go", "build", "-o", folder, "../cmd/...")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, err, string(output))
+		return 1
+	}
+	binaries = folder
+	return m.Run()
+}
+
+// process is one started command.
+type process struct {
+	command *exec.Cmd
+	output  *lockedBuffer
+	ended   chan error
+}
+
+// lockedBuffer collects a process's output.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func start(t *testing.T, name string, arguments ...string) *process {
+	t.Helper()
+	started := &process{command: exec.Command(filepath.Join(binaries, name), arguments...), output: &lockedBuffer{}, ended: make(chan error, 1)}
+	started.command.Stdout, started.command.Stderr = started.output, started.output
+	if err := started.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { started.ended <- started.command.Wait() }()
+	t.Cleanup(func() {
+		_ = started.command.Process.Signal(syscall.SIGCONT)
+		_ = started.command.Process.Kill()
+		if t.Failed() {
+			t.Logf("%s: %s", name, started.output)
+		}
+	})
+	return started
+}
+
+func (p *process) signal(t *testing.T, signal os.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(signal); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// node is one router process.
+type node struct {
+	*process
+	name, caller, peer, operator string
+	arguments                    []string
+}
+
+// fleet is a small system of processes.
+type fleet struct {
+	platform        *process
+	platformAddress string
+	nodes           []*node
+	engines         []string
+	configuration   api.Configuration
+}
+
+const limit = 60 * time.Second
+
+// eventually waits for a condition; the limit only ends a test that has failed.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+func startFleet(t *testing.T, nodes int) *fleet {
+	t.Helper()
+	f := &fleet{platformAddress: freeAddress(t)}
+	f.platform = start(t, "reelrun-sim", "platform", "-address", f.platformAddress, "-machine-lag", "100ms")
+	pool := api.Pool{Name: "pool", Model: "model", Zone: "zone", ChecksFence: true}
+	for number := range 4 {
+		role := []api.Role{api.RolePrefill, api.RoleDecode}[number%2]
+		address := freeAddress(t)
+		name := fmt.Sprintf("engine-%d", number)
+		start(t, "reelrun-sim", "engine", "-address", address, "-name", name, "-model", "model", "-role", string(role), "-step", "20ms", "-platform", f.platformAddress, "-checks-fence")
+		f.engines = append(f.engines, address)
+		pool.Engines = append(pool.Engines, api.Engine{Name: name, Address: address, Role: role})
+	}
+	f.configuration = api.Configuration{
+		Tenants: []api.Tenant{{Name: "tenant", TokenHashes: []string{configuration.HashToken("token")}, Classes: []string{"long"}}},
+		Classes: []api.Class{{Name: "long", Model: "model", FirstToken: api.Duration(2 * time.Second), TokenInterval: api.Duration(100 * time.Millisecond), MaxOutputTokens: 20000}},
+		Pools:   []api.Pool{pool},
+	}
+	var seeds []string
+	for number := range nodes {
+		added := &node{name: fmt.Sprintf("node-%d", number), caller: freeAddress(t), peer: freeAddress(t), operator: freeAddress(t)}
+		seeds = append(seeds, added.peer)
+		f.nodes = append(f.nodes, added)
+	}
+	for _, added := range f.nodes {
+		added.arguments = []string{
+			"-plain-text", "-name", added.name, "-zone", "zone", "-caller-address", added.caller, "-peer-address", added.peer,
+			"-operator-address", added.operator, "-platform-address", f.platformAddress, "-seeds", strings.Join(seeds, ","),
+			"-operator-token-hash", configuration.HashToken(operatorToken), "-drain-delay", "200ms", "-resume-window", "2s",
+		}
+		added.process = start(t, "reelrund", added.arguments...)
+	}
+	f.accept(t, operator.Intent{Action: operator.ActionApply, Objects: f.configuration})
+	for _, started := range f.nodes {
+		f.awaitReady(t, started)
+	}
+	return f
+}
+
+func (f *fleet) client(through *node) *operator.Client {
+	return &operator.Client{BaseURL: "http://" + through.operator, Token: operatorToken, HTTP: http.DefaultClient}
+}
+
+// accept plans and confirms an intent through any node.
+func (f *fleet) accept(t *testing.T, intent operator.Intent) {
+	t.Helper()
+	eventually(t, "acceptance", func() bool {
+		client := f.client(f.nodes[0])
+		plan, err := client.Plan(context.Background(), intent)
+		if err != nil {
+			return false
+		}
+		_, err = client.Confirm(context.Background(), plan)
+		return err == nil
+	})
+}
+
+func (f *fleet) awaitReady(t *testing.T, waited *node) {
+	t.Helper()
+	eventually(t, waited.name+" being ready", func() bool { return status("http://"+waited.caller+"/readyz") == http.StatusOK })
+}
+
+func status(target string) int {
+	response, err := http.Get(target)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	return response.StatusCode
+}
+
+func getJSON(target string, value any) bool {
+	response, err := http.Get(target)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	return json.NewDecoder(response.Body).Decode(value) == nil
+}
+
+// ledgers returns what the engines did.
+func (f *fleet) ledgers() []enginesim.Report {
+	var reports []enginesim.Report
+	for _, address := range f.engines {
+		var report enginesim.Report
+		if getJSON("http://"+address+enginesim.PathLedger, &report) {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+func (f *fleet) held() int {
+	held := 0
+	for _, report := range f.ledgers() {
+		held += report.HeldStreams
+	}
+	return held
+}
+
+func (f *fleet) count(kind enginesim.EntryKind) int {
+	count := 0
+	for _, report := range f.ledgers() {
+		for _, entry := range report.Entries {
+			if entry.Kind == kind {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func setFaults(t *testing.T, address string, faults fault.Faults) {
+	t.Helper()
+	body, err := json.Marshal(faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+fault.Path, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id.String()
+}
+
+// send starts a request and returns its result when it comes.
+func send(ctx context.Context, key string, tokens int, nodes ...*node) <-chan load.Result {
+	done := make(chan load.Result, 1)
+	var addresses []string
+	for _, through := range nodes {
+		addresses = append(addresses, through.caller)
+	}
+	go func() {
+		done <- load.Send(ctx, load.Call{
+			Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Nodes: addresses, Key: key, Tokens: tokens,
+			Prompt: strings.Repeat("some words ", 100),
+			Kind: &load.Kind{
+				Name: "long", Token: "token", Class: "long", Model: "model", Stream: true,
+				FirstToken: api.Duration(2 * time.Second), TokenInterval: api.Duration(100 * time.Millisecond),
+			},
+		})
+	}()
+	return done
+}
+
+func expectAnswer(t *testing.T, result load.Result) {
+	t.Helper()
+	if result.Ending != load.EndingAnswered || result.Repeated != 0 {
+		t.Fatalf("%s after %d tries, %d repeated: %s %v", result.Ending, result.Tries, result.Repeated, result.Detail, result.Failure)
+	}
+}
--- /dev/null
+++ b/processtest/signals_test.go
@@ -0,0 +1,134 @@
+package processtest
+
+import (
+	"context"
+	"syscall"
+	"testing"
+
+	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/sim/fault"
+)
+
+// TestKilledNode kills the node of a running answer. The caller comes back to
+// another node and gets the rest of the same stream.
+func TestKilledNode(t *testing.T) {
+	f := startFleet(t, 3)
+	done := send(context.Background(), newKey(t), 150, f.nodes[0], f.nodes[1], f.nodes[2])
+	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
+	f.nodes[0].signal(t, syscall.SIGKILL)
+	expectAnswer(t, <-done)
+	if starts := f.count(enginesim.EntryDecodeStart); starts != 1 {
+		t.Fatalf("the request was decoded %d times", starts)
+	}
+	eventually(t, "freedom of the engines", func() bool { return f.held() == 0 })
+}
+
+// TestFrozenNodeHoldsNothing freezes the node of a running answer and lets its
+// caller go. The engine is freed while the node is still frozen, and the thawed
+// node serves again.
+func TestFrozenNodeHoldsNothing(t *testing.T) {
+	f := startFleet(t, 3)
+	ctx, hangUp := context.WithCancel(context.Background())
+	done := send(ctx, newKey(t), 20000, f.nodes[0])
+	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
+	f.nodes[0].signal(t, syscall.SIGSTOP)
+	hangUp()
+	<-done
+	eventually(t, "freedom of the engines", func() bool { return f.held() == 0 })
+	f.nodes[0].signal(t, syscall.SIGCONT)
+	f.awaitReady(t, f.nodes[0])
+	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+}
+
+// TestThawedNodeCancelsNothing freezes a node that owns nothing of a running
+// answer and thaws it. It must not take the others for gone.
+func TestThawedNodeCancelsNothing(t *testing.T) {
+	f := startFleet(t, 3)
+	done := send(context.Background(), newKey(t), 600, f.nodes[0])
+	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
+	for _, other := range f.nodes[1:] {
+		other.signal(t, syscall.SIGSTOP)
+	}
+	eventually(t, "half of the answer", func() bool { return f.produced() > 300 })
+	for _, other := range f.nodes[1:] {
+		other.signal(t, syscall.SIGCONT)
+	}
+	result := <-done
+	expectAnswer(t, result)
+	if result.Tries != 1 || f.count(enginesim.EntryDecodeCancelled) != 0 {
+		t.Fatalf("%d tries, %d streams cancelled", result.Tries, f.count(enginesim.EntryDecodeCancelled))
+	}
+}
+
+// produced returns the tokens that the held streams have produced.
+func (f *fleet) produced() int {
+	produced := 0
+	for _, address := range f.engines {
+		var streams []struct {
+			Offset int `json:"offset"`
+		}
+		if getJSON("http://"+address+"/v1/streams", &streams) {
+			for _, stream := range streams {
+				produced += stream.Offset
+			}
+		}
+	}
+	return produced
+}
+
+// TestPlannedStop stops the node of a running answer by SIGTERM.
+func TestPlannedStop(t *testing.T) {
+	f := startFleet(t, 2)
+	done := send(context.Background(), newKey(t), 200, f.nodes[0])
+	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
+	f.nodes[0].signal(t, syscall.SIGTERM)
+	result := <-done
+	expectAnswer(t, result)
+	if result.Tries != 1 {
+		t.Fatalf("the caller needed %d connections", result.Tries)
+	}
+	if err := <-f.nodes[0].ended; err != nil {
+		t.Fatalf("the node ended with %v", err)
+	}
+	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[1]))
+}
+
+// TestPlatformOutage takes the platform away: service goes on, a restarted node
+// learns the configuration from its peers, and a change is refused.
+func TestPlatformOutage(t *testing.T) {
+	f := startFleet(t, 3)
+	setFaults(t, f.platformAddress, fault.Faults{Outage: true})
+	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+	f.nodes[2].signal(t, syscall.SIGKILL)
+	<-f.nodes[2].ended
+	f.nodes[2].process = start(t, "reelrund", f.nodes[2].arguments...)
+	f.awaitReady(t, f.nodes[2])
+	current, err := f.client(f.nodes[2]).Configuration(context.Background())
+	if err != nil || current.Version != 1 {
+		t.Fatalf("got %+v, %v", current, err)
+	}
+	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[2]))
+	plan, err := f.client(f.nodes[0]).Plan(context.Background(), operator.Intent{Action: operator.ActionRemove, References: []string{"tenants/tenant"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.client(f.nodes[0]).Confirm(context.Background(), plan); err == nil {
+		t.Fatal("a change was accepted without the platform")
+	}
+	setFaults(t, f.platformAddress, fault.Faults{})
+}
+
+// TestEngineChangesRole confirms a change of role and waits until the engine has
+// taken the order.
+func TestEngineChangesRole(t *testing.T) {
+	f := startFleet(t, 2)
+	f.accept(t, operator.Intent{Action: operator.ActionEngine, Engine: "engine-3", Role: "prefill"})
+	eventually(t, "the change of role", func() bool {
+		var load struct {
+			Role string `json:"role"`
+		}
+		return getJSON("http://"+f.engines[3]+"/v1/load", &load) && load.Role == "prefill"
+	})
+	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+}
