Measure hollow fleets: cost when settled, reactions to changes and failures

Change: 'reelrun-sim hollow' runs N real cores in one process on in-memory connections under yamux and measures bytes, frames, heap, goroutines, processor share, platform calls, the spread of configurations (also under churn and with a zone cut off), deaths of owners and the loss of a zone.

--- /dev/null
+++ b/cmd/reelrun-sim/hollow.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/reelrun/reelrun/sim/hollow"
+)
+
+func hollowCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("hollow", flag.ContinueOnError)
+	var options hollow.Options
+	flags.IntVar(&options.Nodes, "nodes", 8, "number of nodes, rounded up to the same number in each zone")
+	flags.IntVar(&options.Zones, "zones", 2, "number of zones")
+	flags.IntVar(&options.Servers, "servers", 16, "number of engines, about")
+	flags.IntVar(&options.Tenants, "tenants", 250, "number of tenants")
+	flags.IntVar(&options.Models, "models", 1, "number of models")
+	flags.DurationVar(&options.Window, "window", 10*time.Second, "time for which the settled fleet is measured")
+	flags.IntVar(&options.Trials, "trials", 5, "configuration changes and deaths for each figure")
+	flags.BoolVar(&options.Failures, "failures", false, "also measure churn, a cut zone, deaths and the loss of a zone")
+	return &ffcli.Command{
+		Name: "hollow", ShortUsage: "reelrun-sim hollow [flags]", ShortHelp: "Measure a fleet of hollow nodes in one process.", FlagSet: flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			report, err := hollow.Measure(ctx, options)
+			if err != nil {
+				return err
+			}
+			data, err := json.Marshal(report)
+			if err != nil {
+				return errors.Wrap(err, "encode report")
+			}
+			_, err = fmt.Fprintln(os.Stdout, string(data))
+			return errors.Wrap(err, "write report")
+		},
+	}
+}
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -18,11 +19,37 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*conn]struct{}
+	traffic   map[string]*traffic
+}
+
+// traffic counts the bytes and frames that a host has sent.
+type traffic struct {
+	bytes, frames atomic.Int64
+}
+
+// Traffic is what a host has sent so far.
+type Traffic struct{ Bytes, Frames int64 }
+
+// Sent returns what a host has sent.
+func (n *Network) Sent(host string) Traffic {
+	counted := n.counter(host)
+	return Traffic{counted.bytes.Load(), counted.frames.Load()}
+}
+
+func (n *Network) counter(host string) *traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	counted, ok := n.traffic[host]
+	if !ok {
+		counted = &traffic{}
+		n.traffic[host] = counted
+	}
+	return counted
 }
 
 // NewNetwork returns a network whose links the gate controls.
 func NewNetwork(gate *Gate) *Network {
-	return &Network{gate: gate, listeners: map[string]*listener{}, conns: map[*conn]struct{}{}}
+	return &Network{gate: gate, listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, traffic: map[string]*traffic{}}
 }
 
 // Listen accepts connections to an address.
@@ -58,7 +85,7 @@
 }
 
 func (n *Network) wrap(raw net.Conn, local, remote string) *conn {
-	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{})}
+	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{}), sent: n.counter(hostOf(local))}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[wrapped] = struct{}{}
@@ -129,6 +156,7 @@
 	link    Link
 	closed  chan struct{}
 	once    sync.Once
+	sent    *traffic
 }
 
 // Write implements net.Conn.
@@ -136,6 +164,8 @@
 	if err := c.network.gate.wait(c.link, c.closed); err != nil {
 		return 0, err
 	}
+	c.sent.bytes.Add(int64(len(data)))
+	c.sent.frames.Add(1)
 	return c.Conn.Write(data)
 }
 
