Start without reading every part from the platform; keep two directory records

Cause, first: 410 hollow nodes took 16.5 GB and their start read the platform 52,000 times (128 parts each); at 63 nodes the start alone took 4,000 reads and a new version 1.1 s, because each node decoded all 13,000 tenants anew. Cause, second: a take-over was missed in a random run, and the request was decoded twice. Just after a start two nodes name different owners for a key, so the second arrival asked a node that knew nothing of the first.

Ruled out: fewer, larger parts (each change then moves more bytes); a longer wait before a node is ready (the views can differ at any change).

Change: parts come from neighbours first, and a starting node that does not watch leaves it to its peers for 3 s; decoded parts are kept and shared between versions; names are shared among tenants. The directory record is kept at the owner of the key and its successor: two pairs of differing views still have a node in common.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -78,6 +78,10 @@
 	return ranked[0], nil
 }
 
+// Holders returns the owner of a key in the whole fleet and the node that would
+// follow it.
+func (c *Cluster) Holders(key string) []membership.Member { return c.ranked("", key, successorTries) }
+
 // ranked returns the owner of a key and those that would follow it.
 func (c *Cluster) ranked(zone, key string, count int) []membership.Member {
 	found := c.candidates(zone)
@@ -112,6 +116,18 @@
 	return false
 }
 
+// Neighbours returns the peer addresses of the other live nodes of the zone.
+func (c *Cluster) Neighbours() []string {
+	self := c.Self()
+	var addresses []string
+	for _, member := range c.table.ZoneMembers(c.now(), self.Zone) {
+		if member.Name != self.Name {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // Call sends a request to a member.
 func (c *Cluster) Call(ctx context.Context, member membership.Member, request *peerpb.Request) (*peerpb.Response, error) {
 	if member.Name == c.Self().Name {
--- a/cmd/reelrun-sim/hollow.go
+++ b/cmd/reelrun-sim/hollow.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,10 +25,12 @@
 	flags.IntVar(&options.Models, "models", 1, "number of models")
 	flags.DurationVar(&options.Window, "window", 10*time.Second, "time for which the settled fleet is measured")
 	flags.IntVar(&options.Trials, "trials", 5, "configuration changes and deaths for each figure")
+	memory := flags.Int64("memory-limit", 10<<30, "bytes from which the garbage collector works harder")
 	flags.BoolVar(&options.Failures, "failures", false, "also measure churn, a cut zone, deaths and the loss of a zone")
 	return &ffcli.Command{
 		Name: "hollow", ShortUsage: "reelrun-sim hollow [flags]", ShortHelp: "Measure a fleet of hollow nodes in one process.", FlagSet: flags,
 		Exec: func(ctx context.Context, _ []string) error {
+			debug.SetMemoryLimit(*memory)
 			report, err := hollow.Measure(ctx, options)
 			if err != nil {
 				return err
--- a/completion/service.go
+++ b/completion/service.go
@@ -112,7 +112,7 @@
 // Reconcile tells new pool owners and directory nodes of what the node holds.
 func (s *Service) Reconcile(ctx context.Context) {
 	s.grants.reconcile(ctx)
-	s.reconcileDirectory(ctx)
+	s.reconcileDirectory()
 }
 
 // Held returns the number of grants that the node holds.
--- a/completion/takeover.go
+++ b/completion/takeover.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/reelrun/reelrun/api"
-	"github.com/reelrun/reelrun/directory"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
 
 const (
-	// directoryTimeout bounds a call to a directory node.
-	directoryTimeout = 500 * time.Millisecond
 	// yieldTimeout bounds the wait for the earlier holder, which finishes its
 	// prefill before it yields.
 	yieldTimeout = 10 * time.Second
@@ -42,8 +35,8 @@
 	// ended is closed when the run has ended.
 	ended  chan struct{}
 	resume *placement
-	// directoryNode is the node that was last told of the run.
-	directoryNode string
+	// directoryNodes are the nodes that were last told of the run.
+	directoryNodes string
 }
 
 func (t *turnState) init() {
@@ -89,21 +82,12 @@
 	return resumed
 }
 
-// errNoDirectory says that neither the directory node nor its successor answered.
-var errNoDirectory = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "the request could not be registered").WithRetryAfter(time.Second)
-
 // arrive registers a request with a key and takes over from its earlier turn.
 func (s *Service) arrive(ctx context.Context, started *run) error {
-	registered, err := s.register(ctx, peerpb.RegisterMode_REGISTER_MODE_ARRIVE, started, started.running())
-	var answered *api.Error
-	if err != nil && !errors.As(err, &answered) {
-		return errNoDirectory
-	}
+	previous, err := s.registerArrival(ctx, started)
 	if err != nil {
-		return answered
+		return err
 	}
-	started.turn.number = registered.GetTurn()
-	previous := registered.GetPrevious()
 	if previous.GetState() == peerpb.RunState_RUN_STATE_RUNNING {
 		started.requestID = previous.GetRequestId()
 		s.takeOver(ctx, started, previous)
@@ -243,7 +227,7 @@
 // reportPlace tells the directory where the stream is.
 func (r *run) reportPlace() {
 	if r.request.key != "" {
-		r.report(r.running())
+		r.report()
 	}
 }
 
@@ -257,54 +241,5 @@
 	if err != nil {
 		ended.State = peerpb.RunState_RUN_STATE_FAILED
 	}
-	r.report(ended)
-}
-
-func (r *run) report(running *peerpb.Running) {
-	if _, err := r.service.register(context.Background(), peerpb.RegisterMode_REGISTER_MODE_UPDATE, r, running); err != nil {
-		r.service.options.Metrics.Add("directory_errors", 1)
-	}
-}
-
-func (s *Service) register(ctx context.Context, mode peerpb.RegisterMode, started *run, running *peerpb.Running) (*peerpb.Registered, error) {
-	key := directory.Key(running.GetTenant(), running.GetKey())
-	response, node, err := s.options.Cluster.CallOwnerOrSuccessor(ctx, key, directoryTimeout, func(int) *peerpb.Request {
-		return &peerpb.Request{Body: &peerpb.Request_Register{Register: &peerpb.Register{Mode: mode, Running: running}}}
-	})
-	if err == nil {
-		started.turn.setDirectoryNode(node.Name)
-	}
-	return response.GetRegistered(), err
-}
-
-func (t *turnState) setDirectoryNode(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.directoryNode = name
-}
-
-func (t *turnState) knownAt(name string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.directoryNode == name
-}
-
-// reconcileDirectory reports the runs whose directory node has changed.
-func (s *Service) reconcileDirectory(ctx context.Context) {
-	s.mu.Lock()
-	all := make([]*run, 0, len(s.runs))
-	for _, started := range s.runs {
-		all = append(all, started)
-	}
-	s.mu.Unlock()
-	for _, started := range all {
-		running := started.running()
-		node, err := s.options.Cluster.Owner("", directory.Key(running.GetTenant(), running.GetKey()))
-		if err != nil || started.turn.knownAt(node.Name) {
-			continue
-		}
-		if _, err := s.register(ctx, peerpb.RegisterMode_REGISTER_MODE_RESTORE, started, running); err != nil {
-			s.options.Metrics.Add("directory_errors", 1)
-		}
-	}
+	r.reportAs(ended)
 }
--- a/configuration/head.go
+++ b/configuration/head.go
@@ -97,18 +97,44 @@
 	return groups
 }
 
-// Join builds the configuration of a head from its parts.
-func Join(head Head, parts map[string][]byte) (*api.Configuration, error) {
+// decodePart decodes a part and fills the defaults of its objects, so that the
+// snapshots which share them need not write to them.
+func decodePart(data []byte) (*api.Configuration, error) {
+	part := &api.Configuration{}
+	if err := json.Unmarshal(data, part); err != nil {
+		return nil, errors.Wrap(err, "decode part")
+	}
+	part.SetDefaults()
+	shareNames(part.Tenants)
+	return part, nil
+}
+
+// shareNames makes tenants share the names of classes and services. A decoder
+// makes a copy of each, which would be most of the memory of thousands of tenants.
+func shareNames(tenants []api.Tenant) {
+	known := map[string]string{}
+	share := func(names []string) {
+		for i, name := range names {
+			if _, ok := known[name]; !ok {
+				known[name] = name
+			}
+			names[i] = known[name]
+		}
+	}
+	for i := range tenants {
+		share(tenants[i].Classes)
+		share(tenants[i].Services)
+	}
+}
+
+// Join builds the configuration of a head from its decoded parts.
+func Join(head Head, parts map[string]*api.Configuration) (*api.Configuration, error) {
 	whole := &api.Configuration{Version: head.Version}
 	for _, digest := range head.Parts {
-		data, ok := parts[digest]
+		part, ok := parts[digest]
 		if !ok {
 			return nil, errors.Newf("part %s is missing", digest)
 		}
-		var part api.Configuration
-		if err := json.Unmarshal(data, &part); err != nil {
-			return nil, errors.Wrapf(err, "decode part %s", digest)
-		}
 		whole.Tenants = append(whole.Tenants, part.Tenants...)
 		whole.Classes = append(whole.Classes, part.Classes...)
 		whole.Pools = append(whole.Pools, part.Pools...)
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -20,17 +20,18 @@
 // Holder holds the configuration in force at a node. The version only rises.
 // It is safe for concurrent use.
 type Holder struct {
-	fetching sync.Mutex
+	// advancing holds one token, so that one version is fetched at a time.
+	advancing chan struct{}
 
 	mu      sync.Mutex
 	current *Snapshot
-	parts   map[string][]byte
+	parts   map[string]storedPart
 	changed []func(*Snapshot)
 }
 
 // NewHolder returns a holder with an empty configuration of version zero.
 func NewHolder() *Holder {
-	return &Holder{current: NewSnapshot(Head{}, &api.Configuration{}), parts: map[string][]byte{}}
+	return &Holder{advancing: make(chan struct{}, 1), current: NewSnapshot(Head{}, &api.Configuration{}), parts: map[string]storedPart{}}
 }
 
 // OnChange registers a function that is called with each new version.
@@ -51,27 +52,38 @@
 func (h *Holder) Part(digest string) ([]byte, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	data, ok := h.parts[digest]
-	return data, ok
+	stored, ok := h.parts[digest]
+	return stored.data, ok
+}
+
+// storedPart is a part in its stored form, for other nodes, and decoded.
+type storedPart struct {
+	data    []byte
+	decoded *api.Configuration
 }
 
 // Advance puts a newer head in force, with missing parts from fetch. An older or
 // equal head changes nothing.
 func (h *Holder) Advance(ctx context.Context, head Head, fetch FetchPart) error {
-	h.fetching.Lock()
-	defer h.fetching.Unlock()
+	select {
+	case h.advancing <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-h.advancing }()
 	if head.Version <= h.Current().Version() {
 		return nil
 	}
-	parts := make(map[string][]byte, len(head.Parts))
+	parts := make(map[string]storedPart, len(head.Parts))
+	decoded := make(map[string]*api.Configuration, len(head.Parts))
 	for _, digest := range head.Parts {
-		data, err := h.part(ctx, digest, fetch)
+		part, err := h.part(ctx, digest, fetch)
 		if err != nil {
 			return err
 		}
-		parts[digest] = data
+		parts[digest], decoded[digest] = part, part.decoded
 	}
-	whole, err := Join(head, parts)
+	whole, err := Join(head, decoded)
 	if err != nil {
 		return err
 	}
@@ -79,21 +91,27 @@
 	return nil
 }
 
-func (h *Holder) part(ctx context.Context, digest string, fetch FetchPart) ([]byte, error) {
-	if data, ok := h.Part(digest); ok {
-		return data, nil
+// part returns a part that the node holds, or fetches and decodes it. A change
+// of one tenant therefore costs the decoding of one part.
+func (h *Holder) part(ctx context.Context, digest string, fetch FetchPart) (storedPart, error) {
+	h.mu.Lock()
+	stored, ok := h.parts[digest]
+	h.mu.Unlock()
+	if ok {
+		return stored, nil
 	}
 	data, err := fetch(ctx, digest)
 	if err != nil {
-		return nil, errors.Wrapf(err, "fetch part %s", digest)
+		return storedPart{}, errors.Wrapf(err, "fetch part %s", digest)
 	}
 	if digestOf(data) != digest {
-		return nil, errors.Newf("part %s has another digest", digest)
+		return storedPart{}, errors.Newf("part %s has another digest", digest)
 	}
-	return data, nil
+	decoded, err := decodePart(data)
+	return storedPart{data: data, decoded: decoded}, err
 }
 
-func (h *Holder) install(snapshot *Snapshot, parts map[string][]byte) {
+func (h *Holder) install(snapshot *Snapshot, parts map[string]storedPart) {
 	h.mu.Lock()
 	h.current = snapshot
 	h.parts = parts
--- a/configuration/property_test.go
+++ b/configuration/property_test.go
@@ -146,13 +146,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		stored := map[string][]byte{}
+		stored := map[string]*api.Configuration{}
 		head := Head{Version: 3}
 		for _, part := range parts {
 			if len(part.Data) > 1<<20 {
 				t.Fatalf("a part has %d bytes", len(part.Data))
 			}
-			stored[part.Digest] = part.Data
+			decoded, err := decodePart(part.Data)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored[part.Digest] = decoded
 			head.Parts = append(head.Parts, part.Digest)
 		}
 		joined, err := Join(head, stored)
--- a/configuration/syncer.go
+++ b/configuration/syncer.go
@@ -23,9 +23,12 @@
 	pullTimeout = 5 * time.Second
 )
 
-// Placement tells whether the node is one of the first of its zone for a key.
+// Placement tells whether the node is one of the first of its zone for a key,
+// and where the other nodes of its zone are.
 type Placement interface {
 	IsAmong(key string, count int) bool
+	// Neighbours returns the peer addresses of live nodes of the zone.
+	Neighbours() []string
 }
 
 // PeerCaller calls a node by its address.
@@ -45,8 +48,11 @@
 	mu sync.Mutex
 	// confirmed is when the platform or a peer last answered what is newest.
 	confirmed time.Time
-	// asked states that the platform or a peer has answered since the start.
+	// asked states that the platform or a peer has answered since the start, and
+	// newest is the highest version that one of them has named.
 	asked   bool
+	newest  uint64
+	started time.Time
 	pulling map[string]bool
 	pulls   tasks.Group
 }
@@ -55,7 +61,7 @@
 func NewSyncer(holder *Holder, store platform.Store, placement Placement, caller PeerCaller, set *metrics.Set, now func() time.Time) *Syncer {
 	return &Syncer{
 		holder: holder, store: store, placement: placement, caller: caller,
-		metrics: set, now: now, pulling: map[string]bool{},
+		metrics: set, now: now, pulling: map[string]bool{}, started: now(),
 	}
 }
 
@@ -127,14 +133,57 @@
 		return
 	}
 	head, err := DecodeHead(object.Spec)
+	s.name(head.Version)
+	if !s.mayRead() {
+		return
+	}
 	if err == nil {
-		err = s.holder.Advance(ctx, head, FromStore(s.store))
+		err = s.holder.Advance(ctx, head, s.fromNeighbours())
 	}
 	if err != nil {
 		s.metrics.Add("configuration_advance_errors", 1)
 	}
 }
 
+// peersFirst is how long a starting node that does not watch leaves it to its
+// peers to bring the configuration. When a whole fleet starts, only the
+// watchers read the parts from the platform.
+const peersFirst = 3 * time.Second
+
+func (s *Syncer) mayRead() bool {
+	return s.placement.IsAmong(watcherKey, watchersPerZone) || len(s.placement.Neighbours()) == 0 || s.now().Sub(s.started) > peersFirst
+}
+
+// neighbourTries is how many neighbours are asked for a part before the platform.
+const neighbourTries = 2
+
+// fromNeighbours fetches parts from nodes of the zone, and from the platform if
+// they lack them.
+func (s *Syncer) fromNeighbours() FetchPart {
+	return func(ctx context.Context, digest string) ([]byte, error) {
+		neighbours := s.placement.Neighbours()
+		for _, address := range neighbours[:min(len(neighbours), neighbourTries)] {
+			if data, err := s.partFrom(ctx, address, digest); err == nil {
+				return data, nil
+			}
+		}
+		return FromStore(s.store)(ctx, digest)
+	}
+}
+
+func (s *Syncer) partFrom(ctx context.Context, address, digest string) ([]byte, error) {
+	request := &peerpb.Request{Body: &peerpb.Request_FetchPart{FetchPart: &peerpb.FetchPart{Digest: digest}}}
+	response, err := s.caller.Call(ctx, address, request)
+	return response.GetContent().GetData(), err
+}
+
+// name notes a version that the platform or a peer has named.
+func (s *Syncer) name(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest = max(s.newest, version)
+}
+
 func (s *Syncer) confirm() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,11 +192,11 @@
 }
 
 // Asked reports whether the platform or a peer has told the newest version
-// since the start of the node.
+// since the start of the node, and the node has it.
 func (s *Syncer) Asked() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.asked
+	return s.asked && s.holder.Current().Version() >= s.newest
 }
 
 // ConfirmedAt returns when the platform last answered.
@@ -160,6 +209,7 @@
 // Observe learns from a heartbeat which version its sender has in force, and
 // fetches it if it is newer.
 func (s *Syncer) Observe(address string, version uint64) {
+	s.name(version)
 	if version <= s.holder.Current().Version() {
 		s.heardFromPeer(version)
 		return
@@ -213,10 +263,9 @@
 // moved on meanwhile.
 func (s *Syncer) fromPeer(address string) FetchPart {
 	return func(ctx context.Context, digest string) ([]byte, error) {
-		request := &peerpb.Request{Body: &peerpb.Request_FetchPart{FetchPart: &peerpb.FetchPart{Digest: digest}}}
-		response, err := s.caller.Call(ctx, address, request)
+		data, err := s.partFrom(ctx, address, digest)
 		if err == nil {
-			return response.GetContent().GetData(), nil
+			return data, nil
 		}
 		return FromStore(s.store)(ctx, digest)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
@@ -56,15 +58,26 @@
 	case peerpb.RegisterMode_REGISTER_MODE_ARRIVE:
 		return d.arrive(key, standing, running)
 	case peerpb.RegisterMode_REGISTER_MODE_UPDATE, peerpb.RegisterMode_REGISTER_MODE_RESTORE:
-		if !exists || running.GetTurn() >= standing.running.GetTurn() {
-			d.entries[key] = &entry{running: running, touched: d.now()}
+		if exists && !precedes(standing.running, running) {
+			return &peerpb.Registered{Previous: standing.running}, nil
 		}
+		d.entries[key] = &entry{running: running, touched: d.now()}
 		return &peerpb.Registered{}, nil
 	default:
 		return nil, api.NewError(http.StatusBadRequest, api.CodeInvalidRequest, api.OutcomeNotRun, "unknown mode")
 	}
 }
 
+// precedes reports whether a report is newer than the standing record. Of two
+// records with one turn, which two nodes have given while their views differed,
+// the one that came first stays.
+func precedes(standing, running *peerpb.Running) bool {
+	if standing.GetTurn() != running.GetTurn() {
+		return standing.GetTurn() < running.GetTurn()
+	}
+	return proto.Equal(standing.GetHolder(), running.GetHolder())
+}
+
 // arrive gives the next turn to an arriving request.
 func (d *Directory) arrive(key string, standing *entry, running *peerpb.Running) (*peerpb.Registered, error) {
 	if standing == nil {
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -332,9 +332,15 @@
 
 // Close ends every node and engine.
 func (f *Fleet) Close() {
+	var ending sync.WaitGroup
 	for _, running := range f.Alive() {
-		f.Kill(running.Name)
+		ending.Add(1)
+		go func() {
+			defer ending.Done()
+			f.Kill(running.Name)
+		}()
 	}
+	ending.Wait()
 	for _, started := range f.Engines {
 		started.Close()
 	}
--- a/sim/rehearsal/generate.go
+++ b/sim/rehearsal/generate.go
@@ -68,12 +68,20 @@
 	}
 	for number := range shape.Tenants {
 		generated.Tenants = append(generated.Tenants, api.Tenant{
-			Name: fmt.Sprintf("tenant-%d", number), TokenHashes: []string{configuration.HashToken(Token(number))}, Classes: classes, Services: services,
+			Name: fmt.Sprintf("tenant-%d", number), TokenHashes: []string{configuration.HashToken(Token(number))},
+			Classes: classesOf(classes, number), Services: services,
 		})
 	}
 	return generated
 }
 
+// classesOf returns the classes of a tenant, which uses one model.
+func classesOf(classes []string, tenant int) []string {
+	const classesPerModel = 2
+	first := tenant * classesPerModel % len(classes)
+	return classes[first : first+classesPerModel]
+}
+
 // EnginePattern returns the properties of the engines that fit a generated
 // configuration.
 func EnginePattern() enginesim.Options {
--- a/sim/rehearsal/property_test.go
+++ b/sim/rehearsal/property_test.go
@@ -13,6 +13,7 @@
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(t, "steps")
 		violations, _ := runSchedule(outer, smallOptions(), steps)
 		for _, violation := range violations {
+			outer.Logf("violation: %s", violation)
 			t.Errorf("%s", violation)
 		}
 	}
--- a/sim/rehearsal/schedule_test.go
+++ b/sim/rehearsal/schedule_test.go
@@ -174,6 +174,9 @@
 // configure changes a tenant's weight through one node, as an operator does.
 func (p *play) configure(node, weight int) {
 	alive := p.fleet.Alive()
+	if len(alive) == 0 {
+		return
+	}
 	through := alive[node%len(alive)]
 	acceptor := operator.Acceptor{Configuration: through.Core.Configuration, Store: p.fleet.StoreOf(through.Name)}
 	current := through.Core.Configuration.Current()
@@ -198,9 +201,12 @@
 
 // request sends one request of some kind from a caller that may give up.
 func (p *play) request(s step) {
+	alive := p.fleet.Alive()
+	if len(alive) == 0 {
+		return // Planned stops have overtaken each other.
+	}
 	p.requests++
 	number := p.requests
-	alive := p.fleet.Alive()
 	nodes := make([]string, 0, len(alive))
 	for i := range alive {
 		nodes = append(nodes, alive[(s.a+i)%len(alive)].CallerAddress())
