Compare routing policies in an emulator that calls the scheduler itself

Cause: the decisions were unmeasured.

Found: a tenant's first request waiting for a decode slot held up its one-token requests behind it, which need none; overdue decodes counted as about to end, so slots were promised twice; a random rehearsal reported work for a leaving engine 8 s late.

Ruled out: the last was the oracle's fault: the platform was down, so no node could read the list. The oracle now counts from the moment some node could.

Change: sim/model (discrete events, seven policies, ablations, a bound), 'compare' with JSON, table and plots; two queues a pool, one for requests that end with their prefill; turnover in place of predicted ends; order by arrival plus a multiple of the prefill time within fair credit.

--- /dev/null
+++ b/cmd/reelrun-sim/compare.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/reelrun/reelrun/sim/model"
+)
+
+func compareCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("compare", flag.ContinueOnError)
+	options := model.Options{Parameters: model.DefaultParameters()}
+	flags.StringVar(&options.Workload, "workload", "fisio-xela", "fisio-xela, amrc or fleet")
+	flags.Uint64Var(&options.Seed, "seed", 1, "first seed")
+	seeds := flags.Int("seeds", 1, "number of seeds, from the first one up")
+	flags.Float64Var(&options.Load, "load", 1, "offered load; 1 fills the decode pool on average")
+	policy := flags.String("policy", "all", "a policy, all, or ablations")
+	flags.DurationVar(&options.Length, "length", 120*time.Second, "virtual time over which requests arrive")
+	flags.BoolVar(&options.Flood, "flood", false, "add a tenant that floods")
+	flags.BoolVar(&options.Fail, "fail", false, "take a decode engine away at the peak")
+	format := flags.String("format", "table", "table or json")
+	plot := flags.String("plot", "", "folder for plots over a load sweep, instead of one load")
+	return &ffcli.Command{
+		Name: "compare", ShortUsage: "reelrun-sim compare [flags]", ShortHelp: "Compare routing policies in virtual time.", FlagSet: flags,
+		Exec: func(_ context.Context, _ []string) error {
+			policies := selectPolicies(*policy)
+			if *plot != "" {
+				return model.Plot(options, policies, *seeds, *plot)
+			}
+			var outcomes []model.Outcome
+			for seed := options.Seed; seed < options.Seed+uint64(*seeds); seed++ {
+				run := options
+				run.Seed = seed
+				compared, err := model.Compare(run, policies)
+				if err != nil {
+					return err
+				}
+				outcomes = append(outcomes, compared...)
+			}
+			if *format == "json" {
+				return writeOutcomes(outcomes)
+			}
+			return tabulate(outcomes)
+		},
+	}
+}
+
+func selectPolicies(name string) []string {
+	switch name {
+	case "all":
+		return model.Policies()
+	case "ablations":
+		return model.Ablations()
+	default:
+		return []string{name}
+	}
+}
+
+func writeOutcomes(outcomes []model.Outcome) error {
+	encoder := json.NewEncoder(os.Stdout)
+	for _, outcome := range outcomes {
+		if err := encoder.Encode(outcome); err != nil {
+			return errors.Wrap(err, "write outcome")
+		}
+	}
+	return nil
+}
+
+func tabulate(outcomes []model.Outcome) error {
+	const padding = 2
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "workload\tseed\tload\tpolicy\tgoodput\twasted\trefused\tlate\tjain\tttft p95\ttbt p95\tvictims\t")
+	for _, o := range outcomes {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%.2f\t%s\t%.3f\t%.4f\t%.3f\t%.3f\t%.3f\t%.2f\t%.4f\t%.3f\t\n",
+			o.Workload, o.Seed, o.Load, o.Policy, o.Goodput, o.WastedPrefill, o.Refused, o.Late, o.Jain, o.TTFTP95, o.TBTP95, o.VictimGoodput)
+	}
+	return errors.Wrap(table.Flush(), "write table")
+}
--- a/scheduler/filter.go
+++ b/scheduler/filter.go
@@ -69,32 +69,23 @@
 }
 
 // freeSlots counts the decode slots that are open to the request at a time:
-// those free now and, if ahead is set, those of requests predicted to end by then.
+// those free now and, if ahead is set, a share of those that are expected to end by
+// then. The share is below one, because a request without a slot waits while its
+// prefill result ages.
 func freeSlots(snapshot *Snapshot, request *Request, options *Options, at time.Duration, ahead bool) int {
-	free := 0
+	free, ending := 0, 0.0
 	for i := range snapshot.Decode {
 		engine := &snapshot.Decode[i]
 		if !engine.Ready || request.excludes(engine.Name) {
 			continue
 		}
-		ending := 0
 		if ahead {
-			ending = countBefore(engine.Finishes, at)
+			ending += options.AheadShare * engine.Turnover * max(at-snapshot.Now, 0).Seconds()
 		}
-		if engine.KVUsed+requestKV(request) > engine.KVTokens && ending == 0 {
+		if engine.KVUsed+requestKV(request) > engine.KVTokens {
 			continue
 		}
-		free += max(batchLimit(engine, request.TokenInterval, options)-engine.SlotsUsed+ending, 0)
+		free += max(batchLimit(engine, request.TokenInterval, options)-engine.SlotsUsed, 0)
 	}
-	return free
-}
-
-func countBefore(times []time.Duration, at time.Duration) int {
-	count := 0
-	for _, finish := range times {
-		if finish <= at {
-			count++
-		}
-	}
-	return count
+	return free + int(ending)
 }
--- a/scheduler/options.go
+++ b/scheduler/options.go
@@ -20,10 +20,10 @@
 
 // The orderings.
 const (
-	// OrderDeficit serves tenants with credit left by deadline, and refills
-	// credit when none has any. It follows the deficit scheme of DLPM (Cao et
-	// al., "Locality-aware Fair Scheduling in LLM Serving", 2025), with the
-	// deadline in place of the longest prefix.
+	// OrderDeficit serves tenants with credit left, and refills credit when none
+	// has any. It follows the deficit scheme of DLPM (Cao et al.,
+	// "Locality-aware Fair Scheduling in LLM Serving", 2025), with arrival and
+	// length in place of the longest prefix.
 	OrderDeficit Ordering = iota
 	// OrderVTC serves the tenant with the lowest service counter (Sheng et al.,
 	// "Fairness in Serving Large Language Models", 2024).
@@ -43,6 +43,16 @@
 	// Default 30ms. The rest waits in the pool's queue, where it can be
 	// reordered or refused without waste.
 	MaxBacklog time.Duration
+	// AheadShare is the share of the expected ends of decodes that
+	// ReserveAhead counts on. Default 0.5.
+	AheadShare float64
+	// Stretch orders the requests of OrderDeficit by their arrival plus this many
+	// times their prefill time, so that short ones pass long ones, but not for
+	// ever. Default 4.
+	Stretch float64
+	// NoForecast refuses a request only when an idle queue would be too late as
+	// well, and not for the work that waits before it.
+	NoForecast bool
 	// Scan is how many waiting tenants are looked at when the first cannot be
 	// granted. Default 8.
 	Scan int
@@ -63,10 +73,18 @@
 	const defaultBacklog = 30 * time.Millisecond
 	const defaultQuantum = 4096
 	const defaultScan = 8
+	const defaultAheadShare = 0.5
+	const defaultStretch = 4
 	const defaultSlackSteps = 2
 	if o.MaxBacklog == 0 {
 		o.MaxBacklog = defaultBacklog
 	}
+	if o.AheadShare == 0 {
+		o.AheadShare = defaultAheadShare
+	}
+	if o.Stretch == 0 {
+		o.Stretch = defaultStretch
+	}
 	if o.Scan == 0 {
 		o.Scan = defaultScan
 	}
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -28,8 +28,9 @@
 	cached   int
 	// prefillEnd is the predicted end of its prefill.
 	prefillEnd time.Duration
-	finish     time.Duration
-	charged    float64
+	// turnover is its part in the turnover of its decode engine.
+	turnover float64
+	charged  float64
 }
 
 // Pool keeps the books of one pool of engines. It is not safe for concurrent
@@ -42,8 +43,11 @@
 	prefill []PrefillState
 	decode  []DecodeState
 	index   *PrefixIndex
-	queue   *fairQueue
-	active  map[string]*active
+	// local holds the requests that end with their prefill, and moving those that
+	// need a decode slot: the lack of slots must not hold the former up.
+	local  *fairQueue
+	moving *fairQueue
+	active map[string]*active
 	// pending are the active requests that wait for a decode engine, in order.
 	pending    []*active
 	reserved   int
@@ -56,7 +60,7 @@
 	options.setDefaults()
 	return &Pool{
 		options: options, linkRate: linkTokensPerSecond, index: NewPrefixIndex(),
-		queue: newFairQueue(options.Ordering, options.Quantum), active: map[string]*active{}, ratio: 1,
+		local: newFairQueue(&options), moving: newFairQueue(&options), active: map[string]*active{}, ratio: 1,
 	}
 }
 
@@ -77,20 +81,21 @@
 	}
 }
 
+// shortestDecode keeps the turnover of a short answer finite, in seconds.
+const shortestDecode = 0.001
+
 // take books a request at a decode engine.
 func (s *DecodeState) take(granted *active) {
 	s.SlotsUsed++
 	s.KVUsed += requestKV(granted.request)
-	s.Finishes = append(s.Finishes, granted.finish)
+	s.Turnover += granted.turnover
 }
 
 // drop undoes take.
 func (s *DecodeState) drop(granted *active) {
 	s.SlotsUsed--
 	s.KVUsed -= requestKV(granted.request)
-	if at := slices.Index(s.Finishes, granted.finish); at >= 0 {
-		s.Finishes = slices.Delete(s.Finishes, at, at+1)
-	}
+	s.Turnover -= granted.turnover
 }
 
 // SetReady marks an engine as able to take work or not.
@@ -135,7 +140,7 @@
 }
 
 // Waiting returns the number of requests in the queue.
-func (p *Pool) Waiting() int { return p.queue.length }
+func (p *Pool) Waiting() int { return p.local.length + p.moving.length }
 
 // Active returns the number of granted requests.
 func (p *Pool) Active() int { return len(p.active) }
@@ -144,20 +149,38 @@
 // its deadline unreachable.
 func (p *Pool) Submit(now time.Duration, request *Request) *Decision {
 	snapshot := p.Snapshot(now)
-	snapshot.Ahead = p.queue.ahead(request.Tenant, 0)
+	snapshot.Ahead = p.ahead(request)
 	decision := Decide(snapshot, request, p.options)
 	if decision.Kind == KindRefuse {
 		return &decision
 	}
 	expected := decision.FirstToken + drainTime(&Snapshot{Now: now, Prefill: p.idlePrefill(), Ahead: snapshot.Ahead})
-	if expected > request.Deadline() && !request.LateAllowed && !p.options.NoAdmission {
+	forecast := !p.options.NoForecast && !p.options.NoAdmission
+	if expected > request.Deadline() && !request.LateAllowed && forecast {
 		refused := refuse(snapshot, request, ReasonDeadline)
 		return &refused
 	}
-	p.queue.push(request)
+	p.queueOf(request).push(request)
 	return nil
 }
 
+func (p *Pool) queueOf(request *Request) *fairQueue {
+	if request.IsLocal() {
+		return p.local
+	}
+	return p.moving
+}
+
+// ahead is the backlog of both queues that comes before a new request.
+func (p *Pool) ahead(request *Request) Backlog {
+	local, moving := p.local.ahead(request.Tenant, 0), p.moving.ahead(request.Tenant, 0)
+	if request.IsLocal() {
+		// What waits for a decode slot does not take the prefill engines meanwhile.
+		return local
+	}
+	return Backlog{Requests: local.Requests + moving.Requests, PrefillTokens: local.PrefillTokens + moving.PrefillTokens}
+}
+
 // idlePrefill returns the engines as if they were idle, so that work under way,
 // which a prediction includes already, does not count twice.
 func (p *Pool) idlePrefill() []PrefillState {
@@ -189,7 +212,7 @@
 			still = append(still, granted)
 			continue
 		}
-		p.startDecode(now, granted, name)
+		p.startDecode(granted, name)
 		decisions = append(decisions, Decision{Kind: KindDecode, RequestID: granted.request.ID, Prefill: granted.prefill, Decode: name})
 	}
 	clear(p.pending[len(still):])
@@ -200,15 +223,15 @@
 // scheduleOne grants or refuses one waiting request. It reports false if there
 // is nothing to do.
 func (p *Pool) scheduleOne(now time.Duration) (Decision, bool) {
-	for _, request := range p.queue.heads(p.options.Scan) {
+	for _, request := range headsOf(p.local, p.moving, p.options.Scan) {
 		decision := Decide(p.Snapshot(now), request, p.options)
 		switch decision.Kind {
 		case KindPrefill:
-			p.queue.remove(request)
+			p.queueOf(request).remove(request)
 			p.startPrefill(now, request, decision)
 			return decision, true
 		case KindRefuse:
-			p.queue.remove(request)
+			p.queueOf(request).remove(request)
 			return decision, true
 		}
 	}
@@ -229,7 +252,7 @@
 		}
 	}
 	granted.charged = extendTokenWeight*float64(uncached) + outputTokenWeight*p.expectedOutput(request)
-	p.queue.charge(request.Tenant, granted.charged)
+	p.queueOf(request).charge(request.Tenant, granted.charged)
 	p.index.Store(decision.Prefill, request.Prefixes)
 }
 
@@ -273,13 +296,13 @@
 	state.FreeAt = free
 }
 
-func (p *Pool) startDecode(now time.Duration, granted *active, name string) {
+func (p *Pool) startDecode(granted *active, name string) {
 	p.reserve(granted, -1)
 	state := p.findDecode(name)
 	granted.progress = atDecode
 	granted.decode = name
 	step := state.Step.Time(state.SlotsUsed+1, state.KVUsed+requestKV(granted.request))
-	granted.finish = now + time.Duration(p.expectedOutput(granted.request)*float64(step))
+	granted.turnover = 1 / max(p.expectedOutput(granted.request)*step.Seconds(), shortestDecode)
 	state.take(granted)
 }
 
@@ -314,7 +337,7 @@
 	if outputTokens >= 0 {
 		request := granted.request
 		cost := extendTokenWeight*float64(request.PromptTokens-granted.cached) + outputTokenWeight*float64(outputTokens)
-		p.queue.charge(request.Tenant, cost-granted.charged)
+		p.queueOf(request).charge(request.Tenant, cost-granted.charged)
 		if request.MaxTokens > 1 {
 			p.ratio += ratioGain * (float64(outputTokens)/float64(request.MaxTokens) - p.ratio)
 		}
@@ -340,7 +363,7 @@
 }
 
 // Withdraw takes a request out of the queue. It reports whether it was there.
-func (p *Pool) Withdraw(request *Request) bool { return p.queue.remove(request) }
+func (p *Pool) Withdraw(request *Request) bool { return p.queueOf(request).remove(request) }
 
 // Restore books a request that another owner has granted.
 func (p *Pool) Restore(now time.Duration, request *Request, prefill, decode string) {
@@ -355,5 +378,5 @@
 	if decode == "" || p.findDecode(decode) == nil {
 		return
 	}
-	p.startDecode(now, granted, decode)
+	p.startDecode(granted, decode)
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -6,12 +6,13 @@
 	"time"
 )
 
-// waiting is the queue of one tenant, ordered by deadline (by arrival for the
-// orderings that ignore deadlines).
+// waiting is the queue of one tenant, ordered by key.
 type waiting struct {
 	tenant   string
 	weight   float64
 	requests []*Request
+	// keys are the places of the requests in the order.
+	keys []time.Duration
 	// credit is the deficit counter; counter is the service received.
 	credit  float64
 	counter float64
@@ -25,14 +26,36 @@
 type fairQueue struct {
 	ordering Ordering
 	quantum  float64
-	tenants  map[string]*waiting
-	order    tenantHeap
-	length   int
-	tokens   int
+	// stretchPerToken is added to a request's arrival for each prompt token.
+	stretchPerToken time.Duration
+	tenants         map[string]*waiting
+	order           tenantHeap
+	length          int
+	tokens          int
 }
 
-func newFairQueue(ordering Ordering, quantum float64) *fairQueue {
-	return &fairQueue{ordering: ordering, quantum: quantum, tenants: map[string]*waiting{}, order: tenantHeap{ordering: ordering}}
+func newFairQueue(options *Options) *fairQueue {
+	return &fairQueue{
+		ordering: options.Ordering, quantum: options.Quantum, tenants: map[string]*waiting{},
+		order:           tenantHeap{ordering: options.Ordering},
+		stretchPerToken: seconds(options.Stretch / nominalPrefillRate),
+	}
+}
+
+// nominalPrefillRate turns prompt tokens into time for the order of requests, in
+// tokens a second. Only its product with the stretch matters.
+const nominalPrefillRate = 20000
+
+// key is the place of a request in the order; the lowest goes first.
+func (q *fairQueue) key(request *Request) time.Duration {
+	switch q.ordering {
+	case OrderDeficit:
+		return request.Arrival + time.Duration(request.PromptTokens)*q.stretchPerToken
+	case OrderDeadline:
+		return request.Deadline()
+	default:
+		return request.Arrival
+	}
 }
 
 // tenantHeap holds the tenants that have waiting requests.
@@ -41,6 +64,9 @@
 	tenants  []*waiting
 }
 
+// headKey is the key of the tenant's first request.
+func (w *waiting) headKey() time.Duration { return w.keys[0] }
+
 // Len implements heap.Interface.
 func (h *tenantHeap) Len() int { return len(h.tenants) }
 
@@ -52,19 +78,14 @@
 		if a.counter != b.counter {
 			return a.counter < b.counter
 		}
-	case OrderArrival:
-		if a.requests[0].Arrival != b.requests[0].Arrival {
-			return a.requests[0].Arrival < b.requests[0].Arrival
-		}
 	case OrderDeficit:
 		if (a.credit > 0) != (b.credit > 0) {
 			return a.credit > 0
 		}
-		fallthrough
 	default:
-		if a.requests[0].Deadline() != b.requests[0].Deadline() {
-			return a.requests[0].Deadline() < b.requests[0].Deadline()
-		}
+	}
+	if a.headKey() != b.headKey() {
+		return a.headKey() < b.headKey()
 	}
 	return a.tenant < b.tenant
 }
@@ -111,32 +132,18 @@
 	if len(tenant.requests) == 0 {
 		q.lift(tenant)
 	}
-	at, _ := slices.BinarySearchFunc(tenant.requests, request, q.compare)
+	key := q.key(request)
+	at, _ := slices.BinarySearch(tenant.keys, key)
+	for at < len(tenant.keys) && tenant.keys[at] == key && tenant.requests[at].ID < request.ID {
+		at++
+	}
 	tenant.requests = slices.Insert(tenant.requests, at, request)
+	tenant.keys = slices.Insert(tenant.keys, at, key)
 	q.length++
 	q.tokens += request.PromptTokens
 	q.fix(tenant)
 }
 
-func (q *fairQueue) compare(a, b *Request) int {
-	keyA, keyB := a.Deadline(), b.Deadline()
-	if q.ordering == OrderArrival || q.ordering == OrderVTC {
-		keyA, keyB = a.Arrival, b.Arrival
-	}
-	switch {
-	case keyA < keyB:
-		return -1
-	case keyA > keyB:
-		return 1
-	case a.ID < b.ID:
-		return -1
-	case a.ID > b.ID:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // lift keeps a tenant that was idle from using the time it was away as credit.
 func (q *fairQueue) lift(tenant *waiting) {
 	if q.ordering != OrderVTC || q.order.Len() == 0 {
@@ -168,6 +175,7 @@
 		return false
 	}
 	tenant.requests = slices.Delete(tenant.requests, at, at+1)
+	tenant.keys = slices.Delete(tenant.keys, at, at+1)
 	tenant.idleSince = request.Arrival
 	q.length--
 	q.tokens -= request.PromptTokens
@@ -227,6 +235,20 @@
 	return heads
 }
 
+// headsOf returns the first requests of two queues, merged by their keys.
+func headsOf(a, b *fairQueue, limit int) []*Request {
+	first, second := a.heads(limit), b.heads(limit)
+	merged := make([]*Request, 0, len(first)+len(second))
+	for len(first) > 0 && len(second) > 0 {
+		if a.key(first[0]) <= b.key(second[0]) {
+			merged, first = append(merged, first[0]), first[1:]
+			continue
+		}
+		merged, second = append(merged, second[0]), second[1:]
+	}
+	return append(append(merged, first...), second...)
+}
+
 // ahead predicts the work that is granted before a new request of the tenant:
 // its own waiting requests and, tenant by tenant, as many tokens of the others.
 func (q *fairQueue) ahead(name string, tokens int) Backlog {
--- a/scheduler/types.go
+++ b/scheduler/types.go
@@ -77,8 +77,8 @@
 	// SlotsUsed and KVUsed are what granted requests take.
 	SlotsUsed int
 	KVUsed    int
-	// Finishes are the predicted ends of its requests, in no order.
-	Finishes []time.Duration
+	// Turnover is how many of its requests are expected to end in a second.
+	Turnover float64
 }
 
 // Backlog is the work that will be granted before the request at hand.
--- /dev/null
+++ b/sim/model/compare.go
@@ -0,0 +1,206 @@
+package model
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Options describe one comparison.
+type Options struct {
+	Workload string
+	Seed     uint64
+	// Load is one when the decode pool is full on average.
+	Load float64
+	// Policy is the name of the policy.
+	Policy string
+	// Length is the virtual time over which requests arrive.
+	Length time.Duration
+	// Flood adds one tenant that floods, and Fail takes a decode engine away at
+	// the peak.
+	Flood bool
+	Fail  bool
+	// Parameters describe the engines.
+	Parameters Parameters
+}
+
+// Outcome is the result of one run.
+type Outcome struct {
+	Workload string  `json:"workload"`
+	Seed     uint64  `json:"seed"`
+	Load     float64 `json:"load"`
+	Policy   string  `json:"policy"`
+	// Goodput is the share of all offered requests that met both targets.
+	Goodput float64 `json:"goodput"`
+	// WastedPrefill is the share of prefilled tokens whose result was never used.
+	WastedPrefill float64 `json:"wasted_prefill"`
+	Refused       float64 `json:"refused"`
+	Late          float64 `json:"late"`
+	// Jain is the fairness index of the tenants' goodput.
+	Jain    float64 `json:"jain"`
+	TTFTP95 float64 `json:"ttft_p95_s"`
+	TBTP95  float64 `json:"tbt_p95_s"`
+	// VictimGoodput is the goodput of all tenants but the flooding one.
+	VictimGoodput float64 `json:"victim_goodput"`
+	Offered       int     `json:"offered"`
+}
+
+// failTime is how long a decode engine stays away.
+const failTime = 20 * time.Second
+
+// Run plays one policy over one workload.
+func Run(options Options) (Outcome, error) {
+	mix, err := findWorkload(options.Workload)
+	if err != nil {
+		return Outcome{}, err
+	}
+	const requestStream, engineStream, policyStream = 1, 2, 3
+	parameters := options.Parameters
+	rate, prefills := capacity(mix, parameters)
+	jobs := mix.generate(rand.New(rand.NewPCG(options.Seed, requestStream)), rate*options.Load, options.Length, options.Flood)
+	engineRandom := rand.New(rand.NewPCG(options.Seed, engineStream))
+	for _, j := range jobs {
+		j.hangUp = j.kind.maxOutput > 1 && engineRandom.Float64() < parameters.HangUpShare
+	}
+	s := &simulation{
+		parameters: parameters,
+		stalls:     func() bool { return engineRandom.Float64() < parameters.StallShare },
+		gaps:       func() bool { return engineRandom.Float64() < parameters.EventGaps },
+	}
+	for range prefills {
+		s.prefills = append(s.prefills, &prefillEngine{cache: newPrefixCache(parameters.CacheBlocks)})
+	}
+	for range parameters.DecodeEngines {
+		s.decodes = append(s.decodes, &decodeEngine{up: true})
+	}
+	s.router, err = newRouter(options.Policy, s, jobs, rand.New(rand.NewPCG(options.Seed, policyStream)))
+	if err != nil {
+		return Outcome{}, err
+	}
+	s.schedule(jobs, options)
+	const drain = 60 * time.Second
+	s.play(options.Length + drain)
+	return s.outcome(jobs, options), nil
+}
+
+// schedule plans the arrivals, the callers' patience and the failure.
+func (s *simulation) schedule(jobs []*job, options Options) {
+	for _, j := range jobs {
+		s.after(j.arrival, func() {
+			patience := time.Duration(s.parameters.Patience * float64(j.kind.firstToken))
+			s.after(patience, func() { s.leave(j) })
+			s.router.arrive(j)
+		})
+	}
+	if options.Fail {
+		s.after(options.Length/2, func() { s.fail(0, failTime) })
+	}
+}
+
+// capacity returns the rate of requests a second at which the decode pool is
+// full on average, and the number of prefill engines that then have the wanted
+// utilization.
+func capacity(mix workload, parameters Parameters) (rate float64, prefills int) {
+	uncached, decodeTokens := mix.means()
+	const typicalContext = 1500
+	step := parameters.Step.Time(parameters.Slots, parameters.Slots*typicalContext)
+	tokensPerSecond := float64(parameters.DecodeEngines*parameters.Slots) / step.Seconds()
+	rate = tokensPerSecond / decodeTokens
+	work := rate * (uncached/parameters.PrefillTokensPerSecond + parameters.PrefillOverhead.Seconds())
+	return rate, int(math.Ceil(work / parameters.PrefillUtilization))
+}
+
+// meets reports whether a job met both targets.
+func (j *job) meets() bool {
+	if !j.state.answered || j.state.first-j.arrival > j.kind.firstToken {
+		return false
+	}
+	return j.state.produced < 2 || j.interval() <= j.kind.tokenInterval
+}
+
+func (j *job) interval() time.Duration {
+	return (j.state.last - j.state.first) / time.Duration(max(j.state.produced-1, 1))
+}
+
+func (s *simulation) outcome(jobs []*job, options Options) Outcome {
+	result := Outcome{Workload: options.Workload, Seed: options.Seed, Load: options.Load, Policy: options.Policy}
+	var first, intervals []time.Duration
+	met, refused, late, victims, victimsMet := 0, 0, 0, 0, 0
+	offeredBy, metBy := map[string]float64{}, map[string]float64{}
+	for _, j := range jobs {
+		if j.hangUp {
+			continue // A caller that leaves by itself counts neither way.
+		}
+		result.Offered++
+		offeredBy[j.tenant]++
+		if !j.flood {
+			victims++
+		}
+		switch {
+		case j.meets():
+			met++
+			metBy[j.tenant]++
+			if !j.flood {
+				victimsMet++
+			}
+		case j.state.refused:
+			refused++
+		default:
+			late++
+		}
+		if j.state.answered {
+			first = append(first, j.state.first-j.arrival)
+			if j.state.produced > 1 {
+				intervals = append(intervals, j.interval())
+			}
+		}
+	}
+	offered := float64(max(result.Offered, 1))
+	result.Goodput = round(float64(met) / offered)
+	result.Refused = round(float64(refused) / offered)
+	result.Late = round(float64(late) / offered)
+	result.VictimGoodput = round(float64(victimsMet) / float64(max(victims, 1)))
+	result.WastedPrefill = round(float64(s.wasted) / float64(max(s.prefilled, 1)))
+	result.Jain = round(jain(offeredBy, metBy))
+	result.TTFTP95, result.TBTP95 = round(percentile95(first)), round(percentile95(intervals))
+	return result
+}
+
+// round keeps five decimals, so that output does not depend on the last bits.
+func round(value float64) float64 {
+	const scale = 1e5
+	return math.Round(value*scale) / scale
+}
+
+// jain is Jain's index over the tenants' shares of met requests. Tenants with
+// few requests are left out, since their share is mostly chance.
+func jain(offered, met map[string]float64) float64 {
+	const fewest = 20
+	names := make([]string, 0, len(offered))
+	for name, count := range offered {
+		if count >= fewest {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	sum, squares := 0.0, 0.0
+	for _, name := range names {
+		share := met[name] / offered[name]
+		sum += share
+		squares += share * share
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(names)) * squares)
+}
+
+func percentile95(values []time.Duration) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	const numerator, denominator = 95, 100
+	return values[(len(values)-1)*numerator/denominator].Seconds()
+}
--- /dev/null
+++ b/sim/model/parameters.go
@@ -0,0 +1,55 @@
+package model
+
+import (
+	"time"
+
+	"github.com/reelrun/reelrun/scheduler"
+)
+
+// Parameters describe the engines and links. See docs/MODEL.md.
+type Parameters struct {
+	// PrefillTokensPerSecond is the rate of one prefill engine, and
+	// PrefillOverhead the fixed time of one prefill.
+	PrefillTokensPerSecond float64
+	PrefillOverhead        time.Duration
+	// Step is the time of one decode step.
+	Step scheduler.StepModel
+	// Slots and KVTokens bound a decode engine.
+	Slots    int
+	KVTokens int
+	// LinkTokensPerSecond is the KV rate of a prefill engine's link.
+	LinkTokensPerSecond float64
+	// StallShare is the share of transfers that stall, and StallTime how long.
+	StallShare float64
+	StallTime  time.Duration
+	// Hold is how long a prefill result is kept.
+	Hold time.Duration
+	// CacheBlocks is the size of a prefill engine's prefix cache. Its events
+	// reach the router after EventDelay, and EventGaps of them never.
+	CacheBlocks int
+	EventDelay  time.Duration
+	EventGaps   float64
+	// LoadLag is the age of the load reports that the baselines choose by.
+	LoadLag time.Duration
+	// Patience is how many first-token targets a caller waits for its first token.
+	Patience float64
+	// HangUpShare is the share of callers that leave in the middle of an answer.
+	HangUpShare float64
+	// DecodeEngines is the number of decode engines; that of prefill engines
+	// follows from the workload.
+	DecodeEngines int
+	// PrefillUtilization is the utilization of the prefill engines at load 1.
+	PrefillUtilization float64
+}
+
+// DefaultParameters returns the parameters that docs/MODEL.md describes.
+func DefaultParameters() Parameters {
+	return Parameters{
+		PrefillTokensPerSecond: 20000, PrefillOverhead: 5 * time.Millisecond,
+		Step:  scheduler.StepModel{Base: 10 * time.Millisecond, PerRequest: 250 * time.Microsecond, PerContextToken: 40 * time.Nanosecond},
+		Slots: 32, KVTokens: 200_000,
+		LinkTokensPerSecond: 150_000, StallShare: 0.002, StallTime: 2 * time.Second, Hold: 5 * time.Second,
+		CacheBlocks: 2048, EventDelay: time.Second, EventGaps: 0.05, LoadLag: 500 * time.Millisecond,
+		Patience: 4, HangUpShare: 0.02, DecodeEngines: 8, PrefillUtilization: 0.8,
+	}
+}
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -282,6 +282,16 @@
 	return alive
 }
 
+// readsPlatform reports whether some running node reaches the platform.
+func (f *Fleet) readsPlatform() bool {
+	for _, running := range f.Alive() {
+		if down, _ := f.Platform.isDown(running.Name); !down {
+			return true
+		}
+	}
+	return false
+}
+
 // markStopped reports whether the node was running.
 func (f *Fleet) markStopped(stopped *Node) bool {
 	f.mu.Lock()
