Join through seeds only where nothing is heard; reset only silent peers

Cause: 410 hollow nodes did not become ready in eight minutes and burned eight cores. The goroutine dump showed 13 million goroutines started, most of them dials: every node asked every seed of another zone for all members each four seconds (25 kB each at this size), the answers came late, and each late heartbeat closed its connection, which added a dial.

Ruled out: memory (the garbage collector ran hot because of it, not before).

Change: only nodes that hear nobody of their zone and the representatives ask seeds, and they fetch only the zones they lack; a connection is closed only when its node is not heard at all.

--- a/cmd/reelrun-sim/hollow.go
+++ b/cmd/reelrun-sim/hollow.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"runtime/debug"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,11 +27,20 @@
 	flags.DurationVar(&options.Window, "window", 10*time.Second, "time for which the settled fleet is measured")
 	flags.IntVar(&options.Trials, "trials", 5, "configuration changes and deaths for each figure")
 	memory := flags.Int64("memory-limit", 10<<30, "bytes from which the garbage collector works harder")
+	series := flags.String("series", "", "numbers of nodes to measure one after the other, with the users' other figures in proportion")
+	out := flags.String("out", "out", "folder for the results of a series")
 	flags.BoolVar(&options.Failures, "failures", false, "also measure churn, a cut zone, deaths and the loss of a zone")
 	return &ffcli.Command{
 		Name: "hollow", ShortUsage: "reelrun-sim hollow [flags]", ShortHelp: "Measure a fleet of hollow nodes in one process.", FlagSet: flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			debug.SetMemoryLimit(*memory)
+			if *series != "" {
+				sizes, err := parseSeries(*series, options)
+				if err != nil {
+					return err
+				}
+				return hollow.Series(ctx, os.Stdout, sizes, *out)
+			}
 			report, err := hollow.Measure(ctx, options)
 			if err != nil {
 				return err
@@ -44,3 +54,15 @@
 		},
 	}
 }
+
+func parseSeries(list string, options hollow.Options) ([]hollow.Options, error) {
+	var sizes []hollow.Options
+	for _, text := range split(list) {
+		nodes, err := strconv.Atoi(text)
+		if err != nil || nodes < 1 {
+			return nil, errors.Newf("%q is not a number of nodes", text)
+		}
+		sizes = append(sizes, hollow.Scaled(nodes, options.Window, options.Trials, options.Failures))
+	}
+	return sizes, nil
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -108,10 +108,13 @@
 	}
 }
 
-// joinSeeds asks the seeds while the node hears nobody, or too few to have
-// heard of the other zones.
+// joinSeeds asks the seeds that are not heard. Only a node that hears nobody and
+// those that speak for their zone do so: the others learn from these.
 func (s *Service) joinSeeds(ctx context.Context) {
 	self := s.table.Self()
+	if !s.table.Represents(s.now()) {
+		return
+	}
 	for _, address := range s.seeds {
 		if address != self.Address && !s.table.HearsAddress(s.now(), address) {
 			s.start(ctx, Target{Address: address, Join: true})
@@ -129,14 +132,17 @@
 	request := &peerpb.Request{Body: &peerpb.Request_Heartbeat{Heartbeat: s.heartbeat(target.Zone)}}
 	response, err := s.caller.Call(ctx, target.Address, request)
 	if err != nil {
-		s.caller.Reset(target.Address)
+		// A node that answers others is slow, and a new connection would only add
+		// to its work.
+		if !s.table.HearsAddress(s.now(), target.Address) {
+			s.caller.Reset(target.Address)
+		}
 		return
 	}
 	reply := response.GetHeartbeat()
 	stale := s.observe(reply)
 	if target.Join {
-		s.fetch(ctx, target.Address, "")
-		return
+		stale = s.table.Lacking(s.now(), reply.GetMember().GetZone())
 	}
 	for _, zone := range stale {
 		s.fetch(ctx, target.Address, zone)
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -12,8 +12,8 @@
 	Name    string
 	Zone    string
 	Address string
-	// Join states that the node has not been heard yet, so that all of its views
-	// are to be fetched.
+	// Join states that the node is a seed, of which what the table lacks is to be
+	// fetched.
 	Join bool
 }
 
@@ -34,7 +34,7 @@
 		if (own || remote[name] || known.heard.IsZero()) && t.due(now, known) {
 			known.tried = now
 			targets = append(targets, Target{
-				Name: name, Zone: known.member.Zone, Address: known.member.Address, Join: known.heard.IsZero(),
+				Name: name, Zone: known.member.Zone, Address: known.member.Address,
 			})
 		}
 	}
@@ -135,3 +135,27 @@
 	}
 	return false
 }
+
+// Represents reports whether the node speaks for its zone. One that hears no
+// other node of its zone does.
+func (t *Table) Represents(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.represents(t.ownZone(now))
+}
+
+// Lacking returns the zones whose members are to be fetched from a node of the
+// given zone: that zone, if there is no view of it, and the own zone, if no other
+// node of it is heard.
+func (t *Table) Lacking(now time.Time, zone string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lacking []string
+	if _, known := t.zones[zone]; !known && zone != t.self.Zone {
+		lacking = append(lacking, zone)
+	}
+	if len(t.ownZone(now)) == 1 || zone == t.self.Zone {
+		lacking = append(lacking, t.self.Zone)
+	}
+	return lacking
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -50,7 +50,7 @@
 func (q *fairQueue) key(request *Request) time.Duration {
 	switch q.ordering {
 	case OrderDeficit:
-		return request.Arrival + time.Duration(request.PromptTokens)*q.stretchPerToken
+		return request.Deadline() + time.Duration(request.PromptTokens)*q.stretchPerToken
 	case OrderDeadline:
 		return request.Deadline()
 	default:
--- a/sim/rehearsal/monitor.go
+++ b/sim/rehearsal/monitor.go
@@ -32,10 +32,10 @@
 type Monitor struct {
 	fleet *Fleet
 
-	mu         sync.Mutex
-	versions   []accepted
-	seen       map[*Node]uint64
-	leaving    map[string]time.Time
+	mu       sync.Mutex
+	versions []accepted
+	seen     map[*Node]uint64
+	leaving  map[string]time.Time
 	// blind are the times at which no node could read the platform's list.
 	blind      []time.Time
 	violations []string
