--- /dev/null
+++ b/controller/engineorder/reconciler_test.go
@@ -0,0 +1,162 @@
+package engineorder
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/controller"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/sim/platformsim"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// engines is one engine that obeys.
+type engines struct {
+	load    engine.Load
+	streams []engine.StreamStatus
+	taken   []engine.Order
+	// pause runs between the look at the lease and the sending of an order.
+	pause func()
+}
+
+func (e *engines) Load(context.Context, string) (engine.Load, error) { return e.load, nil }
+func (e *engines) Streams(context.Context, string) ([]engine.StreamStatus, error) {
+	return e.streams, nil
+}
+
+func (e *engines) Order(_ context.Context, _ string, order engine.Order, guard func() error) error {
+	if e.pause != nil {
+		e.pause()
+	}
+	if err := guard(); err != nil {
+		return err
+	}
+	e.taken = append(e.taken, order)
+	if order.Kind == engine.OrderRole {
+		e.load.Role = order.Role
+	}
+	return nil
+}
+
+type always struct{}
+
+func (always) Owns(string, string) bool { return true }
+
+// fixture is two candidates for one pool over one store.
+type fixture struct {
+	now     time.Time
+	engines *engines
+	first   *Reconciler
+	second  *Reconciler
+}
+
+func newFixture(t *testing.T, checksFence bool) *fixture {
+	t.Helper()
+	f := &fixture{now: time.Unix(1000, 0), engines: &engines{load: engine.Load{Role: api.RoleDecode}}}
+	holder := configuration.NewHolder()
+	parts, err := configuration.Split(api.Configuration{Pools: []api.Pool{{
+		Name: "pool", Model: "m", Zone: "z", ChecksFence: checksFence, Engines: []api.Engine{{Name: "e", Address: "127.0.0.1:1", Role: api.RolePrefill}},
+	}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	head := configuration.Head{Version: 1}
+	stored := map[string][]byte{}
+	for _, part := range parts {
+		head.Parts = append(head.Parts, part.Digest)
+		stored[part.Digest] = part.Data
+	}
+	fetch := func(_ context.Context, digest string) ([]byte, error) { return stored[digest], nil }
+	if err := holder.Advance(context.Background(), head, fetch); err != nil {
+		t.Fatal(err)
+	}
+	store := platformsim.NewStore(platformsim.Options{})
+	candidate := func(name string) *Reconciler {
+		return New(Options{
+			Configuration: holder, Store: store, Engines: f.engines, Owner: always{}, Metrics: metrics.NewSet(),
+			Events: timeline.NewRing(name, timeline.NewClock(time.Now), 16), Holder: name, Now: func() time.Time { return f.now },
+		})
+	}
+	f.first, f.second = candidate("first"), candidate("second")
+	return f
+}
+
+func reconcile(t *testing.T, r *Reconciler) controller.Result {
+	t.Helper()
+	result, err := r.Reconcile(context.Background(), controller.Request{Name: "pool"})
+	if err != nil {
+		t.Logf("reconcile: %v", err)
+	}
+	return result
+}
+
+func TestOrderIsSentOnceAndTheLeaseReturned(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, true)
+	reconcile(t, f.first)
+	reconcile(t, f.first)
+	g.Expect(f.engines.taken).To(HaveLen(1))
+	f.engines.load.Role = api.RoleDecode
+	reconcile(t, f.second)
+	g.Expect(f.engines.taken).To(HaveLen(2), "a lease that was given back need not be waited for")
+	g.Expect(f.engines.taken[1].Fence).To(BeNumerically(">", f.engines.taken[0].Fence))
+}
+
+func TestBusyEngineDrainsFirst(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, true)
+	f.engines.streams = []engine.StreamStatus{{}}
+	g.Expect(reconcile(t, f.first).RequeueAfter).To(Equal(busyRetry))
+	g.Expect(f.engines.taken).To(BeEmpty())
+	f.engines.streams = nil
+	reconcile(t, f.first)
+	g.Expect(f.engines.taken).To(HaveLen(1))
+}
+
+// TestThawedHolderSendsNothing pauses the first holder between its look at the
+// lease and the sending, until the second has taken over.
+func TestThawedHolderSendsNothing(t *testing.T) {
+	for _, checksFence := range []bool{true, false} {
+		g := NewWithT(t)
+		f := newFixture(t, checksFence)
+		f.engines.pause = func() {
+			f.engines.pause = nil
+			reconcile(t, f.second) // Sees the lease held.
+			f.now = f.now.Add(defaultLeaseDuration + time.Second)
+			reconcile(t, f.second) // Takes over.
+			f.now = f.now.Add(defaultOrderTimeout)
+			reconcile(t, f.second) // Has waited the first holder's order out.
+			g.Expect(f.engines.taken).To(HaveLen(1))
+		}
+		reconcile(t, f.first)
+		g.Expect(f.engines.taken).To(HaveLen(1), "only the second holder's order was sent")
+	}
+}
+
+// TestUnfencedEngineWaitsTheOrderOut takes a lease over without a pause.
+func TestUnfencedEngineWaitsTheOrderOut(t *testing.T) {
+	for _, checksFence := range []bool{true, false} {
+		g := NewWithT(t)
+		f := newFixture(t, checksFence)
+		f.engines.streams = []engine.StreamStatus{{}}
+		reconcile(t, f.first) // Holds the lease while the engine drains.
+		reconcile(t, f.second)
+		f.engines.streams = nil
+		f.now = f.now.Add(defaultLeaseDuration + time.Second)
+		reconcile(t, f.second)
+		if checksFence {
+			g.Expect(f.engines.taken).To(HaveLen(1))
+			continue
+		}
+		g.Expect(f.engines.taken).To(BeEmpty())
+		f.now = f.now.Add(defaultOrderTimeout)
+		reconcile(t, f.second)
+		g.Expect(f.engines.taken).To(HaveLen(1))
+	}
+}
--- /dev/null
+++ b/scripts/prove.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# The long form of the proofs. PROVE_CASES is the number of cases a property,
+# PROVE_SEED the seed (drawn if unset), PROVE_FUZZ the time for each fuzz target.
+# A failure is repeated by: PROVE_SEED=<seed> make prove
+set -uo pipefail
+cd "$(dirname "$0")/.."
+cases=${PROVE_CASES:-1000}
+seed=${PROVE_SEED:-$((RANDOM * 32768 + RANDOM + 1))}
+fuzz=${PROVE_FUZZ:-20s}
+log=$(mktemp)
+trap 'rm -f "$log"' EXIT
+violations=0
+echo "prove: seed $seed; repeat by PROVE_SEED=$seed make prove"
+
+check() {
+  echo "prove: $*"
+  if ! "$@" >>"$log" 2>&1; then
+    violations=$((violations + 1))
+    grep -E 'FAIL|violation|rapid\]' "$log" | tail -n 20
+  fi
+}
+
+properties=(./sim/rehearsal:TestPromisesHoldUnderRandomFaults ./claim:TestKeyIsGrantedAtMostOnce ./lease:TestOneHolderActsAtATime
+  ./configuration:TestOneWinnerAVersion ./scheduler:TestNeverGrantsBeyondCapacity ./engine:TestStreamYieldsEachTokenOnce ./directory:TestTurnsRise)
+for property in "${properties[@]}"; do
+  check go test "${property%%:*}" -run "^${property##*:}\$" -v -timeout 60m -rapid.checks="$cases" -rapid.seed="$seed" -rapid.nofailfile
+done
+targets=(./sim/rehearsal:FuzzPromises ./claim:FuzzKeyIsGrantedAtMostOnce ./lease:FuzzOneHolderActsAtATime ./configuration:FuzzOneWinnerAVersion
+  ./peer:FuzzReadMessage ./engine:FuzzStream ./api:FuzzValidate)
+for target in "${targets[@]}"; do
+  check go test "${target%%:*}" -run '^$' -fuzz "^${target##*:}\$" -fuzztime "$fuzz" -parallel 4
+done
+check go test ./sim/rehearsal ./claim ./lease -run 'Oracle|Monitor' -count=1
+check go test ./processtest -count=1
+grep -h 'faults injected' "$log" || true
+echo "prove: properties=${#properties[@]} cases=$((${#properties[@]} * cases)) fuzz_targets=${#targets[@]} violations=$violations"
+exit $((violations > 0))
--- a/sim/rehearsal/property_test.go
+++ b/sim/rehearsal/property_test.go
@@ -1,17 +1,31 @@
 package rehearsal
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
 )
 
+// operationNames are the names of the operations in the summary.
+var operationNames = map[operation]string{
+	opRequest: "request", opKill: "kill", opStart: "start", opStop: "planned-stop", opIsolate: "isolate", opHeal: "heal",
+	opCutPlatform: "cut-platform", opOutage: "outage", opLoseReplies: "lost-replies", opCutEngine: "cut-engine",
+	opFreezeEngine: "freeze-engine", opStallTransfers: "stall-transfers", opThaw: "thaw", opLeave: "leave",
+	opConfigure: "configure", opRace: "operator-race",
+}
+
 // promisesHold plays random schedules of requests and faults. The oracle judges
 // by what callers received and what the stand-ins' ledgers say.
-func promisesHold(outer *testing.T) func(*rapid.T) {
+func promisesHold(outer *testing.T, total map[operation]int) func(*rapid.T) {
 	return func(t *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 5, 40).Draw(t, "steps")
-		violations, _ := runSchedule(outer, smallOptions(), steps)
+		violations, injected := runSchedule(outer, smallOptions(), steps)
+		for op, count := range injected {
+			total[op] += count
+		}
 		for _, violation := range violations {
 			outer.Logf("violation: %s", violation)
 			t.Errorf("%s", violation)
@@ -19,6 +33,23 @@
 	}
 }
 
+func summary(total map[operation]int) string {
+	var parts []string
+	for op, count := range total {
+		parts = append(parts, fmt.Sprintf("%s=%d", operationNames[op], count))
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, " ")
+}
+
 func TestPromisesHoldUnderRandomFaults(t *testing.T) {
-	rapid.Check(t, promisesHold(t))
+	total := map[operation]int{}
+	rapid.Check(t, promisesHold(t, total))
+	t.Logf("faults injected: %s", summary(total))
+}
+
+func FuzzPromises(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		rapid.MakeFuzz(promisesHold(t, map[operation]int{}))(t, data)
+	})
 }
