--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
@@ -102,7 +103,7 @@
 			return nil, membership.Member{}, ctx.Err()
 		}
 	}
-	return nil, membership.Member{}, fmt.Errorf("no answer")
+	return nil, membership.Member{}, errors.New("no answer")
 }
 
 // atMostOnce plays arrivals of a few keys at several owners over a platform that
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -123,6 +123,6 @@
 			_, _ = io.WriteString(w, "half")
 			return io.ErrUnexpectedEOF
 		}
-		Expect(func() { send(chain(), "token-a", "x") }).To(PanicWith(http.ErrAbortHandler))
+		Expect(func() { _, _ = send(chain(), "token-a", "x") }).To(PanicWith(http.ErrAbortHandler))
 	})
 })
--- a/owner/inspect.go
+++ b/owner/inspect.go
@@ -65,7 +65,7 @@
 	}
 	request := streamRequest(p.since(), status)
 	p.bookings[id] = &booking{request: request, holder: status.Holder, decode: engineName, seen: now, foreign: true}
-	p.books.Restore(p.since(), request, "", engineName)
+	p.books.Restore(request, "", engineName)
 	p.metrics.Add("streams_adopted", 1)
 }
 
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -198,7 +198,7 @@
 		prefill: granted.GetPrefillEngine(), decode: granted.GetDecodeEngine(),
 		decisions: make(chan scheduler.Decision, decisionBuffer),
 	}
-	p.books.Restore(p.since(), request, granted.GetPrefillEngine(), granted.GetDecodeEngine())
+	p.books.Restore(request, granted.GetPrefillEngine(), granted.GetDecodeEngine())
 	p.metrics.Add("grants_restored", 1)
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -359,7 +359,7 @@
 func (p *Pool) Withdraw(request *Request) bool { return p.queueOf(request).remove(request) }
 
 // Restore books a request that another owner has granted.
-func (p *Pool) Restore(now time.Duration, request *Request, prefill, decode string) {
+func (p *Pool) Restore(request *Request, prefill, decode string) {
 	if _, known := p.active[request.ID]; known {
 		return
 	}
--- a/sim/hollow/react.go
+++ b/sim/hollow/react.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -242,7 +241,7 @@
 			continue
 		}
 		if err := await(func() bool { return agreeWithout(fleet, pool, dead) }); err != nil {
-			return errors.Wrap(err, fmt.Sprintf("pools of lost zone %s", zone))
+			return errors.Wrap(err, "pools of lost zone "+zone)
 		}
 	}
 	r.ZoneLostSeconds = time.Since(lost).Seconds()
--- a/sim/model/engines.go
+++ b/sim/model/engines.go
@@ -163,12 +163,13 @@
 	s.prefilled += j.state.computed
 	evicted := target.cache.store(j.blocks)
 	s.tellEvictions(engine, evicted)
-	if j.state.phase != phasePrefilling {
+	switch {
+	case j.state.phase != phasePrefilling:
 		s.wasted += j.state.computed // Its caller has gone.
-	} else if j.kind.maxOutput <= 1 {
+	case j.kind.maxOutput <= 1:
 		s.emit(j)
 		s.finish(j, true)
-	} else {
+	default:
 		s.hold(j)
 	}
 	s.nextPrefill(engine)
@@ -371,9 +372,7 @@
 	target := s.decodes[engine]
 	target.up = false
 	lost := append(append([]*job(nil), target.batch...), target.waiting...)
-	for _, j := range s.allMoving(engine) {
-		lost = append(lost, j)
-	}
+	lost = append(lost, s.allMoving(engine)...)
 	target.batch, target.waiting, target.moving, target.kv, target.ticks = nil, nil, 0, 0, false
 	s.router.engineDown(engine)
 	for _, j := range lost {
--- a/sim/model/sweep.go
+++ b/sim/model/sweep.go
@@ -1,7 +1,6 @@
 package model
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
@@ -104,5 +103,5 @@
 		drawn.Legend.Add(name, line)
 	}
 	const width, height = 18 * vg.Centimeter, 12 * vg.Centimeter
-	return errors.Wrap(drawn.Save(width, height, path), fmt.Sprintf("save %s", path))
+	return errors.Wrap(drawn.Save(width, height, path), "save "+path)
 }
--- a/tlsfiles/tlsfiles_test.go
+++ b/tlsfiles/tlsfiles_test.go
@@ -130,7 +130,7 @@
 	g.Expect(err).To(HaveOccurred())
 	_, err = handshake(t, stranger.Server(), node.Client())
 	g.Expect(err).To(HaveOccurred())
-	//nolint:gosec // A caller without a certificate.
+	// A caller without a certificate.
 	_, err = handshake(t, node.Server(), &tls.Config{InsecureSkipVerify: true})
 	g.Expect(err).To(HaveOccurred())
 }
