--- a/sim/model/compare.go
+++ b/sim/model/compare.go
@@ -51,10 +51,23 @@
 
 // Run plays one policy over one workload.
 func Run(options Options) (Outcome, error) {
-	mix, err := findWorkload(options.Workload)
+	s, jobs, err := prepare(options)
 	if err != nil {
 		return Outcome{}, err
 	}
+	s.play(options.Length + drainTime)
+	return s.outcome(jobs, options), nil
+}
+
+// drainTime is how long a run goes on after the last arrival.
+const drainTime = 60 * time.Second
+
+// prepare builds the engines and the requests of a run and plans its events.
+func prepare(options Options) (*simulation, []*job, error) {
+	mix, err := findWorkload(options.Workload)
+	if err != nil {
+		return nil, nil, err
+	}
 	const requestStream, engineStream, policyStream = 1, 2, 3
 	parameters := options.Parameters
 	rate, prefills := capacity(mix, parameters)
@@ -76,12 +89,10 @@
 	}
 	s.router, err = newRouter(options.Policy, s, jobs, rand.New(rand.NewPCG(options.Seed, policyStream)))
 	if err != nil {
-		return Outcome{}, err
+		return nil, nil, err
 	}
 	s.schedule(jobs, options)
-	const drain = 60 * time.Second
-	s.play(options.Length + drain)
-	return s.outcome(jobs, options), nil
+	return s, jobs, nil
 }
 
 // schedule plans the arrivals, the callers' patience and the failure.
--- /dev/null
+++ b/sim/model/model_test.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+func testOptions(name string) Options {
+	return Options{Workload: name, Seed: 7, Load: 1, Length: 4 * time.Second, Flood: true, Fail: true, Parameters: DefaultParameters()}
+}
+
+// TestSameSeedSameOutcome runs every policy and some ablations twice.
+func TestSameSeedSameOutcome(t *testing.T) {
+	policies := append(Policies(), Ablations()[:4]...)
+	first, err := Compare(testOptions("amrc"), policies)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := Compare(testOptions("amrc"), policies)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(first, second) {
+		t.Fatalf("%+v and then %+v", first, second)
+	}
+}
+
+// TestOutcomesAreShares checks what must hold of every outcome.
+func TestOutcomesAreShares(t *testing.T) {
+	for _, name := range Workloads() {
+		outcomes, err := Compare(testOptions(name), Policies())
+		if err != nil {
+			t.Fatal(err)
+		}
+		bound := outcomes[len(outcomes)-1].Goodput
+		for _, outcome := range outcomes[:len(outcomes)-1] {
+			sum := outcome.Goodput + outcome.Refused + outcome.Late
+			if sum < 0.999 || sum > 1.001 {
+				t.Errorf("%s %s: goodput, refused and late add up to %f", name, outcome.Policy, sum)
+			}
+			if outcome.Goodput > bound || outcome.WastedPrefill < 0 || outcome.WastedPrefill > 1 {
+				t.Errorf("%s %s: goodput %f above the bound %f, or wasted %f", name, outcome.Policy, outcome.Goodput, bound, outcome.WastedPrefill)
+			}
+		}
+	}
+}
+
+// TestEveryJobEnds drains a run and looks for jobs that were forgotten, and for
+// memory and slots that were not given back.
+func TestEveryJobEnds(t *testing.T) {
+	for _, policy := range Policies() {
+		s, jobs := playOut(t, policy)
+		for _, j := range jobs {
+			if j.state.phase != phaseDone {
+				t.Errorf("%s: job %d stands in phase %d", policy, j.id, j.state.phase)
+			}
+		}
+		for i, engine := range s.decodes {
+			if engine.kv != 0 || engine.slotsUsed() != 0 {
+				t.Errorf("%s: decode engine %d keeps %d tokens and %d slots", policy, i, engine.kv, engine.slotsUsed())
+			}
+		}
+	}
+}
+
+func playOut(t *testing.T, policy string) (*simulation, []*job) {
+	t.Helper()
+	options := testOptions("fisio-xela")
+	options.Policy = policy
+	s, jobs, err := prepare(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.play(options.Length + drainTime)
+	return s, jobs
+}
