Split the rehearsals: a part under the race detector, more without

Change: 20 schedules under the race detector, 200 without it. The stand-ins show their events at /timeline and reelrunctl merges them.

--- a/cmd/reelrunctl/show.go
+++ b/cmd/reelrunctl/show.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"net/http"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
@@ -156,6 +158,7 @@
 	flags.StringVar(&selected.Engine, "engine", "", "only events of this engine")
 	flags.StringVar(&selected.Tenant, "tenant", "", "only events of this tenant")
 	format := flags.String("format", "text", "text, json or html")
+	processes := flags.String("processes", "", "addresses of stand-ins whose events are added, separated by commas")
 	return &ffcli.Command{
 		Name: "timeline", ShortUsage: "reelrunctl timeline [flags]", ShortHelp: "Show the events of all nodes in order.", FlagSet: flags,
 		Exec: func(ctx context.Context, _ []string) error {
@@ -163,6 +166,9 @@
 			if err != nil {
 				return err
 			}
+			if events, err = withProcesses(ctx, events, selected, *processes); err != nil {
+				return err
+			}
 			switch *format {
 			case "text":
 				return timeline.WriteText(shared.out, events)
@@ -177,6 +183,36 @@
 	}
 }
 
+// withProcesses adds the events of processes that are no nodes.
+func withProcesses(ctx context.Context, events []timeline.Event, selected timeline.Filter, list string) ([]timeline.Event, error) {
+	rings := [][]timeline.Event{events}
+	for address := range strings.SplitSeq(list, ",") {
+		if address == "" {
+			continue
+		}
+		added, err := fetchEvents(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		rings = append(rings, slices.DeleteFunc(added, func(event timeline.Event) bool { return !selected.Matches(event) }))
+	}
+	return timeline.Merge(rings...), nil
+}
+
+func fetchEvents(ctx context.Context, address string) ([]timeline.Event, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/timeline", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "fetch events")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var events []timeline.Event
+	return events, errors.Wrap(json.NewDecoder(response.Body).Decode(&events), "decode events")
+}
+
 func hashCommand(shared *command) *ffcli.Command {
 	return &ffcli.Command{
 		Name: "hash-token", ShortUsage: "reelrunctl hash-token <token>", ShortHelp: "Print the stored form of a token.",
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -104,7 +104,7 @@
 "${ctl[@]}" status >&2 || true
 if [ -n "${DEMO_KEEP:-}" ]; then
   mkdir -p "$DEMO_KEEP"
-  "${ctl[@]}" timeline -format html >"$DEMO_KEEP/timeline.html"
+  "${ctl[@]}" timeline -format html -processes "$(join "${engines[@]}" "${services[@]}")" >"$DEMO_KEEP/timeline.html"
   "${ctl[@]}" -output json status >"$DEMO_KEEP/status.json"
   cp -r "$logs"/. "$DEMO_KEEP/"
 fi
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,5 +10,12 @@
 plain=$(comm -23 <(sort <<<"$all") <(sort <<<"$properties"))
 # shellcheck disable=SC2086
 go test -race -timeout 15m $plain
+rehearsal=$(grep '/sim/rehearsal$' <<<"$properties")
+properties=$(grep -v '/sim/rehearsal$' <<<"$properties")
 # shellcheck disable=SC2086
 go test -race -timeout 15m $properties -rapid.seed="$seed" -rapid.nofailfile
+# The race detector's runtime gives up after some two minutes of schedules in one
+# process ("CHECK failed: ... epoch() == kEpochLast"), so it sees a part of them,
+# and more of them run without it.
+go test -race -timeout 15m "$rehearsal" -rapid.checks=20 -rapid.seed="$seed" -rapid.nofailfile
+go test -timeout 15m "$rehearsal" -rapid.checks=200 -rapid.seed="$seed" -rapid.nofailfile
--- a/sim/enginesim/handler.go
+++ b/sim/enginesim/handler.go
@@ -33,6 +33,7 @@
 	mux.HandleFunc("GET "+engine.PathCacheEvents, h.cacheEvents)
 	mux.HandleFunc("POST "+engine.PathOrders, h.order)
 	mux.HandleFunc("GET "+PathLedger, h.ledger)
+	mux.HandleFunc("GET "+PathTimeline, h.timeline)
 	return mux
 }
 
@@ -161,6 +162,10 @@
 
 func (h handler) ledger(w http.ResponseWriter, _ *http.Request) { respond(w, h.engine.Report(), nil) }
 
+func (h handler) timeline(w http.ResponseWriter, _ *http.Request) {
+	respond(w, h.engine.Timeline(), nil)
+}
+
 func pathAttempt(w http.ResponseWriter, r *http.Request) (engine.Attempt, bool) {
 	const decimal, bits = 10, 32
 	number, err := strconv.ParseUint(r.PathValue("attempt"), decimal, bits)
--- a/timeline/clock.go
+++ b/timeline/clock.go
@@ -15,6 +15,9 @@
 // Time returns the physical part.
 func (s Stamp) Time() time.Time { return time.UnixMilli(int64(s >> logicalBits)) }
 
+// StampOf returns the stamp of a physical time.
+func StampOf(at time.Time) Stamp { return Stamp(at.UnixMilli()) << logicalBits }
+
 // Clock produces stamps that rise strictly. It is safe for concurrent use.
 type Clock struct {
 	mu   sync.Mutex
@@ -31,7 +34,7 @@
 // Observe merges the stamp of a received message and returns the stamp of its
 // receipt.
 func (c *Clock) Observe(received Stamp) Stamp {
-	physical := Stamp(c.now().UnixMilli()) << logicalBits
+	physical := StampOf(c.now())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = max(c.last+1, physical, received+1)
--- a/timeline/ring.go
+++ b/timeline/ring.go
@@ -65,7 +65,8 @@
 	Tenant  string
 }
 
-func (f Filter) matches(event Event) bool {
+// Matches reports whether the filter selects an event.
+func (f Filter) Matches(event Event) bool {
 	if f.Request != "" && f.Request != event.Request {
 		return false
 	}
@@ -82,7 +83,7 @@
 	var selected []Event
 	for i := range r.events {
 		event := r.events[(r.next+i)%len(r.events)]
-		if filter.matches(event) {
+		if filter.Matches(event) {
 			selected = append(selected, event)
 		}
 	}
