Let one percentile and one watcher of the monitor serve

Cause: the 95th percentile stood in the emulator and in the load generator, and two tests started and ended the monitor by the same lines.

Ruled out: sharing the likeness of the configuration and machine syncers (one follows a version and fetches parts, the other a list; what they share is the shape), and the import blocks and option structs that are alike.

Behaviour and assertions stay as they were.

--- a/sim/load/judge.go
+++ b/sim/load/judge.go
@@ -5,13 +5,13 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/sim/quantile"
 	"github.com/reelrun/reelrun/sim/servicesim"
 )
 
@@ -140,16 +140,7 @@
 		v.Kinds[result.Kind.Name] = counts
 	}
 	v.Goodput = float64(met) / float64(max(len(results), 1))
-	v.TTFTP95, v.IntervalP95 = percentile95(first), percentile95(intervals)
-}
-
-func percentile95(values []time.Duration) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	const numerator, denominator = 95, 100
-	return values[(len(values)-1)*numerator/denominator].Seconds()
+	v.TTFTP95, v.IntervalP95 = quantile.P95(first), quantile.P95(intervals)
 }
 
 // judgeServices counts calls that may not be repeated and ran more than once,
--- a/sim/model/compare.go
+++ b/sim/model/compare.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/reelrun/reelrun/sim/quantile"
 )
 
 // Options describe one comparison.
@@ -174,7 +176,7 @@
 	result.VictimGoodput = round(float64(victimsMet) / float64(max(victims, 1)))
 	result.WastedPrefill = round(float64(s.wasted) / float64(max(s.prefilled, 1)))
 	result.Jain = round(jain(offeredBy, metBy))
-	result.TTFTP95, result.TBTP95 = round(percentile95(first)), round(percentile95(intervals))
+	result.TTFTP95, result.TBTP95 = round(quantile.P95(first)), round(quantile.P95(intervals))
 	return result
 }
 
@@ -206,12 +208,3 @@
 	}
 	return sum * sum / (float64(len(names)) * squares)
 }
-
-func percentile95(values []time.Duration) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	const numerator, denominator = 95, 100
-	return values[(len(values)-1)*numerator/denominator].Seconds()
-}
--- /dev/null
+++ b/sim/quantile/doc.go
@@ -0,0 +1,2 @@
+// Package quantile sums durations up for the reports of the rehearsal kit.
+package quantile
--- a/sim/rehearsal/defects_test.go
+++ b/sim/rehearsal/defects_test.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -239,17 +238,10 @@
 		time.Sleep(time.Second)
 		fleet.Platform.SetOutage(false)
 		monitor := NewMonitor(fleet)
-		ctx, cancel := context.WithCancel(context.Background())
-		var watching sync.WaitGroup
-		watching.Add(1)
-		go func() {
-			defer watching.Done()
-			monitor.Run(ctx)
-		}()
+		stopWatching := watch(monitor)
 		publishWeight(t, fleet, 7)
 		time.Sleep(2 * InForceWithin)
-		cancel()
-		watching.Wait()
+		stopWatching()
 		violations = monitor.Violations()
 	})
 	return violations
--- a/sim/rehearsal/fleet_test.go
+++ b/sim/rehearsal/fleet_test.go
@@ -33,6 +33,20 @@
 	synctest.Test(t, run)
 }
 
+// watch runs a monitor in the background. The returned function ends it.
+func watch(monitor *Monitor) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		monitor.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+	}
+}
+
 // startFleet starts a fleet and waits until it is ready.
 func startFleet(t *testing.T, options Options) *Fleet {
 	t.Helper()
--- a/sim/rehearsal/schedule_test.go
+++ b/sim/rehearsal/schedule_test.go
@@ -275,13 +275,7 @@
 	bubble(t, func(t *testing.T) {
 		fleet := startFleet(t, options)
 		monitor := NewMonitor(fleet)
-		ctx, cancel := context.WithCancel(context.Background())
-		var watching sync.WaitGroup
-		watching.Add(1)
-		go func() {
-			defer watching.Done()
-			monitor.Run(ctx)
-		}()
+		stopWatching := watch(monitor)
 		started := &play{fleet: fleet, monitor: monitor, random: rand.New(rand.NewPCG(1, 2)), isolated: map[string]bool{}}
 		for _, next := range steps {
 			injected[next.op]++
@@ -290,8 +284,7 @@
 		}
 		started.recover()
 		violations = append(violations, started.finish()...)
-		cancel()
-		watching.Wait()
+		stopWatching()
 		monitor.JudgeLeaving()
 		violations = append(violations, monitor.Violations()...)
 		fleet.Close()
