Secure the demo and whole daemons by TLS; let reelrunctl trust an authority

Cause: TLS was tested in package tlsfiles only. reelrunctl and the load generator could not be told to trust the operators' own authority, so a fleet with such certificates could not be operated without changing the machine.

Ruled out: skipping the check of certificates in the tools.

Change: -authority for reelrunctl and for reelrun-sim load; package sim/certificates and 'reelrun-sim certificates'; the demo's fleet speaks TLS throughout; 'make demo-serve' keeps it up for a newcomer. The tests of tlsfiles issue through the same package in place of a copy of their own.

Tests: TestSecuredFleet (mutual TLS, a node killed, a certificate renewed without a restart), TestStrangerCannotSpeakToNodes, TestClientTrustsOneAuthority.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The version of the linter is pinned here; CI installs it by itself.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 
-.PHONY: build test lint demo demo-faults prove capacity generate
+.PHONY: build test lint demo demo-faults demo-serve prove capacity generate
 
 build:
 	go build ./...
@@ -20,6 +20,10 @@
 demo-faults:
 	bash scripts/demo.sh faults
 
+# The demo's fleet without its load, until it is interrupted.
+demo-serve:
+	bash scripts/demo.sh serve
+
 # The long form of the proofs: more cases, each fuzz target for a bounded time.
 prove:
 	bash scripts/prove.sh
--- a/cmd/reelrun-sim/load.go
+++ b/cmd/reelrun-sim/load.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/reelrun/reelrun/sim/load"
+	"github.com/reelrun/reelrun/tlsfiles"
 )
 
 // errViolations makes the command exit with a failure.
@@ -20,7 +21,8 @@
 
 func loadCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("load", flag.ContinueOnError)
-	nodes := flags.String("nodes", "", "callers' addresses of the nodes, separated by commas")
+	nodes := flags.String("nodes", "", "callers' addresses of the nodes, separated by commas; https:// before an address means TLS")
+	authority := flags.String("authority", "", "PEM file with the authority of the nodes' certificates; default those of the machine")
 	workloads := flags.String("workloads", "", "workload files, separated by commas")
 	engines := flags.String("engines", "", "addresses of the stand-in engines, for their ledgers")
 	services := flags.String("services", "", "addresses of the stand-in services, for their ledgers")
@@ -36,7 +38,11 @@
 			if err != nil {
 				return err
 			}
-			results, err := load.Run(ctx, load.Options{Workload: workload, Nodes: split(*nodes), Requests: *requests, Rate: *rate, Seed: *seed})
+			secured, err := tlsfiles.ClientTrusting(*authority)
+			if err != nil {
+				return err
+			}
+			results, err := load.Run(ctx, load.Options{Workload: workload, TLS: secured, Nodes: split(*nodes), Requests: *requests, Rate: *rate, Seed: *seed})
 			if err != nil {
 				return err
 			}
--- a/cmd/reelrun-sim/main.go
+++ b/cmd/reelrun-sim/main.go
@@ -26,11 +26,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	root := &ffcli.Command{
-		ShortUsage: "reelrun-sim <platform|engine|service|load|hollow|compare> [flags]",
+		ShortUsage: "reelrun-sim <platform|engine|service|certificates|load|hollow|compare> [flags]",
 		ShortHelp:  "Rehearse reelrun without engines.",
 		FlagSet:    flag.NewFlagSet("reelrun-sim", flag.ContinueOnError),
 		Subcommands: []*ffcli.Command{
-			platformCommand(), engineCommand(), serviceCommand(), loadCommand(), hollowCommand(), compareCommand(),
+			platformCommand(), engineCommand(), serviceCommand(), certificatesCommand(), loadCommand(), hollowCommand(), compareCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/cmd/reelrunctl/main.go
+++ b/cmd/reelrunctl/main.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"flag"
 	"fmt"
 	"io"
@@ -22,6 +23,7 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/tlsfiles"
 )
 
 // Exit codes.
@@ -37,11 +39,14 @@
 	node   string
 	token  string
 	output string
-	out    io.Writer
+	// secured is how nodes are called by TLS.
+	secured *tls.Config
+	out     io.Writer
 }
 
 func (c *command) client() *operator.Client {
-	return &operator.Client{BaseURL: c.node, Token: c.token, HTTP: http.DefaultClient}
+	transport := &http.Transport{TLSClientConfig: c.secured}
+	return &operator.Client{BaseURL: c.node, Token: c.token, HTTP: &http.Client{Transport: transport}}
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -54,6 +59,7 @@
 	flags.SetOutput(errOut)
 	flags.StringVar(&shared.node, "node", "http://127.0.0.1:7301", "operators' address of any node")
 	flags.StringVar(&shared.token, "token", "", "operators' token")
+	authority := flags.String("authority", "", "PEM file with the authority of the node's certificate; default those of the machine")
 	flags.StringVar(&shared.output, "output", "table", "table or json")
 	root := &ffcli.Command{
 		ShortUsage: "reelrunctl [flags] <subcommand>",
@@ -73,6 +79,11 @@
 		_, _ = fmt.Fprintln(errOut, err)
 		return exitUsage
 	}
+	var err error
+	if shared.secured, err = tlsfiles.ClientTrusting(*authority); err != nil {
+		_, _ = fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
 	return exitCode(root.Run(ctx), errOut)
 }
 
--- a/processtest/fleet_test.go
+++ b/processtest/fleet_test.go
@@ -101,6 +101,13 @@
 	}
 }
 
+// kill ends the process at once and waits for its end.
+func (p *process) kill(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGKILL)
+	<-p.ended
+}
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
@@ -121,6 +128,8 @@
 
 // fleet is a small system of processes.
 type fleet struct {
+	// security is nil for a fleet without TLS.
+	security        *security
 	platform        *process
 	platformAddress string
 	nodes           []*node
@@ -143,7 +152,12 @@
 
 func startFleet(t *testing.T, nodes int) *fleet {
 	t.Helper()
-	f := &fleet{platformAddress: freeAddress(t)}
+	return startFleetWith(t, nodes, nil)
+}
+
+func startFleetWith(t *testing.T, nodes int, secured *security) *fleet {
+	t.Helper()
+	f := &fleet{platformAddress: freeAddress(t), security: secured}
 	f.platform = start(t, "reelrun-sim", "platform", "-address", f.platformAddress, "-machine-lag", "100ms")
 	pool := api.Pool{Name: "pool", Model: "model", Zone: "zone", ChecksFence: true}
 	for number := range 4 {
@@ -167,10 +181,11 @@
 	}
 	for _, added := range f.nodes {
 		added.arguments = []string{
-			"-plain-text", "-name", added.name, "-zone", "zone", "-caller-address", added.caller, "-peer-address", added.peer,
+			"-name", added.name, "-zone", "zone", "-caller-address", added.caller, "-peer-address", added.peer,
 			"-operator-address", added.operator, "-platform-address", f.platformAddress, "-seeds", strings.Join(seeds, ","),
 			"-operator-token-hash", configuration.HashToken(operatorToken), "-drain-delay", "200ms", "-resume-window", "2s",
 		}
+		added.arguments = append(added.arguments, secured.arguments(t, added.name)...)
 		added.process = start(t, "reelrund", added.arguments...)
 	}
 	f.accept(t, operator.Intent{Action: operator.ActionApply, Objects: f.configuration})
@@ -181,7 +196,7 @@
 }
 
 func (f *fleet) client(through *node) *operator.Client {
-	return &operator.Client{BaseURL: "http://" + through.operator, Token: operatorToken, HTTP: http.DefaultClient}
+	return &operator.Client{BaseURL: f.security.url(through.operator), Token: operatorToken, HTTP: f.security.client()}
 }
 
 // accept plans and confirms an intent through any node.
@@ -200,11 +215,13 @@
 
 func (f *fleet) awaitReady(t *testing.T, waited *node) {
 	t.Helper()
-	eventually(t, waited.name+" being ready", func() bool { return status("http://"+waited.caller+"/readyz") == http.StatusOK })
+	eventually(t, waited.name+" being ready", func() bool {
+		return status(f.security.client(), f.security.url(waited.caller)+"/readyz") == http.StatusOK
+	})
 }
 
-func status(target string) int {
-	response, err := http.Get(target)
+func status(client *http.Client, target string) int {
+	response, err := client.Get(target)
 	if err != nil {
 		return 0
 	}
@@ -280,15 +297,15 @@
 }
 
 // send starts a request and returns its result when it comes.
-func send(ctx context.Context, key string, tokens int, nodes ...*node) <-chan load.Result {
+func (f *fleet) send(ctx context.Context, key string, tokens int, nodes ...*node) <-chan load.Result {
 	done := make(chan load.Result, 1)
 	var addresses []string
 	for _, through := range nodes {
-		addresses = append(addresses, through.caller)
+		addresses = append(addresses, f.security.url(through.caller))
 	}
 	go func() {
 		done <- load.Send(ctx, load.Call{
-			Client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, Nodes: addresses, Key: key, Tokens: tokens,
+			Client: f.security.client(), Nodes: addresses, Key: key, Tokens: tokens,
 			Prompt: strings.Repeat("some words ", 100),
 			Kind: &load.Kind{
 				Name: "long", Token: "token", Class: "long", Model: "model", Stream: true,
--- /dev/null
+++ b/processtest/security_test.go
@@ -0,0 +1,155 @@
+package processtest
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/sim/certificates"
+	"github.com/reelrun/reelrun/sim/enginesim"
+	"github.com/reelrun/reelrun/timeline"
+	"github.com/reelrun/reelrun/tlsfiles"
+)
+
+// security is the TLS of a fleet; nil is a fleet in plain text.
+type security struct {
+	authority *certificates.Authority
+	folder    string
+	trusting  *tls.Config
+}
+
+func newSecurity(t *testing.T) *security {
+	t.Helper()
+	authority, err := certificates.NewAuthority(certificates.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	made := &security{authority: authority, folder: t.TempDir()}
+	files, _ := made.issue(t, "caller")
+	if made.trusting, err = tlsfiles.ClientTrusting(files.Authority); err != nil {
+		t.Fatal(err)
+	}
+	return made
+}
+
+// issue writes a certificate over an earlier one of the same name.
+func (s *security) issue(t *testing.T, name string) (certificates.Files, int64) {
+	t.Helper()
+	files, serial, err := s.authority.Issue(s.folder, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files, serial
+}
+
+// arguments are a node's flags for its certificates.
+func (s *security) arguments(t *testing.T, name string) []string {
+	t.Helper()
+	if s == nil {
+		return []string{"-plain-text"}
+	}
+	files, _ := s.issue(t, name)
+	return []string{
+		"-peer-certificate", files.Certificate, "-peer-key", files.Key, "-peer-authority", files.Authority,
+		"-caller-certificate", files.Certificate, "-caller-key", files.Key,
+	}
+}
+
+func (s *security) url(address string) string {
+	if s == nil {
+		return "http://" + address
+	}
+	return "https://" + address
+}
+
+func (s *security) client() *http.Client {
+	transport := &http.Transport{DisableKeepAlives: true}
+	if s != nil {
+		transport.TLSClientConfig = s.trusting
+	}
+	return &http.Client{Transport: transport}
+}
+
+// shownSerial returns the serial number of the certificate that an address
+// shows, or zero.
+func shownSerial(address string, config *tls.Config) int64 {
+	dialed, err := tls.Dial("tcp", address, config)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = dialed.Close() }()
+	return dialed.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+}
+
+// TestSecuredFleet serves requests with mutual TLS between nodes and TLS to
+// callers and operators, survives the death of a node, and shows a renewed
+// certificate without a restart.
+func TestSecuredFleet(t *testing.T) {
+	secured := newSecurity(t)
+	f := startFleetWith(t, 3, secured)
+	for _, through := range f.nodes {
+		expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, through))
+	}
+	done := f.send(context.Background(), newKey(t), 150, f.nodes[0], f.nodes[1], f.nodes[2])
+	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == len(f.nodes)+1 })
+	f.nodes[0].kill(t)
+	expectAnswer(t, <-done)
+
+	before := shownSerial(f.nodes[1].caller, secured.trusting)
+	_, renewed := secured.issue(t, f.nodes[1].name)
+	if before == renewed {
+		t.Fatal("the certificate was not renewed")
+	}
+	eventually(t, "the renewed certificate", func() bool { return shownSerial(f.nodes[1].caller, secured.trusting) == renewed })
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[1]))
+}
+
+// TestStrangerCannotSpeakToNodes shows that the port between nodes accepts
+// neither plain text nor a certificate of another authority.
+func TestStrangerCannotSpeakToNodes(t *testing.T) {
+	secured, foreign := newSecurity(t), newSecurity(t)
+	f := startFleetWith(t, 2, secured)
+	files, _ := foreign.issue(t, "stranger")
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	member, _ := secured.issue(t, "member")
+	own, err := tls.LoadX509KeyPair(member.Certificate, member.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, attempt := range map[string]struct {
+		certificates []tls.Certificate
+		accepted     bool
+	}{
+		"no certificate":                     {nil, false},
+		"a certificate of another authority": {[]tls.Certificate{certificate}, false},
+		"a certificate of the fleet":         {[]tls.Certificate{own}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			config := secured.trusting.Clone()
+			config.Certificates = attempt.certificates
+			if accepted := answersPeer(f.nodes[0].peer, config); accepted != attempt.accepted {
+				t.Fatalf("accepted: %t", accepted)
+			}
+		})
+	}
+}
+
+// answersPeer reports whether a node answers a peer's call over TLS.
+func answersPeer(address string, config *tls.Config) bool {
+	dialer := &tls.Dialer{Config: config}
+	dial := func(ctx context.Context, to string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", to) }
+	client := peer.NewClient("member", dial, timeline.NewClock(time.Now))
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	_, err := client.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_FetchStatus{FetchStatus: &peerpb.FetchStatus{}}})
+	return err == nil
+}
--- a/processtest/signals_test.go
+++ b/processtest/signals_test.go
@@ -14,7 +14,7 @@
 // another node and gets the rest of the same stream.
 func TestKilledNode(t *testing.T) {
 	f := startFleet(t, 3)
-	done := send(context.Background(), newKey(t), 150, f.nodes[0], f.nodes[1], f.nodes[2])
+	done := f.send(context.Background(), newKey(t), 150, f.nodes[0], f.nodes[1], f.nodes[2])
 	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
 	f.nodes[0].signal(t, syscall.SIGKILL)
 	expectAnswer(t, <-done)
@@ -30,7 +30,7 @@
 func TestFrozenNodeHoldsNothing(t *testing.T) {
 	f := startFleet(t, 3)
 	ctx, hangUp := context.WithCancel(context.Background())
-	done := send(ctx, newKey(t), 20000, f.nodes[0])
+	done := f.send(ctx, newKey(t), 20000, f.nodes[0])
 	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
 	f.nodes[0].signal(t, syscall.SIGSTOP)
 	hangUp()
@@ -38,14 +38,14 @@
 	eventually(t, "freedom of the engines", func() bool { return f.held() == 0 })
 	f.nodes[0].signal(t, syscall.SIGCONT)
 	f.awaitReady(t, f.nodes[0])
-	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[0]))
 }
 
 // TestThawedNodeCancelsNothing freezes a node that owns nothing of a running
 // answer and thaws it. It must not take the others for gone.
 func TestThawedNodeCancelsNothing(t *testing.T) {
 	f := startFleet(t, 3)
-	done := send(context.Background(), newKey(t), 600, f.nodes[0])
+	done := f.send(context.Background(), newKey(t), 600, f.nodes[0])
 	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
 	for _, other := range f.nodes[1:] {
 		other.signal(t, syscall.SIGSTOP)
@@ -80,7 +80,7 @@
 // TestPlannedStop stops the node of a running answer by SIGTERM.
 func TestPlannedStop(t *testing.T) {
 	f := startFleet(t, 2)
-	done := send(context.Background(), newKey(t), 200, f.nodes[0])
+	done := f.send(context.Background(), newKey(t), 200, f.nodes[0])
 	eventually(t, "decoding", func() bool { return f.count(enginesim.EntryDecodeStart) == 1 })
 	f.nodes[0].signal(t, syscall.SIGTERM)
 	result := <-done
@@ -91,7 +91,7 @@
 	if err := <-f.nodes[0].ended; err != nil {
 		t.Fatalf("the node ended with %v", err)
 	}
-	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[1]))
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[1]))
 }
 
 // TestPlatformOutage takes the platform away: service goes on, a restarted node
@@ -99,7 +99,7 @@
 func TestPlatformOutage(t *testing.T) {
 	f := startFleet(t, 3)
 	setFaults(t, f.platformAddress, fault.Faults{Outage: true})
-	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[0]))
 	f.nodes[2].signal(t, syscall.SIGKILL)
 	<-f.nodes[2].ended
 	f.nodes[2].process = start(t, "reelrund", f.nodes[2].arguments...)
@@ -108,7 +108,7 @@
 	if err != nil || current.Version != 1 {
 		t.Fatalf("got %+v, %v", current, err)
 	}
-	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[2]))
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[2]))
 	plan, err := f.client(f.nodes[0]).Plan(context.Background(), operator.Intent{Action: operator.ActionRemove, References: []string{"tenants/tenant"}})
 	if err != nil {
 		t.Fatal(err)
@@ -130,5 +130,5 @@
 		}
 		return getJSON("http://"+f.engines[3]+"/v1/load", &load) && load.Role == "prefill"
 	})
-	expectAnswer(t, <-send(context.Background(), newKey(t), 10, f.nodes[0]))
+	expectAnswer(t, <-f.send(context.Background(), newKey(t), 10, f.nodes[0]))
 }
--- a/sim/load/caller.go
+++ b/sim/load/caller.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode body")
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/v1/completions", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, baseURL(node)+"/v1/completions", bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
@@ -118,7 +118,7 @@
 }
 
 func (c *caller) serviceRequest(ctx context.Context, node string) (*http.Request, error) {
-	target := "http://" + node + "/services/" + c.kind.Service + c.kind.Path
+	target := baseURL(node) + "/services/" + c.kind.Service + c.kind.Path
 	var body io.Reader
 	if c.body != "" {
 		body = strings.NewReader(c.body)
@@ -131,6 +131,14 @@
 	return request, nil
 }
 
+// baseURL returns the URL of a node that is given by its address or its URL.
+func baseURL(node string) string {
+	if strings.Contains(node, "://") {
+		return node
+	}
+	return "http://" + node
+}
+
 func (c *caller) setHeaders(request *http.Request) {
 	request.Header.Set("Authorization", "Bearer "+c.kind.Token)
 	request.Header.Set("Content-Type", "application/json")
--- a/sim/load/run.go
+++ b/sim/load/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -12,8 +13,11 @@
 // Options describe one run.
 type Options struct {
 	Workload Workload
-	// Nodes are the callers' addresses of the fleet.
+	// Nodes are the callers' addresses of the fleet. One that begins with https://
+	// is called by TLS.
 	Nodes []string
+	// TLS is the configuration for such nodes.
+	TLS *tls.Config
 	// Requests is the number of requests; Rate how many arrive a second.
 	Requests int
 	Rate     float64
@@ -25,7 +29,7 @@
 func Run(ctx context.Context, options Options) ([]Result, error) {
 	const seedStream = 0x9e3779b97f4a7c15
 	random := rand.New(rand.NewPCG(options.Seed, seedStream))
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: options.TLS}}
 	results := make([]Result, options.Requests)
 	var running sync.WaitGroup
 	for i := range options.Requests {
@@ -53,7 +57,7 @@
 type Call struct {
 	// Client sends it.
 	Client *http.Client
-	// Nodes are tried in turn.
+	// Nodes are tried in turn; https:// before an address means TLS.
 	Nodes []string
 	Kind  *Kind
 	// Key is the Idempotency-Key.
--- a/tlsfiles/tlsfiles.go
+++ b/tlsfiles/tlsfiles.go
@@ -70,13 +70,8 @@
 	}
 	var authority *x509.CertPool
 	if s.files.Authority != "" {
-		data, err := os.ReadFile(s.files.Authority)
-		if err != nil {
-			return errors.Wrap(err, "read authority")
-		}
-		authority = x509.NewCertPool()
-		if !authority.AppendCertsFromPEM(data) {
-			return errors.Newf("no certificate in %s", s.files.Authority)
+		if authority, err = readAuthority(s.files.Authority); err != nil {
+			return err
 		}
 	}
 	s.certificate, s.authority, s.modified, s.checked = &certificate, authority, modified, time.Now()
--- a/tlsfiles/tlsfiles_test.go
+++ b/tlsfiles/tlsfiles_test.go
@@ -1,81 +1,34 @@
 package tlsfiles
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
-)
-
-// authority signs certificates.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	pem         []byte
-}
 
-func template(serial int64, name string) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageDigitalSignature, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
+	"github.com/reelrun/reelrun/sim/certificates"
+)
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t *testing.T) *certificates.Authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	root := template(1, "authority")
-	root.IsCA, root.BasicConstraintsValid, root.KeyUsage = true, true, x509.KeyUsageCertSign
-	data, err := x509.CreateCertificate(rand.Reader, root, root, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	parsed, err := x509.ParseCertificate(data)
+	created, err := certificates.NewAuthority(certificates.Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &authority{parsed, key, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: data})}
+	return created
 }
 
-// issue writes a certificate, its key and the authority into a folder.
-func (a *authority) issue(t *testing.T, folder string, serial int64) Files {
+// issue writes a certificate into a folder and returns its files and its serial
+// number.
+func issue(t *testing.T, authority *certificates.Authority, folder string) (Files, int64) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	data, err := x509.CreateCertificate(rand.Reader, template(serial, "node"), a.certificate, &key.PublicKey, a.key)
+	files, serial, err := authority.Issue(folder, "node")
 	if err != nil {
 		t.Fatal(err)
 	}
-	encoded, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := Files{Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "authority.pem")}
-	for name, content := range map[string][]byte{
-		files.Certificate: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: data}),
-		files.Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded}),
-		files.Authority:   a.pem,
-	} {
-		if err := os.WriteFile(name, content, 0o600); err != nil {
-			t.Fatal(err)
-		}
-	}
-	return files
+	return Files(files), serial
 }
 
 // handshake connects a client to a server over loopback and returns the serial
@@ -116,16 +69,19 @@
 func TestNodesOfOneAuthorityConnect(t *testing.T) {
 	g := NewWithT(t)
 	shared := newAuthority(t)
-	server, client := source(t, shared.issue(t, t.TempDir(), 2)), source(t, shared.issue(t, t.TempDir(), 3))
-	serial, err := handshake(t, server.Server(), client.Client())
+	serverFiles, shown := issue(t, shared, t.TempDir())
+	clientFiles, _ := issue(t, shared, t.TempDir())
+	serial, err := handshake(t, source(t, serverFiles).Server(), source(t, clientFiles).Client())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(serial).To(BeEquivalentTo(2))
+	g.Expect(serial).To(Equal(shown))
 }
 
 func TestStrangersAreRejected(t *testing.T) {
 	g := NewWithT(t)
 	ours, theirs := newAuthority(t), newAuthority(t)
-	node, stranger := source(t, ours.issue(t, t.TempDir(), 2)), source(t, theirs.issue(t, t.TempDir(), 3))
+	ourFiles, _ := issue(t, ours, t.TempDir())
+	theirFiles, _ := issue(t, theirs, t.TempDir())
+	node, stranger := source(t, ourFiles), source(t, theirFiles)
 	_, err := handshake(t, node.Server(), stranger.Client())
 	g.Expect(err).To(HaveOccurred())
 	_, err = handshake(t, stranger.Server(), node.Client())
@@ -139,9 +95,11 @@
 	g := NewWithT(t)
 	shared := newAuthority(t)
 	folder := t.TempDir()
-	files := shared.issue(t, folder, 2)
-	server, client := source(t, files), source(t, shared.issue(t, t.TempDir(), 3))
-	shared.issue(t, folder, 9)
+	files, first := issue(t, shared, folder)
+	clientFiles, _ := issue(t, shared, t.TempDir())
+	server, client := source(t, files), source(t, clientFiles)
+	_, renewed := issue(t, shared, folder)
+	g.Expect(renewed).NotTo(Equal(first))
 	later := time.Now().Add(time.Minute)
 	g.Expect(os.Chtimes(files.Certificate, later, later)).To(Succeed())
 	server.mu.Lock()
@@ -149,12 +107,12 @@
 	server.mu.Unlock()
 	serial, err := handshake(t, server.Server(), client.Client())
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(serial).To(BeEquivalentTo(9))
+	g.Expect(serial).To(Equal(renewed))
 }
 
 func TestHalfWrittenFilesLeaveTheOldInUse(t *testing.T) {
 	g := NewWithT(t)
-	files := newAuthority(t).issue(t, t.TempDir(), 2)
+	files, issued := issue(t, newAuthority(t), t.TempDir())
 	kept := source(t, files)
 	g.Expect(os.WriteFile(files.Key, []byte("half"), 0o600)).To(Succeed())
 	later := time.Now().Add(time.Minute)
@@ -164,7 +122,28 @@
 	kept.mu.Unlock()
 	certificate, _ := kept.current()
 	g.Expect(certificate).NotTo(BeNil())
-	g.Expect(certificate.Leaf.SerialNumber.Int64()).To(BeEquivalentTo(2))
+	g.Expect(certificate.Leaf.SerialNumber.Int64()).To(Equal(issued))
 	_, err := NewSource(files)
 	g.Expect(err).To(HaveOccurred())
 }
+
+// TestClientTrustsOneAuthority shows that callers and operators accept nodes of
+// the named authority only.
+func TestClientTrustsOneAuthority(t *testing.T) {
+	g := NewWithT(t)
+	ours, theirs := newAuthority(t), newAuthority(t)
+	files, shown := issue(t, ours, t.TempDir())
+	foreign, _ := issue(t, theirs, t.TempDir())
+	node := source(t, Files{Certificate: files.Certificate, Key: files.Key})
+	trusting, err := ClientTrusting(files.Authority)
+	g.Expect(err).NotTo(HaveOccurred())
+	serial, err := handshake(t, node.Server(), trusting)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(serial).To(Equal(shown))
+	distrusting, err := ClientTrusting(foreign.Authority)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = handshake(t, node.Server(), distrusting)
+	g.Expect(err).To(HaveOccurred())
+	_, err = ClientTrusting(files.Key)
+	g.Expect(err).To(HaveOccurred())
+}
