Let zones without a seed find each other

Cause: a node told other zones only of its own zone, so two zones whose nodes are both not among the seeds never met: in the demo, nodes 4 to 6 knew four nodes of six. Owners of pools, claim shards and the directory are chosen among the known nodes, so these views named different owners. In a zone of several nodes that knew one seed only, they did not find each other either. The rehearsals hid it, since they gave a seed in every zone.

Ruled out: more seeds (a setting may be stale or down); all members in every heartbeat (cost by fleet); trusting another zone's word for who is live (a link that is cut would be hidden).

Change: heartbeats to other zones carry a digest of the zones heard of; a node that speaks for its zone and sees another digest, or is alone in its zone, asks for the speakers of the zones, every four intervals at most, and tries them.

--- a/membership/service.go
+++ b/membership/service.go
@@ -147,6 +147,29 @@
 	for _, zone := range stale {
 		s.fetch(ctx, target.Address, zone)
 	}
+	s.meetZones(ctx, target.Address, reply)
+}
+
+// meetZones asks a node of another zone for the nodes that it hears of and this
+// node does not. Seeds may stand in some zones only; the others meet in this way.
+func (s *Service) meetZones(ctx context.Context, address string, heartbeat *peerpb.Heartbeat) {
+	if !s.table.MissesZones(s.now(), heartbeat.GetMember().GetZone(), heartbeat.GetZonesDigest()) {
+		return
+	}
+	request := &peerpb.Request{Body: &peerpb.Request_FetchZone{FetchZone: &peerpb.FetchZone{Zone: s.table.Self().Zone, Representatives: true}}}
+	response, err := s.caller.Call(ctx, address, request)
+	if err != nil {
+		return // Asked again after some intervals.
+	}
+	s.table.AddHints(s.now(), membersOf(response.GetZoneView()))
+}
+
+func membersOf(view *peerpb.ZoneView) []Member {
+	members := make([]Member, len(view.GetMembers()))
+	for i, message := range view.GetMembers() {
+		members[i] = memberOf(message)
+	}
+	return members
 }
 
 func (s *Service) heartbeat(receiverZone string) *peerpb.Heartbeat {
@@ -154,6 +177,9 @@
 		Member:  s.table.Self().message(),
 		Digests: s.table.Digests(s.now(), receiverZone),
 	}
+	if receiverZone != "" && receiverZone != s.table.Self().Zone {
+		heartbeat.ZonesDigest = s.table.ZonesDigest(s.now())
+	}
 	s.payload(heartbeat)
 	return heartbeat
 }
@@ -176,8 +202,7 @@
 		return
 	}
 	byZone := map[string][]Member{}
-	for _, message := range response.GetZoneView().GetMembers() {
-		member := memberOf(message)
+	for _, member := range membersOf(response.GetZoneView()) {
 		byZone[member.Zone] = append(byZone[member.Zone], member)
 	}
 	for zone, members := range byZone {
@@ -206,9 +231,14 @@
 
 // HandleFetchZone answers with the members of the asked zone, or of all.
 func (s *Service) HandleFetchZone(request *peerpb.FetchZone) *peerpb.ZoneView {
-	members := s.table.ZoneMembers(s.now(), request.GetZone())
-	if request.GetZone() == "" {
+	var members []Member
+	switch {
+	case request.GetRepresentatives():
+		members = s.table.Speakers(s.now(), request.GetZone())
+	case request.GetZone() == "":
 		members = s.table.Live(s.now())
+	default:
+		members = s.table.ZoneMembers(s.now(), request.GetZone())
 	}
 	view := &peerpb.ZoneView{Members: make([]*peerpb.Member, len(members))}
 	for i, member := range members {
--- a/membership/table.go
+++ b/membership/table.go
@@ -53,6 +53,9 @@
 	members []Member
 	digest  uint64
 	heard   time.Time
+	// askedForZones is when a node of the zone was last asked for the zones that
+	// it hears of.
+	askedForZones time.Time
 }
 
 // Table is a node's view of the live members. It is safe for concurrent use.
@@ -164,7 +167,11 @@
 		return
 	}
 	sortMembers(members)
-	t.zones[zone] = &zoneView{members: members, digest: digestOf(members), heard: now.Add(-age)}
+	replaced := &zoneView{members: members, digest: digestOf(members), heard: now.Add(-age)}
+	if earlier, known := t.zones[zone]; known {
+		replaced.askedForZones = earlier.askedForZones
+	}
+	t.zones[zone] = replaced
 }
 
 func (t *Table) addHints(members []Member) {
@@ -177,13 +184,6 @@
 	}
 }
 
-// AddHint remembers a node to try.
-func (t *Table) AddHint(name, zone, address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.addHints([]Member{{Name: name, Zone: zone, Address: address}})
-}
-
 // Live returns the live members, the node itself among them, ordered by name.
 func (t *Table) Live(now time.Time) []Member {
 	t.mu.Lock()
--- a/membership/targets.go
+++ b/membership/targets.go
@@ -1,7 +1,11 @@
 package membership
 
 import (
+	"slices"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // retryFactor is how many intervals pass between tries of a silent node.
@@ -144,6 +148,96 @@
 	return t.represents(t.ownZone(now))
 }
 
+// ZonesDigest returns a digest of the names of the zones that are heard of.
+func (t *Table) ZonesDigest(now time.Time) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.zonesDigest(now)
+}
+
+// zonesDigest returns a digest of the names of the zones that are heard of.
+func (t *Table) zonesDigest(now time.Time) uint64 {
+	names := []string{t.self.Zone}
+	for zone, view := range t.zones {
+		if now.Sub(view.heard) <= t.options.ZoneTimeout {
+			names = append(names, zone)
+		}
+	}
+	slices.Sort(names)
+	return xxhash.Sum64String(strings.Join(names, "/"))
+}
+
+// Speakers returns the live members that speak for their zones, and those of the
+// named zone that this node has heard itself: when a zone starts, its nodes may
+// know the same node of another zone and not yet each other.
+func (t *Table) Speakers(now time.Time, heardIn string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	speaking := t.speakersOf(t.self.Zone, t.ownZone(now))
+	for _, known := range t.contacts {
+		if known.member.Zone == heardIn && heardIn != t.self.Zone && t.isLive(now, known) {
+			speaking = append(speaking, known.member)
+		}
+	}
+	for zone, view := range t.zones {
+		if now.Sub(view.heard) <= t.options.ZoneTimeout {
+			speaking = append(speaking, t.speakersOf(zone, view.members)...)
+		}
+	}
+	return speaking
+}
+
+func (t *Table) speakersOf(zone string, members []Member) []Member {
+	names := t.representatives(zone, members)
+	var speaking []Member
+	for _, member := range members {
+		if slices.Contains(names, member.Name) {
+			speaking = append(speaking, member)
+		}
+	}
+	return speaking
+}
+
+// zonesRetry is how many intervals pass between two questions to one zone for the
+// zones that it hears of.
+const zonesRetry = 4
+
+// MissesZones reports whether a node of another zone is to be asked for the zones
+// that it hears of: it hears of other ones, or this node is alone in its zone. It
+// is true once in a few intervals for each zone.
+func (t *Table) MissesZones(now time.Time, zone string, digest uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	view, known := t.zones[zone]
+	own := t.ownZone(now)
+	if !known || digest == 0 || !t.represents(own) {
+		return false
+	}
+	if digest == t.zonesDigest(now) && len(own) > 1 {
+		return false
+	}
+	if now.Sub(view.askedForZones) < zonesRetry*t.options.Interval {
+		return false
+	}
+	view.askedForZones = now
+	return true
+}
+
+// AddHints remembers nodes of the own zone and of zones that are not heard of, to
+// try them.
+func (t *Table) AddHints(now time.Time, members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var unheard []Member
+	for _, member := range members {
+		view, known := t.zones[member.Zone]
+		if !known || now.Sub(view.heard) > t.options.ZoneTimeout {
+			unheard = append(unheard, member)
+		}
+	}
+	t.addHints(unheard)
+}
+
 // Lacking returns the zones whose members are to be fetched from a node of the
 // given zone: that zone, if there is no view of it, and the own zone, if no other
 // node of it is heard.
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -38,6 +38,8 @@
 	// Zones are the zones of the nodes; each has NodesPerZone nodes.
 	Zones        []string
 	NodesPerZone int
+	// SeedZones is the number of zones whose first node is a seed. Default all.
+	SeedZones int
 	// Configuration is accepted before the nodes start. Its engines and replicas
 	// are started as stand-ins.
 	Configuration api.Configuration
@@ -237,10 +239,14 @@
 	f.nodes[name] = started
 }
 
-// seeds are the first nodes of each zone.
+// seeds are the first nodes of the zones that have one.
 func (f *Fleet) seeds() []string {
-	seeds := make([]string, len(f.Options.Zones))
-	for zone := range f.Options.Zones {
+	zones := len(f.Options.Zones)
+	if f.Options.SeedZones > 0 {
+		zones = min(zones, f.Options.SeedZones)
+	}
+	seeds := make([]string, zones)
+	for zone := range seeds {
 		seeds[zone] = hostOfNode(zone, 0) + peerPort
 	}
 	return seeds
--- a/sim/rehearsal/fleet_test.go
+++ b/sim/rehearsal/fleet_test.go
@@ -56,6 +56,7 @@
 	}
 	fleet.StartAll()
 	if !fleet.WaitReady(time.Minute) {
+		fleet.Close()
 		t.Fatal("fleet is not ready")
 	}
 	return fleet
