Send each message between nodes by one write

Cause: protodelim writes the length and the body of a message apart, which yamux sends as two frames, and yamux writes each frame's header and body apart: four writes a message.

Ruled out: a longer heartbeat interval (a death would be noticed later).

Change: messages are encoded before they are written; a connection wrapper of package peer joins a yamux header with its body. The in-memory network no longer needs to know the format of frames.

Test: TestCallIsOneWrite (2 writes without the first half of the change).

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +20,12 @@
 	if proto.Size(message) > MaxMessageBytes {
 		return ErrMessageTooLarge
 	}
-	_, err := protodelim.MarshalTo(w, message)
+	// One write makes one frame; protodelim itself writes the length first.
+	var encoded bytes.Buffer
+	if _, err := protodelim.MarshalTo(&encoded, message); err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	_, err := w.Write(encoded.Bytes())
 	return errors.Wrap(err, "write message")
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -63,6 +64,38 @@
 	g.Expect(client.lookup(address).mux.NumStreams()).To(Equal(1))
 }
 
+// countingConn counts the writes that reach the network.
+type countingConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countingConn) Write(data []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(data)
+}
+
+// TestCallIsOneWrite counts the writes of calls on a standing stream, small and
+// large: each is one packet or record, not one for each part of a frame.
+func TestCallIsOneWrite(t *testing.T) {
+	g := NewWithT(t)
+	client, address := pair(t, echo)
+	var writes atomic.Int64
+	client.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+		return countingConn{conn, &writes}, err
+	}
+	_, err := client.Call(context.Background(), address, fetchPart("first"))
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, digest := range []string{"x", strings.Repeat("y", 3*maxKeptFrame)} {
+		writes.Store(0)
+		response, err := client.Call(context.Background(), address, fetchPart(digest))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(response.GetContent().GetData())).To(Equal(digest))
+		g.Expect(writes.Load()).To(BeEquivalentTo(1))
+	}
+}
+
 func TestTypedErrorCrossesTheWire(t *testing.T) {
 	g := NewWithT(t)
 	sent := api.NewError(http.StatusServiceUnavailable, api.CodeNoCapacity, api.OutcomeNotRun, "full").WithRetryAfter(1500 * time.Millisecond)
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,7 +54,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	mux, err := yamux.Server(conn, sessionConfig())
+	mux, err := yamux.Server(newFrameConn(conn), sessionConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/peer/session.go
+++ b/peer/session.go
@@ -53,7 +53,7 @@
 }
 
 func newClientSession(conn net.Conn) (*clientSession, error) {
-	mux, err := yamux.Client(conn, sessionConfig())
+	mux, err := yamux.Client(newFrameConn(conn), sessionConfig())
 	if err != nil {
 		return nil, errors.Wrap(err, "open session")
 	}
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -158,31 +157,14 @@
 	closed  chan struct{}
 	once    sync.Once
 	sent    *traffic
-	// bodyLeft is what is still to come of the frame whose header was written.
-	// The session writes from one goroutine.
-	bodyLeft int
 }
 
-// Layout of a yamux frame header.
-const (
-	headerBytes  = 12
-	typeOffset   = 1
-	lengthOffset = 8
-	typeData     = 0
-)
-
-// Write implements net.Conn. A frame passes the gate as a whole: yamux reads the
-// body of a frame under a lock, on which virtual time does not advance.
+// Write implements net.Conn. Peers write each frame as a whole, so that the gate
+// never holds a part of one back: yamux reads the body of a frame under a lock, on
+// which virtual time does not advance.
 func (c *conn) Write(data []byte) (int, error) {
-	if c.bodyLeft > 0 {
-		c.bodyLeft -= len(data)
-	} else {
-		if err := c.network.gate.wait(c.link, c.closed); err != nil {
-			return 0, err
-		}
-		if len(data) == headerBytes && data[typeOffset] == typeData {
-			c.bodyLeft = int(binary.BigEndian.Uint32(data[lengthOffset:]))
-		}
+	if err := c.network.gate.wait(c.link, c.closed); err != nil {
+		return 0, err
 	}
 	c.sent.bytes.Add(int64(len(data)))
 	c.sent.frames.Add(1)
