Keep each tenant in memory once

Ruled out: keeping the parts' stored form compressed (token digests are most of it and do not compress).

--- a/configuration/head.go
+++ b/configuration/head.go
@@ -127,21 +127,17 @@
 	}
 }
 
-// Join builds the configuration of a head from its decoded parts.
-func Join(head Head, parts map[string]*api.Configuration) (*api.Configuration, error) {
-	whole := &api.Configuration{Version: head.Version}
-	for _, digest := range head.Parts {
-		part, ok := parts[digest]
-		if !ok {
-			return nil, errors.Newf("part %s is missing", digest)
-		}
+// Join builds the configuration of a version from its decoded parts.
+func Join(version uint64, parts []*api.Configuration) *api.Configuration {
+	whole := &api.Configuration{Version: version}
+	for _, part := range parts {
 		whole.Tenants = append(whole.Tenants, part.Tenants...)
 		whole.Classes = append(whole.Classes, part.Classes...)
 		whole.Pools = append(whole.Pools, part.Pools...)
 		whole.Services = append(whole.Services, part.Services...)
 	}
 	Sort(whole)
-	return whole, nil
+	return whole
 }
 
 // Sort orders the objects of a configuration by name.
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -31,7 +31,7 @@
 
 // NewHolder returns a holder with an empty configuration of version zero.
 func NewHolder() *Holder {
-	return &Holder{advancing: make(chan struct{}, 1), current: NewSnapshot(Head{}, &api.Configuration{}), parts: map[string]storedPart{}}
+	return &Holder{advancing: make(chan struct{}, 1), current: NewSnapshot(Head{}), parts: map[string]storedPart{}}
 }
 
 // OnChange registers a function that is called with each new version.
@@ -75,19 +75,16 @@
 		return nil
 	}
 	parts := make(map[string]storedPart, len(head.Parts))
-	decoded := make(map[string]*api.Configuration, len(head.Parts))
+	decoded := make([]*api.Configuration, 0, len(head.Parts))
 	for _, digest := range head.Parts {
 		part, err := h.part(ctx, digest, fetch)
 		if err != nil {
 			return err
 		}
-		parts[digest], decoded[digest] = part, part.decoded
+		parts[digest] = part
+		decoded = append(decoded, part.decoded)
 	}
-	whole, err := Join(head, decoded)
-	if err != nil {
-		return err
-	}
-	h.install(NewSnapshot(head, whole), parts)
+	h.install(NewSnapshot(head, decoded...), parts)
 	return nil
 }
 
--- a/configuration/property_test.go
+++ b/configuration/property_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -146,8 +148,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		stored := map[string]*api.Configuration{}
-		head := Head{Version: 3}
+		var stored []*api.Configuration
 		for _, part := range parts {
 			if len(part.Data) > 1<<20 {
 				t.Fatalf("a part has %d bytes", len(part.Data))
@@ -156,12 +157,11 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			stored[part.Digest] = decoded
-			head.Parts = append(head.Parts, part.Digest)
+			stored = append(stored, decoded)
 		}
-		joined, err := Join(head, stored)
-		if err != nil {
-			t.Fatal(err)
+		joined := Join(3, stored)
+		if !slices.IsSortedFunc(joined.Tenants, func(a, b api.Tenant) int { return strings.Compare(a.Name, b.Name) }) {
+			t.Fatal("tenants are out of order")
 		}
 		if len(joined.Tenants) != count || len(joined.Classes) != 1 || joined.Version != 3 {
 			t.Fatalf("joined %d tenants, %d classes, version %d", len(joined.Tenants), len(joined.Classes), joined.Version)
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"github.com/reelrun/reelrun/api"
 )
@@ -15,11 +17,12 @@
 }
 
 // Snapshot is one version of the configuration with its indexes. It never
-// changes.
+// changes. Versions share the decoded parts that they have in common: the tenants
+// of a large fleet stand in memory once, and not once for each version.
 type Snapshot struct {
-	Head          Head
-	Configuration *api.Configuration
+	Head Head
 
+	parts    []*api.Configuration
 	tenants  map[string]*api.Tenant
 	tokens   map[string]*api.Tenant
 	classes  map[string]*api.Class
@@ -29,31 +32,37 @@
 	services map[string]*api.Service
 }
 
-// NewSnapshot indexes a configuration.
-func NewSnapshot(head Head, configuration *api.Configuration) *Snapshot {
-	configuration.SetDefaults()
+// NewSnapshot indexes the decoded parts of a version. It fills their defaults.
+func NewSnapshot(head Head, parts ...*api.Configuration) *Snapshot {
 	s := &Snapshot{
-		Head: head, Configuration: configuration,
+		Head: head, parts: parts,
 		tenants: map[string]*api.Tenant{}, tokens: map[string]*api.Tenant{}, classes: map[string]*api.Class{},
 		pools: map[string]*api.Pool{}, models: map[string][]*api.Pool{}, engines: map[string]EngineRef{}, services: map[string]*api.Service{},
 	}
-	for i := range configuration.Tenants {
-		tenant := &configuration.Tenants[i]
+	for _, part := range parts {
+		part.SetDefaults()
+		s.add(part)
+	}
+	return s
+}
+
+func (s *Snapshot) add(part *api.Configuration) {
+	for i := range part.Tenants {
+		tenant := &part.Tenants[i]
 		s.tenants[tenant.Name] = tenant
 		for _, hash := range tenant.TokenHashes {
 			s.tokens[hash] = tenant
 		}
 	}
-	for i := range configuration.Classes {
-		s.classes[configuration.Classes[i].Name] = &configuration.Classes[i]
+	for i := range part.Classes {
+		s.classes[part.Classes[i].Name] = &part.Classes[i]
 	}
-	for i := range configuration.Pools {
-		s.addPool(&configuration.Pools[i])
+	for i := range part.Pools {
+		s.addPool(&part.Pools[i])
 	}
-	for i := range configuration.Services {
-		s.services[configuration.Services[i].Name] = &configuration.Services[i]
+	for i := range part.Services {
+		s.services[part.Services[i].Name] = &part.Services[i]
 	}
-	return s
 }
 
 func (s *Snapshot) addPool(pool *api.Pool) {
@@ -89,6 +98,13 @@
 	return tenant, match == 1
 }
 
+// Whole returns all objects, ordered by name, in a copy of their lists. It costs
+// memory for every tenant and is meant for operators' calls.
+func (s *Snapshot) Whole() *api.Configuration { return Join(s.Head.Version, s.parts) }
+
+// PoolNames returns the names of all pools, in no order.
+func (s *Snapshot) PoolNames() []string { return slices.Collect(maps.Keys(s.pools)) }
+
 // Tenant returns a tenant by name.
 func (s *Snapshot) Tenant(name string) (*api.Tenant, bool) {
 	tenant, ok := s.tenants[name]
--- a/controller/engineorder/reconciler.go
+++ b/controller/engineorder/reconciler.go
@@ -81,10 +81,10 @@
 
 // Requests lists the configured pools.
 func (r *Reconciler) Requests() []controller.Request {
-	pools := r.options.Configuration.Current().Configuration.Pools
-	requests := make([]controller.Request, len(pools))
-	for i := range pools {
-		requests[i] = controller.Request{Name: pools[i].Name}
+	names := r.options.Configuration.Current().PoolNames()
+	requests := make([]controller.Request, len(names))
+	for i, name := range names {
+		requests[i] = controller.Request{Name: name}
 	}
 	return requests
 }
--- a/operator/plan.go
+++ b/operator/plan.go
@@ -88,7 +88,8 @@
 // MakePlan computes the plan of an intent and the configuration it leads to. It
 // returns a *FindingsError if that configuration has faults.
 func MakePlan(current *configuration.Snapshot, intent Intent) (*Plan, *api.Configuration, error) {
-	next, err := clone(current.Configuration)
+	standing := current.Whole()
+	next, err := clone(standing)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -110,7 +111,7 @@
 		return nil, nil, &FindingsError{findings}
 	}
 	plan := &Plan{BaseVersion: current.Version(), Intent: intent}
-	if err := plan.compare(current.Configuration, next); err != nil {
+	if err := plan.compare(standing, next); err != nil {
 		return nil, nil, err
 	}
 	return plan, next, plan.seal()
--- a/operator/server.go
+++ b/operator/server.go
@@ -172,10 +172,7 @@
 }
 
 func (s *Server) configuration(ctx iris.Context) {
-	current := s.options.Configuration.Current()
-	shown := *current.Configuration
-	shown.Version = current.Version()
-	reply(ctx, http.StatusOK, shown)
+	reply(ctx, http.StatusOK, s.options.Configuration.Current().Whole())
 }
 
 func (s *Server) status(ctx iris.Context) {
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -72,8 +72,8 @@
 func (o *Owner) Requests() []controller.Request {
 	snapshot := o.options.Configuration.Current()
 	names := map[string]bool{}
-	for _, configured := range snapshot.Configuration.Pools {
-		names[configured.Name] = true
+	for _, name := range snapshot.PoolNames() {
+		names[name] = true
 	}
 	o.mu.Lock()
 	for name := range o.pools {
