Meet other zones also when called by their speakers

Cause: TestZonesWithoutSeedsFindEachOther failed in 5 of about 36 repetitions. Of a pair, the node with the lower name calls, and only the caller looked whether the other one hears of more zones. Where the seed has the lowest name it calls all others, and they never asked it.

Change: the called node looks as well, and asks after it has answered.

--- a/membership/service.go
+++ b/membership/service.go
@@ -147,15 +147,20 @@
 	for _, zone := range stale {
 		s.fetch(ctx, target.Address, zone)
 	}
-	s.meetZones(ctx, target.Address, reply)
+	if s.missesZones(reply) {
+		s.meetZones(ctx, target.Address)
+	}
+}
+
+// missesZones reports whether the sender of a heartbeat is to be asked for the
+// zones that it hears of.
+func (s *Service) missesZones(heartbeat *peerpb.Heartbeat) bool {
+	return s.table.MissesZones(s.now(), heartbeat.GetMember().GetZone(), heartbeat.GetZonesDigest())
 }
 
 // meetZones asks a node of another zone for the nodes that it hears of and this
 // node does not. Seeds may stand in some zones only; the others meet in this way.
-func (s *Service) meetZones(ctx context.Context, address string, heartbeat *peerpb.Heartbeat) {
-	if !s.table.MissesZones(s.now(), heartbeat.GetMember().GetZone(), heartbeat.GetZonesDigest()) {
-		return
-	}
+func (s *Service) meetZones(ctx context.Context, address string) {
 	request := &peerpb.Request{Body: &peerpb.Request_FetchZone{FetchZone: &peerpb.FetchZone{Zone: s.table.Self().Zone, Representatives: true}}}
 	response, err := s.caller.Call(ctx, address, request)
 	if err != nil {
@@ -213,19 +218,23 @@
 // HandleHeartbeat answers a heartbeat with the node's own.
 func (s *Service) HandleHeartbeat(ctx context.Context, received *peerpb.Heartbeat) *peerpb.Heartbeat {
 	stale := s.observe(received)
-	if len(stale) > 0 {
-		s.fetchLater(ctx, received.GetMember().GetAddress(), stale)
+	misses := s.missesZones(received)
+	if len(stale) > 0 || misses {
+		s.fetchLater(ctx, received.GetMember().GetAddress(), stale, misses)
 	}
 	return s.heartbeat(received.GetMember().GetZone())
 }
 
-func (s *Service) fetchLater(ctx context.Context, address string, zones []string) {
+func (s *Service) fetchLater(ctx context.Context, address string, zones []string, misses bool) {
 	s.running.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, s.table.options.FailureTimeout)
 		defer cancel()
 		for _, zone := range zones {
 			s.fetch(ctx, address, zone)
 		}
+		if misses {
+			s.meetZones(ctx, address)
+		}
 	})
 }
 
