Stop new work at nodes that hear less than most of the fleet and no platform

Cause: two nodes, or a whole region, cut off together from the platform and the rest took it for an outage of the platform and served by an old configuration for as long as it lasted.

Ruled out: stopping whenever the platform does not answer (an outage alone must not stop service); asking all nodes before each acceptance (a cut right after it would not be seen either).

Change: a node that does not hear more than half of the nodes it has known asks the platform twice an interval and stops new work while it does not answer. A plan is confirmed only at a node that hears at least half of the fleet, or another half might hold on to the older version without learning of it.

--- a/membership/table.go
+++ b/membership/table.go
@@ -295,7 +295,33 @@
 func (t *Table) SeesMajority(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known, live := 1, 1
+	heard, known := t.share(now, t.options.ZoneTimeout)
+	return 2*heard > known
+}
+
+// SeesHalf is SeesMajority for at least half of the nodes.
+func (t *Table) SeesHalf(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard, known := t.share(now, t.options.ZoneTimeout)
+	return 2*heard >= known
+}
+
+// SeesMajorityNow is SeesMajority with less patience for other zones: news of a
+// zone is usually two intervals old at most. It is meant for choices that must be
+// made before the zone counts as unreachable and that do no harm if taken back.
+func (t *Table) SeesMajorityNow(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	heard, known := t.share(now, t.options.FailureTimeout+t.options.Interval)
+	return 2*heard > known
+}
+
+// share counts the nodes that were known within the forget timeout, the node
+// itself among them, and those of them that are heard of, with the given patience
+// for other zones. The caller holds the lock.
+func (t *Table) share(now time.Time, patience time.Duration) (heard, known int) {
+	known, heard = 1, 1
 	for _, candidate := range t.contacts {
 		recent := !candidate.heard.IsZero() && now.Sub(candidate.heard) <= t.options.ForgetTimeout
 		if candidate.member.Zone != t.self.Zone || !recent || candidate.member.State == StateDraining {
@@ -303,7 +329,7 @@
 		}
 		known++
 		if t.isLive(now, candidate) {
-			live++
+			heard++
 		}
 	}
 	for _, view := range t.zones {
@@ -311,11 +337,11 @@
 			continue
 		}
 		known += len(view.members)
-		if now.Sub(view.heard) <= t.options.ZoneTimeout {
-			live += len(view.members)
+		if now.Sub(view.heard) <= patience {
+			heard += len(view.members)
 		}
 	}
-	return 2*live > known
+	return heard, known
 }
 
 // HearsAnyone reports whether any other node has been heard of within the
--- a/node/core.go
+++ b/node/core.go
@@ -78,6 +78,8 @@
 	// confirmedAt is when the platform last answered, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	draining    atomic.Bool
+	// isolated states that the node hears too little to take new work.
+	isolated atomic.Bool
 }
 
 // NewCore assembles a core that does nothing until Run.
--- a/node/node.go
+++ b/node/node.go
@@ -154,7 +154,7 @@
 // operatorHandler serves the operators' API, the counters and the profiles.
 func (n *Node) operatorHandler(store platform.Store) (http.Handler, error) {
 	handler, err := operator.NewHandler(operator.Options{
-		Configuration: n.core.Configuration, Store: store, Fleet: fleet{n.core},
+		Configuration: n.core.Configuration, Store: store, Fleet: fleet{n.core}, HearsHalf: n.core.HearsHalf,
 		TokenHash: n.settings.OperatorTokenHash, Events: n.core.Events,
 	})
 	if err != nil {
--- a/node/readiness.go
+++ b/node/readiness.go
@@ -8,16 +8,21 @@
 	"github.com/reelrun/reelrun/timeline"
 )
 
-// isolationLimit is how long a node that hears neither peers nor the platform
-// goes on taking new work. It stays below the 6 s within which a configuration
-// is in force everywhere, less the time in which the silence is noticed.
-const isolationLimit = 2 * time.Second
+const (
+	// isolationLimit is how old the platform's last answer may be for a node that
+	// does not hear most of the fleet to go on taking new work. With the time in
+	// which the silence is noticed and a probe of the platform it stays below the
+	// 6 s within which a configuration is in force everywhere.
+	isolationLimit = 1500 * time.Millisecond
+	// probeTimeout bounds one question to the platform.
+	probeTimeout = time.Second
+)
 
 // AcceptsWork reports whether the node takes new requests: it holds a
 // configuration and is not cut off.
 func (c *Core) AcceptsWork() bool {
 	state := c.Table.Self().State
-	return state != membership.StateStarting && !c.isIsolated()
+	return state != membership.StateStarting && !c.isolated.Load()
 }
 
 // IsReady reports whether the balancer should send callers to the node.
@@ -25,24 +30,53 @@
 	return c.AcceptsWork() && !c.draining.Load()
 }
 
-// isIsolated reports whether the node hears nobody, although there were others,
-// and the platform does not answer either. An outage of the platform alone is
-// no reason to stop.
-func (c *Core) isIsolated() bool {
-	hears, everDid := c.Table.HearsAnyone(c.options.Now())
-	if hears || !everDid {
-		return false
+// hearsEnough reports whether the node hears most of the fleet, or never heard
+// anyone. A change is accepted only at a node that hears at least half of the
+// fleet, so it cannot be accepted out of the sight of a node that hears more.
+func (c *Core) hearsEnough() bool {
+	now := c.options.Now()
+	hears, everDid := c.Table.HearsAnyone(now)
+	if !everDid {
+		return true
+	}
+	return hears && c.Table.SeesMajorityNow(now)
+}
+
+// HearsHalf reports whether the node hears at least half of the fleet. Then no node
+// that it does not hear can hear most of the fleet.
+func (c *Core) HearsHalf() bool { return c.Table.SeesHalf(c.options.Now()) }
+
+// reconcileIsolation stops new work at a node that neither hears most of the
+// fleet nor reaches the platform: a newer configuration may be in force
+// elsewhere. An outage of the platform alone is no reason to stop.
+func (c *Core) reconcileIsolation(ctx context.Context) {
+	if c.hearsEnough() {
+		c.setIsolated(false)
+		return
+	}
+	probing, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	c.syncer.Probe(probing)
+	silence := c.options.Now().UnixNano() - c.confirmedAt.Load()
+	c.setIsolated(silence > isolationLimit.Nanoseconds())
+}
+
+func (c *Core) setIsolated(isolated bool) {
+	if c.isolated.Swap(isolated) == isolated {
+		return
+	}
+	var kind timeline.Kind = "node-rejoined"
+	if isolated {
+		kind = "node-isolated"
+		c.Metrics.Add("isolations", 1)
 	}
-	return c.options.Now().UnixNano()-c.confirmedAt.Load() > isolationLimit.Nanoseconds()
+	c.Events.Record(timeline.Event{Kind: kind})
 }
 
 // reconcileReadiness makes a starting node ready once it has the newest
-// configuration that the platform or, while it is down, the peers hold. A node
-// that hears nobody asks the platform often enough to notice being cut off.
+// configuration that the platform or, while it is down, the peers hold.
 func (c *Core) reconcileReadiness(ctx context.Context) {
-	if hears, everDid := c.Table.HearsAnyone(c.options.Now()); everDid && !hears {
-		c.syncer.Probe(ctx)
-	}
+	c.reconcileIsolation(ctx)
 	if c.draining.Load() || c.Table.Self().State != membership.StateStarting {
 		return
 	}
--- a/operator/accept.go
+++ b/operator/accept.go
@@ -16,8 +16,17 @@
 	// Configuration is the node's configuration, which an accepted plan advances.
 	Configuration *configuration.Holder
 	Store         platform.Store
+	// HearsHalf reports whether the node hears at least half of the fleet; nil
+	// means that it does. The others could not be told of a change.
+	HearsHalf func() bool
 }
 
+// errParted refuses a change that most of the fleet would not learn of. Nodes that
+// hear more than half of the fleet go on by their version when the platform does
+// not answer them, so a change may only be accepted where at least half is heard.
+var errParted = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun,
+	"this node hears less than half of the fleet; confirm through a node that hears more, or when the fleet is whole again").WithRetryAfter(partedRetryAfter)
+
 // typed turns the errors of an acceptance into those of the API.
 func typed(err error) error {
 	var conflict *configuration.ErrConflict
@@ -51,6 +60,9 @@
 	if head.Version != plan.BaseVersion {
 		return configuration.Head{}, &configuration.ErrConflict{Planned: plan.BaseVersion, Current: head.Version, Moved: head.Moved}
 	}
+	if a.HearsHalf != nil && !a.HearsHalf() {
+		return configuration.Head{}, errParted
+	}
 	current := a.Configuration.Current()
 	computed, next, err := MakePlan(current, plan.Intent)
 	if err != nil {
--- a/operator/server.go
+++ b/operator/server.go
@@ -32,6 +32,8 @@
 	// confirmTimeout bounds the work of a confirmation at the platform.
 	confirmTimeout = 8 * time.Second
 	retryAfter     = 2 * time.Second
+	// partedRetryAfter is when to confirm again if the fleet is parted.
+	partedRetryAfter = 10 * time.Second
 )
 
 // Fleet gathers what all nodes know.
@@ -47,6 +49,8 @@
 	Configuration *configuration.Holder
 	Store         platform.Store
 	Fleet         Fleet
+	// HearsHalf is that of an Acceptor.
+	HearsHalf func() bool
 	// TokenHash is the hex SHA-256 digest of the operators' token.
 	TokenHash string
 	// Events receives an event for each accepted change.
@@ -61,7 +65,9 @@
 
 // NewHandler returns the API as an http.Handler.
 func NewHandler(options Options) (http.Handler, error) {
-	server := &Server{options: options, acceptor: Acceptor{Configuration: options.Configuration, Store: options.Store}}
+	server := &Server{options: options, acceptor: Acceptor{
+		Configuration: options.Configuration, Store: options.Store, HearsHalf: options.HearsHalf,
+	}}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
 	app.Use(server.authenticate)
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -324,6 +324,29 @@
 	close(killed.down)
 }
 
+// Part cuts the nodes of some zones off from the nodes of the others, and from the
+// platform if asked to. Engines stay reachable from both sides. The returned
+// function ends the parting.
+func (f *Fleet) Part(zones []string, withoutPlatform bool) (heal func()) {
+	inside, hosts := map[string]bool{}, map[string]bool{}
+	for _, running := range f.Alive() {
+		hosts[running.Host] = true
+		if slices.Contains(zones, running.Zone) {
+			inside[running.Host] = true
+			f.Platform.CutOff(running.Name, withoutPlatform)
+		}
+	}
+	f.Gate.Block(func(link memnet.Link) bool {
+		return hosts[link.From] && hosts[link.To] && inside[link.From] != inside[link.To]
+	})
+	return func() {
+		f.Gate.Block(func(memnet.Link) bool { return false })
+		for _, name := range f.NodeNames() {
+			f.Platform.CutOff(name, false)
+		}
+	}
+}
+
 // drainDelay is the time in which the balancer takes a draining node out.
 const drainDelay = 5 * time.Second
 
--- a/sim/rehearsal/fleet_test.go
+++ b/sim/rehearsal/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/sim/load"
 )
 
@@ -56,6 +57,9 @@
 	}
 	fleet.StartAll()
 	if !fleet.WaitReady(time.Minute) {
+		for _, running := range fleet.Alive() {
+			t.Logf("%s: ready %t, hears %s", running.Name, running.Core.IsReady(), membership.Names(running.Core.Cluster.Live()))
+		}
 		fleet.Close()
 		t.Fatal("fleet is not ready")
 	}
