Measure freed streams, parted regions and restarts under load in hollow fleets

Change: reelrun-sim hollow gets -parting and -restarts, and -failures also kills nodes with streams. Traffic goes through the ready nodes as behind a balancer and is judged by the stand-ins' ledgers. The cut zone uses the fleet's own parting. The test script finds packages in virtual time by their imports.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,20 +4,28 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=${TEST_SEED:-20261202}
-all=$(go list ./...)
-properties=$(go list -f '{{join .TestImports "\n"}}{{"\n"}}{{join .XTestImports "\n"}}{{"\n"}}package {{.ImportPath}}' ./... |
-  awk '/^pgregory.net\/rapid$/ {found = 1} /^package / {if (found) print $2; found = 0}')
-plain=$(comm -23 <(sort <<<"$all") <(sort <<<"$properties"))
-# shellcheck disable=SC2086
-go test -race -timeout 15m $plain
+# importing PATTERN lists the packages whose tests import a package.
+importing() {
+  go list -f '{{$path := .ImportPath}}{{range .TestImports}}{{$path}} {{.}}{{"\n"}}{{end}}{{range .XTestImports}}{{$path}} {{.}}{{"\n"}}{{end}}' ./... |
+    awk -v wanted="$1" '$2 == wanted {print $1}' | sort -u
+}
+all=$(go list ./... | sort)
+properties=$(importing pgregory.net/rapid)
+plain=$(comm -23 <(echo "$all") <(echo "$properties"))
+virtual=$(comm -12 <(echo "$plain") <(importing testing/synctest))
+plain=$(comm -23 <(echo "$plain") <(echo "$virtual"))
 rehearsal=$(grep '/sim/rehearsal$' <<<"$properties")
 properties=$(grep -v '/sim/rehearsal$' <<<"$properties")
+# shellcheck disable=SC2086
+go test -race -timeout 15m $plain
 # Tests in virtual time run on one thread under the race detector. The runtime of
 # Go 1.26 gives all timers of a synctest bubble one detector context and uses it
 # without a lock from every thread that receives from a timer's channel, so that
 # the detector fails by itself ("CHECK failed: tsan_rtl.cpp", or a SIGSEGV below
 # runtime.maybeRunChan). It finds races by order, not by chance, so one thread
-# hides none. The packages below use other threads without the detector.
+# hides none. Without the detector they use all threads.
+# shellcheck disable=SC2086
+GOMAXPROCS=1 go test -race -timeout 15m $virtual
 # shellcheck disable=SC2086
 GOMAXPROCS=1 go test -race -timeout 15m $properties -rapid.seed="$seed" -rapid.nofailfile
 binary=$(mktemp)
--- a/sim/hollow/measure.go
+++ b/sim/hollow/measure.go
@@ -29,6 +29,10 @@
 	Trials int
 	// Failures also measures churn, a zone that is cut off, and deaths.
 	Failures bool
+	// Parting also measures two regions that lose each other for this time.
+	Parting time.Duration
+	// Restarts also measures this number of restarts under load.
+	Restarts int
 }
 
 // Spread is how long accepted configurations took to be in force everywhere.
@@ -69,6 +73,11 @@
 	// ZoneLostSeconds is the time from the loss of a zone until its pools have
 	// owners elsewhere.
 	ZoneLostSeconds float64 `json:"zone_lost_s,omitempty"`
+	// StreamsFreed is the time from a node's death until the engines hold none of
+	// its streams; it includes the resume window.
+	StreamsFreed *Spread   `json:"streams_freed,omitempty"`
+	Parting      *Parting  `json:"regions_parted,omitempty"`
+	Restarts     *Restarts `json:"restarts,omitempty"`
 }
 
 // startInterval is the time between the starts of two nodes.
@@ -80,8 +89,8 @@
 // enginesPerPool is the size of a generated pool.
 const enginesPerPool = 8
 
-// Measure builds a fleet, measures it and ends it.
-func Measure(ctx context.Context, options Options) (*Report, error) {
+// newFleet makes a fleet whose nodes are still to be started.
+func newFleet(ctx context.Context, options Options) (*rehearsal.Fleet, error) {
 	zones := make([]string, options.Zones)
 	for i := range zones {
 		zones[i] = fmt.Sprintf("zone-%d", i)
@@ -91,11 +100,16 @@
 		Zones: zones, Models: options.Models, PoolsPerModel: perModel, EnginesPerPool: enginesPerPool,
 		Tenants: options.Tenants, Services: 2, ChecksFence: true,
 	}
-	fleet, err := rehearsal.NewFleet(ctx, rehearsal.Options{
+	return rehearsal.NewFleet(ctx, rehearsal.Options{
 		Zones: zones, NodesPerZone: (options.Nodes + options.Zones - 1) / options.Zones,
 		Configuration: rehearsal.Generate(shape), Engine: idleEngine(),
 		Platform: platformsim.Options{WritesPerSecond: 300, ReadsPerSecond: 2000},
 	})
+}
+
+// Measure builds a fleet, measures it and ends it.
+func Measure(ctx context.Context, options Options) (*Report, error) {
+	fleet, err := newFleet(ctx, options)
 	if err != nil {
 		return nil, err
 	}
--- a/sim/hollow/react.go
+++ b/sim/hollow/react.go
@@ -10,7 +10,6 @@
 	"github.com/reelrun/reelrun/configuration"
 	"github.com/reelrun/reelrun/operator"
 	"github.com/reelrun/reelrun/owner"
-	"github.com/reelrun/reelrun/sim/memnet"
 	"github.com/reelrun/reelrun/sim/rehearsal"
 )
 
@@ -30,9 +29,22 @@
 		return err
 	}
 	r.Spread = spread
+	if options.Restarts > 0 {
+		if err := r.restarts(fleet, options); err != nil {
+			return err
+		}
+	}
+	if options.Parting > 0 {
+		if err := r.regionsParted(ctx, fleet, options); err != nil {
+			return err
+		}
+	}
 	if !options.Failures {
 		return nil
 	}
+	if err := r.streamsFreed(fleet, options); err != nil {
+		return err
+	}
 	for _, churn := range []struct {
 		percent int
 		target  **Spread
@@ -139,32 +151,16 @@
 		return nil
 	}
 	cut := fleet.Options.Zones[options.Zones-1]
-	inside := map[string]bool{}
-	for _, running := range fleet.Alive() {
-		if running.Zone == cut {
-			inside[running.Host] = true
-			fleet.Platform.CutOff(running.Name, true)
-		}
-	}
-	fleet.Gate.Block(func(link memnet.Link) bool { return inside[link.From] != inside[link.To] })
-	outside := func(fleet *rehearsal.Fleet) []*rehearsal.Node {
-		var selected []*rehearsal.Node
-		for _, running := range fleet.Alive() {
-			if running.Zone != cut {
-				selected = append(selected, running)
-			}
-		}
-		return selected
-	}
+	heal := fleet.Part([]string{cut}, true)
+	defer heal()
+	rest := fleet.Options.Zones[:options.Zones-1]
+	outside := func(fleet *rehearsal.Fleet) []*rehearsal.Node { return nodesIn(fleet, rest) }
 	measured, err := measureSpread(ctx, fleet, options.Trials, func() {}, outside)
 	if err != nil {
 		return errors.Wrap(err, "zone cut off")
 	}
 	r.SpreadZoneCut = &measured
-	fleet.Gate.Block(func(memnet.Link) bool { return false })
-	for _, running := range fleet.Alive() {
-		fleet.Platform.CutOff(running.Name, false)
-	}
+	heal()
 	return errors.Wrap(await(func() bool { return inForce(fleet.Alive(), r.newest(fleet)) }), "zone after its return")
 }
 
--- /dev/null
+++ b/sim/hollow/traffic.go
@@ -0,0 +1,110 @@
+package hollow
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/sim/load"
+	"github.com/reelrun/reelrun/sim/rehearsal"
+)
+
+const (
+	callerHost = "192.0.2.1"
+	// promptWords is the length of a request's prompt.
+	promptWords = 100
+	// answerTokens is the length of a usual answer, endlessTokens of one that only
+	// a cancellation ends.
+	answerTokens  = 40
+	endlessTokens = 20000
+	// nodesTried is how many nodes the balancer offers a caller in turn.
+	nodesTried = 4
+)
+
+// traffic sends requests to a fleet as callers behind a balancer do.
+type traffic struct {
+	fleet   *rehearsal.Fleet
+	options Options
+	random  *rand.Rand
+
+	running sync.WaitGroup
+	mu      sync.Mutex
+	results []load.Result
+}
+
+func newTraffic(fleet *rehearsal.Fleet, options Options) *traffic {
+	const seed, stream = 1, 7
+	return &traffic{fleet: fleet, options: options, random: rand.New(rand.NewPCG(seed, stream))}
+}
+
+// completion returns a streamed completion of a tenant.
+func (t *traffic) completion(tenant, tokens int) load.Call {
+	model := tenant % t.options.Models
+	return load.Call{
+		Kind: &load.Kind{
+			Name: "long", Token: rehearsal.Token(tenant), Class: fmt.Sprintf("long-%d", model), Model: fmt.Sprintf("model-%d", model), Stream: true,
+			FirstToken: api.Duration(1500 * time.Millisecond), TokenInterval: api.Duration(50 * time.Millisecond),
+		},
+		Prompt: strings.Repeat(fmt.Sprintf("%04d ", t.random.IntN(10000)), promptWords), Tokens: tokens,
+	}
+}
+
+// onceCall returns a call to a service that may not be repeated.
+func (t *traffic) onceCall(tenant int) load.Call {
+	return load.Call{
+		Kind: &load.Kind{
+			Name: "log", Token: rehearsal.Token(tenant), Service: "service-0", Method: http.MethodPost, Path: "/entries", Once: true,
+			FirstToken: api.Duration(time.Second),
+		},
+		Body: fmt.Sprintf(`{"entry":%d}`, t.random.Uint32()),
+	}
+}
+
+// start sends a call through the given nodes and keeps its result.
+func (t *traffic) start(ctx context.Context, call load.Call, nodes []*rehearsal.Node) error {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	call.Key, call.Client = key.String(), t.fleet.Client(callerHost)
+	for _, through := range nodes {
+		call.Nodes = append(call.Nodes, through.CallerAddress())
+	}
+	t.running.Add(1)
+	go func() {
+		defer t.running.Done()
+		result := load.Send(ctx, call)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.results = append(t.results, result)
+	}()
+	return nil
+}
+
+// balanced returns the nodes that the balancer offers a caller: some of those
+// that are ready, in random order.
+func (t *traffic) balanced() []*rehearsal.Node {
+	var ready []*rehearsal.Node
+	for _, running := range t.fleet.Alive() {
+		if running.Core.IsReady() {
+			ready = append(ready, running)
+		}
+	}
+	t.random.Shuffle(len(ready), func(i, j int) { ready[i], ready[j] = ready[j], ready[i] })
+	return ready[:min(len(ready), nodesTried)]
+}
+
+// wait waits for every caller and returns what they saw.
+func (t *traffic) wait() []load.Result {
+	t.running.Wait()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.results
+}
