Give an engine no work until it has taken its new role

Cause: the owner booked an engine under its configured role as soon as the change was confirmed. Until its last stream had ended and the order was carried out, the engine refused what it was granted; and prefills on an engine that has just been given back could keep it from ever being drained.

The stand-in did not record refused prefills, so the first form of the test passed; it records them now.

Ruled out: asking every engine for its role each second (twice the calls).

Change: the owner asks an engine for its role until it has named the configured one, and again after a failure, and grants it nothing before. Scheduler pools keep the readiness of engines that stay when the configuration changes.

--- a/owner/inspect.go
+++ b/owner/inspect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/engine"
 )
 
@@ -10,7 +11,9 @@
 type report struct {
 	engine  string
 	streams []engine.StreamStatus
-	err     error
+	// role is what the engine says of itself, or empty if it was not asked.
+	role api.Role
+	err  error
 }
 
 // orphan is a stream whose caller is gone.
@@ -37,7 +40,10 @@
 	listed, silent := map[string]bool{}, map[string]bool{}
 	var cancels []orphan
 	for _, listing := range reports {
-		p.books.SetReady(listing.engine, listing.err == nil)
+		if listing.role != "" {
+			p.reported[listing.engine] = listing.role
+		}
+		p.books.SetReady(listing.engine, listing.err == nil && p.isInRole(listing.engine))
 		silent[listing.engine] = listing.err != nil
 		for _, status := range listing.streams {
 			id := grantID(status.RequestID, status.Number)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -18,6 +18,7 @@
 // Engines is the part of the engine client that an owner uses.
 type Engines interface {
 	Streams(ctx context.Context, address string) ([]engine.StreamStatus, error)
+	Load(ctx context.Context, address string) (engine.Load, error)
 	Cancel(ctx context.Context, address string, attempt engine.Attempt) error
 	CacheEvents(ctx context.Context, address string, after uint64) ([]engine.CacheEvent, error)
 }
@@ -94,7 +95,7 @@
 	if ok {
 		return known, nil
 	}
-	reports := o.list(ctx, configured)
+	reports := o.list(ctx, configured, func(string) bool { return false })
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if known, ok := o.pools[name]; ok {
--- a/owner/pool.go
+++ b/owner/pool.go
@@ -42,17 +42,53 @@
 	touched   time.Time
 	version   uint64
 	closed    bool
+	// configured are the roles that the engines are to have, and reported those
+	// that they have last named themselves. An engine whose role is being changed
+	// gets no work until it has the new one: it still does the old one's, and
+	// refuses the new one's.
+	configured map[string]api.Role
+	reported   map[string]api.Role
 }
 
 func newPool(configured *api.Pool, options scheduler.Options, set *metrics.Set, now func() time.Time) *pool {
 	created := &pool{
 		name: configured.Name, start: now(), now: now, metrics: set,
 		books: scheduler.NewPool(options, configured.LinkTokensPerSecond), bookings: map[string]*booking{}, touched: now(),
+		reported: map[string]api.Role{},
 	}
-	created.books.SetEngines(enginesOf(configured))
+	created.setEngines(configured)
 	return created
 }
 
+// setEngines books the engines of a configuration. The caller holds the lock, or
+// is the only one who knows the pool.
+func (p *pool) setEngines(configured *api.Pool) {
+	p.configured = map[string]api.Role{}
+	for _, member := range configured.Engines {
+		p.configured[member.Name] = member.Role
+	}
+	p.books.SetEngines(enginesOf(configured))
+	for _, member := range configured.Engines {
+		if !p.isInRole(member.Name) {
+			p.books.SetReady(member.Name, false)
+		}
+	}
+}
+
+// isInRole reports whether an engine has said that it has its configured role.
+// The caller holds the lock.
+func (p *pool) isInRole(engine string) bool {
+	role, known := p.reported[engine]
+	return known && role == p.configured[engine]
+}
+
+// hasRole is isInRole for callers without the lock.
+func (p *pool) hasRole(engine string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isInRole(engine)
+}
+
 // since is the pool's scheduler time.
 func (p *pool) since() time.Duration { return p.now().Sub(p.start) }
 
@@ -176,6 +212,8 @@
 	}
 	if failedEngine != "" {
 		p.books.SetReady(failedEngine, false)
+		// It may have come back with another role.
+		delete(p.reported, failedEngine)
 		p.metrics.Add("engine_failures", 1)
 	}
 	p.schedule()
@@ -210,7 +248,7 @@
 		return
 	}
 	p.version = version
-	p.books.SetEngines(enginesOf(configured))
+	p.setEngines(configured)
 	p.schedule()
 }
 
--- a/owner/reconcile.go
+++ b/owner/reconcile.go
@@ -14,8 +14,9 @@
 // listTimeout bounds the listing of an engine's streams.
 const listTimeout = time.Second
 
-// list asks each engine of a pool what it holds.
-func (o *Owner) list(ctx context.Context, configured *api.Pool) []report {
+// list asks each engine of a pool what it holds and, unless its role is confirmed,
+// which role it has.
+func (o *Owner) list(ctx context.Context, configured *api.Pool, confirmed func(engine string) bool) []report {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	reports := make([]report, len(configured.Engines))
@@ -24,14 +25,24 @@
 		asked.Add(1)
 		go func() {
 			defer asked.Done()
-			streams, err := o.options.Engines.Streams(ctx, member.Address)
-			reports[i] = report{engine: member.Name, streams: streams, err: err}
+			reports[i] = o.listOne(ctx, member, confirmed(member.Name))
 		}()
 	}
 	asked.Wait()
 	return reports
 }
 
+func (o *Owner) listOne(ctx context.Context, member api.Engine, confirmed bool) report {
+	listing := report{engine: member.Name}
+	listing.streams, listing.err = o.options.Engines.Streams(ctx, member.Address)
+	if confirmed || listing.err != nil {
+		return listing
+	}
+	load, err := o.options.Engines.Load(ctx, member.Address)
+	listing.role, listing.err = load.Role, err
+	return listing
+}
+
 func (o *Owner) holders() holderState {
 	return holderState{
 		isGone: func(holder engine.Holder) bool {
@@ -57,7 +68,7 @@
 		return controller.Result{}, err
 	}
 	target.update(configured, snapshot.Version())
-	reports := o.list(ctx, configured)
+	reports := o.list(ctx, configured, target.hasRole)
 	o.mu.Lock()
 	cancels := target.inspect(reports, o.holders(), o.options.ResumeWindow, o.suspects[configured.Name])
 	o.applyLeaving(target, configured)
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -67,7 +67,12 @@
 func (p *Pool) SetEngines(prefill []PrefillState, decode []DecodeState) {
 	for i := range prefill {
 		if known := p.findPrefill(prefill[i].Name); known != nil {
-			prefill[i].FreeAt, prefill[i].LinkFreeAt = known.FreeAt, known.LinkFreeAt
+			prefill[i].FreeAt, prefill[i].LinkFreeAt, prefill[i].Ready = known.FreeAt, known.LinkFreeAt, known.Ready
+		}
+	}
+	for i := range decode {
+		if known := p.findDecode(decode[i].Name); known != nil {
+			decode[i].Ready = known.Ready
 		}
 	}
 	slices.SortFunc(prefill, func(a, b PrefillState) int { return strings.Compare(a.Name, b.Name) })
--- a/sim/enginesim/prefill.go
+++ b/sim/enginesim/prefill.go
@@ -25,6 +25,7 @@
 	}
 	e.mu.Lock()
 	if err := e.admit(added); err != nil {
+		e.record(added, EntryRefused, 0)
 		e.mu.Unlock()
 		return engine.PrefillResult{}, err
 	}
