Advise and apply changes of role by the load of a pool

Cause: nobody decided which engine changes its role; a pool whose mix shifts from long prompts to long answers stayed short of engines of one role.

Ruled out: reacting to refusals (they tell that something is short, not what); changing without a policy that an operator has confirmed.

Change: the scheduler counts the work asked for in engine-seconds of each role, refused requests included; package rebalance, pure, decides by smoothed use with a threshold, a least gain, a time that it must last and a cool-down; controller rolechange shows the advice in the status and on the time line and, under role_changes: apply, plans and confirms it. The emulator calls the same package; its workload "shift" changes from triage to drafts halfway.

--- a/api/objects.go
+++ b/api/objects.go
@@ -9,6 +9,17 @@
 	RoleDecode  Role = "decode"
 )
 
+// RoleChanges is who carries out the changes of role that the load of a pool calls for.
+type RoleChanges string
+
+// The policies for changes of role.
+const (
+	// RoleChangesAdvise shows them to the operators. It is the default.
+	RoleChangesAdvise RoleChanges = "advise"
+	// RoleChangesApply lets the pool's owner plan and confirm them.
+	RoleChangesApply RoleChanges = "apply"
+)
+
 // Tenant is one customer of the shared service.
 type Tenant struct {
 	// Name identifies the tenant; it is a DNS label.
@@ -64,6 +75,8 @@
 	LinkTokensPerSecond float64 `json:"link_tokens_per_second,omitempty"`
 	// StepTime is the interval between tokens of a decode engine with full batch. Default 20ms.
 	StepTime Duration `json:"step_time,omitempty"`
+	// RoleChanges is the standing policy for changes of role. Default "advise".
+	RoleChanges RoleChanges `json:"role_changes,omitempty"`
 	// Engines are its members.
 	Engines []Engine `json:"engines"`
 }
--- a/api/validate.go
+++ b/api/validate.go
@@ -103,6 +103,11 @@
 		if pool.Zone == "" {
 			findings.Addf(place+".zone", "is empty")
 		}
+		switch pool.RoleChanges {
+		case "", RoleChangesAdvise, RoleChangesApply:
+		default:
+			findings.Addf(place+".role_changes", "%q is neither %q nor %q", pool.RoleChanges, RoleChangesAdvise, RoleChangesApply)
+		}
 		for _, engine := range pool.Engines {
 			validateEngine(findings, engines, place, engine)
 		}
--- a/cmd/reelrunctl/show.go
+++ b/cmd/reelrunctl/show.go
@@ -15,6 +15,7 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/controller/rolechange"
 	"github.com/reelrun/reelrun/operator"
 	"github.com/reelrun/reelrun/timeline"
 )
@@ -124,6 +125,7 @@
 }
 
 func (c *command) statusTable(statuses []json.RawMessage) error {
+	var advised []string
 	lines := []string{"NODE\tZONE\tSTATE\tVERSION\tLIVE NODES\tGRANTS\tPOOLS"}
 	for _, raw := range statuses {
 		var status struct {
@@ -138,6 +140,7 @@
 			Pools   []struct {
 				Pool string `json:"pool"`
 			} `json:"pools"`
+			Advice []rolechange.Advice `json:"advice"`
 		}
 		if err := json.Unmarshal(raw, &status); err != nil {
 			return errors.Wrap(err, "decode status")
@@ -147,8 +150,12 @@
 			pools = append(pools, pool.Pool)
 		}
 		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s", status.Node.Name, status.Node.Zone, status.State, status.Version, status.Live, status.Grants, strings.Join(pools, ",")))
+		for _, advice := range status.Advice {
+			advised = append(advised, fmt.Sprintf("advice for pool %s (prefill use %.2f, decode use %.2f): reelrunctl engine -role %s %s",
+				advice.Pool, advice.PrefillUse, advice.DecodeUse, advice.Role, advice.Engine))
+		}
 	}
-	return c.rows(lines...)
+	return c.rows(append(lines, advised...)...)
 }
 
 func timelineCommand(shared *command) *ffcli.Command {
--- /dev/null
+++ b/controller/rolechange/reconciler.go
@@ -0,0 +1,198 @@
+package rolechange
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/controller"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/owner"
+	"github.com/reelrun/reelrun/rebalance"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// Pools tells what is asked of the pools that the node owns.
+type Pools interface {
+	Demand(pool string) (owner.PoolDemand, bool)
+}
+
+// Acceptor confirms a plan.
+type Acceptor interface {
+	Accept(ctx context.Context, plan *operator.Plan) (configuration.Head, error)
+}
+
+// Options are the parts of a Reconciler.
+type Options struct {
+	Configuration *configuration.Holder
+	Pools         Pools
+	Acceptor      Acceptor
+	Metrics       *metrics.Set
+	Events        *timeline.Ring
+	// Rebalance are the thresholds. The zero value is the one measured.
+	Rebalance rebalance.Options
+	// Now reads the clock. Default time.Now.
+	Now func() time.Time
+}
+
+// Advice is a change that would help a pool.
+type Advice struct {
+	Pool   string   `json:"pool"`
+	Engine string   `json:"engine"`
+	Role   api.Role `json:"role"`
+	// PrefillUse and DecodeUse are the demands over what the engines of each role
+	// can do, when the advice was given.
+	PrefillUse float64 `json:"prefill_use"`
+	DecodeUse  float64 `json:"decode_use"`
+}
+
+// followed is a pool whose load is being followed.
+type followed struct {
+	advisor *rebalance.Advisor
+	began   time.Time
+	// looked is when the demand was last read.
+	looked time.Time
+	demand owner.PoolDemand
+	advice *Advice
+}
+
+// Reconciler follows the owned pools. It is safe for concurrent use.
+type Reconciler struct {
+	options Options
+
+	mu    sync.Mutex
+	pools map[string]*followed
+}
+
+// New returns a reconciler that has seen nothing.
+func New(options Options) *Reconciler {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Reconciler{options: options, pools: map[string]*followed{}}
+}
+
+// Requests lists the configured pools.
+func (r *Reconciler) Requests() []controller.Request {
+	names := r.options.Configuration.Current().PoolNames()
+	requests := make([]controller.Request, len(names))
+	for i, name := range names {
+		requests[i] = controller.Request{Name: name}
+	}
+	return requests
+}
+
+// Advice returns the advice that stands, ordered by pool.
+func (r *Reconciler) Advice() []Advice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var standing []Advice
+	for _, pool := range r.pools {
+		if pool.advice != nil {
+			standing = append(standing, *pool.advice)
+		}
+	}
+	slices.SortFunc(standing, func(a, b Advice) int { return strings.Compare(a.Pool, b.Pool) })
+	return standing
+}
+
+// Reconcile looks at the demand of one pool since the last look.
+func (r *Reconciler) Reconcile(ctx context.Context, request controller.Request) (controller.Result, error) {
+	configured, ok := r.options.Configuration.Current().Pool(request.Name)
+	demand, owned := r.options.Pools.Demand(request.Name)
+	if !ok || !owned {
+		r.forget(request.Name)
+		return controller.Result{}, nil
+	}
+	advice := r.observe(configured, demand)
+	if advice == nil {
+		return controller.Result{}, nil
+	}
+	r.options.Metrics.Add("role_changes_advised", 1)
+	r.options.Events.Record(timeline.Event{Kind: "role-change-advised", Engine: advice.Engine, Detail: string(advice.Role)})
+	if configured.RoleChanges != api.RoleChangesApply {
+		return controller.Result{}, nil
+	}
+	return controller.Result{}, r.apply(ctx, advice)
+}
+
+func (r *Reconciler) forget(pool string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pools, pool)
+}
+
+// observe returns new advice for a pool, or nil.
+func (r *Reconciler) observe(configured *api.Pool, demand owner.PoolDemand) *Advice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Now()
+	known, ok := r.pools[configured.Name]
+	if !ok || demand.Epoch != known.demand.Epoch {
+		// The counts begin with the pool's state at this node.
+		r.pools[configured.Name] = &followed{advisor: rebalance.New(r.options.Rebalance), began: now, looked: now, demand: demand}
+		return nil
+	}
+	elapsed := now.Sub(known.looked).Seconds()
+	if elapsed <= 0 {
+		return nil
+	}
+	load := rebalance.Load{
+		PrefillEngines: demand.PrefillEngines, DecodeEngines: demand.DecodeEngines,
+		Prefill: (demand.Prefill - known.demand.Prefill) / elapsed, Decode: (demand.Decode - known.demand.Decode) / elapsed,
+	}
+	if known.advice != nil && roleOf(configured, known.advice.Engine) == known.advice.Role {
+		known.advice = nil // It has been carried out.
+	}
+	known.looked, known.demand = now, demand
+	change, due := known.advisor.Observe(now.Sub(known.began), load)
+	if !due || demand.Changing {
+		return nil
+	}
+	known.advice = &Advice{
+		Pool: configured.Name, Engine: lastOf(configured, change.From), Role: change.To,
+		PrefillUse: change.PrefillUse, DecodeUse: change.DecodeUse,
+	}
+	return known.advice
+}
+
+func roleOf(pool *api.Pool, engine string) api.Role {
+	for _, member := range pool.Engines {
+		if member.Name == engine {
+			return member.Role
+		}
+	}
+	return ""
+}
+
+// lastOf returns the last engine of a role by name.
+func lastOf(pool *api.Pool, role api.Role) string {
+	last := ""
+	for _, member := range pool.Engines {
+		if member.Role == role {
+			last = max(last, member.Name)
+		}
+	}
+	return last
+}
+
+// apply carries advice out under the standing policy. A change that loses against
+// another is advised again after the cool-down if it is still due.
+func (r *Reconciler) apply(ctx context.Context, advice *Advice) error {
+	intent := operator.Intent{Action: operator.ActionEngine, Engine: advice.Engine, Role: advice.Role}
+	plan, _, err := operator.MakePlan(r.options.Configuration.Current(), intent)
+	if err != nil {
+		return err
+	}
+	if _, err := r.options.Acceptor.Accept(ctx, plan); err != nil {
+		return err
+	}
+	r.options.Metrics.Add("role_changes_applied", 1)
+	r.options.Events.Record(timeline.Event{Kind: "role-change-applied", Engine: advice.Engine, Detail: string(advice.Role)})
+	return nil
+}
--- a/node/core.go
+++ b/node/core.go
@@ -14,11 +14,13 @@
 	"github.com/reelrun/reelrun/configuration"
 	"github.com/reelrun/reelrun/controller"
 	"github.com/reelrun/reelrun/controller/engineorder"
+	"github.com/reelrun/reelrun/controller/rolechange"
 	"github.com/reelrun/reelrun/directory"
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/machines"
 	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/operator"
 	"github.com/reelrun/reelrun/owner"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
@@ -75,6 +77,7 @@
 	claimWriter *claim.Writer
 	directory   *directory.Directory
 	manager     *controller.Manager
+	roleChanges *rolechange.Reconciler
 	// confirmedAt is when the platform last answered, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	draining    atomic.Bool
@@ -154,6 +157,12 @@
 		Configuration: c.Configuration, Store: c.options.Store, Engines: c.options.Engines, Owner: c.Cluster,
 		Metrics: c.Metrics, Events: c.Events, Holder: holderName(self), Now: c.options.Now,
 	})
+	c.roleChanges = rolechange.New(rolechange.Options{
+		Configuration: c.Configuration, Pools: c.Owner, Metrics: c.Metrics, Events: c.Events, Now: c.options.Now,
+		Acceptor: operator.Acceptor{Configuration: c.Configuration, Store: c.options.Store, HearsHalf: c.HearsHalf},
+	})
+	const roleInterval = 5 * time.Second
+	c.manager.Add(controller.Controller{Name: "role_changes", Reconciler: c.roleChanges, Requests: c.roleChanges.Requests, Interval: roleInterval})
 	const orderInterval = 5 * time.Second
 	c.manager.Add(controller.Controller{Name: "engine_orders", Reconciler: orders, Requests: orders.Requests, Interval: orderInterval})
 	c.manager.Add(controller.Controller{Name: "completions", Reconciler: once(c.Completions.Reconcile), Interval: c.options.Membership.Interval})
@@ -211,7 +220,9 @@
 	Live    int                `json:"live_nodes"`
 	Pools   []owner.PoolStatus `json:"pools,omitempty"`
 	Grants  int                `json:"grants"`
-	Metrics json.RawMessage    `json:"metrics"`
+	// Advice are changes of role that would help the node's pools.
+	Advice  []rolechange.Advice `json:"advice,omitempty"`
+	Metrics json.RawMessage     `json:"metrics"`
 }
 
 // Status returns the node's status as JSON.
@@ -219,7 +230,7 @@
 	self := c.Table.Self()
 	return json.Marshal(status{
 		Node: self, State: self.State.String(), Version: c.Configuration.Current().Version(),
-		Live: len(c.Cluster.Live()), Pools: c.Owner.Status(), Grants: c.Completions.Held(), Metrics: json.RawMessage(c.Metrics.String()),
+		Live: len(c.Cluster.Live()), Pools: c.Owner.Status(), Grants: c.Completions.Held(), Advice: c.roleChanges.Advice(), Metrics: json.RawMessage(c.Metrics.String()),
 	})
 }
 
--- /dev/null
+++ b/owner/demand.go
@@ -0,0 +1,50 @@
+package owner
+
+import (
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/scheduler"
+)
+
+// PoolDemand is the work asked of a pool since this node keeps its state.
+type PoolDemand struct {
+	scheduler.Demand
+	// Epoch tells one state of the pool from another: the counts begin anew with it.
+	Epoch int64
+	// PrefillEngines and DecodeEngines are the engines that have their roles.
+	PrefillEngines int
+	DecodeEngines  int
+	// Changing states that an engine does not have its configured role yet.
+	Changing bool
+}
+
+// Demand returns the demand of a pool that this node owns.
+func (o *Owner) Demand(name string) (PoolDemand, bool) {
+	configured, ok := o.options.Configuration.Current().Pool(name)
+	if !ok || !o.options.Members.Owns(configured.Zone, Key(name)) {
+		return PoolDemand{}, false
+	}
+	o.mu.Lock()
+	kept, ok := o.pools[name]
+	o.mu.Unlock()
+	if !ok {
+		return PoolDemand{}, false
+	}
+	return kept.demand(), true
+}
+
+func (p *pool) demand() PoolDemand {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	demand := PoolDemand{Demand: p.books.Demand(), Epoch: p.start.UnixNano()}
+	for name, role := range p.configured {
+		switch {
+		case !p.isInRole(name):
+			demand.Changing = true
+		case role == api.RolePrefill:
+			demand.PrefillEngines++
+		default:
+			demand.DecodeEngines++
+		}
+	}
+	return demand
+}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -30,7 +30,7 @@
 	}
 	backlogged := best.start-snapshot.Now > options.MaxBacklog
 	if backlogged || !hasSlot(snapshot, request, &options, best) {
-		return Decision{Kind: KindWait, RequestID: request.ID, FirstToken: firstToken}
+		return Decision{Kind: KindWait, RequestID: request.ID, CachedTokens: best.cached, FirstToken: firstToken}
 	}
 	return Decision{
 		Kind: KindPrefill, RequestID: request.ID, Prefill: snapshot.Prefill[best.index].Name,
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -51,7 +51,8 @@
 	// reserved is the number of active requests that will need a decode slot.
 	reserved int
 	// ratio is the running mean of output tokens over MaxTokens.
-	ratio float64
+	ratio  float64
+	demand Demand
 }
 
 // NewPool returns a pool without engines.
@@ -154,6 +155,7 @@
 	snapshot := p.Snapshot(now)
 	snapshot.Ahead = p.ahead(request)
 	decision := Decide(snapshot, request, p.options)
+	p.note(request, decision.CachedTokens)
 	if decision.Kind == KindRefuse {
 		return &decision
 	}
--- a/sim/model/engines.go
+++ b/sim/model/engines.go
@@ -79,6 +79,8 @@
 	cache  *prefixCache
 	// linkFree is when its link is free.
 	linkFree time.Duration
+	// gone states that it has changed its role.
+	gone bool
 }
 
 // decodeEngine decodes a batch, one token a step.
@@ -91,6 +93,8 @@
 	kv     int
 	up     bool
 	ticks  bool
+	// gone states that it has changed its role.
+	gone bool
 }
 
 func (e *decodeEngine) slotsUsed() int { return len(e.batch) + e.moving }
--- a/sim/model/policies.go
+++ b/sim/model/policies.go
@@ -43,36 +43,43 @@
 type ablation struct {
 	name    string
 	options scheduler.Options
+	// changesRoles lets engines change their role by the load.
+	changesRoles bool
 }
 
 // ablations change one idea each.
 var ablations = []ablation{
-	{"reelrun", scheduler.Options{}},
-	{"reelrun-no-admission", scheduler.Options{NoAdmission: true}},
-	{"reelrun-no-affinity", scheduler.Options{NoAffinity: true}},
-	{"reelrun-no-batch-limit", scheduler.Options{NoBatchLimit: true}},
-	{"reelrun-reserve-at-grant", scheduler.Options{Reservation: scheduler.ReserveAtGrant}},
-	{"reelrun-prefill-first", scheduler.Options{Reservation: scheduler.ReserveNone}},
-	{"reelrun-vtc-order", scheduler.Options{Ordering: scheduler.OrderVTC}},
-	{"reelrun-arrival-order", scheduler.Options{Ordering: scheduler.OrderArrival}},
-	{"reelrun-deadline-order", scheduler.Options{Ordering: scheduler.OrderDeadline}},
-	{"reelrun-no-forecast", scheduler.Options{NoForecast: true}},
-	{"reelrun-ahead-0.25", scheduler.Options{AheadShare: 0.25}},
-	{"reelrun-ahead-0.75", scheduler.Options{AheadShare: 0.75}},
-	{"reelrun-quantum-16k", scheduler.Options{Quantum: 16384}},
-	{"reelrun-quantum-64k", scheduler.Options{Quantum: 65536}},
-	{"reelrun-quantum-256k", scheduler.Options{Quantum: 262144}},
-	{"reelrun-stretch-0", scheduler.Options{Stretch: 0.001}},
-	{"reelrun-stretch-1", scheduler.Options{Stretch: 1}},
-	{"reelrun-stretch-2", scheduler.Options{Stretch: 2}},
-	{"reelrun-stretch-8", scheduler.Options{Stretch: 8}},
-	{"reelrun-early-binding", scheduler.Options{MaxBacklog: 500 * time.Millisecond}},
+	{name: "reelrun"},
+	{name: "reelrun-changes-roles", changesRoles: true},
+	{name: "reelrun-no-admission", options: scheduler.Options{NoAdmission: true}},
+	{name: "reelrun-no-affinity", options: scheduler.Options{NoAffinity: true}},
+	{name: "reelrun-no-batch-limit", options: scheduler.Options{NoBatchLimit: true}},
+	{name: "reelrun-reserve-at-grant", options: scheduler.Options{Reservation: scheduler.ReserveAtGrant}},
+	{name: "reelrun-prefill-first", options: scheduler.Options{Reservation: scheduler.ReserveNone}},
+	{name: "reelrun-vtc-order", options: scheduler.Options{Ordering: scheduler.OrderVTC}},
+	{name: "reelrun-arrival-order", options: scheduler.Options{Ordering: scheduler.OrderArrival}},
+	{name: "reelrun-deadline-order", options: scheduler.Options{Ordering: scheduler.OrderDeadline}},
+	{name: "reelrun-no-forecast", options: scheduler.Options{NoForecast: true}},
+	{name: "reelrun-ahead-0.25", options: scheduler.Options{AheadShare: 0.25}},
+	{name: "reelrun-ahead-0.75", options: scheduler.Options{AheadShare: 0.75}},
+	{name: "reelrun-quantum-16k", options: scheduler.Options{Quantum: 16384}},
+	{name: "reelrun-quantum-64k", options: scheduler.Options{Quantum: 65536}},
+	{name: "reelrun-quantum-256k", options: scheduler.Options{Quantum: 262144}},
+	{name: "reelrun-stretch-0", options: scheduler.Options{Stretch: 0.001}},
+	{name: "reelrun-stretch-1", options: scheduler.Options{Stretch: 1}},
+	{name: "reelrun-stretch-2", options: scheduler.Options{Stretch: 2}},
+	{name: "reelrun-stretch-8", options: scheduler.Options{Stretch: 8}},
+	{name: "reelrun-early-binding", options: scheduler.Options{MaxBacklog: 500 * time.Millisecond}},
 }
 
 func newRouter(name string, s *simulation, jobs []*job, random *rand.Rand) (router, error) {
 	for _, variant := range ablations {
 		if variant.name == name {
-			return newPooled(s, jobs, variant.options), nil
+			pooled := newPooled(s, jobs, variant.options)
+			if variant.changesRoles {
+				newRoleChanger(pooled).start()
+			}
+			return pooled, nil
 		}
 	}
 	if name == "vtc" {
@@ -117,16 +124,26 @@
 		simulation: s, all: jobs, pool: scheduler.NewPool(options, s.parameters.LinkTokensPerSecond),
 		byID: map[string]*job{}, requests: map[*job]*scheduler.Request{},
 	}
-	prefill := make([]scheduler.PrefillState, len(s.prefills))
-	for i := range prefill {
-		prefill[i] = scheduler.PrefillState{Name: prefillName(i), Ready: true, TokensPerSecond: s.parameters.PrefillTokensPerSecond}
+	p.setEngines()
+	return p
+}
+
+// setEngines tells the pool the engines that have their roles.
+func (p *pooled) setEngines() {
+	s := p.simulation
+	var prefill []scheduler.PrefillState
+	for i, engine := range s.prefills {
+		if !engine.gone {
+			prefill = append(prefill, scheduler.PrefillState{Name: prefillName(i), Ready: true, TokensPerSecond: s.parameters.PrefillTokensPerSecond})
+		}
 	}
-	decode := make([]scheduler.DecodeState, len(s.decodes))
-	for i := range decode {
-		decode[i] = scheduler.DecodeState{Name: decodeName(i), Ready: true, Slots: s.parameters.Slots, KVTokens: s.parameters.KVTokens, Step: s.parameters.Step}
+	var decode []scheduler.DecodeState
+	for i, engine := range s.decodes {
+		if !engine.gone {
+			decode = append(decode, scheduler.DecodeState{Name: decodeName(i), Ready: true, Slots: s.parameters.Slots, KVTokens: s.parameters.KVTokens, Step: s.parameters.Step})
+		}
 	}
 	p.pool.SetEngines(prefill, decode)
-	return p
 }
 
 func (p *pooled) jobs() []*job { return p.all }
--- a/sim/model/workload.go
+++ b/sim/model/workload.go
@@ -29,6 +29,8 @@
 	// zipf is the exponent of the tenants' shares.
 	zipf  float64
 	kinds []kind
+	// later replaces the kinds in the second half of a run, if it is set.
+	later []kind
 }
 
 const second = time.Second
@@ -51,11 +53,27 @@
 	}}
 )
 
-// Workloads are the names of the workloads.
+// shift is fisio-xela with mostly triage checks in the first half of a run, which
+// is short of prefill engines, and mostly drafts in the second, which is short of
+// decode engines. The engines are provisioned for its mean.
+var shift = workload{
+	name: "shift", tenants: fisioXela.tenants, zipf: fisioXela.zipf,
+	kinds: withShares(fisioXela.kinds, 0.65, 0.35), later: withShares(fisioXela.kinds, 0.15, 0.85),
+}
+
+func withShares(kinds []kind, shares ...float64) []kind {
+	changed := slices.Clone(kinds)
+	for i, share := range shares {
+		changed[i].share = share
+	}
+	return changed
+}
+
+// Workloads are the names of the workloads that policies are compared on.
 func Workloads() []string { return []string{fisioXela.name, amrc.name, fleetMix.name} }
 
 func findWorkload(name string) (workload, error) {
-	for _, known := range []workload{fisioXela, amrc, fleetMix} {
+	for _, known := range []workload{fisioXela, amrc, fleetMix, shift} {
 		if known.name == name {
 			return known, nil
 		}
@@ -67,6 +85,11 @@
 // cached, and meanOutput the mean output of requests that reach a decode engine,
 // both per request of the mix.
 func (w workload) means() (uncached, decodeTokens float64) {
+	if len(w.later) > 0 {
+		firstUncached, firstDecode := workload{kinds: w.kinds}.means()
+		laterUncached, laterDecode := workload{kinds: w.later}.means()
+		return (firstUncached + laterUncached) / 2, (firstDecode + laterDecode) / 2
+	}
 	for _, k := range w.kinds {
 		prompt := float64(k.prompt[0]+k.prompt[1]) / 2
 		uncached += k.share * (prompt - float64(k.shared))
@@ -143,7 +166,7 @@
 			break
 		}
 		tenant := fmt.Sprintf("tenant-%d", w.tenantOf(random, cumulative))
-		jobs = append(jobs, w.newJob(random, tenant, at))
+		jobs = append(jobs, w.at(at, length).newJob(random, tenant, at))
 	}
 	if flood {
 		start, end := time.Duration(floodStart*float64(length)), time.Duration(floodEnd*float64(length))
@@ -160,6 +183,14 @@
 	return jobs
 }
 
+// at is the workload as it is at a time of a run.
+func (w workload) at(at, length time.Duration) workload {
+	if len(w.later) > 0 && at >= length/2 {
+		w.kinds = w.later
+	}
+	return w
+}
+
 func (w workload) newJob(random *rand.Rand, tenant string, at time.Duration) *job {
 	point := random.Float64()
 	chosen := &w.kinds[len(w.kinds)-1]
--- a/sim/rehearsal/roles_test.go
+++ b/sim/rehearsal/roles_test.go
@@ -67,3 +67,77 @@
 		t.Fatal(err)
 	}
 }
+
+// slowPrefill is a prefill rate in tokens a second that short prompts can exhaust.
+const slowPrefill = 2000
+
+// shortOfPrefill is a fleet under a standing policy whose prefill engines are slow.
+func shortOfPrefill(policy api.RoleChanges) Options {
+	options := smallOptions()
+	options.Engine.PrefillTokensPerSecond = slowPrefill
+	for i := range options.Configuration.Pools {
+		options.Configuration.Pools[i].PrefillTokensPerSecond = slowPrefill
+		options.Configuration.Pools[i].RoleChanges = policy
+	}
+	return options
+}
+
+// askForPrefill sends two minutes of short answers to long prompts.
+func askForPrefill(fleet *Fleet) (answered, requests int) {
+	random := rand.New(rand.NewPCG(10, 10))
+	kind := *longKind(1)
+	kind.Name, kind.Class, kind.Stream = "short", "short-0", false
+	results := make(chan load.Result)
+	nodes := fleet.Alive()
+	for requests = range 1200 {
+		call := load.Call{
+			Client: fleet.Client("192.0.2.1"), Nodes: []string{nodes[requests%len(nodes)].CallerAddress()}, Kind: &kind, Key: newKey(),
+			Prompt: prompt(random, 900), Tokens: 1,
+		}
+		go func() { results <- load.Send(context.Background(), call) }()
+		time.Sleep(100 * time.Millisecond)
+	}
+	for range requests + 1 {
+		if result := <-results; result.Ending == load.EndingAnswered {
+			answered++
+		}
+	}
+	return answered, requests + 1
+}
+
+// TestLoadChangesRoles offers more prefill than the engines of that role can do.
+// Under the policy "apply" decode engines take the role and more requests are
+// answered; under "advise" the owners say so and change nothing.
+func TestLoadChangesRoles(t *testing.T) {
+	answered := map[api.RoleChanges]int{}
+	for _, policy := range []api.RoleChanges{api.RoleChangesAdvise, api.RoleChangesApply} {
+		bubble(t, func(t *testing.T) {
+			fleet := startFleet(t, shortOfPrefill(policy))
+			defer fleet.Close()
+			answered[policy], _ = askForPrefill(fleet)
+			applied, advised := int64(0), int64(0)
+			for _, running := range fleet.Alive() {
+				applied += running.Core.Metrics.Count("role_changes_applied")
+				advised += running.Core.Metrics.Count("role_changes_advised")
+			}
+			if advised == 0 || (applied > 0) != (policy == api.RoleChangesApply) {
+				t.Errorf("%s: %d advised, %d applied", policy, advised, applied)
+			}
+			prefill := 0
+			for _, pool := range fleet.Alive()[0].Core.Configuration.Current().Whole().Pools {
+				for _, member := range pool.Engines {
+					if member.Role == api.RolePrefill {
+						prefill++
+					}
+				}
+			}
+			if want := 4 + int(applied); prefill != want {
+				t.Errorf("%s: %d prefill engines, want %d", policy, prefill, want)
+			}
+		})
+	}
+	if answered[api.RoleChangesApply] <= answered[api.RoleChangesAdvise] {
+		t.Errorf("answered %v", answered)
+	}
+	t.Logf("answered %v", answered)
+}
