--- a/cmd/reelrun-sim/compare.go
+++ b/cmd/reelrun-sim/compare.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/reelrun/reelrun/sim/model"
+	"github.com/reelrun/reelrun/sim/modelcheck"
 )
 
 func compareCommand() *ffcli.Command {
@@ -27,10 +28,14 @@
 	flags.BoolVar(&options.Flood, "flood", false, "add a tenant that floods")
 	flags.BoolVar(&options.Fail, "fail", false, "take a decode engine away at the peak")
 	format := flags.String("format", "table", "table or json")
+	check := flags.Bool("check", false, "compare the model with stand-in engines behind real nodes on one trace, in real time")
 	plot := flags.String("plot", "", "folder for plots over a load sweep, instead of one load")
 	return &ffcli.Command{
 		Name: "compare", ShortUsage: "reelrun-sim compare [flags]", ShortHelp: "Compare routing policies in virtual time.", FlagSet: flags,
-		Exec: func(_ context.Context, _ []string) error {
+		Exec: func(ctx context.Context, _ []string) error {
+			if *check {
+				return checkModel(ctx, modelcheck.Options{Seed: options.Seed, Load: options.Load, Requests: checkRequests})
+			}
 			policies := selectPolicies(*policy)
 			if *plot != "" {
 				return model.Plot(options, policies, *seeds, *plot)
@@ -53,6 +58,17 @@
 	}
 }
 
+// checkRequests is the length of the trace of -check, about half a minute.
+const checkRequests = 300
+
+func checkModel(ctx context.Context, options modelcheck.Options) error {
+	report, err := modelcheck.Check(ctx, options)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.NewEncoder(os.Stdout).Encode(report), "write report")
+}
+
 func selectPolicies(name string) []string {
 	switch name {
 	case "all":
