Charge a tenant's work to both queues of a pool

Cause: requests that end with their prefill and those that move wait in queues of their own, each with its own credit for each tenant. A flooding tenant could spend its share twice, and the prefill engines are the same.

Change: what a tenant gets from one queue is taken from its credit in the other.

--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -257,7 +257,7 @@
 		}
 	}
 	granted.charged = extendTokenWeight*float64(uncached) + outputTokenWeight*p.expectedOutput(request)
-	p.queueOf(request).charge(request.Tenant, granted.charged)
+	p.charge(request.Tenant, granted.charged)
 	p.index.Store(decision.Prefill, request.Prefixes)
 }
 
@@ -337,7 +337,7 @@
 	if outputTokens >= 0 {
 		request := granted.request
 		cost := extendTokenWeight*float64(request.PromptTokens-granted.cached) + outputTokenWeight*float64(outputTokens)
-		p.queueOf(request).charge(request.Tenant, cost-granted.charged)
+		p.charge(request.Tenant, cost-granted.charged)
 		if request.MaxTokens > 1 {
 			p.ratio += ratioGain * (float64(outputTokens)/float64(request.MaxTokens) - p.ratio)
 		}
@@ -380,3 +380,10 @@
 	}
 	p.startDecode(granted, decode)
 }
+
+// charge takes the cost of work from a tenant's credit in both queues: what it got
+// from one takes the same prefill engines from the others in the other.
+func (p *Pool) charge(tenant string, cost float64) {
+	p.local.charge(tenant, cost)
+	p.moving.charge(tenant, cost)
+}
