--- a/controller/engineorder/reconciler.go
+++ b/controller/engineorder/reconciler.go
@@ -81,12 +81,7 @@
 
 // Requests lists the configured pools.
 func (r *Reconciler) Requests() []controller.Request {
-	names := r.options.Configuration.Current().PoolNames()
-	requests := make([]controller.Request, len(names))
-	for i, name := range names {
-		requests[i] = controller.Request{Name: name}
-	}
-	return requests
+	return controller.RequestsFor(r.options.Configuration.Current().PoolNames())
 }
 
 // Reconcile brings the engines of one pool to their configured state.
--- a/controller/manager.go
+++ b/controller/manager.go
@@ -13,6 +13,15 @@
 	Name string
 }
 
+// RequestsFor returns a request for each name.
+func RequestsFor(names []string) []Request {
+	requests := make([]Request, len(names))
+	for i, name := range names {
+		requests[i] = Request{Name: name}
+	}
+	return requests
+}
+
 // Result tells when to reconcile the object again.
 type Result struct {
 	// RequeueAfter runs the object again sooner than the controller's interval,
