Let the fleet count its streams once; drop a dead field

Cause: reading the whole change. The counts of held and of decoding streams stood in the rehearsals' tests and again in the hollow rounds; nothing read when the syncer last heard the platform; the mix of requests stood in the file of the restarts; three comments said something else than the code.

Ruled out: merging what is alike in shape only (import blocks, option structs, the monitor and the syncer).

Change: Fleet.HeldStreams and Fleet.DecodingStreams serve both; the field, its accessor and their lock traffic are gone; startAny stands with the traffic. Behaviour and assertions stay as they were.

--- a/cluster/cluster.go
+++ b/cluster/cluster.go
@@ -42,7 +42,7 @@
 	return c.table.IsGone(c.now(), node, incarnation)
 }
 
-// SeesMajority reports whether the node hears most of its zone.
+// SeesMajority reports whether the node hears most of the fleet.
 func (c *Cluster) SeesMajority() bool { return c.table.SeesMajority(c.now()) }
 
 // ready returns the ready members among the given ones.
--- a/configuration/syncer.go
+++ b/configuration/syncer.go
@@ -46,8 +46,6 @@
 	now       func() time.Time
 
 	mu sync.Mutex
-	// confirmed is when the platform or a peer last answered what is newest.
-	confirmed time.Time
 	// asked states that the platform or a peer has answered since the start, and
 	// newest is the highest version that one of them has named.
 	asked   bool
@@ -187,7 +185,6 @@
 func (s *Syncer) confirm() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmed = s.now()
 	s.asked = true
 }
 
@@ -199,13 +196,6 @@
 	return s.asked && s.holder.Current().Version() >= s.newest
 }
 
-// ConfirmedAt returns when the platform last answered.
-func (s *Syncer) ConfirmedAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.confirmed
-}
-
 // Observe learns from a heartbeat which version its sender has in force, and
 // fetches it if it is newer.
 func (s *Syncer) Observe(address string, version uint64) {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=${TEST_SEED:-20261202}
-# importing PATTERN lists the packages whose tests import a package.
+# importing PACKAGE lists the packages whose tests import a package.
 importing() {
   go list -f '{{$path := .ImportPath}}{{range .TestImports}}{{$path}} {{.}}{{"\n"}}{{end}}{{range .XTestImports}}{{$path}} {{.}}{{"\n"}}{{end}}' ./... |
     awk -v wanted="$1" '$2 == wanted {print $1}' | sort -u
--- a/sim/hollow/restarting.go
+++ b/sim/hollow/restarting.go
@@ -1,7 +1,6 @@
 package hollow
 
 import (
-	"context"
 	"sync"
 
 	"github.com/reelrun/reelrun/sim/rehearsal"
@@ -40,16 +39,3 @@
 }
 
 func (r *restarter) wait() { r.running.Wait() }
-
-// onceEvery is how many requests pass between two that may not be repeated.
-const onceEvery = 4
-
-// startAny sends the next request of the mix through the balancer.
-func (t *traffic) startAny() error {
-	tenant := t.random.IntN(t.options.Tenants)
-	call := t.completion(tenant, 1+t.random.IntN(answerTokens))
-	if t.random.IntN(onceEvery) == 0 {
-		call = t.onceCall(tenant)
-	}
-	return t.start(context.Background(), call, t.balanced())
-}
--- a/sim/hollow/rounds.go
+++ b/sim/hollow/rounds.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/sim/load"
 	"github.com/reelrun/reelrun/sim/rehearsal"
 )
@@ -50,12 +49,12 @@
 				return err
 			}
 		}
-		err := await(func() bool { return decoding(fleet) == streamsOfNode })
+		err := await(func() bool { return fleet.DecodingStreams() == streamsOfNode })
 		fleet.Kill(killed.Name)
 		hangUp()
 		died := time.Now()
 		if err == nil {
-			err = await(func() bool { return held(fleet) == 0 })
+			err = await(func() bool { return fleet.HeldStreams() == 0 })
 		}
 		if err != nil {
 			return errors.Wrap(err, "streams of a dead node")
@@ -72,28 +71,6 @@
 	return nil
 }
 
-// held counts the streams and prefill results that the engines hold.
-func held(fleet *rehearsal.Fleet) int {
-	count := 0
-	for _, engine := range fleet.Engines {
-		count += len(engine.Streams())
-	}
-	return count
-}
-
-// decoding counts the streams that have produced a token.
-func decoding(fleet *rehearsal.Fleet) int {
-	count := 0
-	for _, engine := range fleet.Engines {
-		for _, stream := range engine.Streams() {
-			if stream.Phase == api.RoleDecode && stream.Offset > 0 {
-				count++
-			}
-		}
-	}
-	return count
-}
-
 // regionsParted parts the zones into two regions, of which the second loses the
 // platform too, and changes the configuration meanwhile.
 func (r *Report) regionsParted(ctx context.Context, fleet *rehearsal.Fleet, options Options) error {
@@ -138,8 +115,8 @@
 	return nil
 }
 
-// with joins two spreads, of which the first one's median is kept by the number
-// of its trials.
+// with joins two spreads. The median becomes the mean of both medians, weighted by
+// their trials.
 func (s Spread) with(other Spread) Spread {
 	trials := s.Trials + other.Trials
 	if trials == 0 {
--- a/sim/hollow/traffic.go
+++ b/sim/hollow/traffic.go
@@ -101,6 +101,19 @@
 	return ready[:min(len(ready), nodesTried)]
 }
 
+// onceEvery is how many requests pass between two that may not be repeated.
+const onceEvery = 4
+
+// startAny sends the next request of the mix through the balancer.
+func (t *traffic) startAny() error {
+	tenant := t.random.IntN(t.options.Tenants)
+	call := t.completion(tenant, 1+t.random.IntN(answerTokens))
+	if t.random.IntN(onceEvery) == 0 {
+		call = t.onceCall(tenant)
+	}
+	return t.start(context.Background(), call, t.balanced())
+}
+
 // wait waits for every caller and returns what they saw.
 func (t *traffic) wait() []load.Result {
 	t.running.Wait()
--- a/sim/rehearsal/discovery_test.go
+++ b/sim/rehearsal/discovery_test.go
@@ -63,7 +63,7 @@
 			first.Client, first.Nodes = fleet.Client("192.0.2.1"), []string{ready()[0].CallerAddress()}
 			done := make(chan load.Result, 1)
 			go func() { done <- load.Send(context.Background(), first) }()
-			waitUntil(t, 10*time.Second, "decoding", func() bool { return decodingStreams(fleet) == 1 })
+			waitUntil(t, 10*time.Second, "decoding", func() bool { return fleet.DecodingStreams() == 1 })
 			waitUntil(t, 10*time.Second, "another ready node", func() bool { return len(ready()) > 1 })
 			nodes := ready()
 			second.Client, second.Nodes = fleet.Client("192.0.2.2"), []string{nodes[len(nodes)-1].CallerAddress()}
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -418,6 +418,28 @@
 	return nil
 }
 
+// HeldStreams counts the streams and prefill results that the engines hold.
+func (f *Fleet) HeldStreams() int {
+	held := 0
+	for _, started := range f.Engines {
+		held += len(started.Streams())
+	}
+	return held
+}
+
+// DecodingStreams counts the streams that have produced a token.
+func (f *Fleet) DecodingStreams() int {
+	decoding := 0
+	for _, started := range f.Engines {
+		for _, stream := range started.Streams() {
+			if stream.Phase == api.RoleDecode && stream.Offset > 0 {
+				decoding++
+			}
+		}
+	}
+	return decoding
+}
+
 // Ledgers returns what the stand-ins did.
 func (f *Fleet) Ledgers() load.Ledgers {
 	var ledgers load.Ledgers
--- a/sim/rehearsal/promises_test.go
+++ b/sim/rehearsal/promises_test.go
@@ -17,15 +17,6 @@
 	"github.com/reelrun/reelrun/sim/memnet"
 )
 
-// heldStreams counts what the engines hold.
-func heldStreams(fleet *Fleet) int {
-	held := 0
-	for _, engine := range fleet.Engines {
-		held += len(engine.Streams())
-	}
-	return held
-}
-
 // waitUntil waits in virtual time for a condition.
 func waitUntil(t *testing.T, limit time.Duration, what string, condition func() bool) {
 	t.Helper()
@@ -51,25 +42,13 @@
 			Prompt: prompt(rand.New(rand.NewPCG(1, 1)), 300), Tokens: longOutput,
 		})
 	}()
-	waitUntil(t, 10*time.Second, "decoding", func() bool { return decodingStreams(fleet) == 1 })
+	waitUntil(t, 10*time.Second, "decoding", func() bool { return fleet.DecodingStreams() == 1 })
 	return func() load.Result {
 		cancel()
 		return <-done
 	}
 }
 
-func decodingStreams(fleet *Fleet) int {
-	decoding := 0
-	for _, engine := range fleet.Engines {
-		for _, held := range engine.Streams() {
-			if held.Phase == api.RoleDecode && held.Offset > 0 {
-				decoding++
-			}
-		}
-	}
-	return decoding
-}
-
 func TestCallerGoneFreesEngine(t *testing.T) {
 	for name, breakNode := range map[string]func(*Fleet, *Node){
 		"node lives":  func(*Fleet, *Node) {},
@@ -91,7 +70,7 @@
 				hangUp := startEndless(t, fleet, through, newKey())
 				breakNode(fleet, through)
 				hangUp()
-				waitUntil(t, 20*time.Second, "freedom of the engines", func() bool { return heldStreams(fleet) == 0 })
+				waitUntil(t, 20*time.Second, "freedom of the engines", func() bool { return fleet.HeldStreams() == 0 })
 			})
 		})
 	}
@@ -115,7 +94,7 @@
 			return (link.From == lonely.Host && !engines[link.To]) || (link.To == lonely.Host && !engines[link.From])
 		})
 		time.Sleep(20 * time.Second)
-		if decodingStreams(fleet) != 1 {
+		if fleet.DecodingStreams() != 1 {
 			t.Fatal("the stream of a living node was cancelled")
 		}
 		hangUp()
@@ -139,7 +118,7 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				go func() { firstDone <- load.Send(ctx, first) }()
-				waitUntil(t, 10*time.Second, "decoding", func() bool { return decodingStreams(fleet) == 1 })
+				waitUntil(t, 10*time.Second, "decoding", func() bool { return fleet.DecodingStreams() == 1 })
 				time.Sleep(time.Second)
 				prepare(fleet, nodes[0])
 				second := call
@@ -207,7 +186,7 @@
 						Prompt: prompt(rand.New(rand.NewPCG(4, 4)), 300), Tokens: 300,
 					})
 				}()
-				waitUntil(t, 10*time.Second, "decoding", func() bool { return decodingStreams(fleet) == 1 })
+				waitUntil(t, 10*time.Second, "decoding", func() bool { return fleet.DecodingStreams() == 1 })
 				time.Sleep(500 * time.Millisecond)
 				breakEngines(fleet)
 				result := <-done
