Move the object API's client and store interface to a package of their own

Cause: platform/ is to hold only the names, formats and calls of the users' platform; the Kubernetes-style client and the store interface are the product's own. Change: package objectapi takes them; no behaviour changes. Checked: go build, go vet, tests of objectapi, lease, configuration and claim pass.

--- a/claim/writer.go
+++ b/claim/writer.go
@@ -12,7 +12,7 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/metrics"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/tasks"
 )
 
@@ -43,7 +43,7 @@
 // concurrent use. Two nodes that both take themselves for the owner do no harm:
 // the platform's conditional update decides.
 type Writer struct {
-	store   platform.Store
+	store   objectapi.Store
 	metrics *metrics.Set
 	now     func() time.Time
 
@@ -58,7 +58,7 @@
 }
 
 // NewWriter returns a writer.
-func NewWriter(store platform.Store, set *metrics.Set, now func() time.Time) *Writer {
+func NewWriter(store objectapi.Store, set *metrics.Set, now func() time.Time) *Writer {
 	return &Writer{
 		store: store, metrics: set, now: now,
 		pending: map[string][]*operation{}, running: map[int]bool{}, abandoned: map[string]time.Time{},
@@ -137,8 +137,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), writeTimeout)
 	defer cancel()
 	var results []error
-	_, err := platform.Modify(ctx, w.store, platform.Change{
-		Kind: platform.KindClaim, Name: object,
+	_, err := objectapi.Modify(ctx, w.store, objectapi.Change{
+		Kind: objectapi.KindClaim, Name: object,
 		Mutate: func(current json.RawMessage) (json.RawMessage, error) {
 			standing, err := decodeBucket(current)
 			if err != nil {
@@ -259,12 +259,12 @@
 }
 
 func (w *Writer) deleteBucket(ctx context.Context, name string) {
-	object, err := w.store.Get(ctx, platform.KindClaim, name)
+	object, err := w.store.Get(ctx, objectapi.KindClaim, name)
 	if err != nil {
 		return
 	}
-	err = w.store.Delete(ctx, platform.KindClaim, name, object.Version)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	err = w.store.Delete(ctx, objectapi.KindClaim, name, object.Version)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		w.metrics.Add("claim_sweep_errors", 1)
 	}
 }
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/api"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // ErrNoPart is returned when a node or the platform lacks a part.
@@ -120,10 +120,10 @@
 }
 
 // FromStore returns a FetchPart that reads from the platform.
-func FromStore(store platform.Store) FetchPart {
+func FromStore(store objectapi.Store) FetchPart {
 	return func(ctx context.Context, digest string) ([]byte, error) {
 		object, err := store.Get(ctx, KindPart, digest)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectapi.ErrNotFound) {
 			return nil, ErrNoPart
 		}
 		return object.Spec, err
--- a/configuration/publish.go
+++ b/configuration/publish.go
@@ -7,20 +7,20 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/api"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // KindPart is the platform's kind for parts. They are kept apart from the head,
 // so that a watch of the head does not carry them.
-const KindPart platform.Kind = "configurationparts"
+const KindPart objectapi.Kind = "configurationparts"
 
 // maxMoved bounds the references that a head carries.
 const maxMoved = 32
 
 // ReadHead returns the newest accepted head, or an empty one if there is none.
-func ReadHead(ctx context.Context, store platform.Store) (Head, error) {
-	object, err := store.Get(ctx, platform.KindConfiguration, HeadName)
-	if errors.Is(err, platform.ErrNotFound) {
+func ReadHead(ctx context.Context, store objectapi.Store) (Head, error) {
+	object, err := store.Get(ctx, objectapi.KindConfiguration, HeadName)
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return Head{}, nil
 	}
 	if err != nil {
@@ -42,7 +42,7 @@
 // Publish makes configuration the successor of version base. It returns an
 // *ErrConflict if another change was accepted first. When it returns another
 // error, the change may be accepted; Publish with the same change tells.
-func Publish(ctx context.Context, store platform.Store, base uint64, change string, moved []string, configuration api.Configuration) (Head, error) {
+func Publish(ctx context.Context, store objectapi.Store, base uint64, change string, moved []string, configuration api.Configuration) (Head, error) {
 	parts, err := Split(configuration)
 	if err != nil {
 		return Head{}, err
@@ -55,8 +55,8 @@
 		return Head{}, err
 	}
 	var superseded []string
-	_, err = platform.Modify(ctx, store, platform.Change{
-		Kind: platform.KindConfiguration, Name: HeadName,
+	_, err = objectapi.Modify(ctx, store, objectapi.Change{
+		Kind: objectapi.KindConfiguration, Name: HeadName,
 		Mutate: func(current json.RawMessage) (json.RawMessage, error) {
 			standing, err := DecodeHead(current)
 			if err != nil {
@@ -86,9 +86,9 @@
 }
 
 // storeParts writes the parts that the platform lacks.
-func storeParts(ctx context.Context, store platform.Store, parts []Part) error {
+func storeParts(ctx context.Context, store objectapi.Store, parts []Part) error {
 	for _, part := range parts {
-		_, err := platform.Modify(ctx, store, platform.Change{
+		_, err := objectapi.Modify(ctx, store, objectapi.Change{
 			Kind: KindPart, Name: part.Digest,
 			Mutate: func(current json.RawMessage) (json.RawMessage, error) {
 				if current != nil {
@@ -106,7 +106,7 @@
 
 // collect deletes parts that neither the newest head nor the one before needs.
 // A part left behind by a failure costs room and nothing else.
-func collect(ctx context.Context, store platform.Store, digests []string) {
+func collect(ctx context.Context, store objectapi.Store, digests []string) {
 	for _, digest := range digests {
 		object, err := store.Get(ctx, KindPart, digest)
 		if err == nil {
--- a/configuration/syncer.go
+++ b/configuration/syncer.go
@@ -8,8 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer/peerpb"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/tasks"
 )
 
@@ -39,7 +39,7 @@
 // Syncer keeps a Holder at the newest accepted version.
 type Syncer struct {
 	holder    *Holder
-	store     platform.Store
+	store     objectapi.Store
 	placement Placement
 	caller    PeerCaller
 	metrics   *metrics.Set
@@ -56,7 +56,7 @@
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
-func NewSyncer(holder *Holder, store platform.Store, placement Placement, caller PeerCaller, set *metrics.Set, now func() time.Time) *Syncer {
+func NewSyncer(holder *Holder, store objectapi.Store, placement Placement, caller PeerCaller, set *metrics.Set, now func() time.Time) *Syncer {
 	return &Syncer{
 		holder: holder, store: store, placement: placement, caller: caller,
 		metrics: set, now: now, pulling: map[string]bool{}, started: now(),
@@ -84,7 +84,7 @@
 // watch reads the head and follows it until the watch ends or the node is no
 // longer chosen.
 func (s *Syncer) watch(ctx context.Context) {
-	objects, revision, err := s.store.List(ctx, platform.KindConfiguration)
+	objects, revision, err := s.store.List(ctx, objectapi.KindConfiguration)
 	if err != nil {
 		s.metrics.Add("configuration_platform_errors", 1)
 		return
@@ -100,7 +100,7 @@
 	defer cancel()
 	go s.resign(ctx, cancel)
 	s.metrics.Add("configuration_watches", 1)
-	err = s.store.Watch(ctx, platform.KindConfiguration, revision, func(event platform.Event) {
+	err = s.store.Watch(ctx, objectapi.KindConfiguration, revision, func(event objectapi.Event) {
 		s.confirm()
 		s.advance(ctx, event.Object)
 	})
@@ -126,7 +126,7 @@
 	}
 }
 
-func (s *Syncer) advance(ctx context.Context, object platform.Object) {
+func (s *Syncer) advance(ctx context.Context, object objectapi.Object) {
 	if object.Name != HeadName {
 		return
 	}
--- a/controller/engineorder/reconciler.go
+++ b/controller/engineorder/reconciler.go
@@ -15,8 +15,8 @@
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/lease"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/owner"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -35,7 +35,7 @@
 // Options are the parts of a Reconciler.
 type Options struct {
 	Configuration *configuration.Holder
-	Store         platform.Store
+	Store         objectapi.Store
 	Engines       Engines
 	Owner         Owner
 	Metrics       *metrics.Set
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // ErrHeld is returned when another node holds the lease.
@@ -31,7 +31,7 @@
 
 // Options describe one lease.
 type Options struct {
-	Store platform.Store
+	Store objectapi.Store
 	// Name is the lease object's name.
 	Name string
 	// Holder identifies this start of the node.
@@ -105,8 +105,8 @@
 
 // read fetches the record and notes when it last changed.
 func (l *Lease) read(ctx context.Context) (Record, error) {
-	object, err := l.options.Store.Get(ctx, platform.KindLease, l.options.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	object, err := l.options.Store.Get(ctx, objectapi.KindLease, l.options.Name)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return Record{}, errors.Wrap(err, "read lease")
 	}
 	var record Record
@@ -154,9 +154,9 @@
 	l.mu.Lock()
 	version := l.version
 	l.mu.Unlock()
-	object := platform.Object{Kind: platform.KindLease, Name: l.options.Name, Version: version, Spec: spec}
+	object := objectapi.Object{Kind: objectapi.KindLease, Name: l.options.Name, Version: version, Spec: spec}
 	if _, err := l.options.Store.Put(ctx, object); err != nil {
-		if errors.Is(err, platform.ErrConflict) {
+		if errors.Is(err, objectapi.ErrConflict) {
 			return ErrHeld
 		}
 		return errors.Wrap(err, "write lease")
--- a/machines/list.go
+++ b/machines/list.go
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // State is whether a machine stays.
@@ -82,7 +82,7 @@
 }
 
 // apply changes one machine.
-func (l *List) apply(object platform.Object, deleted bool) error {
+func (l *List) apply(object objectapi.Object, deleted bool) error {
 	var machine Machine
 	if !deleted {
 		if err := json.Unmarshal(object.Spec, &machine); err != nil {
--- a/machines/syncer.go
+++ b/machines/syncer.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer/peerpb"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/tasks"
 )
 
@@ -41,7 +41,7 @@
 // Syncer keeps a List at the newest view.
 type Syncer struct {
 	list      *List
-	store     platform.Store
+	store     objectapi.Store
 	placement Placement
 	caller    PeerCaller
 	metrics   *metrics.Set
@@ -54,7 +54,7 @@
 }
 
 // NewSyncer returns a syncer that calls changed when the view changes.
-func NewSyncer(list *List, store platform.Store, placement Placement, caller PeerCaller, set *metrics.Set, changed func()) *Syncer {
+func NewSyncer(list *List, store objectapi.Store, placement Placement, caller PeerCaller, set *metrics.Set, changed func()) *Syncer {
 	return &Syncer{list: list, store: store, placement: placement, caller: caller, metrics: set, changed: changed}
 }
 
@@ -83,7 +83,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, watchLength)
 	defer cancel()
-	err = s.store.Watch(ctx, platform.KindMachine, revision, func(event platform.Event) {
+	err = s.store.Watch(ctx, objectapi.KindMachine, revision, func(event objectapi.Event) {
 		if err := s.list.apply(event.Object, event.Deleted); err != nil {
 			s.metrics.Add("machine_list_errors", 1)
 			return
@@ -97,7 +97,7 @@
 
 // read replaces the view by the platform's list.
 func (s *Syncer) read(ctx context.Context) (int64, error) {
-	objects, revision, err := s.store.List(ctx, platform.KindMachine)
+	objects, revision, err := s.store.List(ctx, objectapi.KindMachine)
 	if err != nil {
 		return 0, err
 	}
--- a/node/core.go
+++ b/node/core.go
@@ -20,11 +20,11 @@
 	"github.com/reelrun/reelrun/machines"
 	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
 	"github.com/reelrun/reelrun/owner"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/scheduler"
 	"github.com/reelrun/reelrun/timeline"
 )
@@ -37,7 +37,7 @@
 	Seeds       []string
 	// Dial opens connections to other nodes.
 	Dial  peer.DialFunc
-	Store platform.Store
+	Store objectapi.Store
 	// Engines calls the model engines.
 	Engines *engine.Client
 	// Membership are the intervals of the membership protocol.
--- a/node/node.go
+++ b/node/node.go
@@ -17,8 +17,8 @@
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/filter"
 	"github.com/reelrun/reelrun/membership"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/service"
 	"github.com/reelrun/reelrun/settings"
 	"github.com/reelrun/reelrun/tlsfiles"
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	transport := newTransport()
-	store := platform.NewClient(from.PlatformAddress, transport)
+	store := objectapi.NewClient(from.PlatformAddress, transport)
 	n.core = NewCore(CoreOptions{
 		Name: from.Name, Zone: from.Zone, PeerAddress: from.PeerAddress, Seeds: from.Seeds,
 		Dial: n.dialPeer, Store: store, Engines: engine.NewClient(transport),
@@ -152,7 +152,7 @@
 }
 
 // operatorHandler serves the operators' API, the counters and the profiles.
-func (n *Node) operatorHandler(store platform.Store) (http.Handler, error) {
+func (n *Node) operatorHandler(store objectapi.Store) (http.Handler, error) {
 	handler, err := operator.NewHandler(operator.Options{
 		Configuration: n.core.Configuration, Store: store, Fleet: fleet{n.core}, HearsHalf: n.core.HearsHalf,
 		TokenHash: n.settings.OperatorTokenHash, Events: n.core.Events,
--- a/node/store.go
+++ b/node/store.go
@@ -7,30 +7,30 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/membership"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // observedStore tells whenever the platform answers.
 type observedStore struct {
-	platform.Store
+	objectapi.Store
 	answered func()
 }
 
 func (s *observedStore) observe(err error) {
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, objectapi.ErrNotFound) {
 		s.answered()
 	}
 }
 
-// Get implements platform.Store.
-func (s *observedStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *observedStore) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
 	object, err := s.Store.Get(ctx, kind, name)
 	s.observe(err)
 	return object, err
 }
 
-// List implements platform.Store.
-func (s *observedStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+// List implements objectapi.Store.
+func (s *observedStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
 	objects, revision, err := s.Store.List(ctx, kind)
 	s.observe(err)
 	return objects, revision, err
--- a/platform/client_test.go
+++ b/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -12,14 +12,14 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/sim/fault"
 	"github.com/reelrun/reelrun/sim/platformsim"
 )
 
 // fixture is a client of a stand-in over loopback.
 type fixture struct {
-	client *platform.Client
+	client *objectapi.Client
 	store  *platformsim.Store
 	faults *fault.Injector
 }
@@ -32,34 +32,34 @@
 	t.Cleanup(server.Close)
 	transport := &http.Transport{}
 	t.Cleanup(transport.CloseIdleConnections)
-	f.client = platform.NewClient(server.Listener.Addr().String(), transport)
+	f.client = objectapi.NewClient(server.Listener.Addr().String(), transport)
 	return f
 }
 
-func object(version int64, spec string) platform.Object {
-	return platform.Object{Kind: platform.KindStatus, Name: "x", Version: version, Spec: json.RawMessage(spec)}
+func object(version int64, spec string) objectapi.Object {
+	return objectapi.Object{Kind: objectapi.KindStatus, Name: "x", Version: version, Spec: json.RawMessage(spec)}
 }
 
 func TestConditionalUpdates(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, platformsim.Options{})
 	ctx := context.Background()
-	_, err := f.client.Get(ctx, platform.KindStatus, "x")
-	g.Expect(errors.Is(err, platform.ErrNotFound)).To(BeTrue())
+	_, err := f.client.Get(ctx, objectapi.KindStatus, "x")
+	g.Expect(errors.Is(err, objectapi.ErrNotFound)).To(BeTrue())
 	first, err := f.client.Put(ctx, object(0, `1`))
 	g.Expect(err).NotTo(HaveOccurred())
 	_, err = f.client.Put(ctx, object(0, `2`))
-	g.Expect(errors.Is(err, platform.ErrConflict)).To(BeTrue())
+	g.Expect(errors.Is(err, objectapi.ErrConflict)).To(BeTrue())
 	_, err = f.client.Put(ctx, object(first.Version, `3`))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(errors.Is(f.client.Delete(ctx, platform.KindStatus, "x", first.Version), platform.ErrConflict)).To(BeTrue())
-	listed, revision, err := f.client.List(ctx, platform.KindStatus)
+	g.Expect(errors.Is(f.client.Delete(ctx, objectapi.KindStatus, "x", first.Version), objectapi.ErrConflict)).To(BeTrue())
+	listed, revision, err := f.client.List(ctx, objectapi.KindStatus)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(listed).To(HaveLen(1))
 	g.Expect(string(listed[0].Spec)).To(Equal("3"))
 	g.Expect(revision).To(Equal(listed[0].Version))
-	_, err = f.client.Put(ctx, object(0, `"`+strings.Repeat("x", platform.MaxValueBytes)+`"`))
-	g.Expect(errors.Is(err, platform.ErrTooLarge)).To(BeTrue())
+	_, err = f.client.Put(ctx, object(0, `"`+strings.Repeat("x", objectapi.MaxValueBytes)+`"`))
+	g.Expect(errors.Is(err, objectapi.ErrTooLarge)).To(BeTrue())
 }
 
 func TestWatchSeesChangesInOrder(t *testing.T) {
@@ -70,7 +70,7 @@
 	seen := make(chan string, 4)
 	ended := make(chan error, 1)
 	go func() {
-		ended <- f.client.Watch(ctx, platform.KindStatus, 0, func(event platform.Event) { seen <- string(event.Object.Spec) })
+		ended <- f.client.Watch(ctx, objectapi.KindStatus, 0, func(event objectapi.Event) { seen <- string(event.Object.Spec) })
 	}()
 	first, err := f.client.Put(ctx, object(0, `1`))
 	g.Expect(err).NotTo(HaveOccurred())
@@ -92,8 +92,8 @@
 		f.faults.Set(fault.Faults{LostReplies: number})
 		wanted, err := json.Marshal(number)
 		g.Expect(err).NotTo(HaveOccurred())
-		_, err = platform.Modify(ctx, f.client, platform.Change{
-			Kind: platform.KindStatus, Name: "counter",
+		_, err = objectapi.Modify(ctx, f.client, objectapi.Change{
+			Kind: objectapi.KindStatus, Name: "counter",
 			Mutate: func(current json.RawMessage) (json.RawMessage, error) {
 				if string(current) == string(wanted) {
 					return nil, nil
@@ -103,15 +103,15 @@
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	g.Expect(string(f.store.Snapshot(platform.KindStatus)[0].Spec)).To(Equal("3"))
+	g.Expect(string(f.store.Snapshot(objectapi.KindStatus)[0].Spec)).To(Equal("3"))
 }
 
 func TestMutateErrorIsFinal(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, platformsim.Options{})
 	refusal := errors.New("no")
-	_, err := platform.Modify(context.Background(), f.client, platform.Change{
-		Kind: platform.KindStatus, Name: "x", Mutate: func(json.RawMessage) (json.RawMessage, error) { return nil, refusal },
+	_, err := objectapi.Modify(context.Background(), f.client, objectapi.Change{
+		Kind: objectapi.KindStatus, Name: "x", Mutate: func(json.RawMessage) (json.RawMessage, error) { return nil, refusal },
 	})
 	g.Expect(errors.Is(err, refusal)).To(BeTrue())
 }
@@ -120,9 +120,9 @@
 	g := NewWithT(t)
 	f := newFixture(t, platformsim.Options{ReadsPerSecond: 0.001})
 	ctx := context.Background()
-	_, _, err := f.client.List(ctx, platform.KindStatus)
+	_, _, err := f.client.List(ctx, objectapi.KindStatus)
 	g.Expect(err).NotTo(HaveOccurred())
-	_, _, err = f.client.List(ctx, platform.KindStatus)
-	g.Expect(errors.Is(err, platform.ErrThrottled)).To(BeTrue())
+	_, _, err = f.client.List(ctx, objectapi.KindStatus)
+	g.Expect(errors.Is(err, objectapi.ErrThrottled)).To(BeTrue())
 	g.Expect(f.store.Counts().Throttled).To(BeEquivalentTo(1))
 }
--- a/platform/doc.go
+++ b/objectapi/doc.go
@@ -1,4 +1,4 @@
-// Package platform is the client of the platform's object API, the only place
+// Package objectapi is the client of the platform's object API, the only place
 // where anything lasts or is agreed upon.
 //
 // The API follows the REST conventions of the Kubernetes API (paths, resource
@@ -8,4 +8,4 @@
 //
 // A call that ends without a definite answer may or may not have taken effect.
 // Modify resolves such a call by reading the object back.
-package platform
+package objectapi
--- a/platform/store.go
+++ b/objectapi/store.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
@@ -10,16 +10,16 @@
 // Errors with a definite meaning: the call did not take effect. Any other error
 // of a writing call leaves its effect unknown.
 var (
-	ErrNotFound  = errors.New("platform: object not found")
-	ErrConflict  = errors.New("platform: version conflict")
-	ErrThrottled = errors.New("platform: too many calls")
-	ErrTooOld    = errors.New("platform: watch revision too old")
-	ErrTooLarge  = errors.New("platform: value too large")
+	ErrNotFound  = errors.New("objectapi: object not found")
+	ErrConflict  = errors.New("objectapi: version conflict")
+	ErrThrottled = errors.New("objectapi: too many calls")
+	ErrTooOld    = errors.New("objectapi: watch revision too old")
+	ErrTooLarge  = errors.New("objectapi: value too large")
 )
 
 // ErrUnavailable means that the platform did not answer. The effect of a
 // writing call is unknown.
-var ErrUnavailable = errors.New("platform: unavailable")
+var ErrUnavailable = errors.New("objectapi: unavailable")
 
 // MaxValueBytes is the largest value the platform holds.
 const MaxValueBytes = 1 << 20
--- a/operator/accept.go
+++ b/operator/accept.go
@@ -8,14 +8,14 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/configuration"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // Acceptor accepts confirmed plans.
 type Acceptor struct {
 	// Configuration is the node's configuration, which an accepted plan advances.
 	Configuration *configuration.Holder
-	Store         platform.Store
+	Store         objectapi.Store
 	// HearsHalf reports whether the node hears at least half of the fleet; nil
 	// means that it does. The others could not be told of a change.
 	HearsHalf func() bool
--- a/operator/server.go
+++ b/operator/server.go
@@ -13,7 +13,7 @@
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/configuration"
 	"github.com/reelrun/reelrun/filter"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -47,7 +47,7 @@
 // Options are the parts of a Server.
 type Options struct {
 	Configuration *configuration.Holder
-	Store         platform.Store
+	Store         objectapi.Store
 	Fleet         Fleet
 	// HearsHalf is that of an Acceptor.
 	HearsHalf func() bool
--- a/sim/hollow/measure.go
+++ b/sim/hollow/measure.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/sim/enginesim"
 	"github.com/reelrun/reelrun/sim/platformsim"
 	"github.com/reelrun/reelrun/sim/rehearsal"
@@ -200,4 +200,4 @@
 }
 
 // storeOf returns the platform without the limits of a node.
-func storeOf(fleet *rehearsal.Fleet) platform.Store { return fleet.Platform.Store }
+func storeOf(fleet *rehearsal.Fleet) objectapi.Store { return fleet.Platform.Store }
--- a/sim/platformsim/flaky.go
+++ b/sim/platformsim/flaky.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // Effect is what a Flaky store does with one call.
@@ -20,7 +20,7 @@
 // Flaky is a store whose calls fail as a test decides. It is safe for
 // concurrent use.
 type Flaky struct {
-	platform.Store
+	objectapi.Store
 
 	mu     sync.Mutex
 	decide func(write bool) Effect
@@ -28,7 +28,7 @@
 }
 
 // NewFlaky returns a store that asks decide about each call.
-func NewFlaky(store platform.Store, decide func(write bool) Effect) *Flaky {
+func NewFlaky(store objectapi.Store, decide func(write bool) Effect) *Flaky {
 	return &Flaky{Store: store, decide: decide, counts: map[Effect]int{}}
 }
 
@@ -54,52 +54,52 @@
 	return decided
 }
 
-// Get implements platform.Store.
-func (f *Flaky) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (f *Flaky) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
 	if f.effect(false) != Pass {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return f.Store.Get(ctx, kind, name)
 }
 
-// List implements platform.Store.
-func (f *Flaky) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+// List implements objectapi.Store.
+func (f *Flaky) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
 	if f.effect(false) != Pass {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	return f.Store.List(ctx, kind)
 }
 
-// Put implements platform.Store.
-func (f *Flaky) Put(ctx context.Context, object platform.Object) (platform.Object, error) {
+// Put implements objectapi.Store.
+func (f *Flaky) Put(ctx context.Context, object objectapi.Object) (objectapi.Object, error) {
 	switch f.effect(true) {
 	case Refuse:
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	case LoseReply:
 		_, _ = f.Store.Put(ctx, object)
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	default:
 		return f.Store.Put(ctx, object)
 	}
 }
 
-// Delete implements platform.Store.
-func (f *Flaky) Delete(ctx context.Context, kind platform.Kind, name string, version int64) error {
+// Delete implements objectapi.Store.
+func (f *Flaky) Delete(ctx context.Context, kind objectapi.Kind, name string, version int64) error {
 	switch f.effect(true) {
 	case Refuse:
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	case LoseReply:
 		_ = f.Store.Delete(ctx, kind, name, version)
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	default:
 		return f.Store.Delete(ctx, kind, name, version)
 	}
 }
 
-// Watch implements platform.Store.
-func (f *Flaky) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+// Watch implements objectapi.Store.
+func (f *Flaky) Watch(ctx context.Context, kind objectapi.Kind, after int64, handle func(objectapi.Event)) error {
 	if f.effect(false) != Pass {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	return f.Store.Watch(ctx, kind, after, handle)
 }
--- a/sim/platformsim/handler.go
+++ b/sim/platformsim/handler.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // PathCounts is where the stand-in reports its calls.
@@ -19,10 +19,10 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+PathWeights+"{model}/{version}", weights)
 	served := handler{store}
-	mux.HandleFunc("GET "+platform.BasePath+"{kind}", served.listOrWatch)
-	mux.HandleFunc("GET "+platform.BasePath+"{kind}/{name}", served.get)
-	mux.HandleFunc("PUT "+platform.BasePath+"{kind}/{name}", served.put)
-	mux.HandleFunc("DELETE "+platform.BasePath+"{kind}/{name}", served.remove)
+	mux.HandleFunc("GET "+objectapi.BasePath+"{kind}", served.listOrWatch)
+	mux.HandleFunc("GET "+objectapi.BasePath+"{kind}/{name}", served.get)
+	mux.HandleFunc("PUT "+objectapi.BasePath+"{kind}/{name}", served.put)
+	mux.HandleFunc("DELETE "+objectapi.BasePath+"{kind}/{name}", served.remove)
 	mux.HandleFunc("GET "+PathCounts, served.counts)
 	return mux
 }
@@ -30,68 +30,68 @@
 type handler struct{ store *Store }
 
 func (h handler) get(w http.ResponseWriter, r *http.Request) {
-	object, err := h.store.Get(r.Context(), platform.Kind(r.PathValue("kind")), r.PathValue("name"))
-	reply(w, platform.ToDocument(object), err)
+	object, err := h.store.Get(r.Context(), objectapi.Kind(r.PathValue("kind")), r.PathValue("name"))
+	reply(w, objectapi.ToDocument(object), err)
 }
 
 func (h handler) put(w http.ResponseWriter, r *http.Request) {
 	const envelope = 64 << 10
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes+envelope))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes+envelope))
 	if err != nil {
-		reply(w, nil, platform.ErrTooLarge)
+		reply(w, nil, objectapi.ErrTooLarge)
 		return
 	}
-	var document platform.Document
+	var document objectapi.Document
 	if err := json.Unmarshal(body, &document); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	object, err := platform.FromDocument(document)
+	object, err := objectapi.FromDocument(document)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	object.Kind = platform.Kind(r.PathValue("kind"))
+	object.Kind = objectapi.Kind(r.PathValue("kind"))
 	object.Name = r.PathValue("name")
-	if object.Kind == platform.KindMachine {
+	if object.Kind == objectapi.KindMachine {
 		h.store.SetMachine(object.Name, object.Spec)
-		reply(w, platform.ToDocument(object), nil)
+		reply(w, objectapi.ToDocument(object), nil)
 		return
 	}
 	stored, err := h.store.Put(r.Context(), object)
-	reply(w, platform.ToDocument(stored), err)
+	reply(w, objectapi.ToDocument(stored), err)
 }
 
 func (h handler) remove(w http.ResponseWriter, r *http.Request) {
-	version, err := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+	version, err := objectapi.ParseVersion(r.URL.Query().Get("resourceVersion"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	err = h.store.Delete(r.Context(), platform.Kind(r.PathValue("kind")), r.PathValue("name"), version)
+	err = h.store.Delete(r.Context(), objectapi.Kind(r.PathValue("kind")), r.PathValue("name"), version)
 	reply(w, struct{}{}, err)
 }
 
 func (h handler) listOrWatch(w http.ResponseWriter, r *http.Request) {
-	kind := platform.Kind(r.PathValue("kind"))
+	kind := objectapi.Kind(r.PathValue("kind"))
 	if r.URL.Query().Get("watch") == "true" {
 		h.watch(w, r, kind)
 		return
 	}
 	objects, revision, err := h.store.List(r.Context(), kind)
-	list := platform.ListDocument{
-		APIVersion: platform.APIVersion,
-		Metadata:   platform.Metadata{ResourceVersion: strconv.FormatInt(revision, 10)},
-		Items:      make([]platform.Document, len(objects)),
+	list := objectapi.ListDocument{
+		APIVersion: objectapi.APIVersion,
+		Metadata:   objectapi.Metadata{ResourceVersion: strconv.FormatInt(revision, 10)},
+		Items:      make([]objectapi.Document, len(objects)),
 	}
 	for i, object := range objects {
-		list.Items[i] = platform.ToDocument(object)
+		list.Items[i] = objectapi.ToDocument(object)
 	}
 	reply(w, list, err)
 }
 
-func (h handler) watch(w http.ResponseWriter, r *http.Request, kind platform.Kind) {
-	after, err := platform.ParseVersion(r.URL.Query().Get("resourceVersion"))
+func (h handler) watch(w http.ResponseWriter, r *http.Request, kind objectapi.Kind) {
+	after, err := objectapi.ParseVersion(r.URL.Query().Get("resourceVersion"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -99,16 +99,16 @@
 	control := http.NewResponseController(w)
 	encoder := json.NewEncoder(w)
 	_ = control.Flush()
-	err = h.store.Watch(r.Context(), kind, after, func(event platform.Event) {
-		line := platform.WatchDocument{Type: platform.WatchModified, Object: platform.ToDocument(event.Object)}
+	err = h.store.Watch(r.Context(), kind, after, func(event objectapi.Event) {
+		line := objectapi.WatchDocument{Type: objectapi.WatchModified, Object: objectapi.ToDocument(event.Object)}
 		if event.Deleted {
-			line.Type = platform.WatchDeleted
+			line.Type = objectapi.WatchDeleted
 		}
 		_ = encoder.Encode(line)
 		_ = control.Flush()
 	})
-	if errors.Is(err, platform.ErrTooOld) {
-		_ = encoder.Encode(platform.WatchDocument{Type: platform.WatchError})
+	if errors.Is(err, objectapi.ErrTooOld) {
+		_ = encoder.Encode(objectapi.WatchDocument{Type: objectapi.WatchError})
 	}
 }
 
@@ -127,15 +127,15 @@
 
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return http.StatusConflict
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, objectapi.ErrThrottled):
 		return http.StatusTooManyRequests
-	case errors.Is(err, platform.ErrTooOld):
+	case errors.Is(err, objectapi.ErrTooOld):
 		return http.StatusGone
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
 	default:
 		return http.StatusServiceUnavailable
--- a/sim/platformsim/store.go
+++ b/sim/platformsim/store.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 )
 
 // watchHistory is the number of changes kept for watches that start late.
@@ -35,13 +35,13 @@
 }
 
 type key struct {
-	kind platform.Kind
+	kind objectapi.Kind
 	name string
 }
 
 type change struct {
 	revision int64
-	event    platform.Event
+	event    objectapi.Event
 }
 
 // Store is an in-memory object API. It is safe for concurrent use.
@@ -52,14 +52,14 @@
 
 	mu       sync.Mutex
 	revision int64
-	objects  map[key]platform.Object
+	objects  map[key]objectapi.Object
 	history  []change
 	trimmed  int64
 	changed  chan struct{}
 	counts   Counts
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectapi.Store = (*Store)(nil)
 
 // NewStore returns an empty store.
 func NewStore(options Options) *Store {
@@ -67,7 +67,7 @@
 		options: options,
 		writes:  limiter(options.WritesPerSecond),
 		reads:   limiter(options.ReadsPerSecond),
-		objects: map[key]platform.Object{},
+		objects: map[key]objectapi.Object{},
 		changed: make(chan struct{}),
 	}
 }
@@ -91,7 +91,7 @@
 	s.counts.Reads++
 	if !s.reads.Allow() {
 		s.counts.Throttled++
-		return platform.ErrThrottled
+		return objectapi.ErrThrottled
 	}
 	return nil
 }
@@ -100,67 +100,67 @@
 	s.counts.Writes++
 	if !s.writes.Allow() {
 		s.counts.Throttled++
-		return platform.ErrThrottled
+		return objectapi.ErrThrottled
 	}
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *Store) Get(_ context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.read(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	object, ok := s.objects[key{kind, name}]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
 	return object, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(_ context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+// List implements objectapi.Store.
+func (s *Store) List(_ context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.read(); err != nil {
 		return nil, 0, err
 	}
-	var listed []platform.Object
+	var listed []objectapi.Object
 	for at, object := range s.objects {
 		if at.kind == kind {
 			listed = append(listed, object)
 		}
 	}
-	slices.SortFunc(listed, func(a, b platform.Object) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(listed, func(a, b objectapi.Object) int { return strings.Compare(a.Name, b.Name) })
 	return listed, s.revision, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(_ context.Context, object platform.Object) (platform.Object, error) {
+// Put implements objectapi.Store.
+func (s *Store) Put(_ context.Context, object objectapi.Object) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.write(); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
-	if len(object.Spec) > platform.MaxValueBytes {
-		return platform.Object{}, platform.ErrTooLarge
+	if len(object.Spec) > objectapi.MaxValueBytes {
+		return objectapi.Object{}, objectapi.ErrTooLarge
 	}
 	at := key{object.Kind, object.Name}
 	if s.objects[at].Version != object.Version {
 		s.counts.Conflicts++
-		return platform.Object{}, platform.ErrConflict
+		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	s.revision++
 	object.Version = s.revision
 	object.Spec = slices.Clone(object.Spec)
 	s.objects[at] = object
-	s.record(platform.Event{Object: object})
+	s.record(objectapi.Event{Object: object})
 	return object, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, kind platform.Kind, name string, version int64) error {
+// Delete implements objectapi.Store.
+func (s *Store) Delete(_ context.Context, kind objectapi.Kind, name string, version int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.write(); err != nil {
@@ -169,20 +169,20 @@
 	at := key{kind, name}
 	object, ok := s.objects[at]
 	if !ok {
-		return platform.ErrNotFound
+		return objectapi.ErrNotFound
 	}
 	if object.Version != version {
 		s.counts.Conflicts++
-		return platform.ErrConflict
+		return objectapi.ErrConflict
 	}
 	delete(s.objects, at)
 	s.revision++
 	object.Version = s.revision
-	s.record(platform.Event{Object: object, Deleted: true})
+	s.record(objectapi.Event{Object: object, Deleted: true})
 	return nil
 }
 
-func (s *Store) record(event platform.Event) {
+func (s *Store) record(event objectapi.Event) {
 	s.history = append(s.history, change{s.revision, event})
 	if len(s.history) > watchHistory {
 		s.trimmed = s.history[len(s.history)-watchHistory-1].revision
@@ -192,8 +192,8 @@
 	s.changed = make(chan struct{})
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, kind objectapi.Kind, after int64, handle func(objectapi.Event)) error {
 	s.mu.Lock()
 	s.counts.Watches++
 	s.counts.Waiting++
@@ -224,11 +224,11 @@
 	return err
 }
 
-func (s *Store) since(kind platform.Kind, after int64) ([]change, chan struct{}, error) {
+func (s *Store) since(kind objectapi.Kind, after int64) ([]change, chan struct{}, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if after < s.trimmed {
-		return nil, nil, platform.ErrTooOld
+		return nil, nil, objectapi.ErrTooOld
 	}
 	var selected []change
 	for _, recorded := range s.history {
@@ -240,10 +240,10 @@
 }
 
 // Snapshot returns all objects of a kind without counting a call. Oracles use it.
-func (s *Store) Snapshot(kind platform.Kind) []platform.Object {
+func (s *Store) Snapshot(kind objectapi.Kind) []objectapi.Object {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var objects []platform.Object
+	var objects []objectapi.Object
 	for at, object := range s.objects {
 		if at.kind == kind {
 			objects = append(objects, object)
@@ -259,9 +259,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.revision++
-		object := platform.Object{Kind: platform.KindMachine, Name: name, Version: s.revision, Spec: spec}
-		s.objects[key{platform.KindMachine, name}] = object
-		s.record(platform.Event{Object: object})
+		object := objectapi.Object{Kind: objectapi.KindMachine, Name: name, Version: s.revision, Spec: spec}
+		s.objects[key{objectapi.KindMachine, name}] = object
+		s.record(objectapi.Event{Object: object})
 	}
 	if s.options.MachineLag == 0 {
 		apply()
--- a/sim/rehearsal/defects_test.go
+++ b/sim/rehearsal/defects_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
-	"github.com/reelrun/reelrun/platform"
 )
 
 // The tests of this file break the system on purpose, one promise each, and fail
@@ -171,20 +171,20 @@
 
 // blindStore hides one kind of object.
 type blindStore struct {
-	platform.Store
-	kind platform.Kind
+	objectapi.Store
+	kind objectapi.Kind
 }
 
-func (s blindStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+func (s blindStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
 	if kind == s.kind {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	return s.Store.List(ctx, kind)
 }
 
 func TestOracleNoticesWorkForLeavingBackEnd(t *testing.T) {
 	options := smallOptions()
-	options.Defects.Store = func(next platform.Store) platform.Store { return blindStore{next, platform.KindMachine} }
+	options.Defects.Store = func(next objectapi.Store) objectapi.Store { return blindStore{next, objectapi.KindMachine} }
 	if len(leaveUnderLoad(t, options)) == 0 {
 		t.Fatal("the oracle did not notice that leaving back ends got new work")
 	}
@@ -198,19 +198,19 @@
 
 // staleStore shows a node the first configuration for ever, once it is switched on.
 type staleStore struct {
-	platform.Store
+	objectapi.Store
 	stale *atomic.Bool
 }
 
-func (s staleStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
-	if kind == platform.KindConfiguration && s.stale.Load() {
+func (s staleStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
+	if kind == objectapi.KindConfiguration && s.stale.Load() {
 		return nil, 1, nil
 	}
 	return s.Store.List(ctx, kind)
 }
 
-func (s staleStore) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
-	if kind == platform.KindConfiguration && s.stale.Load() {
+func (s staleStore) Watch(ctx context.Context, kind objectapi.Kind, after int64, handle func(objectapi.Event)) error {
+	if kind == objectapi.KindConfiguration && s.stale.Load() {
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -220,7 +220,7 @@
 func TestOracleNoticesStaleConfiguration(t *testing.T) {
 	var stale atomic.Bool
 	options := smallOptions()
-	options.Defects.Store = func(next platform.Store) platform.Store { return staleStore{next, &stale} }
+	options.Defects.Store = func(next objectapi.Store) objectapi.Store { return staleStore{next, &stale} }
 	if violations := changeConfiguration(t, options, &stale); len(violations) == 0 {
 		t.Fatal("the oracle did not notice that nodes kept the old configuration")
 	}
@@ -250,7 +250,7 @@
 func TestMonitorIsQuietWhenConfigurationSpreads(t *testing.T) {
 	var never atomic.Bool
 	options := smallOptions()
-	options.Defects.Store = func(next platform.Store) platform.Store { return staleStore{next, new(atomic.Bool)} }
+	options.Defects.Store = func(next objectapi.Store) objectapi.Store { return staleStore{next, new(atomic.Bool)} }
 	if violations := changeConfiguration(t, options, &never); len(violations) > 0 {
 		t.Fatal(violations)
 	}
--- a/sim/rehearsal/fleet.go
+++ b/sim/rehearsal/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/reelrun/reelrun/machines"
 	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/node"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/scheduler"
 	"github.com/reelrun/reelrun/sim/enginesim"
 	"github.com/reelrun/reelrun/sim/fault"
@@ -62,7 +62,7 @@
 	// Transport wraps the connections to engines and services.
 	Transport func(http.RoundTripper) http.RoundTripper
 	// Store wraps the platform.
-	Store func(platform.Store) platform.Store
+	Store func(objectapi.Store) objectapi.Store
 }
 
 // Node is one node of a fleet.
@@ -203,7 +203,7 @@
 	if wrap := f.Options.Defects.Transport; wrap != nil {
 		transport = wrap(transport)
 	}
-	var store platform.Store = &nodeStore{platform: f.Platform, node: name, dead: started.dead.Load}
+	var store objectapi.Store = &nodeStore{platform: f.Platform, node: name, dead: started.dead.Load}
 	if wrap := f.Options.Defects.Store; wrap != nil {
 		store = wrap(store)
 	}
@@ -458,6 +458,6 @@
 }
 
 // StoreOf returns the platform as a node of the given name reaches it.
-func (f *Fleet) StoreOf(name string) platform.Store {
+func (f *Fleet) StoreOf(name string) objectapi.Store {
 	return &nodeStore{platform: f.Platform, node: name, dead: func() bool { return false }}
 }
--- a/sim/rehearsal/monitor.go
+++ b/sim/rehearsal/monitor.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/reelrun/reelrun/configuration"
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/sim/enginesim"
 )
 
@@ -94,7 +94,7 @@
 
 // noteAccepted records a version that the platform has accepted.
 func (m *Monitor) noteAccepted(now time.Time) {
-	for _, object := range m.fleet.Platform.Store.Snapshot(platform.KindConfiguration) {
+	for _, object := range m.fleet.Platform.Store.Snapshot(objectapi.KindConfiguration) {
 		head, err := configuration.DecodeHead(object.Spec)
 		if err != nil {
 			m.violatef("head is unreadable: %s", err)
--- a/sim/rehearsal/platform.go
+++ b/sim/rehearsal/platform.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/sim/platformsim"
 )
 
@@ -69,52 +69,52 @@
 	return down || s.dead()
 }
 
-// Get implements platform.Store.
-func (s *nodeStore) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *nodeStore) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
 	if s.down() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return s.platform.Store.Get(ctx, kind, name)
 }
 
-// List implements platform.Store.
-func (s *nodeStore) List(ctx context.Context, kind platform.Kind) ([]platform.Object, int64, error) {
+// List implements objectapi.Store.
+func (s *nodeStore) List(ctx context.Context, kind objectapi.Kind) ([]objectapi.Object, int64, error) {
 	if s.down() {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	return s.platform.Store.List(ctx, kind)
 }
 
-// Put implements platform.Store.
-func (s *nodeStore) Put(ctx context.Context, object platform.Object) (platform.Object, error) {
+// Put implements objectapi.Store.
+func (s *nodeStore) Put(ctx context.Context, object objectapi.Object) (objectapi.Object, error) {
 	if s.down() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	stored, err := s.platform.Store.Put(ctx, object)
 	if s.platform.losesReply() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return stored, err
 }
 
-// Delete implements platform.Store.
-func (s *nodeStore) Delete(ctx context.Context, kind platform.Kind, name string, version int64) error {
+// Delete implements objectapi.Store.
+func (s *nodeStore) Delete(ctx context.Context, kind objectapi.Kind, name string, version int64) error {
 	if s.down() {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	err := s.platform.Store.Delete(ctx, kind, name, version)
 	if s.platform.losesReply() {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	return err
 }
 
-// Watch implements platform.Store. It ends when an outage begins.
-func (s *nodeStore) Watch(ctx context.Context, kind platform.Kind, after int64, handle func(platform.Event)) error {
+// Watch implements objectapi.Store. It ends when an outage begins.
+func (s *nodeStore) Watch(ctx context.Context, kind objectapi.Kind, after int64, handle func(objectapi.Event)) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if s.down() {
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	go s.endOnOutage(ctx, cancel)
 	return s.platform.Store.Watch(ctx, kind, after, handle)
