Serve on the users' platform: the thin path

Cause: reelrun served against its own stand-ins only; there was no deploy file. Change: packages routing, backend, retrybudget, gateway and router serve callers by routes; platform/ meets the platform's settings, store, servers and engines. The daemon takes this way where REELRUN_SETTINGS names a settings file. Memory is reserved at a decode engine before the prompt is read (the engine's own hold), then prefill, then decode.

--- a/cmd/reelrund/main.go
+++ b/cmd/reelrund/main.go
@@ -1,5 +1,8 @@
 // Command reelrund is the router's daemon, the same on every entry machine.
 //
+// Where the variable REELRUN_SETTINGS names a settings file of the users'
+// platform, the daemon serves there; otherwise it takes flags.
+//
 // Exit codes: 0 after a planned stop, 1 for a failure, 2 for faulty settings.
 package main
 
@@ -15,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/node"
+	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/settings"
 )
 
@@ -27,7 +31,17 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if path := os.Getenv(platform.SettingsVariable); path != "" {
+		return runOnPlatform(ctx, path, os.Args[1:], slog.New(slog.NewJSONHandler(os.Stdout, nil)))
+	}
+	return runAlone(ctx, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
+}
+
+// runAlone serves the product's own interface, with settings in flags and
+// environment variables.
+func runAlone(ctx context.Context, logger *slog.Logger) int {
 	parsed, findings, err := settings.Parse(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
@@ -40,8 +54,6 @@
 		fmt.Println("settings: ok")
 		return 0
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	started, err := node.New(parsed, logger)
 	if err == nil {
 		err = started.Run(ctx)
--- /dev/null
+++ b/gateway/forward.go
@@ -0,0 +1,244 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/backend"
+)
+
+const (
+	// maxSends bounds the arrivals of one request at plain back ends.
+	maxSends = 3
+	// bufferedAnswerBytes is how much of an answer is read before its head is
+	// passed on, so that a broken one can be replaced.
+	bufferedAnswerBytes = 256 << 10
+	// firstTryShare is the share of the time left that a try may take while
+	// another one is possible.
+	firstTryShare = 0.5
+	// retryNoBackend is when a caller comes back to a service without back ends.
+	retryNoBackend = 1000 * time.Millisecond
+	// retryShed is when a caller comes back after back ends were full.
+	retryShed = 400 * time.Millisecond
+	// zonePenalty is how many pending requests another zone counts for.
+	zonePenalty = 3.0
+	// failurePenalty is how many pending requests a recent failure counts for.
+	failurePenalty = 6.0
+)
+
+// forward sends the request to a plain service.
+func (x *exchange) forward(ctx context.Context) error {
+	tried := map[string]bool{}
+	var last error
+	for {
+		if err := ended(ctx); err != nil {
+			return err
+		}
+		entry := x.handler.pick(x.service, backend.RoleNone, tried)
+		if entry == nil {
+			if last == nil {
+				last = notRun(ReasonNoBackend, retryNoBackend, nil)
+			}
+			return last
+		}
+		tried[entry.Backend().ID] = true
+		answer, err := x.try(ctx, entry)
+		if err == nil {
+			return x.relay(answer)
+		}
+		last = err
+		if !x.mayRepeat(err) {
+			return x.final(answer, err)
+		}
+		x.handler.logRetry(x, err)
+		if answer != nil {
+			_ = answer.Body.Close()
+		}
+	}
+}
+
+// final returns the last answer of a back end, if there is one that the caller
+// may have, or the error.
+func (x *exchange) final(answer *Answer, err error) error {
+	if answer == nil {
+		return err
+	}
+	if answer.NotRun || answer.Misdirected {
+		_ = answer.Body.Close()
+		return err
+	}
+	return x.relay(answer)
+}
+
+// tryError is why one try did not give an answer that ends the request.
+type tryError struct {
+	failure *failure
+	// arrived is set where the back end may have received the request.
+	arrived bool
+	// ran is set where it may have run.
+	ran bool
+}
+
+// Error implements error.
+func (e *tryError) Error() string { return e.failure.Error() }
+
+// Unwrap returns the failure.
+func (e *tryError) Unwrap() error { return e.failure }
+
+// mayRepeat reports whether the request may be sent once more after the error.
+func (x *exchange) mayRepeat(err error) bool {
+	var failed *tryError
+	if !errors.As(err, &failed) {
+		return false
+	}
+	if !failed.arrived {
+		return true
+	}
+	if failed.ran && (!x.route.Idempotent() || x.runs >= x.route.MaxAttempts) {
+		return false
+	}
+	if x.sends >= maxSends || x.left() <= 0 {
+		return false
+	}
+	return x.handler.options.Budget.TryRepeat(x.service)
+}
+
+// try sends the request to one back end. The answer is whole, or its rest
+// follows in its body. With an error, the answer is what the back end said, if
+// anything.
+func (x *exchange) try(ctx context.Context, entry *backend.Entry) (*Answer, error) {
+	target := entry.Backend()
+	x.target = target.ID
+	end := entry.Begin()
+	defer end()
+	left := x.left()
+	sendContext := ctx
+	if x.route.Idempotent() && x.runs+1 < x.route.MaxAttempts {
+		limited, cancel := context.WithTimeout(ctx, time.Duration(float64(left)*firstTryShare))
+		defer cancel()
+		sendContext = limited
+	}
+	answer, err := x.handler.options.Dialect.Send(sendContext, target, x.request, left)
+	if errors.Is(err, ErrNotSent) {
+		entry.Failed()
+		return nil, &tryError{failure: notRun(ReasonBackendFailed, retryShed, err)}
+	}
+	x.sends++
+	if err == nil {
+		err = buffer(answer)
+	}
+	if err != nil {
+		return nil, x.tryFailed(ctx, entry, err)
+	}
+	switch {
+	case answer.Misdirected:
+		entry.Failed()
+		return answer, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
+	case answer.NotRun:
+		entry.Full(fullMemory)
+		return answer, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
+	}
+	x.runs++
+	if answer.Status >= http.StatusInternalServerError {
+		return answer, &tryError{failure: unknown(ReasonBackendFailed, nil), arrived: true, ran: true}
+	}
+	return answer, nil
+}
+
+// tryFailed is the error of a try without a whole answer.
+func (x *exchange) tryFailed(ctx context.Context, entry *backend.Entry, err error) error {
+	x.runs++
+	if failure := ended(ctx); failure != nil {
+		return failure
+	}
+	entry.Failed()
+	return &tryError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
+}
+
+// buffer reads the answer's body up to a bound.
+func buffer(answer *Answer) error {
+	var head bytes.Buffer
+	_, err := io.CopyN(&head, answer.Body, bufferedAnswerBytes)
+	if err == nil {
+		answer.Body = joinedBody{io.MultiReader(&head, answer.Body), answer.Body}
+		return nil
+	}
+	_ = answer.Body.Close()
+	if !errors.Is(err, io.EOF) {
+		return errors.Wrap(err, "read answer")
+	}
+	answer.Body = io.NopCloser(&head)
+	return nil
+}
+
+type joinedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// relay passes a back end's answer to the caller.
+func (x *exchange) relay(answer *Answer) error {
+	defer func() { _ = answer.Body.Close() }()
+	x.writeHead(answer)
+	if _, err := io.Copy(x.writer, answer.Body); err != nil {
+		return unknown(ReasonStreamBroken, err)
+	}
+	return nil
+}
+
+// writeHead passes the status and headers of an answer on.
+func (x *exchange) writeHead(answer *Answer) {
+	header := x.writer.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	// The server would add these by itself.
+	for _, name := range []string{"Content-Type", "Date"} {
+		if _, given := answer.Header[name]; !given {
+			header[name] = nil
+		}
+	}
+	x.answered = true
+	x.writer.WriteHeader(answer.Status)
+}
+
+// pick chooses a back end of a service, or nil: the one with the least work of
+// this node, where distance and recent failures count as work.
+func (h *Handler) pick(service string, role backend.Role, tried map[string]bool) *backend.Entry {
+	var best *backend.Entry
+	var bestScore float64
+	for _, entry := range h.options.Backends.Ready(service, role) {
+		if tried[entry.Backend().ID] {
+			continue
+		}
+		score := h.score(entry)
+		if best == nil || score < bestScore {
+			best, bestScore = entry, score
+		}
+	}
+	return best
+}
+
+// score is the work that a back end seems to have; equal ones differ by chance.
+func (h *Handler) score(entry *backend.Entry) float64 {
+	score := float64(entry.Pending()) + failurePenalty*entry.Failures() + rand.Float64()
+	if entry.Backend().Zone != h.options.Zone {
+		score += zonePenalty
+	}
+	if entry.IsFull() {
+		score += failurePenalty
+	}
+	return score
+}
+
+func (h *Handler) logRetry(x *exchange, err error) {
+	h.options.Metrics.Add("repeats", 1)
+	h.options.Logger.Info("request sent again", "request", x.request.ID, "service", x.service,
+		"backend", x.target, "cause", err.Error(), "budget_left", h.options.Budget.Left(x.service))
+}
--- /dev/null
+++ b/gateway/generate.go
@@ -0,0 +1,218 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/routing"
+)
+
+const (
+	// maxPrefills bounds how often the prompt of one request is read.
+	maxPrefills = 3
+	// prefillTimeoutShare is the share of the objective after which a prefill
+	// engine that says nothing is given up.
+	prefillTimeoutShare = 0.7
+	// shortestPrefillTimeout bounds it from below.
+	shortestPrefillTimeout = 500 * time.Millisecond
+)
+
+// generate serves a request by engines: memory is reserved, the prompt is read,
+// and the answer is relayed, from another engine where one breaks off and the
+// stream may be resumed.
+func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
+	relayed := &streamRelay{exchange: x, lastID: x.request.Generation.LastEventID}
+	avoid := map[string]bool{}
+	for {
+		answer, taken, err := x.start(ctx, profile, relayed.lastID, avoid)
+		if err != nil {
+			return err
+		}
+		err = relayed.relay(ctx, answer)
+		taken.end()
+		if err == nil || ended(ctx) != nil {
+			return err
+		}
+		taken.entry.Failed()
+		avoid[taken.entry.Backend().ID] = true
+		if !x.mayResume() {
+			return err
+		}
+		x.handler.logRetry(x, err)
+	}
+}
+
+// mayResume reports whether a stream that broke off may go on elsewhere.
+func (x *exchange) mayResume() bool {
+	if !x.route.Resumable || x.runs >= x.route.MaxAttempts {
+		return false
+	}
+	return x.handler.options.Budget.TryRepeat(x.service)
+}
+
+// start has an answer begin at a decode engine. Engines that refuse are replaced
+// by others while the retry budget lasts.
+func (x *exchange) start(ctx context.Context, profile *routing.EngineProfile, lastID string, avoid map[string]bool) (*Answer, *seat, error) {
+	tokens := min(x.handler.options.Policy.tokens(x.request.Generation), profile.MemoryTokens)
+	for prefills := 1; ; prefills++ {
+		taken, err := x.reserve(ctx, profile, tokens, avoid)
+		if err != nil {
+			return nil, nil, err
+		}
+		answer, err := x.startAt(ctx, taken, lastID)
+		if err == nil {
+			return answer, taken, nil
+		}
+		x.release(ctx, taken)
+		var failed *tryError
+		if !errors.As(err, &failed) || failed.ran || prefills >= maxPrefills {
+			return nil, nil, err
+		}
+		if failed.arrived && !x.handler.options.Budget.TryRepeat(x.service) {
+			return nil, nil, err
+		}
+		x.handler.logRetry(x, err)
+	}
+}
+
+// startAt reads the prompt and begins the answer at the engine of a reservation.
+func (x *exchange) startAt(ctx context.Context, taken *seat, lastID string) (*Answer, error) {
+	result, source, err := x.prefill(ctx)
+	if err != nil {
+		return nil, err
+	}
+	x.target = taken.entry.Backend().ID
+	options := DecodeOptions{Prefill: result, Reservation: &taken.reservation, LastEventID: lastID}
+	answer, err := x.handler.options.Dialect.Decode(ctx, taken.entry.Backend(), x.request, x.left(), options)
+	if err != nil {
+		x.discard(ctx, source, *result)
+		return nil, x.decodeFailed(ctx, taken.entry, err)
+	}
+	x.sends++
+	if answer.NotRun || answer.Misdirected {
+		_ = answer.Body.Close()
+		x.discard(ctx, source, *result)
+		return nil, &tryError{failure: notRun(ReasonBackendRefused, x.handler.room.retryAfter(), nil), arrived: true}
+	}
+	x.runs++
+	return answer, nil
+}
+
+// decodeFailed is the error of a decode engine that gave no answer.
+func (x *exchange) decodeFailed(ctx context.Context, entry *backend.Entry, err error) error {
+	if !errors.Is(err, ErrNotSent) {
+		x.sends++
+		x.runs++
+	}
+	if failure := ended(ctx); failure != nil {
+		return failure
+	}
+	entry.Failed()
+	if errors.Is(err, ErrNotSent) {
+		return &tryError{failure: notRun(ReasonBackendFailed, retryShed, err)}
+	}
+	return &tryError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
+}
+
+// prefill has the prompt read. Reading it runs nothing, so that another engine
+// may be asked after any failure.
+func (x *exchange) prefill(ctx context.Context) (*PrefillResult, *backend.Entry, error) {
+	tried := map[string]bool{}
+	for {
+		entry := x.handler.pick(x.service, backend.RolePrefill, tried)
+		if entry == nil {
+			return nil, nil, notRun(ReasonPrefillFailed, retryShed, nil)
+		}
+		tried[entry.Backend().ID] = true
+		result, err := x.prefillAt(ctx, entry)
+		if err == nil {
+			return result, entry, nil
+		}
+		if failure := ended(ctx); failure != nil {
+			return nil, nil, failure
+		}
+		if len(tried) >= maxPrefills || !x.handler.options.Budget.TryRepeat(x.service) {
+			return nil, nil, notRun(ReasonPrefillFailed, retryShed, err)
+		}
+		x.handler.logRetry(x, err)
+	}
+}
+
+// prefillAt has the prompt read by one engine.
+func (x *exchange) prefillAt(ctx context.Context, entry *backend.Entry) (*PrefillResult, error) {
+	x.target = entry.Backend().ID
+	end := entry.Begin()
+	defer end()
+	timeout := max(shortestPrefillTimeout, time.Duration(float64(x.route.Objective)*prefillTimeoutShare))
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	result, answer, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
+	switch {
+	case err != nil:
+		entry.Failed()
+		return nil, err
+	case result == nil && answer.NotRun:
+		entry.Full(fullMemory)
+		return nil, errors.Newf("prefill refused with status %d", answer.Status)
+	case result == nil:
+		entry.Failed()
+		return nil, errors.Newf("prefill failed with status %d", answer.Status)
+	}
+	return result, nil
+}
+
+// streamRelay passes the events of one stream on, over all engines that it is
+// served by.
+type streamRelay struct {
+	exchange *exchange
+	// lastID is the identifier of the last event passed on.
+	lastID string
+}
+
+// relay passes on whole events until the stream ends.
+func (s *streamRelay) relay(ctx context.Context, answer *Answer) error {
+	x := s.exchange
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Status != http.StatusOK {
+		if x.answered {
+			return unknown(ReasonStreamBroken, errors.Newf("resumed with status %d", answer.Status))
+		}
+		if err := buffer(answer); err != nil {
+			return unknown(ReasonBackendFailed, err)
+		}
+		return x.relay(answer)
+	}
+	flusher := http.NewResponseController(x.writer)
+	events := newEventReader(answer.Body)
+	for {
+		event, err := events.next()
+		if err != nil {
+			if failure := ended(ctx); failure != nil {
+				return failure
+			}
+			return unknown(ReasonStreamBroken, err)
+		}
+		if event == nil {
+			if !x.answered {
+				x.writeHead(answer)
+			}
+			return nil
+		}
+		if !x.answered {
+			x.writeHead(answer)
+		}
+		if _, err := x.writer.Write(event.bytes); err != nil {
+			return unknown(ReasonCallerLeft, err)
+		}
+		if err := flusher.Flush(); err != nil {
+			return unknown(ReasonCallerLeft, err)
+		}
+		if event.id != "" {
+			s.lastID = event.id
+		}
+	}
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,212 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/retrybudget"
+	"github.com/reelrun/reelrun/routing"
+)
+
+// Options are the parts of a Handler.
+type Options struct {
+	// Zone is the zone of this node; back ends there are preferred.
+	Zone     string
+	Dialect  Dialect
+	Backends *backend.Registry
+	Budget   *retrybudget.Budget
+	Metrics  *metrics.Set
+	Logger   *slog.Logger
+	// Policy is how engines are chosen; the zero value is the default.
+	Policy Policy
+}
+
+// Handler serves callers. It is safe for concurrent use.
+type Handler struct {
+	options       Options
+	configuration atomic.Pointer[routing.Configuration]
+	draining      atomic.Bool
+	room          roomEstimate
+}
+
+// New returns a handler that is not ready until it has a configuration and the
+// back ends are known.
+func New(options Options) *Handler {
+	options.Policy.setDefaults()
+	return &Handler{options: options}
+}
+
+// Configure puts a configuration in force, unless a newer one is. It reports
+// whether it did.
+func (h *Handler) Configure(configuration *routing.Configuration) bool {
+	for {
+		current := h.configuration.Load()
+		if current != nil && current.Version >= configuration.Version {
+			return false
+		}
+		if h.configuration.CompareAndSwap(current, configuration) {
+			return true
+		}
+	}
+}
+
+// Configuration returns the configuration in force, or nil.
+func (h *Handler) Configuration() *routing.Configuration { return h.configuration.Load() }
+
+// Drain makes the handler unready. Requests are still served.
+func (h *Handler) Drain() { h.draining.Store(true) }
+
+// Ready reports whether callers may be sent here.
+func (h *Handler) Ready() bool {
+	return !h.draining.Load() && h.configuration.Load() != nil && h.options.Backends.Synced()
+}
+
+// retryNotReady is when a caller comes back to a node that is starting.
+const retryNotReady = 500 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	if h.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	served := &exchange{handler: h, writer: w, arrived: arrived}
+	err := served.serve(r)
+	h.finish(served, err, time.Since(arrived))
+}
+
+// exchange is one request and what has become of it so far.
+type exchange struct {
+	handler       *Handler
+	configuration *routing.Configuration
+	writer        http.ResponseWriter
+	arrived       time.Time
+	request       *Request
+	route         *routing.Route
+	service       string
+	deadline      time.Time
+	// answered is set once the head of an answer has been written.
+	answered bool
+	// sends counts arrivals at back ends, runs those that may have run.
+	sends, runs int
+	// target is the back end of the last send.
+	target string
+}
+
+// serve answers the request or returns why it cannot.
+func (x *exchange) serve(r *http.Request) error {
+	h := x.handler
+	x.configuration = h.configuration.Load()
+	if x.configuration == nil || !h.options.Backends.Synced() {
+		return notRun(ReasonNotReady, retryNotReady, nil)
+	}
+	if err := x.read(r); err != nil {
+		return err
+	}
+	timeout := x.route.Timeout
+	if x.request.Wait > 0 && x.request.Wait < timeout {
+		timeout = x.request.Wait
+	}
+	x.deadline = x.arrived.Add(timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	x.service = x.route.Target(rand.Float64())
+	h.options.Budget.Request(x.service)
+	service := x.configuration.Services[x.service]
+	if service != nil && service.Engine != nil && x.route.Kind == routing.KindStream {
+		return x.generate(ctx, service.Engine)
+	}
+	return x.forward(ctx)
+}
+
+// read parses the request, finds its route and reads its body.
+func (x *exchange) read(r *http.Request) error {
+	request, err := x.handler.options.Dialect.Parse(r)
+	if err != nil {
+		return rejected(http.StatusBadRequest, ReasonMalformed, err)
+	}
+	x.request = request
+	x.route = x.configuration.Match(request.Host, r.URL.Path)
+	if x.route == nil {
+		return rejected(http.StatusNotFound, ReasonNoRoute, nil)
+	}
+	limited := http.MaxBytesReader(x.writer, r.Body, x.configuration.Limits.MaxBodyBytes)
+	request.Body, err = io.ReadAll(limited)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return rejected(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, err)
+	}
+	if err != nil {
+		return rejected(http.StatusBadRequest, ReasonMalformed, err)
+	}
+	return nil
+}
+
+// left returns how long the caller still waits.
+func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+
+// ended returns the failure of a context that has ended, or nil.
+func ended(ctx context.Context) error {
+	switch {
+	case ctx.Err() == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return expired(ctx.Err())
+	default:
+		return unknown(ReasonCallerLeft, ctx.Err())
+	}
+}
+
+// finish writes the gateway's own answer, where there is one, and accounts for
+// the request.
+func (h *Handler) finish(x *exchange, err error, took time.Duration) {
+	h.options.Metrics.Observe("request_duration", took)
+	if err == nil {
+		h.options.Metrics.Add("requests_answered", 1)
+		return
+	}
+	var final *failure
+	if !errors.As(err, &final) {
+		final = unknown(ReasonBackendFailed, err)
+	}
+	if x.runs > 0 && final.retryAfter > 0 {
+		// Something of the request may have run: no promise can be made.
+		final = unknown(final.reason, final.cause)
+	}
+	h.options.Metrics.Add("requests_"+string(final.reason), 1)
+	h.logFailure(x, final, took)
+	if x.answered {
+		// An answer that ends early must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+	final.write(x.writer)
+}
+
+func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
+	attributes := []any{
+		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds(),
+		"service", x.service, "backend", x.target, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+	}
+	if x.request != nil {
+		attributes = append(attributes, "request", x.request.ID)
+	}
+	if x.route != nil {
+		attributes = append(attributes, "route", x.route.Name)
+	}
+	if x.configuration != nil {
+		attributes = append(attributes, "configuration", x.configuration.Version)
+	}
+	if final.cause != nil {
+		attributes = append(attributes, "cause", final.cause.Error())
+	}
+	h.options.Logger.Info("request not answered", attributes...)
+}
--- /dev/null
+++ b/objectapi/follow.go
@@ -0,0 +1,80 @@
+package objectapi
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v4"
+	"github.com/cockroachdb/errors"
+)
+
+// Follower receives the objects of one kind.
+type Follower interface {
+	// Replace takes over a whole list.
+	Replace(objects []Object)
+	// Apply takes over one change.
+	Apply(event Event)
+	// Contact is told of each answer of the store, with its error if it failed.
+	Contact(err error)
+}
+
+// Retry intervals of Follow.
+const (
+	followFirstInterval = 100 * time.Millisecond
+	followMaxInterval   = time.Second
+)
+
+// Follow keeps a follower up to date with all objects of a kind until the
+// context ends. It lists once, then watches; it lists again only where the store
+// no longer has the changes since.
+func Follow(ctx context.Context, store Store, kind Kind, follower Follower) {
+	retry := backoff.NewExponentialBackOff(
+		backoff.WithInitialInterval(followFirstInterval),
+		backoff.WithMaxInterval(followMaxInterval),
+		backoff.WithMaxElapsedTime(0),
+	)
+	current := &position{}
+	for ctx.Err() == nil {
+		err := current.advance(ctx, store, kind, follower, retry.Reset)
+		if ctx.Err() != nil {
+			return
+		}
+		follower.Contact(err)
+		if errors.Is(err, ErrTooOld) {
+			current.listed = false
+		}
+		timer := time.NewTimer(retry.NextBackOff())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// position is how far a follower has come.
+type position struct {
+	listed   bool
+	revision int64
+}
+
+// advance lists, if it must, and watches until the store fails.
+func (p *position) advance(ctx context.Context, store Store, kind Kind, follower Follower, succeeded func()) error {
+	if !p.listed {
+		objects, revision, err := store.List(ctx, kind)
+		if err != nil {
+			return err
+		}
+		follower.Replace(objects)
+		follower.Contact(nil)
+		p.listed, p.revision = true, revision
+		succeeded()
+	}
+	return store.Watch(ctx, kind, p.revision, func(event Event) {
+		follower.Apply(event)
+		follower.Contact(nil)
+		p.revision = max(p.revision, event.Object.Version)
+		succeeded()
+	})
+}
--- /dev/null
+++ b/retrybudget/budget.go
@@ -0,0 +1,105 @@
+// Package retrybudget bounds how many requests are sent a second time, as a
+// share of the requests that callers send, so that retries cannot multiply the
+// load of a service that is in trouble.
+package retrybudget
+
+import (
+	"sync"
+	"time"
+)
+
+// bucketsPerWindow is into how many parts a window is split.
+const bucketsPerWindow = 10
+
+// Options describe a budget.
+type Options struct {
+	// Ratio is how many repeats are allowed for each request.
+	Ratio float64
+	// Burst is how many repeats are allowed beside the ratio, within one window.
+	Burst float64
+	// Window is the time over which requests count.
+	Window time.Duration
+	// Now reads a monotonic clock.
+	Now func() time.Time
+}
+
+// Budget is this node's share of the budget of all services. It is safe for
+// concurrent use.
+type Budget struct {
+	options Options
+	started time.Time
+
+	mu       sync.Mutex
+	services map[string]*account
+}
+
+// account counts one service's requests and repeats in parts of a window, one
+// more than a window has, because the newest is not over yet.
+type account struct {
+	newest   int64
+	requests [bucketsPerWindow + 1]float64
+	repeats  [bucketsPerWindow + 1]float64
+}
+
+// New returns a budget.
+func New(options Options) *Budget {
+	return &Budget{options: options, started: options.Now(), services: map[string]*account{}}
+}
+
+// Request counts a caller's request to a service.
+func (b *Budget) Request(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.account(service)
+	current.requests[current.position()]++
+}
+
+// TryRepeat takes one repeat from the budget of a service. It reports false if
+// the budget is spent.
+func (b *Budget) TryRepeat(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.account(service)
+	if sum(current.repeats)+1 > b.options.Burst+b.options.Ratio*sum(current.requests) {
+		return false
+	}
+	current.repeats[current.position()]++
+	return true
+}
+
+// Left returns how many repeats of a service the budget still has.
+func (b *Budget) Left(service string) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	current := b.account(service)
+	return b.options.Burst + b.options.Ratio*sum(current.requests) - sum(current.repeats)
+}
+
+// account returns the account of a service with its old parts cleared.
+func (b *Budget) account(service string) *account {
+	part := int64(b.options.Now().Sub(b.started) / (b.options.Window / bucketsPerWindow))
+	current := b.services[service]
+	if current == nil {
+		current = &account{newest: part}
+		b.services[service] = current
+	}
+	for current.newest < part {
+		current.newest++
+		current.requests[current.position()] = 0
+		current.repeats[current.position()] = 0
+		if part-current.newest > bucketsPerWindow {
+			current.newest = part - bucketsPerWindow - 1
+		}
+	}
+	return current
+}
+
+func (a *account) position() int64 { return a.newest % (bucketsPerWindow + 1) }
+
+func sum(parts [bucketsPerWindow + 1]float64) float64 {
+	total := 0.0
+	for _, part := range parts {
+		total += part
+	}
+	return total
+}
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/gateway"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/retrybudget"
+	"github.com/reelrun/reelrun/routing"
+	"github.com/reelrun/reelrun/settings"
+)
+
+// Backplane is what the daemon meets outside itself.
+type Backplane struct {
+	Store   objectapi.Store
+	Dialect gateway.Dialect
+	// ConfigurationKind and BackendKind are the kinds of the objects that hold the
+	// configuration and one back end each.
+	ConfigurationKind objectapi.Kind
+	BackendKind       objectapi.Kind
+	// DecodeConfiguration and DecodeBackend read these objects.
+	DecodeConfiguration func(objectapi.Object) (*routing.Configuration, error)
+	DecodeBackend       func(objectapi.Object) (backend.Backend, error)
+}
+
+// Options are the parts of a Router.
+type Options struct {
+	Settings  *settings.Router
+	Backplane Backplane
+	Logger    *slog.Logger
+	// Listen opens a port. Default net.Listen for TCP.
+	Listen func(address string) (net.Listener, error)
+}
+
+// Router is the daemon.
+type Router struct {
+	options  Options
+	backends *backend.Registry
+	gateway  *gateway.Handler
+	metrics  *metrics.Set
+}
+
+const (
+	// expectedNodes is how many nodes share the burst of the retry budget while
+	// the fleet is not known.
+	expectedNodes = 8
+	// headerTimeout and idleTimeout bound a caller's connection. They are above
+	// what configurations allow callers.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeaderBytes bounds the head of a caller's request.
+	maxHeaderBytes = 32 << 10
+	// readyDelay is how long the balancer may still send new connections after the
+	// node has become unready.
+	readyDelay = 2500 * time.Millisecond
+	// stopMargin is kept at the end of the grace period.
+	stopMargin = 300 * time.Millisecond
+	// budgetShare is the part of the retry budget that is used.
+	budgetShare = 0.8
+)
+
+// New returns a router that does nothing until Run.
+func New(options Options) *Router {
+	if options.Listen == nil {
+		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	r := &Router{options: options, metrics: metrics.NewSet(), backends: backend.NewRegistry(time.Now)}
+	r.gateway = gateway.New(gateway.Options{
+		Zone:     options.Settings.Zone,
+		Dialect:  options.Backplane.Dialect,
+		Backends: r.backends,
+		Budget: retrybudget.New(retrybudget.Options{
+			Ratio:  options.Settings.RetryRatio * budgetShare,
+			Burst:  options.Settings.RetryBurst * budgetShare / expectedNodes,
+			Window: options.Settings.RetryWindow,
+			Now:    time.Now,
+		}),
+		Metrics: r.metrics,
+		Logger:  options.Logger,
+	})
+	return r
+}
+
+// Run serves until the context ends, and then until the requests under way have
+// ended or the grace period is over.
+func (r *Router) Run(ctx context.Context) error {
+	r.options.Logger.Info("start", "node", r.options.Settings.Name, "zone", r.options.Settings.Zone)
+	callers, err := r.options.Listen(r.options.Settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := r.options.Listen(r.options.Settings.ReadyAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	callerServer := &http.Server{
+		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
+	}
+	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopFollowing()
+	group, _ := errgroup.WithContext(ctx)
+	group.Go(func() error { return serve(callerServer, callers) })
+	group.Go(func() error { return serve(readyServer, ready) })
+	group.Go(func() error { r.followConfiguration(following); return nil })
+	group.Go(func() error { r.followBackends(following); return nil })
+	<-ctx.Done()
+	r.stop(ctx, callerServer)
+	stopFollowing()
+	_ = readyServer.Close()
+	err = group.Wait()
+	r.options.Logger.Info("stopped", "node", r.options.Settings.Name)
+	return err
+}
+
+// stop drains: callers stay served until the balancer has turned away, then idle
+// connections are closed and the requests under way run to their end.
+func (r *Router) stop(ctx context.Context, callerServer *http.Server) {
+	started := time.Now()
+	r.options.Logger.Info("stop", "node", r.options.Settings.Name, "grace_ms", r.options.Settings.Grace.Milliseconds())
+	r.gateway.Drain()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), started.Add(r.options.Settings.Grace-stopMargin))
+	defer cancel()
+	timer := time.NewTimer(readyDelay)
+	defer timer.Stop()
+	<-timer.C
+	if err := callerServer.Shutdown(ctx); err != nil {
+		r.options.Logger.Warn("stop cut requests off", "error", err.Error())
+		_ = callerServer.Close()
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve")
+	}
+	return nil
+}
+
+// readiness answers the balancer.
+func (r *Router) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !r.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
--- /dev/null
+++ b/routing/configuration.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// EngineProfile describes the engines of a service.
+type EngineProfile struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// MemoryTokens is how many tokens the memory of an engine holds.
+	MemoryTokens int
+	// HoldLimit is the longest time for which memory may be reserved.
+	HoldLimit time.Duration
+	// EventTokens is the largest number of tokens in one event of a stream.
+	EventTokens int
+	// RoleChange is how long an engine takes to change its role, once idle.
+	RoleChange time.Duration
+}
+
+// Service is a set of back ends that are alike.
+type Service struct {
+	Name string
+	// MaxConnections is how many connections a back end accepts from all callers.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *EngineProfile
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int64
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Configuration is one version of all routes, services and limits. It is not
+// changed after New.
+type Configuration struct {
+	Version  int64
+	Services map[string]*Service
+	Limits   Limits
+	// routes holds the routes of each host, the longest prefix first.
+	routes map[string][]*Route
+	count  int
+}
+
+// New returns a configuration of the given parts.
+func New(version int64, routes []*Route, services []*Service, limits Limits) *Configuration {
+	c := &Configuration{
+		Version:  version,
+		Services: make(map[string]*Service, len(services)),
+		Limits:   limits,
+		routes:   map[string][]*Route{},
+		count:    len(routes),
+	}
+	for _, service := range services {
+		c.Services[service.Name] = service
+	}
+	for _, route := range routes {
+		c.routes[route.Host] = append(c.routes[route.Host], route)
+	}
+	for _, ofHost := range c.routes {
+		sort.SliceStable(ofHost, func(i, j int) bool { return len(ofHost[i].PathPrefix) > len(ofHost[j].PathPrefix) })
+	}
+	return c
+}
+
+// Match returns the route of a host whose prefix begins the path and is the
+// longest, or nil.
+func (c *Configuration) Match(host, path string) *Route {
+	for _, route := range c.routes[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// RouteCount returns the number of routes.
+func (c *Configuration) RouteCount() int { return c.count }
--- /dev/null
+++ b/settings/router.go
@@ -0,0 +1,28 @@
+package settings
+
+import "time"
+
+// Router are the settings of a daemon that serves by routes.
+type Router struct {
+	// Name of the node, unique in the fleet.
+	Name string
+	Zone string
+	// CallerAddress, ReadyAddress, PeerAddress and MetricsAddress are IP addresses
+	// and ports that the node listens on.
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	// StoreAddress is that of the store.
+	StoreAddress string
+	// Seeds are addresses of other nodes; they may be stale.
+	Seeds []string
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// RetryRatio, RetryBurst and RetryWindow bound the retries of the whole fleet.
+	RetryRatio  float64
+	RetryBurst  float64
+	RetryWindow time.Duration
+	// LeaseDuration is how long engines take one holder's orders before another's.
+	LeaseDuration time.Duration
+}
