Tell the nodes of a fleet what the store tells one of them; follow settings

SIGHUP ended processes (code 129). Ruled out: the decoding of configurations (the list after the wait had the new one at once); shorter waits for every node (their price grows with the fleet). Change: package replica, a copy of the store's objects merged by revision; package antientropy, which compares copies with a node drawn by chance every 400 ms and at once after news; watches begin anew in turn, one each 0.8 s over the fleet and kind; nodes find each other by objects of a kind of their own, seeds before that. The settings file is read again at SIGHUP and every 5 s.

--- /dev/null
+++ b/antientropy/syncer.go
@@ -0,0 +1,247 @@
+package antientropy
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/replica"
+)
+
+// Defaults of Options.
+const (
+	defaultInterval    = 400 * time.Millisecond
+	defaultCallTimeout = 300 * time.Millisecond
+	defaultFanout      = 2
+	defaultAvoidance   = 2 * time.Second
+)
+
+// Options are the parts of a Syncer.
+type Options struct {
+	Replica *replica.Replica
+	// Peers returns the addresses of the other nodes.
+	Peers func() []string
+	// Client calls them.
+	Client *peer.Client
+	Logger *slog.Logger
+	// Interval is the time between two comparisons. Default 400ms.
+	Interval time.Duration
+	// CallTimeout bounds one call. Default 300ms.
+	CallTimeout time.Duration
+	// Fanout is to how many nodes news are brought at once. Default 2.
+	Fanout int
+	// Avoidance is how long a node that did not answer is left alone. Default 2s.
+	Avoidance time.Duration
+}
+
+// Syncer compares the copy of this node with those of others.
+type Syncer struct {
+	options Options
+	news    chan struct{}
+
+	mu sync.Mutex
+	// silent holds the nodes that did not answer, until they are asked again.
+	silent map[string]time.Time
+}
+
+// New returns a syncer that does nothing until Run.
+func New(options Options) *Syncer {
+	if options.Interval == 0 {
+		options.Interval = defaultInterval
+	}
+	if options.CallTimeout == 0 {
+		options.CallTimeout = defaultCallTimeout
+	}
+	if options.Fanout == 0 {
+		options.Fanout = defaultFanout
+	}
+	if options.Avoidance == 0 {
+		options.Avoidance = defaultAvoidance
+	}
+	return &Syncer{options: options, news: make(chan struct{}, 1), silent: map[string]time.Time{}}
+}
+
+// News has the copy compared at once. It never blocks.
+func (s *Syncer) News() {
+	select {
+	case s.news <- struct{}{}:
+	default:
+	}
+}
+
+// Run compares until the context ends.
+func (s *Syncer) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.options.Interval)
+	defer ticker.Stop()
+	for {
+		count := 1
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-s.news:
+			count = s.options.Fanout
+		}
+		var round sync.WaitGroup
+		for _, address := range s.draw(count) {
+			round.Go(func() { s.syncWith(ctx, address) })
+		}
+		round.Wait()
+	}
+}
+
+// draw returns up to count nodes, those that answered before the others.
+func (s *Syncer) draw(count int) []string {
+	peers := s.options.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var drawn []string
+	for _, address := range peers {
+		if len(drawn) < count && !now.Before(s.silent[address]) {
+			drawn = append(drawn, address)
+		}
+	}
+	return drawn
+}
+
+// syncWith makes the copies of this node and another one alike.
+func (s *Syncer) syncWith(ctx context.Context, address string) {
+	err := s.compare(ctx, address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, wasSilent := s.silent[address]
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		s.silent[address] = time.Now().Add(s.options.Avoidance)
+		s.options.Client.Reset(address)
+		if !wasSilent {
+			s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
+		}
+	case wasSilent:
+		delete(s.silent, address)
+		s.options.Logger.Info("node back", "address", address)
+	}
+}
+
+func (s *Syncer) compare(ctx context.Context, address string) error {
+	response, err := s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_CompareReplicas{
+		CompareReplicas: &peerpb.CompareReplicas{Digest: s.options.Replica.Digest()},
+	}})
+	if err != nil {
+		return err
+	}
+	versions := response.GetReplicaVersions()
+	if versions.GetSame() {
+		return nil
+	}
+	newerHere, newerThere := s.options.Replica.Compare(recordsOf(versions.GetVersions()))
+	if len(newerHere)+len(newerThere) == 0 {
+		return nil
+	}
+	response, err = s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
+		ExchangeObjects: &peerpb.ExchangeObjects{
+			Objects: storedObjects(s.options.Replica.Records(newerHere)),
+			Wanted:  wantedVersions(newerThere),
+		},
+	}})
+	if err != nil {
+		return err
+	}
+	if s.options.Replica.Apply(replica.SourcePeer, recordsOfObjects(response.GetStoredObjects().GetObjects())...) > 0 {
+		s.News()
+	}
+	return nil
+}
+
+func (s *Syncer) call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.options.CallTimeout)
+	defer cancel()
+	return s.options.Client.Call(ctx, address, request)
+}
+
+// Handle answers another node.
+func (s *Syncer) Handle(_ context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_CompareReplicas:
+		return s.handleCompare(body.CompareReplicas), nil
+	case *peerpb.Request_ExchangeObjects:
+		return s.handleExchange(body.ExchangeObjects), nil
+	default:
+		return nil, peer.ErrUnknownCall
+	}
+}
+
+func (s *Syncer) handleCompare(request *peerpb.CompareReplicas) *peerpb.Response {
+	versions := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest()}
+	if !versions.GetSame() {
+		for _, record := range s.options.Replica.Versions() {
+			versions.Versions = append(versions.Versions, objectVersion(record))
+		}
+	}
+	return &peerpb.Response{Body: &peerpb.Response_ReplicaVersions{ReplicaVersions: versions}}
+}
+
+func (s *Syncer) handleExchange(request *peerpb.ExchangeObjects) *peerpb.Response {
+	if s.options.Replica.Apply(replica.SourcePeer, recordsOfObjects(request.GetObjects())...) > 0 {
+		s.News()
+	}
+	var wanted []replica.Key
+	for _, record := range recordsOf(request.GetWanted()) {
+		wanted = append(wanted, record.Key())
+	}
+	objects := &peerpb.StoredObjects{Objects: storedObjects(s.options.Replica.Records(wanted))}
+	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: objects}}
+}
+
+func objectVersion(record replica.Record) *peerpb.ObjectVersion {
+	return &peerpb.ObjectVersion{
+		Kind: string(record.Object.Kind), Name: record.Object.Name,
+		Version: record.Object.Version, Deleted: record.Deleted,
+	}
+}
+
+func wantedVersions(keys []replica.Key) []*peerpb.ObjectVersion {
+	wanted := make([]*peerpb.ObjectVersion, len(keys))
+	for i, key := range keys {
+		wanted[i] = &peerpb.ObjectVersion{Kind: string(key.Kind), Name: key.Name}
+	}
+	return wanted
+}
+
+func storedObjects(records []replica.Record) []*peerpb.StoredObject {
+	stored := make([]*peerpb.StoredObject, len(records))
+	for i, record := range records {
+		stored[i] = &peerpb.StoredObject{Version: objectVersion(record), Spec: record.Object.Spec}
+	}
+	return stored
+}
+
+func recordOf(version *peerpb.ObjectVersion) replica.Record {
+	object := objectapi.Object{Kind: objectapi.Kind(version.GetKind()), Name: version.GetName(), Version: version.GetVersion()}
+	return replica.Record{Object: object, Deleted: version.GetDeleted()}
+}
+
+func recordsOf(versions []*peerpb.ObjectVersion) []replica.Record {
+	records := make([]replica.Record, len(versions))
+	for i, version := range versions {
+		records[i] = recordOf(version)
+	}
+	return records
+}
+
+func recordsOfObjects(objects []*peerpb.StoredObject) []replica.Record {
+	records := make([]replica.Record, len(objects))
+	for i, object := range objects {
+		records[i] = recordOf(object.GetVersion())
+		records[i].Object.Spec = object.GetSpec()
+	}
+	return records
+}
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -14,18 +14,12 @@
 	mu       sync.RWMutex
 	byID     map[string]*Entry
 	services map[string][]*Entry
-	// removed holds back ends that are gone, so that late news cannot bring
-	// them back.
-	removed map[string]time.Time
-	synced  bool
+	synced   bool
 }
 
-// removedMemory is how long the registry remembers a back end that is gone.
-const removedMemory = time.Minute
-
 // NewRegistry returns an empty registry. The clock must be monotonic.
 func NewRegistry(now func() time.Time) *Registry {
-	return &Registry{now: now, byID: map[string]*Entry{}, services: map[string][]*Entry{}, removed: map[string]time.Time{}}
+	return &Registry{now: now, byID: map[string]*Entry{}, services: map[string][]*Entry{}}
 }
 
 // Synced reports whether a whole list of back ends has been seen.
@@ -35,27 +29,11 @@
 	return r.synced
 }
 
-// Replace makes a whole list the state of the registry. It returns the
-// identifiers of those that are gone.
-func (r *Registry) Replace(backends []Backend) []string {
+// SetSynced notes that a whole list of back ends has been taken over.
+func (r *Registry) SetSynced() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	listed := make(map[string]bool, len(backends))
-	for _, listedBackend := range backends {
-		listed[listedBackend.ID] = true
-		r.apply(listedBackend)
-	}
-	var gone []string
-	for id := range r.byID {
-		if !listed[id] {
-			gone = append(gone, id)
-			delete(r.byID, id)
-			r.removed[id] = r.now()
-		}
-	}
 	r.synced = true
-	r.index()
-	return gone
 }
 
 // Update takes over one back end. It reports whether anything changed.
@@ -77,60 +55,15 @@
 		return false
 	}
 	delete(r.byID, id)
-	r.removed[id] = r.now()
 	r.index()
 	return true
 }
 
-// Merge takes over what another node knows: back ends that drain or are gone
-// there. It never makes one that drains or is gone here usable again.
-func (r *Registry) Merge(backends []Backend, removed []string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	changed := false
-	for _, id := range removed {
-		if _, known := r.byID[id]; known {
-			delete(r.byID, id)
-			r.removed[id] = r.now()
-			changed = true
-		}
-	}
-	for _, merged := range backends {
-		if _, gone := r.removed[merged.ID]; gone {
-			continue
-		}
-		if known := r.byID[merged.ID]; known != nil && known.Backend().State == StateDraining {
-			continue
-		}
-		changed = r.apply(merged) || changed
-	}
-	if changed {
-		r.index()
-	}
-	return changed
-}
-
-// Snapshot returns all back ends and the identifiers of those that are gone.
-func (r *Registry) Snapshot() (backends []Backend, removed []string) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	for _, entry := range r.byID {
-		backends = append(backends, entry.Backend())
-	}
-	for id := range r.removed {
-		removed = append(removed, id)
-	}
-	sort.Slice(backends, func(i, j int) bool { return backends[i].ID < backends[j].ID })
-	sort.Strings(removed)
-	return backends, removed
-}
-
 // apply stores a back end; the lock is held.
 func (r *Registry) apply(updated Backend) bool {
 	known := r.byID[updated.ID]
 	if known == nil {
 		r.byID[updated.ID] = newEntry(updated, r.now)
-		delete(r.removed, updated.ID)
 		return true
 	}
 	return known.set(updated)
@@ -147,12 +80,6 @@
 		sort.Slice(entries, func(i, j int) bool { return entries[i].Backend().ID < entries[j].Backend().ID })
 	}
 	r.services = services
-	oldest := r.now().Add(-removedMemory)
-	for id, at := range r.removed {
-		if at.Before(oldest) {
-			delete(r.removed, id)
-		}
-	}
 }
 
 // Ready returns the back ends of a service that take new work in a role.
--- a/cmd/reelrund/platform.go
+++ b/cmd/reelrund/platform.go
@@ -7,9 +7,14 @@
 	"log/slog"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/router"
 )
@@ -39,11 +44,13 @@
 		return 0
 	}
 	dialer := &net.Dialer{}
-	daemon := router.New(router.Options{
+	var daemon *router.Router
+	watchWait := func(kind objectapi.Kind, afterChange bool) time.Duration { return daemon.WatchWait(kind, afterChange) }
+	daemon = router.New(router.Options{
 		Settings: parsed,
 		Logger:   logger,
 		Backplane: router.Backplane{
-			Store:               platform.NewStore(parsed.StoreAddress, dialer.DialContext),
+			Store:               platform.NewStore(parsed.StoreAddress, dialer.DialContext, watchWait),
 			Dialect:             platform.NewDialect(dialer.DialContext),
 			ConfigurationKind:   platform.KindConfiguration,
 			BackendKind:         platform.KindServer,
@@ -51,9 +58,43 @@
 			DecodeBackend:       platform.DecodeBackend,
 		},
 	})
+	go followSettings(ctx, path, daemon, logger)
 	if err := daemon.Run(ctx); err != nil {
 		logger.Error("node failed", "error", err)
 		return exitFailure
 	}
 	return 0
 }
+
+// settingsInterval is how often the settings file is read again without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings reads the settings file again at SIGHUP and at intervals.
+func followSettings(ctx context.Context, path string, daemon *router.Router, logger *slog.Logger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+		}
+		parsed, findings, err := platform.ReadSettings(path)
+		if err != nil || len(findings) > 0 {
+			logger.Error("settings not reloaded", "error", errors.CombineErrors(err, findingsError(findings)).Error())
+			continue
+		}
+		daemon.Reload(parsed)
+	}
+}
+
+func findingsError(findings api.Findings) error {
+	if len(findings) == 0 {
+		return nil
+	}
+	return errors.New(findings.String())
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -194,7 +194,7 @@
 func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
 	attributes := []any{
 		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds(),
-		"service", x.service, "backend", x.target, "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+		"service", x.service, "backend", x.target, "wait_ms", x.waitMillis(), "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
 	}
 	if x.request != nil {
 		attributes = append(attributes, "request", x.request.ID)
@@ -210,3 +210,11 @@
 	}
 	h.options.Logger.Info("request not answered", attributes...)
 }
+
+// waitMillis returns how long the caller said that it waits, for the log.
+func (x *exchange) waitMillis() int64 {
+	if x.request == nil {
+		return 0
+	}
+	return x.request.Wait.Milliseconds()
+}
--- a/objectapi/follow.go
+++ b/objectapi/follow.go
@@ -10,8 +10,8 @@
 
 // Follower receives the objects of one kind.
 type Follower interface {
-	// Replace takes over a whole list.
-	Replace(objects []Object)
+	// Replace takes over a whole list as of a revision.
+	Replace(objects []Object, revision int64)
 	// Apply takes over one change.
 	Apply(event Event)
 	// Contact is told of each answer of the store, with its error if it failed.
@@ -66,7 +66,7 @@
 		if err != nil {
 			return err
 		}
-		follower.Replace(objects)
+		follower.Replace(objects, revision)
 		follower.Contact(nil)
 		p.listed, p.revision = true, revision
 		succeeded()
--- /dev/null
+++ b/replica/replica.go
@@ -0,0 +1,238 @@
+package replica
+
+import (
+	"encoding/binary"
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/reelrun/reelrun/objectapi"
+)
+
+// maxTombstones bounds the remembered deletions. The oldest are forgotten, by
+// version, so that all copies forget the same ones.
+const maxTombstones = 4096
+
+// Key names an object.
+type Key struct {
+	Kind objectapi.Kind
+	Name string
+}
+
+// Record is one version of an object.
+type Record struct {
+	Object objectapi.Object
+	// Deleted marks a deletion; the object then has no content.
+	Deleted bool
+}
+
+// Key returns the name of the record's object.
+func (r Record) Key() Key { return Key{r.Object.Kind, r.Object.Name} }
+
+// Source tells where a change came from.
+type Source string
+
+// The sources.
+const (
+	SourceStore Source = "store"
+	SourcePeer  Source = "peer"
+)
+
+// Change is one newer version that was taken over.
+type Change struct {
+	Record Record
+	Source Source
+	// New is set where the copy had no live version of the object before.
+	New bool
+}
+
+// Replica is the copy. It is safe for concurrent use.
+type Replica struct {
+	// changed is called for each change, one at a time and in the order in which
+	// they were taken over.
+	changed func(Change)
+
+	mu         sync.Mutex
+	records    map[Key]Record
+	digest     uint64
+	tombstones int
+}
+
+// New returns an empty copy that tells of its changes. The function must not
+// call the replica.
+func New(changed func(Change)) *Replica {
+	return &Replica{changed: changed, records: map[Key]Record{}}
+}
+
+// Apply takes over the records that are newer than the copy's. It returns how
+// many were.
+func (r *Replica) Apply(source Source, records ...Record) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := 0
+	for _, record := range records {
+		if r.apply(source, record) {
+			taken++
+		}
+	}
+	r.forget()
+	return taken
+}
+
+// Replace takes over a whole list of a kind as of a revision: objects that it
+// does not name are deleted.
+func (r *Replica) Replace(kind objectapi.Kind, objects []objectapi.Object, revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		listed[object.Name] = true
+		r.apply(SourceStore, Record{Object: object})
+	}
+	for _, name := range r.unlisted(kind, listed, revision) {
+		deleted := objectapi.Object{Kind: kind, Name: name, Version: revision}
+		r.apply(SourceStore, Record{Object: deleted, Deleted: true})
+	}
+	r.forget()
+}
+
+// unlisted returns the live objects of a kind that a list does not name.
+func (r *Replica) unlisted(kind objectapi.Kind, listed map[string]bool, revision int64) []string {
+	var names []string
+	for key, record := range r.records {
+		if key.Kind == kind && !record.Deleted && !listed[key.Name] && record.Object.Version < revision {
+			names = append(names, key.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// apply takes over one record; the lock is held.
+func (r *Replica) apply(source Source, record Record) bool {
+	known, exists := r.records[record.Key()]
+	if exists && known.Object.Version >= record.Object.Version {
+		return false
+	}
+	if record.Deleted {
+		record.Object.Spec = nil
+		r.tombstones++
+	}
+	if exists {
+		r.digest ^= hash(known)
+		if known.Deleted {
+			r.tombstones--
+		}
+	}
+	r.digest ^= hash(record)
+	r.records[record.Key()] = record
+	r.changed(Change{Record: record, Source: source, New: !exists || known.Deleted})
+	return true
+}
+
+// forget drops the oldest deletions beyond the bound; the lock is held.
+func (r *Replica) forget() {
+	if r.tombstones <= maxTombstones {
+		return
+	}
+	var deleted []Record
+	for _, record := range r.records {
+		if record.Deleted {
+			deleted = append(deleted, record)
+		}
+	}
+	sort.Slice(deleted, func(i, j int) bool { return deleted[i].Object.Version < deleted[j].Object.Version })
+	for _, record := range deleted[:len(deleted)-maxTombstones] {
+		r.digest ^= hash(record)
+		delete(r.records, record.Key())
+		r.tombstones--
+	}
+}
+
+// Digest is equal for copies that hold the same versions.
+func (r *Replica) Digest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest
+}
+
+// Versions returns all records without their content.
+func (r *Replica) Versions() []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	versions := make([]Record, 0, len(r.records))
+	for _, record := range r.records {
+		record.Object.Spec = nil
+		versions = append(versions, record)
+	}
+	return versions
+}
+
+// Records returns the records of the given objects that the copy has.
+func (r *Replica) Records(keys []Key) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Record
+	for _, key := range keys {
+		if record, exists := r.records[key]; exists {
+			found = append(found, record)
+		}
+	}
+	return found
+}
+
+// Live returns the objects of a kind that are not deleted, by name.
+func (r *Replica) Live(kind objectapi.Kind) []objectapi.Object {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var live []objectapi.Object
+	for key, record := range r.records {
+		if key.Kind == kind && !record.Deleted {
+			live = append(live, record.Object)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live
+}
+
+// Compare sorts the differences from another copy: keys that are newer here, and
+// keys that are newer there.
+func (r *Replica) Compare(others []Record) (newerHere, newerThere []Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := make(map[Key]bool, len(others))
+	for _, other := range others {
+		key := other.Key()
+		seen[key] = true
+		known, exists := r.records[key]
+		switch {
+		case !exists || known.Object.Version < other.Object.Version:
+			newerThere = append(newerThere, key)
+		case known.Object.Version > other.Object.Version:
+			newerHere = append(newerHere, key)
+		}
+	}
+	for key := range r.records {
+		if !seen[key] {
+			newerHere = append(newerHere, key)
+		}
+	}
+	return newerHere, newerThere
+}
+
+// hash is a record's part of the digest.
+func hash(record Record) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(record.Object.Kind)) // These never fail.
+	_, _ = digest.WriteString("/")
+	_, _ = digest.WriteString(record.Object.Name)
+	var version [9]byte
+	binary.LittleEndian.PutUint64(version[:], uint64(record.Object.Version))
+	if record.Deleted {
+		version[8] = 1
+	}
+	_, _ = digest.Write(version[:])
+	return digest.Sum64()
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -16,7 +16,8 @@
 	// Ratio is how many repeats are allowed for each request.
 	Ratio float64
 	// Burst is how many repeats are allowed beside the ratio, within one window.
-	Burst float64
+	// It is this node's share and may change with the fleet.
+	Burst func() float64
 	// Window is the time over which requests count.
 	Window time.Duration
 	// Now reads a monotonic clock.
@@ -60,7 +61,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	if sum(current.repeats)+1 > b.options.Burst+b.options.Ratio*sum(current.requests) {
+	if sum(current.repeats)+1 > b.options.Burst()+b.options.Ratio*sum(current.requests) {
 		return false
 	}
 	current.repeats[current.position()]++
@@ -72,7 +73,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	return b.options.Burst + b.options.Ratio*sum(current.requests) - sum(current.repeats)
+	return b.options.Burst() + b.options.Ratio*sum(current.requests) - sum(current.repeats)
 }
 
 // account returns the account of a service with its old parts cleared.
--- a/router/follow.go
+++ b/router/follow.go
@@ -4,116 +4,85 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
-	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/replica"
 )
 
-// contact logs when the store is lost and when it is back.
-type contact struct {
-	logger *slog.Logger
-	kind   objectapi.Kind
-
-	mu   sync.Mutex
-	lost bool
-}
-
-// Contact implements part of objectapi.Follower.
-func (c *contact) Contact(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case err != nil && !c.lost:
-		c.logger.Warn("store lost", "kind", string(c.kind), "error", err.Error())
-	case err == nil && c.lost:
-		c.logger.Info("store back", "kind", string(c.kind))
-	}
-	c.lost = err != nil
-}
-
-// configurationFollower puts each configuration in force.
-type configurationFollower struct {
-	contact
-	router *Router
-}
-
-func (r *Router) followConfiguration(ctx context.Context) {
-	kind := r.options.Backplane.ConfigurationKind
-	follower := &configurationFollower{contact: contact{logger: r.options.Logger, kind: kind}, router: r}
-	objectapi.Follow(ctx, r.options.Backplane.Store, kind, follower)
+// follower feeds the copy of one kind from the store.
+type follower struct {
+	kind    objectapi.Kind
+	copy    *replica.Replica
+	contact *contact
+	// listed is called after a whole list; it may be nil.
+	listed func()
 }
 
 // Replace implements objectapi.Follower.
-func (f *configurationFollower) Replace(objects []objectapi.Object) {
-	for _, object := range objects {
-		f.take(object)
+func (f *follower) Replace(objects []objectapi.Object, revision int64) {
+	f.copy.Replace(f.kind, objects, revision)
+	if f.listed != nil {
+		f.listed()
 	}
 }
 
 // Apply implements objectapi.Follower.
-func (f *configurationFollower) Apply(event objectapi.Event) {
-	if !event.Deleted {
-		f.take(event.Object)
-	}
+func (f *follower) Apply(event objectapi.Event) {
+	f.copy.Apply(replica.SourceStore, replica.Record{Object: event.Object, Deleted: event.Deleted})
 }
 
-func (f *configurationFollower) take(object objectapi.Object) {
-	logger := f.router.options.Logger
-	decoded, err := f.router.options.Backplane.DecodeConfiguration(object)
-	if err != nil {
-		logger.Error("configuration refused", "revision", object.Version, "error", err.Error())
-		return
-	}
-	if f.router.gateway.Configure(decoded) {
-		logger.Info("configuration in force", "version", decoded.Version, "revision", object.Version, "routes", decoded.RouteCount())
+// Contact implements objectapi.Follower.
+func (f *follower) Contact(err error) { f.contact.observe(f.kind, err) }
+
+// follow keeps the copies of the given kinds up to date until the context ends.
+func (r *Router) follow(ctx context.Context, kinds ...objectapi.Kind) {
+	var following sync.WaitGroup
+	for _, kind := range kinds {
+		following.Go(func() {
+			fed := &follower{kind: kind, copy: r.copy, contact: r.contact}
+			if kind == r.options.Backplane.BackendKind {
+				fed.listed = r.backends.SetSynced
+			}
+			objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
+		})
 	}
+	following.Wait()
 }
 
-// backendFollower keeps the registry of back ends.
-type backendFollower struct {
-	contact
-	router *Router
-}
+// contact knows whether the store answers, and logs when it is lost and when it
+// is back.
+type contact struct {
+	logger *slog.Logger
 
-func (r *Router) followBackends(ctx context.Context) {
-	kind := r.options.Backplane.BackendKind
-	follower := &backendFollower{contact: contact{logger: r.options.Logger, kind: kind}, router: r}
-	objectapi.Follow(ctx, r.options.Backplane.Store, kind, follower)
+	mu   sync.Mutex
+	lost map[objectapi.Kind]bool
+	// disturbedAt is when a call last failed.
+	disturbedAt time.Time
 }
 
-// Replace implements objectapi.Follower.
-func (f *backendFollower) Replace(objects []objectapi.Object) {
-	backends := make([]backend.Backend, 0, len(objects))
-	for _, object := range objects {
-		if decoded, ok := f.decode(object); ok {
-			backends = append(backends, decoded)
-		}
-	}
-	gone := f.router.backends.Replace(backends)
-	f.router.options.Logger.Info("back ends listed", "count", len(backends), "gone", gone)
+func newContact(logger *slog.Logger) *contact {
+	return &contact{logger: logger, lost: map[objectapi.Kind]bool{}}
 }
 
-// Apply implements objectapi.Follower.
-func (f *backendFollower) Apply(event objectapi.Event) {
-	logger := f.router.options.Logger
-	if event.Deleted {
-		if f.router.backends.Remove(event.Object.Name) {
-			logger.Info("back end gone", "backend", event.Object.Name, "revision", event.Object.Version)
-		}
-		return
+func (c *contact) observe(kind objectapi.Kind, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err != nil && !c.lost[kind]:
+		c.logger.Warn("store lost", "kind", string(kind), "error", err.Error())
+	case err == nil && c.lost[kind]:
+		c.logger.Info("store back", "kind", string(kind))
 	}
-	decoded, ok := f.decode(event.Object)
-	if ok && f.router.backends.Update(decoded) {
-		logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
-			"role", string(decoded.Role), "revision", event.Object.Version)
+	c.lost[kind] = err != nil
+	if err != nil {
+		c.disturbedAt = time.Now()
 	}
 }
 
-func (f *backendFollower) decode(object objectapi.Object) (backend.Backend, bool) {
-	decoded, err := f.router.options.Backplane.DecodeBackend(object)
-	if err != nil {
-		f.router.options.Logger.Error("back end refused", "backend", object.Name, "error", err.Error())
-		return backend.Backend{}, false
-	}
-	return decoded, true
+// disturbed reports whether the store has failed in the time that has just passed.
+func (c *contact) disturbed(lately time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.disturbedAt.IsZero() && time.Since(c.disturbedAt) < lately
 }
--- a/router/router.go
+++ b/router/router.go
@@ -5,18 +5,23 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
 	"github.com/reelrun/reelrun/settings"
+	"github.com/reelrun/reelrun/timeline"
 )
 
 // Backplane is what the daemon meets outside itself.
@@ -39,6 +44,8 @@
 	Logger    *slog.Logger
 	// Listen opens a port. Default net.Listen for TCP.
 	Listen func(address string) (net.Listener, error)
+	// Dial opens connections to other nodes. Default net.Dialer.
+	Dial peer.DialFunc
 }
 
 // Router is the daemon.
@@ -47,12 +54,18 @@
 	backends *backend.Registry
 	gateway  *gateway.Handler
 	metrics  *metrics.Set
+	// copy is what this node knows of the store's objects.
+	copy    *replica.Replica
+	contact *contact
+	syncer  *antientropy.Syncer
+	client  *peer.Client
+	server  *peer.Server
+	// settings may be replaced while the node runs; those of listeners are only
+	// read at the start.
+	settings atomic.Pointer[settings.Router]
 }
 
 const (
-	// expectedNodes is how many nodes share the burst of the retry budget while
-	// the fleet is not known.
-	expectedNodes = 8
 	// headerTimeout and idleTimeout bound a caller's connection. They are above
 	// what configurations allow callers.
 	headerTimeout = 10 * time.Second
@@ -73,14 +86,28 @@
 	if options.Listen == nil {
 		options.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
-	r := &Router{options: options, metrics: metrics.NewSet(), backends: backend.NewRegistry(time.Now)}
+	if options.Dial == nil {
+		options.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		}
+	}
+	r := &Router{
+		options: options, metrics: metrics.NewSet(),
+		backends: backend.NewRegistry(time.Now), contact: newContact(options.Logger),
+	}
+	r.settings.Store(options.Settings)
+	r.copy = replica.New(r.changed)
+	clock := timeline.NewClock(time.Now)
+	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
+	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
+	r.server = peer.NewServer(r.syncer.Handle, clock)
 	r.gateway = gateway.New(gateway.Options{
 		Zone:     options.Settings.Zone,
 		Dialect:  options.Backplane.Dialect,
 		Backends: r.backends,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio:  options.Settings.RetryRatio * budgetShare,
-			Burst:  options.Settings.RetryBurst * budgetShare / expectedNodes,
+			Burst:  func() float64 { return r.settings.Load().RetryBurst * budgetShare / float64(r.nodeCount()) },
 			Window: options.Settings.RetryWindow,
 			Now:    time.Now,
 		}),
@@ -102,6 +129,10 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the balancer")
 	}
+	peers, err := r.options.Listen(r.options.Settings.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for nodes")
+	}
 	callerServer := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
@@ -112,12 +143,20 @@
 	group, _ := errgroup.WithContext(ctx)
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(readyServer, ready) })
-	group.Go(func() error { r.followConfiguration(following); return nil })
-	group.Go(func() error { r.followBackends(following); return nil })
+	group.Go(func() error { return servePeers(r.server, peers) })
+	group.Go(func() error {
+		r.follow(following, r.options.Backplane.ConfigurationKind, r.options.Backplane.BackendKind, kindNode)
+		return nil
+	})
+	group.Go(func() error { r.register(following); return nil })
+	group.Go(func() error { r.syncer.Run(following); return nil })
 	<-ctx.Done()
 	r.stop(ctx, callerServer)
 	stopFollowing()
 	_ = readyServer.Close()
+	_ = peers.Close()
+	r.client.Close()
+	r.server.Close()
 	err = group.Wait()
 	r.options.Logger.Info("stopped", "node", r.options.Settings.Name)
 	return err
@@ -147,6 +186,13 @@
 	return nil
 }
 
+func servePeers(server *peer.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "serve nodes")
+	}
+	return nil
+}
+
 // readiness answers the balancer.
 func (r *Router) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
