Assign engines by one coordinator a service that looks ahead

Change: package ledger, a pure book that projects each run's growth at a learned pace; package coordinator, which assigns decode and prefill engines from it and lets requests wait in one order; the node is found by rendezvous hashing over the nodes that answer, is asked without waiting first (60 ms), and passed over if silent: then each node asks the engines itself. A caller that comes back (it says that it waits less than others of its route) waits longer. What an engine says of its own room still decides.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -111,6 +111,31 @@
 	return drawn
 }
 
+// Responsive reports whether a node answered when it was last called.
+func (s *Syncer) Responsive(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, silent := s.silent[address]
+	return !silent
+}
+
+// Silent notes that a node did not answer a call. It counts as silent until a
+// comparison with it succeeds.
+func (s *Syncer) Silent(address string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteSilent(address, err)
+}
+
+// noteSilent leaves a node alone for a while; the lock is held.
+func (s *Syncer) noteSilent(address string, err error) {
+	if _, known := s.silent[address]; !known {
+		s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
+	}
+	s.silent[address] = time.Now().Add(s.options.Avoidance)
+	s.options.Client.Reset(address)
+}
+
 // syncWith makes the copies of this node and another one alike.
 func (s *Syncer) syncWith(ctx context.Context, address string) {
 	err := s.compare(ctx, address)
@@ -120,11 +145,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
-		s.silent[address] = time.Now().Add(s.options.Avoidance)
-		s.options.Client.Reset(address)
-		if !wasSilent {
-			s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
-		}
+		s.noteSilent(address, err)
 	case wasSilent:
 		delete(s.silent, address)
 		s.options.Logger.Info("node back", "address", address)
--- a/backend/entry.go
+++ b/backend/entry.go
@@ -67,6 +67,13 @@
 	return e.decayed()
 }
 
+// unsoundFailures is the number of recent failures above which a back end is
+// given no work that can go elsewhere.
+const unsoundFailures = 0.7
+
+// Sound reports whether the back end has not failed lately.
+func (e *Entry) Sound() bool { return e.Failures() <= unsoundFailures }
+
 func (e *Entry) decayed() float64 {
 	if e.failures == 0 {
 		return 0
--- /dev/null
+++ b/coordinator/coordinator.go
@@ -0,0 +1,230 @@
+package coordinator
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/reelrun/reelrun/ledger"
+)
+
+// Request asks for engines.
+type Request struct {
+	Service string
+	Run     ledger.Run
+	// Wait is how long the request may wait for room.
+	Wait time.Duration
+	// Returning is set for a caller that was refused before.
+	Returning bool
+	// Avoid names engines that must not be given.
+	Avoid []string
+	// Active are all runs of the sender, where it has not spoken with this
+	// coordinator lately.
+	Active []ledger.Run
+}
+
+// Assignment answers a Request.
+type Assignment struct {
+	// Decode and Prefill name engines; they are empty where there is no room.
+	Decode  string
+	Prefill string
+	// RetryAfter is when room is expected, where there is none.
+	RetryAfter time.Duration
+}
+
+// Ended tells of a run that is over.
+type Ended struct {
+	Service string
+	ID      string
+	// Duration is how long the answer took, if it was whole; otherwise zero.
+	Duration time.Duration
+	// Prefill is how long the prompt took to be read; zero if it was not.
+	Prefill time.Duration
+}
+
+// Engines are those of a service that take new work.
+type Engines struct {
+	Decode  []ledger.Engine
+	Prefill []string
+}
+
+// Options are the parts of a Coordinator.
+type Options struct {
+	// Engines returns the engines of a service.
+	Engines func(service string) Engines
+	// Now reads a monotonic clock.
+	Now func() time.Duration
+	// Ledger are the assumptions of the books.
+	Ledger ledger.Options
+	// MaxPrefillBacklog is how long a prompt may wait for the prompts before it.
+	// Default 300ms.
+	MaxPrefillBacklog time.Duration
+}
+
+const (
+	defaultPrefillBacklog = 300 * time.Millisecond
+	// retryInterval is how often waiting requests are looked at where nothing ends.
+	retryInterval = 40 * time.Millisecond
+)
+
+// Coordinator keeps the books of the services that this node coordinates. It is
+// safe for concurrent use.
+type Coordinator struct {
+	options Options
+
+	mu    sync.Mutex
+	books map[string]*book
+}
+
+// book is one service.
+type book struct {
+	decode  *ledger.Ledger
+	prefill *prefillQueue
+	waiting []*waiter
+}
+
+// waiter is a request without engines.
+type waiter struct {
+	request  *Request
+	since    time.Duration
+	assigned chan Assignment
+}
+
+// New returns a coordinator without books.
+func New(options Options) *Coordinator {
+	if options.MaxPrefillBacklog == 0 {
+		options.MaxPrefillBacklog = defaultPrefillBacklog
+	}
+	return &Coordinator{options: options, books: map[string]*book{}}
+}
+
+// Assign gives engines to a request, or tells when room is expected.
+func (c *Coordinator) Assign(ctx context.Context, request *Request) Assignment {
+	queued := c.enqueue(request)
+	until := time.NewTimer(request.Wait)
+	defer until.Stop()
+	again := time.NewTicker(retryInterval)
+	defer again.Stop()
+	for {
+		select {
+		case assignment := <-queued.assigned:
+			return assignment
+		default:
+		}
+		select {
+		case assignment := <-queued.assigned:
+			return assignment
+		case <-again.C:
+			c.serveWaiting(request.Service)
+		case <-until.C:
+			return c.giveUp(queued)
+		case <-ctx.Done():
+			return c.giveUp(queued)
+		}
+	}
+}
+
+func (c *Coordinator) enqueue(request *Request) *waiter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.book(request.Service)
+	for _, run := range request.Active {
+		current.decode.Restore(run)
+	}
+	queued := &waiter{request: request, since: c.options.Now(), assigned: make(chan Assignment, 1)}
+	current.waiting = append(current.waiting, queued)
+	c.serve(request.Service, current)
+	return queued
+}
+
+// giveUp takes a request out of the queue. It may have been served meanwhile.
+func (c *Coordinator) giveUp(left *waiter) Assignment {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case assignment := <-left.assigned:
+		return assignment
+	default:
+	}
+	current := c.book(left.request.Service)
+	for i, queued := range current.waiting {
+		if queued == left {
+			current.waiting = append(current.waiting[:i], current.waiting[i+1:]...)
+			break
+		}
+	}
+	return Assignment{RetryAfter: current.decode.RoomAfter(c.options.Now(), left.request.Run)}
+}
+
+// End takes a run out of the book and serves those that wait.
+func (c *Coordinator) End(ended Ended) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.book(ended.Service)
+	current.prefill.done(ended.ID, ended.Prefill)
+	current.decode.End(ended.ID, ended.Duration)
+	c.serve(ended.Service, current)
+}
+
+func (c *Coordinator) serveWaiting(service string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serve(service, c.book(service))
+}
+
+// serve gives engines to those that wait, returning callers first, then in the
+// order of arrival; the lock is held. A request that does not fit lets smaller
+// ones pass.
+func (c *Coordinator) serve(service string, current *book) {
+	if len(current.waiting) == 0 {
+		return
+	}
+	engines := c.options.Engines(service)
+	current.decode.SetEngines(engines.Decode)
+	now := c.options.Now()
+	sort.SliceStable(current.waiting, func(i, j int) bool {
+		first, second := current.waiting[i], current.waiting[j]
+		if first.request.Returning != second.request.Returning {
+			return first.request.Returning
+		}
+		return first.since < second.since
+	})
+	var still []*waiter
+	for _, queued := range current.waiting {
+		assignment, ok := c.assign(now, current, engines, queued.request)
+		if !ok {
+			still = append(still, queued)
+			continue
+		}
+		queued.assigned <- assignment
+	}
+	current.waiting = still
+}
+
+func (c *Coordinator) assign(now time.Duration, current *book, engines Engines, request *Request) (Assignment, bool) {
+	avoid := make(map[string]bool, len(request.Avoid))
+	for _, id := range request.Avoid {
+		avoid[id] = true
+	}
+	reader, backlog := current.prefill.shortest(now, engines.Prefill, avoid)
+	if reader == "" || backlog > c.options.MaxPrefillBacklog {
+		return Assignment{}, false
+	}
+	decoder, ok := current.decode.Assign(now, request.Run, avoid)
+	if !ok {
+		return Assignment{}, false
+	}
+	current.prefill.add(now, reader, request.Run)
+	return Assignment{Decode: decoder, Prefill: reader}, true
+}
+
+// book returns the book of a service; the lock is held.
+func (c *Coordinator) book(service string) *book {
+	current := c.books[service]
+	if current == nil {
+		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue()}
+		c.books[service] = current
+	}
+	return current
+}
--- /dev/null
+++ b/coordinator/prefill.go
@@ -0,0 +1,90 @@
+package coordinator
+
+import (
+	"time"
+
+	"github.com/reelrun/reelrun/ledger"
+)
+
+const (
+	// firstReadingPace is the first guess of how many prompt tokens an engine reads
+	// in a second.
+	firstReadingPace = 50_000.0
+	// slownessWeight is the weight of one prompt in an engine's slowness.
+	slownessWeight = 0.3
+	// Bounds of an engine's slowness.
+	leastSlowness    = 0.7
+	greatestSlowness = 10.0
+)
+
+// prefillQueue follows the prompts that each prefill engine has before it.
+type prefillQueue struct {
+	engines map[string]*prefillEngine
+	// reading holds the prompts that are being read.
+	reading map[string]prompt
+}
+
+type prefillEngine struct {
+	// busyUntil is when the prompts that it was given are expected to be read.
+	busyUntil time.Duration
+	// slowness is how much longer it takes than expected.
+	slowness float64
+}
+
+type prompt struct {
+	engine string
+	// expected is how long it was expected to take, waiting included.
+	expected time.Duration
+}
+
+func newPrefillQueue() *prefillQueue {
+	return &prefillQueue{engines: map[string]*prefillEngine{}, reading: map[string]prompt{}}
+}
+
+func (q *prefillQueue) engine(id string) *prefillEngine {
+	known := q.engines[id]
+	if known == nil {
+		known = &prefillEngine{slowness: 1}
+		q.engines[id] = known
+	}
+	return known
+}
+
+// shortest returns the engine at which a prompt waits least, and how long.
+func (q *prefillQueue) shortest(now time.Duration, engines []string, avoid map[string]bool) (string, time.Duration) {
+	best, bestCost := "", time.Duration(0)
+	var bestBacklog time.Duration
+	for _, id := range engines {
+		if avoid[id] {
+			continue
+		}
+		known := q.engine(id)
+		backlog := max(0, known.busyUntil-now)
+		cost := backlog + time.Duration(known.slowness*float64(100*time.Millisecond))
+		if best == "" || cost < bestCost {
+			best, bestCost, bestBacklog = id, cost, backlog
+		}
+	}
+	return best, bestBacklog
+}
+
+// add puts a prompt into an engine's queue.
+func (q *prefillQueue) add(now time.Duration, id string, run ledger.Run) {
+	known := q.engine(id)
+	reading := time.Duration(float64(run.Prompt) / firstReadingPace * known.slowness * float64(time.Second))
+	known.busyUntil = max(now, known.busyUntil) + reading
+	q.reading[run.ID] = prompt{engine: id, expected: known.busyUntil - now}
+}
+
+// done takes note of how long a prompt took.
+func (q *prefillQueue) done(id string, took time.Duration) {
+	read, known := q.reading[id]
+	delete(q.reading, id)
+	if !known || took <= 0 || read.expected <= 0 {
+		return
+	}
+	engine := q.engine(read.engine)
+	seen := engine.slowness * took.Seconds() / read.expected.Seconds()
+	engine.slowness += slownessWeight * (seen - engine.slowness)
+	engine.slowness = min(max(engine.slowness, leastSlowness), greatestSlowness)
+}
--- /dev/null
+++ b/coordinator/wire.go
@@ -0,0 +1,68 @@
+package coordinator
+
+import (
+	"context"
+	"time"
+
+	"github.com/reelrun/reelrun/ledger"
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
+
+// Handle answers another node.
+func (c *Coordinator) Handle(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_AssignEngines:
+		assignment := c.Assign(ctx, decodeRequest(body.AssignEngines, c.options.Now()))
+		return &peerpb.Response{Body: &peerpb.Response_Assignment{Assignment: &peerpb.Assignment{
+			DecodeEngine: assignment.Decode, PrefillEngine: assignment.Prefill,
+			RetryAfterMs: assignment.RetryAfter.Milliseconds(),
+		}}}, nil
+	case *peerpb.Request_EndRun:
+		c.End(Ended{
+			Service: body.EndRun.GetService(), ID: body.EndRun.GetId(),
+			Duration: millis(body.EndRun.GetDurationMs()), Prefill: millis(body.EndRun.GetPrefillMs()),
+		})
+		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
+	default:
+		return nil, peer.ErrUnknownCall
+	}
+}
+
+func encodeRequest(request *Request, now time.Duration) *peerpb.AssignEngines {
+	encoded := &peerpb.AssignEngines{
+		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
+		Avoid: request.Avoid, Returning: request.Returning,
+	}
+	for _, run := range request.Active {
+		encoded.Active = append(encoded.Active, encodeRun(run, now))
+	}
+	return encoded
+}
+
+func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
+	request := &Request{
+		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs()),
+		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(),
+	}
+	for _, run := range encoded.GetActive() {
+		request.Active = append(request.Active, decodeRun(run, now))
+	}
+	return request
+}
+
+func encodeRun(run ledger.Run, now time.Duration) *peerpb.Run {
+	return &peerpb.Run{
+		Id: run.ID, PromptTokens: int64(run.Prompt), OutputTokens: int64(run.Output),
+		Engine: run.Engine, AgeMs: (now - run.Started).Milliseconds(),
+	}
+}
+
+func decodeRun(encoded *peerpb.Run, now time.Duration) ledger.Run {
+	return ledger.Run{
+		ID: encoded.GetId(), Prompt: int(encoded.GetPromptTokens()), Output: int(encoded.GetOutputTokens()),
+		Engine: encoded.GetEngine(), Started: now - millis(encoded.GetAgeMs()),
+	}
+}
+
+func millis(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -33,7 +33,7 @@
 			return err
 		}
 		err = relayed.relay(ctx, answer)
-		taken.end()
+		taken.close(err == nil)
 		if err == nil || ended(ctx) != nil {
 			return err
 		}
@@ -57,9 +57,8 @@
 // start has an answer begin at a decode engine. Engines that refuse are replaced
 // by others while the retry budget lasts.
 func (x *exchange) start(ctx context.Context, profile *routing.EngineProfile, lastID string, avoid map[string]bool) (*Answer, *seat, error) {
-	tokens := min(x.handler.options.Policy.tokens(x.request.Generation), profile.MemoryTokens)
 	for prefills := 1; ; prefills++ {
-		taken, err := x.reserve(ctx, profile, tokens, avoid)
+		taken, err := x.reserve(ctx, profile, avoid)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -81,7 +80,7 @@
 
 // startAt reads the prompt and begins the answer at the engine of a reservation.
 func (x *exchange) startAt(ctx context.Context, taken *seat, lastID string) (*Answer, error) {
-	result, source, err := x.prefill(ctx)
+	result, source, err := x.prefill(ctx, taken)
 	if err != nil {
 		return nil, err
 	}
@@ -96,7 +95,7 @@
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
 		x.discard(ctx, source, *result)
-		return nil, &tryError{failure: notRun(ReasonBackendRefused, x.handler.room.retryAfter(), nil), arrived: true}
+		return nil, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	}
 	x.runs++
 	return answer, nil
@@ -120,16 +119,18 @@
 
 // prefill has the prompt read. Reading it runs nothing, so that another engine
 // may be asked after any failure.
-func (x *exchange) prefill(ctx context.Context) (*PrefillResult, *backend.Entry, error) {
+func (x *exchange) prefill(ctx context.Context, taken *seat) (*PrefillResult, *backend.Entry, error) {
 	tried := map[string]bool{}
 	for {
-		entry := x.handler.pick(x.service, backend.RolePrefill, tried)
+		entry := x.prefillEngine(taken, tried)
 		if entry == nil {
 			return nil, nil, notRun(ReasonPrefillFailed, retryShed, nil)
 		}
 		tried[entry.Backend().ID] = true
+		started := time.Now()
 		result, err := x.prefillAt(ctx, entry)
 		if err == nil {
+			taken.prefill = time.Since(started)
 			return result, entry, nil
 		}
 		if failure := ended(ctx); failure != nil {
@@ -142,6 +143,18 @@
 	}
 }
 
+// prefillEngine returns the engine that was assigned, or another one once that
+// has been tried.
+func (x *exchange) prefillEngine(taken *seat, tried map[string]bool) *backend.Entry {
+	if len(tried) == 0 && taken.prefillEngine != "" {
+		entry := x.handler.options.Backends.Lookup(taken.prefillEngine)
+		if entry != nil && entry.Backend().State == backend.StateReady {
+			return entry
+		}
+	}
+	return x.handler.pick(x.service, backend.RolePrefill, tried)
+}
+
 // prefillAt has the prompt read by one engine.
 func (x *exchange) prefillAt(ctx context.Context, entry *backend.Entry) (*PrefillResult, error) {
 	x.target = entry.Backend().ID
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
@@ -26,16 +27,27 @@
 	Budget   *retrybudget.Budget
 	Metrics  *metrics.Set
 	Logger   *slog.Logger
+	// Coordinator assigns engines. Without one, each node chooses by itself, by what
+	// the engines let it reserve.
+	Coordinator Coordinator
 	// Policy is how engines are chosen; the zero value is the default.
 	Policy Policy
 }
 
+// Coordinator assigns the engines of a service to the requests of all nodes.
+type Coordinator interface {
+	// Assign asks for engines. An error means that no coordinator answers.
+	Assign(ctx context.Context, request coordinator.Request) (coordinator.Assignment, error)
+	// End tells of a run that is over.
+	End(ended coordinator.Ended)
+}
+
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	options       Options
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
-	room          roomEstimate
+	waits         longestWaits
 }
 
 // New returns a handler that is not ready until it has a configuration and the
@@ -98,8 +110,13 @@
 	answered bool
 	// sends counts arrivals at back ends, runs those that may have run.
 	sends, runs int
+	// assignments counts the engines asked for.
+	assignments int
 	// target is the back end of the last send.
 	target string
+	// age is how long ago the caller seems to have asked first, in an attempt that
+	// was refused; zero for a first attempt.
+	age time.Duration
 }
 
 // serve answers the request or returns why it cannot.
@@ -117,6 +134,7 @@
 		timeout = x.request.Wait
 	}
 	x.deadline = x.arrived.Add(timeout)
+	x.age = h.waits.age(x.route, x.request.Wait)
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	x.service = x.route.Target(rand.Float64())
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -1,46 +1,83 @@
 package gateway
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // Policy is how engines are chosen and when a request is refused. Each field
 // was measured on its own; docs/BENCH.md has the figures.
 type Policy struct {
-	// OutputMargin is how much more output than the caller expects is reserved.
-	// Default 1.3.
+	// OutputMargin is how much more output than the caller expects is reserved at
+	// the engine. Default 1.3.
 	OutputMargin float64
-	// ReservationWait is how long a request waits for memory at a decode engine
-	// before it is refused. Default 150ms: a refusal counts as prompt only within a
-	// quarter of the objective.
-	ReservationWait time.Duration
+	// FirstWait is how long a first attempt waits for room, as a share of the
+	// objective. Default 0.2: a refusal counts as prompt only within a quarter.
+	FirstWait float64
+	// ReturnWait is how long a caller that was refused before waits for room, as a
+	// share of the objective. Default 0.65.
+	ReturnWait float64
 	// ReservationLifetime is how long memory stays reserved until the answer
 	// begins. Default 1.5s.
 	ReservationLifetime time.Duration
+	// ShortestReturn and LongestReturn bound when a refused caller is told to come
+	// back. Defaults 0.2s and 3.5s.
+	ShortestReturn time.Duration
+	LongestReturn  time.Duration
 }
 
 const (
 	defaultOutputMargin        = 1.3
-	defaultReservationWait     = 150 * time.Millisecond
+	defaultFirstWait           = 0.2
+	defaultReturnWait          = 0.65
 	defaultReservationLifetime = 1500 * time.Millisecond
+	defaultShortestReturn      = 200 * time.Millisecond
+	defaultLongestReturn       = 3500 * time.Millisecond
 )
 
 func (p *Policy) setDefaults() {
-	if p.OutputMargin == 0 {
-		p.OutputMargin = defaultOutputMargin
-	}
-	if p.ReservationWait == 0 {
-		p.ReservationWait = defaultReservationWait
-	}
-	if p.ReservationLifetime == 0 {
-		p.ReservationLifetime = defaultReservationLifetime
+	setDefault(&p.OutputMargin, defaultOutputMargin)
+	setDefault(&p.FirstWait, defaultFirstWait)
+	setDefault(&p.ReturnWait, defaultReturnWait)
+	setDefault(&p.ReservationLifetime, defaultReservationLifetime)
+	setDefault(&p.ShortestReturn, defaultShortestReturn)
+	setDefault(&p.LongestReturn, defaultLongestReturn)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
 	}
 }
 
-// tokens returns how much memory a request is expected to need, in tokens.
-func (p *Policy) tokens(generation Generation) int {
+// expectedOutput returns how many tokens a request is expected to make.
+func expectedOutput(generation Generation) int {
 	expected := generation.ExpectedOutputTokens
 	if expected == 0 || expected > generation.MaxOutputTokens {
-		expected = generation.MaxOutputTokens
+		return generation.MaxOutputTokens
 	}
-	output := int(float64(expected) * p.OutputMargin)
+	return expected
+}
+
+// reservedTokens returns how much memory is reserved for a request.
+func (p *Policy) reservedTokens(generation Generation) int {
+	output := int(float64(expectedOutput(generation)) * p.OutputMargin)
 	return generation.PromptTokens + min(output, generation.MaxOutputTokens)
 }
+
+// wait returns how long a request waits for room.
+func (p *Policy) wait(objective time.Duration, returning bool) time.Duration {
+	if returning {
+		return time.Duration(p.ReturnWait * float64(objective))
+	}
+	return time.Duration(p.FirstWait * float64(objective))
+}
+
+// retryAfter returns when a refused caller is to come back, given when room is
+// expected. Callers that are refused together come back spread out.
+func (p *Policy) retryAfter(room time.Duration) time.Duration {
+	const spread = 0.5
+	after := time.Duration(float64(room) * (1 + spread*rand.Float64()))
+	return min(max(after, p.ShortestReturn), p.LongestReturn)
+}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/ledger"
 	"github.com/reelrun/reelrun/routing"
 )
 
@@ -20,26 +23,135 @@
 	reserveInterval = 40 * time.Millisecond
 	// fullMemory is how long a back end counts as full after it said so.
 	fullMemory = 100 * time.Millisecond
+	// maxAssignments bounds how often a request is assigned engines that then have
+	// no room.
+	maxAssignments = 3
 )
 
-// seat is a reservation at an engine.
+// seat is room for a run: memory reserved at a decode engine.
 type seat struct {
+	exchange    *exchange
 	entry       *backend.Entry
 	reservation Reservation
-	end         func()
+	// prefillEngine is the engine that is to read the prompt; empty for any.
+	prefillEngine string
+	// run names the run at its coordinator; empty if it has none.
+	run string
+	// taken is when the seat was taken.
+	taken time.Time
+	// prefill is how long the prompt took to be read.
+	prefill time.Duration
+	end     func()
+}
+
+// close ends the run. The answer was whole or not.
+func (s *seat) close(whole bool) {
+	s.end()
+	if s.run == "" {
+		return
+	}
+	ended := coordinator.Ended{Service: s.exchange.service, ID: s.run, Prefill: s.prefill}
+	if whole {
+		ended.Duration = time.Since(s.taken)
+	}
+	s.exchange.handler.options.Coordinator.End(ended)
 }
 
 // reserve takes memory at a decode engine, waiting a bounded time for it.
-func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, tokens int, avoid map[string]bool) (*seat, error) {
-	policy := &x.handler.options.Policy
-	until := time.Now().Add(policy.ReservationWait)
-	for {
-		taken, err := x.reserveOnce(ctx, profile, tokens, avoid)
+func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
+	if x.handler.options.Coordinator == nil {
+		return x.reserveAlone(ctx, profile, avoid)
+	}
+	refused := map[string]bool{}
+	for id := range avoid {
+		refused[id] = true
+	}
+	for range maxAssignments {
+		taken, err := x.reserveAssigned(ctx, profile, refused)
+		if errors.Is(err, coordinator.ErrNoCoordinator) {
+			x.handler.options.Metrics.Add("coordinator_missed", 1)
+			return x.reserveAlone(ctx, profile, avoid)
+		}
 		if taken != nil || err != nil {
 			return taken, err
 		}
+	}
+	return nil, x.noRoom(0)
+}
+
+// reserveAssigned takes memory at the engine that the coordinator assigns. The
+// engine may have no room all the same; it is added to those refused then.
+func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, refused map[string]bool) (*seat, error) {
+	policy := &x.handler.options.Policy
+	x.assignments++
+	request := coordinator.Request{
+		Service:   x.service,
+		Wait:      policy.wait(x.route.Objective, x.returning()) - time.Since(x.arrived),
+		Returning: x.returning(),
+		Run: ledger.Run{
+			ID:     x.request.ID + "/" + strconv.Itoa(x.assignments),
+			Prompt: x.request.Generation.PromptTokens,
+			Output: expectedOutput(x.request.Generation),
+		},
+	}
+	for id := range refused {
+		request.Avoid = append(request.Avoid, id)
+	}
+	assigned, err := x.handler.options.Coordinator.Assign(ctx, request)
+	if failure := ended(ctx); failure != nil {
+		return nil, failure
+	}
+	if err != nil {
+		return nil, err
+	}
+	if assigned.Decode == "" {
+		return nil, x.noRoom(assigned.RetryAfter)
+	}
+	entry := x.handler.options.Backends.Lookup(assigned.Decode)
+	if entry == nil || entry.Backend().State != backend.StateReady {
+		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID})
+		refused[assigned.Decode] = true
+		return nil, nil
+	}
+	reservation, err := x.reserveAt(ctx, entry, profile)
+	if reservation == nil {
+		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID})
+		refused[assigned.Decode] = true
+		return nil, err
+	}
+	return &seat{
+		exchange: x, entry: entry, reservation: *reservation, prefillEngine: assigned.Prefill,
+		run: request.Run.ID, taken: time.Now(), end: entry.Begin(),
+	}, nil
+}
+
+// returning reports whether the caller was refused before.
+func (x *exchange) returning() bool { return x.age > returningAge }
+
+// returningAge is the age from which a caller counts as refused before.
+const returningAge = 100 * time.Millisecond
+
+// noRoom is the refusal of a request for which there is no room.
+func (x *exchange) noRoom(expected time.Duration) error {
+	return notRun(ReasonNoRoom, x.handler.options.Policy.retryAfter(expected), nil)
+}
+
+// reserveAlone asks all engines for memory, without a coordinator.
+func (x *exchange) reserveAlone(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
+	wait := x.handler.options.Policy.wait(x.route.Objective, x.returning())
+	until := x.arrived.Add(wait)
+	for {
+		for _, entry := range x.handler.decodeCandidates(x.service, avoid) {
+			reservation, err := x.reserveAt(ctx, entry, profile)
+			if err != nil {
+				return nil, err
+			}
+			if reservation != nil {
+				return &seat{exchange: x, entry: entry, reservation: *reservation, taken: time.Now(), end: entry.Begin()}, nil
+			}
+		}
 		if time.Now().Add(reserveInterval).After(until) {
-			return nil, notRun(ReasonNoRoom, x.handler.room.retryAfter(), nil)
+			return nil, x.noRoom(0)
 		}
 		if err := pause(ctx, reserveInterval); err != nil {
 			return nil, ended(ctx)
@@ -47,50 +159,43 @@
 	}
 }
 
-// reserveOnce asks each decode engine once.
-func (x *exchange) reserveOnce(ctx context.Context, profile *routing.EngineProfile, tokens int, avoid map[string]bool) (*seat, error) {
-	lasting := min(x.handler.options.Policy.ReservationLifetime, profile.HoldLimit)
-	candidates := x.handler.decodeCandidates(x.service, avoid)
-	for _, entry := range candidates {
-		if err := ended(ctx); err != nil {
-			return nil, err
-		}
-		callContext, cancel := context.WithTimeout(ctx, reserveTimeout)
-		reservation, err := x.handler.options.Dialect.Reserve(callContext, entry.Backend(), tokens, lasting)
-		cancel()
-		switch {
-		case err != nil && ctx.Err() == nil:
-			entry.Failed()
-			x.handler.options.Metrics.Add("reservation_errors", 1)
-		case reservation != nil:
-			return &seat{entry: entry, reservation: *reservation, end: entry.Begin()}, nil
-		default:
-			entry.Full(fullMemory)
-		}
+// reserveAt asks one engine for memory. The result is nil if it has no room or
+// does not answer.
+func (x *exchange) reserveAt(ctx context.Context, entry *backend.Entry, profile *routing.EngineProfile) (*Reservation, error) {
+	policy := &x.handler.options.Policy
+	tokens := min(policy.reservedTokens(x.request.Generation), profile.MemoryTokens)
+	lasting := min(policy.ReservationLifetime, profile.HoldLimit)
+	callContext, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	reservation, err := x.handler.options.Dialect.Reserve(callContext, entry.Backend(), tokens, lasting)
+	switch {
+	case ctx.Err() != nil:
+		return nil, ended(ctx)
+	case err != nil:
+		entry.Failed()
+		x.handler.options.Metrics.Add("reservation_errors", 1)
+	case reservation == nil:
+		entry.Full(fullMemory)
+		x.handler.options.Metrics.Add("reservation_refusals", 1)
 	}
-	return nil, ended(ctx)
+	return reservation, nil
 }
 
 // decodeCandidates returns the engines in the order in which they are asked.
 func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
 	for _, entry := range h.options.Backends.Ready(service, backend.RoleDecode) {
-		if avoid[entry.Backend().ID] || entry.Failures() > unsoundFailures {
-			continue
+		if !avoid[entry.Backend().ID] && entry.Sound() {
+			candidates = append(candidates, entry)
 		}
-		candidates = append(candidates, entry)
 	}
 	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
 	return candidates
 }
 
-// unsoundFailures is the number of recent failures above which an engine is
-// given no streams.
-const unsoundFailures = 0.7
-
 // release gives a reservation back that no run has used.
 func (x *exchange) release(ctx context.Context, taken *seat) {
-	taken.end()
+	taken.close(false)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	go func() {
 		defer cancel()
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,233 @@
+package ledger
+
+import (
+	"maps"
+	"sort"
+	"time"
+)
+
+// Run is one request at a decode engine. Sizes are in tokens.
+type Run struct {
+	ID     string
+	Prompt int
+	// Output is how many tokens are expected to come out.
+	Output int
+	// Engine is the decode engine that it was given.
+	Engine string
+	// Started is when it was given.
+	Started time.Duration
+}
+
+// Engine is a decode engine.
+type Engine struct {
+	ID string
+	// Memory is how many tokens it holds.
+	Memory int
+	// Slots is how many runs it takes at once.
+	Slots int
+}
+
+// Options are the assumptions of a Ledger.
+type Options struct {
+	// Fill is the share of an engine's memory that is given. Default 0.95.
+	Fill float64
+	// Overrun is how much more, as a share of its expected output, a run is taken to
+	// make once it has made that. Default 0.25.
+	Overrun float64
+	// Pace is the first guess of how many tokens a run makes in a second. Default
+	// 1000.
+	Pace float64
+	// Start is the time from an assignment to the first token, while the prompt is
+	// read. Default 150ms.
+	Start time.Duration
+}
+
+const (
+	defaultFill    = 0.95
+	defaultOverrun = 0.25
+	defaultPace    = 1000.0
+	defaultStart   = 150 * time.Millisecond
+	// paceWeight is the weight of one run in the learned pace.
+	paceWeight = 0.05
+	// forgottenAfter is how many times its expected duration a run is kept whose
+	// end was never told.
+	forgottenAfter = 4
+	// shortestMemory bounds it from below.
+	shortestMemory = 10 * time.Second
+)
+
+// Ledger is the book.
+type Ledger struct {
+	options Options
+	pace    float64
+	engines map[string]Engine
+	runs    map[string]Run
+}
+
+// New returns an empty book.
+func New(options Options) *Ledger {
+	if options.Fill == 0 {
+		options.Fill = defaultFill
+	}
+	if options.Overrun == 0 {
+		options.Overrun = defaultOverrun
+	}
+	if options.Pace == 0 {
+		options.Pace = defaultPace
+	}
+	if options.Start == 0 {
+		options.Start = defaultStart
+	}
+	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}}
+}
+
+// SetEngines states which engines take runs. Runs at other engines are kept: an
+// engine may come back.
+func (l *Ledger) SetEngines(engines []Engine) {
+	l.engines = make(map[string]Engine, len(engines))
+	for _, engine := range engines {
+		l.engines[engine.ID] = engine
+	}
+}
+
+// Restore takes over a run that another book gave.
+func (l *Ledger) Restore(run Run) { l.runs[run.ID] = run }
+
+// End forgets a run. Where its answer was whole, the duration teaches the pace.
+func (l *Ledger) End(id string, duration time.Duration) {
+	run, known := l.runs[id]
+	if !known {
+		return
+	}
+	delete(l.runs, id)
+	if duration > l.options.Start && run.Output > 0 {
+		seen := float64(run.Output) / (duration - l.options.Start).Seconds()
+		l.pace += paceWeight * (seen - l.pace)
+	}
+}
+
+// Assign gives a run to the engine that will be the least full, and reports false
+// where none has room.
+func (l *Ledger) Assign(now time.Duration, run Run, avoid map[string]bool) (string, bool) {
+	l.forget(now)
+	best, bestPeak := "", 0.0
+	for id, engine := range l.engines {
+		if avoid[id] {
+			continue
+		}
+		peak, fits := l.peakWith(now, engine, run)
+		if fits && (best == "" || peak < bestPeak || peak == bestPeak && id < best) {
+			best, bestPeak = id, peak
+		}
+	}
+	if best == "" {
+		return "", false
+	}
+	run.Engine, run.Started = best, now
+	l.runs[run.ID] = run
+	return best, true
+}
+
+// RoomAfter returns how long it will take until a run fits somewhere, if every
+// run ends as expected and no other comes.
+func (l *Ledger) RoomAfter(now time.Duration, run Run) time.Duration {
+	type ending struct {
+		id string
+		at time.Duration
+	}
+	var endings []ending
+	for id, active := range l.runs {
+		endings = append(endings, ending{id, now + l.remaining(now, active)})
+	}
+	sort.Slice(endings, func(i, j int) bool { return endings[i].at < endings[j].at })
+	later := &Ledger{options: l.options, pace: l.pace, engines: l.engines, runs: maps.Clone(l.runs)}
+	for _, next := range endings {
+		engine := later.engines[later.runs[next.id].Engine]
+		delete(later.runs, next.id)
+		if _, fits := later.peakWith(next.at, engine, run); fits && engine.ID != "" {
+			return next.at - now
+		}
+	}
+	return 0
+}
+
+// Len returns the number of runs in the book.
+func (l *Ledger) Len() int { return len(l.runs) }
+
+// projected is a run as it will go on: its size now, and how long until it ends.
+type projected struct {
+	size float64
+	left float64
+}
+
+// peakWith returns the greatest memory that an engine will need with one more
+// run, as a share of what may be given, and whether that is enough.
+func (l *Ledger) peakWith(now time.Duration, engine Engine, run Run) (float64, bool) {
+	run.Started = now
+	runs := []projected{l.project(now, run)}
+	for _, active := range l.runs {
+		if active.Engine != engine.ID {
+			continue
+		}
+		if future := l.project(now, active); future.left > 0 {
+			runs = append(runs, future)
+		}
+	}
+	if len(runs) > engine.Slots && engine.Slots > 0 {
+		return 1, false
+	}
+	peak := l.peak(runs) / (float64(engine.Memory) * l.options.Fill)
+	// A run that no engine could ever hold is let in where nothing else is.
+	return peak, peak <= 1 || len(runs) == 1
+}
+
+// project returns how a run will go on.
+func (l *Ledger) project(now time.Duration, run Run) projected {
+	left := l.remaining(now, run).Seconds()
+	made := l.made(now, run)
+	return projected{size: float64(run.Prompt) + made, left: left}
+}
+
+// made returns how many tokens a run has made.
+func (l *Ledger) made(now time.Duration, run Run) float64 {
+	since := (now - run.Started - l.options.Start).Seconds()
+	return min(max(0, since*l.pace), float64(run.Output)*(1+l.options.Overrun))
+}
+
+// remaining returns how long a run is expected to go on.
+func (l *Ledger) remaining(now time.Duration, run Run) time.Duration {
+	expected := float64(run.Output) - l.made(now, run)
+	tokens := max(expected, float64(run.Output)*l.options.Overrun)
+	if now < run.Started+l.options.Start {
+		tokens += (run.Started + l.options.Start - now).Seconds() * l.pace
+	}
+	return time.Duration(tokens / l.pace * float64(time.Second))
+}
+
+// peak returns the greatest total size of runs that all grow at the learned pace
+// until they end.
+func (l *Ledger) peak(runs []projected) float64 {
+	sort.Slice(runs, func(i, j int) bool { return runs[i].left < runs[j].left })
+	total := 0.0
+	for _, run := range runs {
+		total += run.size
+	}
+	greatest := total
+	for i, run := range runs {
+		// Right before this run ends, it and all later ones have grown so far.
+		alive := float64(len(runs) - i)
+		greatest = max(greatest, total+alive*run.left*l.pace)
+		total -= run.size
+	}
+	return greatest
+}
+
+// forget drops runs whose end was never told.
+func (l *Ledger) forget(now time.Duration) {
+	for id, run := range l.runs {
+		expected := time.Duration(float64(run.Output) / l.pace * float64(time.Second))
+		if now-run.Started > max(shortestMemory, forgottenAfter*expected) {
+			delete(l.runs, id)
+		}
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -13,6 +13,7 @@
 
 	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/objectapi"
@@ -60,6 +61,9 @@
 	syncer  *antientropy.Syncer
 	client  *peer.Client
 	server  *peer.Server
+	// coordinator assigns the engines of the services that this node coordinates.
+	coordinator *coordinator.Coordinator
+	started     time.Time
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
 	settings atomic.Pointer[settings.Router]
@@ -92,7 +96,7 @@
 		}
 	}
 	r := &Router{
-		options: options, metrics: metrics.NewSet(),
+		options: options, metrics: metrics.NewSet(), started: time.Now(),
 		backends: backend.NewRegistry(time.Now), contact: newContact(options.Logger),
 	}
 	r.settings.Store(options.Settings)
@@ -100,7 +104,8 @@
 	clock := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
 	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
-	r.server = peer.NewServer(r.syncer.Handle, clock)
+	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Now: r.now})
+	r.server = peer.NewServer(r.handlePeer, clock)
 	r.gateway = gateway.New(gateway.Options{
 		Zone:     options.Settings.Zone,
 		Dialect:  options.Backplane.Dialect,
@@ -111,8 +116,9 @@
 			Window: options.Settings.RetryWindow,
 			Now:    time.Now,
 		}),
-		Metrics: r.metrics,
-		Logger:  options.Logger,
+		Coordinator: coordinator.NewClient(r, r.client, r.coordinator, r.now),
+		Metrics:     r.metrics,
+		Logger:      options.Logger,
 	})
 	return r
 }
