Change the roles of engines to a share; charge the retry budget truly

Cause: four of nine engines read prompts while decode memory binds. Two arrivals are charged for a start begun anew; the burst of a started node grows over one window; a replaced incarnation is forgotten at once.

--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -26,8 +26,11 @@
 	// NotRun is set where the back end states that the request has not run and
 	// never will.
 	NotRun bool
-	// Misdirected is set where another incarnation than the expected one answered.
+	// Misdirected is set where the back end is not the one that was meant, or not in
+	// the role for the request.
 	Misdirected bool
+	// Replaced is set where another incarnation answered: the expected one is gone.
+	Replaced bool
 }
 
 // Reservation is memory and a slot set aside at a decode engine.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -106,7 +106,7 @@
 	if x.sends >= maxSends || x.left() <= 0 {
 		return false
 	}
-	return x.handler.options.Budget.TryRepeat(x.service)
+	return x.handler.options.Budget.TryRepeat(x.service, 1)
 }
 
 // try sends the request to one back end. The answer is whole, or its rest
@@ -138,7 +138,7 @@
 	}
 	switch {
 	case answer.Misdirected:
-		entry.Failed()
+		x.misdirected(entry, answer)
 		return answer, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	case answer.NotRun:
 		entry.Full(fullMemory)
@@ -151,6 +151,14 @@
 	return answer, nil
 }
 
+// misdirected takes note of an answer of another incarnation.
+func (x *exchange) misdirected(entry *backend.Entry, answer *Answer) {
+	entry.Failed()
+	if answer.Replaced && x.handler.options.Backends.Remove(entry.Backend().ID) {
+		x.handler.options.Logger.Info("back end replaced", "backend", entry.Backend().ID, "request", x.request.ID)
+	}
+}
+
 // tryFailed is the error of a try without a whole answer.
 func (x *exchange) tryFailed(ctx context.Context, entry *backend.Entry, err error) error {
 	x.runs++
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -14,6 +14,9 @@
 const (
 	// maxPrefills bounds how often the prompt of one request is read.
 	maxPrefills = 3
+	// arrivalsOfStart is how many requests reach engines when an answer is begun
+	// once more: one to read the prompt and one to decode.
+	arrivalsOfStart = 2
 	// prefillTimeoutShare is the share of the objective after which a prefill
 	// engine that says nothing is given up.
 	prefillTimeoutShare = 0.7
@@ -51,7 +54,7 @@
 	if !x.route.Resumable || x.runs >= x.route.MaxAttempts {
 		return false
 	}
-	return x.handler.options.Budget.TryRepeat(x.service)
+	return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
 }
 
 // start has an answer begin at a decode engine. Engines that refuse are replaced
@@ -71,7 +74,7 @@
 		if !errors.As(err, &failed) || failed.ran || prefills >= maxPrefills {
 			return nil, nil, err
 		}
-		if failed.arrived && !x.handler.options.Budget.TryRepeat(x.service) {
+		if failed.arrived && !x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart) {
 			return nil, nil, err
 		}
 		x.handler.logRetry(x, err)
@@ -92,6 +95,9 @@
 		return nil, x.decodeFailed(ctx, taken.entry, err)
 	}
 	x.sends++
+	if answer.Misdirected {
+		x.misdirected(taken.entry, answer)
+	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
 		x.discard(ctx, source, *result)
@@ -136,7 +142,7 @@
 		if failure := ended(ctx); failure != nil {
 			return nil, nil, failure
 		}
-		if len(tried) >= maxPrefills || !x.handler.options.Budget.TryRepeat(x.service) {
+		if len(tried) >= maxPrefills || !x.handler.options.Budget.TryRepeat(x.service, 1) {
 			return nil, nil, notRun(ReasonPrefillFailed, retryShed, err)
 		}
 		x.handler.logRetry(x, err)
@@ -168,6 +174,9 @@
 	case err != nil:
 		entry.Failed()
 		return nil, err
+	case result == nil && answer.Misdirected:
+		x.misdirected(entry, answer)
+		return nil, errors.Newf("prefill refused with status %d", answer.Status)
 	case result == nil && answer.NotRun:
 		entry.Full(fullMemory)
 		return nil, errors.Newf("prefill refused with status %d", answer.Status)
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -55,25 +55,33 @@
 	current.requests[current.position()]++
 }
 
-// TryRepeat takes one repeat from the budget of a service. It reports false if
-// the budget is spent.
-func (b *Budget) TryRepeat(service string) bool {
+// TryRepeat takes a number of repeats from the budget of a service. It reports
+// false, and takes none, if the budget does not have them.
+func (b *Budget) TryRepeat(service string, count int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	if sum(current.repeats)+1 > b.options.Burst()+b.options.Ratio*sum(current.requests) {
+	if sum(current.repeats)+float64(count) > b.allowed(current) {
 		return false
 	}
-	current.repeats[current.position()]++
+	current.repeats[current.position()] += float64(count)
 	return true
 }
 
+// allowed returns how many repeats a service may have in this window. What an
+// earlier start of this process has spent is not known, so the burst grows over
+// the first window.
+func (b *Budget) allowed(current *account) float64 {
+	grown := min(1, b.options.Now().Sub(b.started).Seconds()/b.options.Window.Seconds())
+	return b.options.Burst()*grown + b.options.Ratio*sum(current.requests)
+}
+
 // Left returns how many repeats of a service the budget still has.
 func (b *Budget) Left(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	return b.options.Burst() + b.options.Ratio*sum(current.requests) - sum(current.repeats)
+	return b.allowed(current) - sum(current.repeats)
 }
 
 // account returns the account of a service with its old parts cleared.
--- /dev/null
+++ b/roles/controller.go
@@ -0,0 +1,244 @@
+package roles
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/lease"
+)
+
+// EngineReport is what an engine says of its orders.
+type EngineReport struct {
+	Role backend.Role
+	// Sequence is how many orders it has taken.
+	Sequence int64
+	// Changing is set while an order is under way.
+	Changing bool
+}
+
+// Order has an engine take a role.
+type Order struct {
+	Role   backend.Role
+	Holder string
+	Fence  uint64
+	// Expected is the sequence that the engine must have; an order that comes late
+	// is refused by it.
+	Expected int64
+}
+
+// ErrOrderRefused means that the engine will not carry an order out.
+var ErrOrderRefused = errors.New("roles: order refused")
+
+// Dialect is how engines take orders.
+type Dialect interface {
+	// Report asks an engine what it says of its orders.
+	Report(ctx context.Context, target backend.Backend) (EngineReport, error)
+	// ChangeRole gives an order. ErrOrderRefused means that it is not carried out;
+	// after any other error it may be, seconds later.
+	ChangeRole(ctx context.Context, target backend.Backend, order Order) error
+}
+
+// Options are the parts of a Controller.
+type Options struct {
+	Dialect  Dialect
+	Backends *backend.Registry
+	Lease    *lease.Lease
+	// Holder names this node in orders.
+	Holder string
+	// Services returns the services of engines that this node is to look after.
+	Services func() []string
+	Policy   Policy
+	Logger   *slog.Logger
+	// Interval is the time between two looks. Default 1s.
+	Interval time.Duration
+	// Settle is how long a division must have stood before it is changed. Default 2s.
+	Settle time.Duration
+	// LatestOrder is how late an order may be carried out that got no answer. A new
+	// holder waits for so long. Default 13s.
+	LatestOrder time.Duration
+	// ChangeTimeout is how long an engine may take for a change. Default 20s.
+	ChangeTimeout time.Duration
+}
+
+const (
+	defaultInterval      = time.Second
+	defaultSettle        = 2 * time.Second
+	defaultLatestOrder   = 13 * time.Second
+	defaultChangeTimeout = 20 * time.Second
+	// callTimeout bounds one call to an engine or the store.
+	callTimeout = time.Second
+)
+
+// Controller brings the division of engines to the policy.
+type Controller struct {
+	options Options
+
+	mu sync.Mutex
+	// changing holds the engines under an order, until the time given.
+	changing map[string]change
+	// seen is the wanted change of each service, and since when it is wanted.
+	seen map[string]wanted
+}
+
+type change struct {
+	role  backend.Role
+	until time.Time
+}
+
+type wanted struct {
+	change Change
+	since  time.Time
+}
+
+// New returns a controller that does nothing until Run.
+func New(options Options) *Controller {
+	if options.Interval == 0 {
+		options.Interval = defaultInterval
+	}
+	if options.Settle == 0 {
+		options.Settle = defaultSettle
+	}
+	if options.LatestOrder == 0 {
+		options.LatestOrder = defaultLatestOrder
+	}
+	if options.ChangeTimeout == 0 {
+		options.ChangeTimeout = defaultChangeTimeout
+	}
+	return &Controller{options: options, changing: map[string]change{}, seen: map[string]wanted{}}
+}
+
+// Changing reports whether an engine is under an order of this node and has not
+// taken its new role yet.
+func (c *Controller) Changing(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ordered, under := c.changing[id]
+	if !under {
+		return false
+	}
+	entry := c.options.Backends.Lookup(id)
+	if time.Now().After(ordered.until) || entry == nil || entry.Backend().Role == ordered.role {
+		delete(c.changing, id)
+		return false
+	}
+	return true
+}
+
+// Run looks at the division at each interval until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(c.options.Interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, service := range c.options.Services() {
+				c.reconcile(ctx, service)
+			}
+		}
+	}
+}
+
+// reconcile orders one change of a service, if one is due.
+func (c *Controller) reconcile(ctx context.Context, service string) {
+	division, changing := c.division(service)
+	if changing {
+		return
+	}
+	planned := c.options.Policy.Plan(division)
+	if !c.due(service, planned) {
+		return
+	}
+	if err := c.order(ctx, *planned); err != nil {
+		c.options.Logger.Warn("role not changed", "service", service, "engine", planned.Engine,
+			"role", string(planned.Role), "error", err.Error())
+	}
+}
+
+// division returns the engines of each role, and whether one is changing.
+func (c *Controller) division(service string) (Division, bool) {
+	var division Division
+	for _, entry := range c.options.Backends.Ready(service, backend.RolePrefill) {
+		division.Prefill = append(division.Prefill, entry.Backend().ID)
+	}
+	for _, entry := range c.options.Backends.Ready(service, backend.RoleDecode) {
+		division.Decode = append(division.Decode, entry.Backend().ID)
+	}
+	for _, id := range append(append([]string(nil), division.Prefill...), division.Decode...) {
+		if c.Changing(id) {
+			return division, true
+		}
+	}
+	return division, false
+}
+
+// due reports whether a change has been wanted for long enough.
+func (c *Controller) due(service string, planned *Change) bool {
+	if planned == nil {
+		delete(c.seen, service)
+		return false
+	}
+	known, seen := c.seen[service]
+	if !seen || known.change != *planned {
+		c.seen[service] = wanted{*planned, time.Now()}
+		return false
+	}
+	return time.Since(known.since) >= c.options.Settle
+}
+
+// order has one engine change its role, if this node holds the lease.
+func (c *Controller) order(ctx context.Context, planned Change) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	fence, err := c.options.Lease.Acquire(ctx)
+	if err != nil {
+		return err
+	}
+	if !c.options.Lease.WaitedOut(c.options.LatestOrder) {
+		return nil
+	}
+	entry := c.options.Backends.Lookup(planned.Engine)
+	if entry == nil {
+		return nil
+	}
+	target := entry.Backend()
+	report, err := c.options.Dialect.Report(ctx, target)
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	if report.Changing || report.Role == planned.Role {
+		c.note(planned)
+		return nil
+	}
+	// The lease is looked at right before the order is sent.
+	if err := c.options.Lease.Check(callTimeout); err != nil {
+		return err
+	}
+	// An order without an answer may be carried out all the same.
+	c.note(planned)
+	err = c.options.Dialect.ChangeRole(ctx, target, Order{
+		Role: planned.Role, Holder: c.options.Holder, Fence: fence, Expected: report.Sequence,
+	})
+	c.options.Logger.Info("role ordered", "engine", planned.Engine, "role", string(planned.Role),
+		"fence", fence, "expected", report.Sequence, "error", errorText(err))
+	return err
+}
+
+func (c *Controller) note(planned Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changing[planned.Engine] = change{planned.Role, time.Now().Add(c.options.ChangeTimeout)}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/lease"
 	"github.com/reelrun/reelrun/ledger"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/placement"
+	"github.com/reelrun/reelrun/roles"
 )
 
 // now reads the clock by which runs are counted.
@@ -52,14 +56,58 @@
 	}
 	profile := configuration.Services[service].Engine
 	for _, entry := range r.backends.Ready(service, backend.RoleDecode) {
-		if entry.Sound() {
+		if r.assignable(entry) {
 			engines.Decode = append(engines.Decode, ledger.Engine{ID: entry.Backend().ID, Memory: profile.MemoryTokens, Slots: profile.Slots})
 		}
 	}
 	for _, entry := range r.backends.Ready(service, backend.RolePrefill) {
-		if entry.Sound() {
+		if r.assignable(entry) {
 			engines.Prefill = append(engines.Prefill, entry.Backend().ID)
 		}
 	}
 	return engines
 }
+
+// assignable reports whether an engine is given new work.
+func (r *Router) assignable(entry *backend.Entry) bool {
+	return entry.Sound() && !r.roles.Changing(entry.Backend().ID)
+}
+
+const (
+	// leaseRoles names the lease under which roles are ordered.
+	leaseRoles = "roles"
+	// leaseFactor is how much longer the lease lasts than engines ask for.
+	leaseFactor = 2
+)
+
+// newRoleController returns the controller of the engines' roles.
+func (r *Router) newRoleController() *roles.Controller {
+	return roles.New(roles.Options{
+		Dialect:  r.options.Backplane.Dialect,
+		Backends: r.backends,
+		Lease: lease.New(lease.Options{
+			Store: r.options.Backplane.Store, Name: leaseRoles,
+			Holder:   r.options.Settings.Name + "/" + strconv.FormatInt(r.started.UnixNano(), 10),
+			Duration: leaseFactor * r.options.Settings.LeaseDuration,
+		}),
+		Holder:   r.options.Settings.Name,
+		Services: r.coordinatedServices,
+		Logger:   r.options.Logger,
+	})
+}
+
+// coordinatedServices returns the services of engines that this node coordinates.
+func (r *Router) coordinatedServices() []string {
+	configuration := r.gateway.Configuration()
+	if configuration == nil || !r.backends.Synced() {
+		return nil
+	}
+	live := r.Live()
+	var services []string
+	for name, service := range configuration.Services {
+		if service.Engine != nil && placement.Owner(name, live) == r.Own() {
+			services = append(services, name)
+		}
+	}
+	return services
+}
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/retrybudget"
+	"github.com/reelrun/reelrun/roles"
 	"github.com/reelrun/reelrun/routing"
 	"github.com/reelrun/reelrun/settings"
 	"github.com/reelrun/reelrun/timeline"
@@ -28,7 +29,7 @@
 // Backplane is what the daemon meets outside itself.
 type Backplane struct {
 	Store   objectapi.Store
-	Dialect gateway.Dialect
+	Dialect Dialect
 	// ConfigurationKind and BackendKind are the kinds of the objects that hold the
 	// configuration and one back end each.
 	ConfigurationKind objectapi.Kind
@@ -38,6 +39,12 @@
 	DecodeBackend       func(objectapi.Object) (backend.Backend, error)
 }
 
+// Dialect is how callers, back ends and engines are spoken to.
+type Dialect interface {
+	gateway.Dialect
+	roles.Dialect
+}
+
 // Options are the parts of a Router.
 type Options struct {
 	Settings  *settings.Router
@@ -63,6 +70,7 @@
 	server  *peer.Server
 	// coordinator assigns the engines of the services that this node coordinates.
 	coordinator *coordinator.Coordinator
+	roles       *roles.Controller
 	started     time.Time
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
@@ -106,6 +114,7 @@
 	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Now: r.now})
 	r.server = peer.NewServer(r.handlePeer, clock)
+	r.roles = r.newRoleController()
 	r.gateway = gateway.New(gateway.Options{
 		Zone:     options.Settings.Zone,
 		Dialect:  options.Backplane.Dialect,
@@ -156,6 +165,7 @@
 	})
 	group.Go(func() error { r.register(following); return nil })
 	group.Go(func() error { r.syncer.Run(following); return nil })
+	group.Go(func() error { r.roles.Run(ctx); return nil })
 	<-ctx.Done()
 	r.stop(ctx, callerServer)
 	stopFollowing()
