Have refused callers come back one after the other

Change: the coordinator schedules returns, at half the rate at which runs end and up to 5 s ahead; it says which role was short.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -103,7 +103,7 @@
 	answer := response.GetAssignment()
 	return Assignment{
 		Decode: answer.GetDecodeEngine(), Prefill: answer.GetPrefillEngine(),
-		RetryAfter: time.Duration(answer.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: millis(answer.GetRetryAfterMs()), Short: answer.GetShort(),
 	}, nil
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/ledger"
 )
 
@@ -31,6 +32,8 @@
 	Prefill string
 	// RetryAfter is when room is expected, where there is none.
 	RetryAfter time.Duration
+	// Short is the role of which there were too few engines, where there is no room.
+	Short string
 }
 
 // Ended tells of a run that is over.
@@ -82,6 +85,11 @@
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
+	// returns spreads the callers that come back.
+	returns returnSchedule
+	// short is the role of which there were too few engines for the last request
+	// that could not be served.
+	short backend.Role
 }
 
 // waiter is a request without engines.
@@ -154,7 +162,9 @@
 			break
 		}
 	}
-	return Assignment{RetryAfter: current.decode.RoomAfter(c.options.Now(), left.request.Run)}
+	now := c.options.Now()
+	room := current.decode.RoomAfter(now, left.request.Run)
+	return Assignment{RetryAfter: current.returns.next(now, room), Short: string(current.short)}
 }
 
 // End takes a run out of the book and serves those that wait.
@@ -164,6 +174,7 @@
 	current := c.book(ended.Service)
 	current.prefill.done(ended.ID, ended.Prefill)
 	current.decode.End(ended.ID, ended.Duration)
+	current.returns.ended(c.options.Now())
 	c.serve(ended.Service, current)
 }
 
@@ -209,10 +220,12 @@
 	}
 	reader, backlog := current.prefill.shortest(now, engines.Prefill, avoid)
 	if reader == "" || backlog > c.options.MaxPrefillBacklog {
+		current.short = backend.RolePrefill
 		return Assignment{}, false
 	}
 	decoder, ok := current.decode.Assign(now, request.Run, avoid)
 	if !ok {
+		current.short = backend.RoleDecode
 		return Assignment{}, false
 	}
 	current.prefill.add(now, reader, request.Run)
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -16,7 +16,7 @@
 		assignment := c.Assign(ctx, decodeRequest(body.AssignEngines, c.options.Now()))
 		return &peerpb.Response{Body: &peerpb.Response_Assignment{Assignment: &peerpb.Assignment{
 			DecodeEngine: assignment.Decode, PrefillEngine: assignment.Prefill,
-			RetryAfterMs: assignment.RetryAfter.Milliseconds(),
+			RetryAfterMs: assignment.RetryAfter.Milliseconds(), Short: assignment.Short,
 		}}}, nil
 	case *peerpb.Request_EndRun:
 		c.End(Ended{
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -110,6 +110,9 @@
 	answered bool
 	// sends counts arrivals at back ends, runs those that may have run.
 	sends, runs int
+	// short is the role of which there were too few engines, if the coordinator
+	// said so.
+	short string
 	// assignments counts the engines asked for.
 	assignments int
 	// target is the back end of the last send.
@@ -212,7 +215,7 @@
 func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
 	attributes := []any{
 		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds(),
-		"service", x.service, "backend", x.target, "wait_ms", x.waitMillis(), "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
+		"service", x.service, "backend", x.target, "short", x.short, "age_ms", x.age.Milliseconds(), "wait_ms", x.waitMillis(), "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
 	}
 	if x.request != nil {
 		attributes = append(attributes, "request", x.request.ID)
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -21,7 +21,7 @@
 	// begins. Default 1.5s.
 	ReservationLifetime time.Duration
 	// ShortestReturn and LongestReturn bound when a refused caller is told to come
-	// back. Defaults 0.2s and 3.5s.
+	// back. Defaults 0.2s and 4.5s.
 	ShortestReturn time.Duration
 	LongestReturn  time.Duration
 }
@@ -32,7 +32,7 @@
 	defaultReturnWait          = 0.65
 	defaultReservationLifetime = 1500 * time.Millisecond
 	defaultShortestReturn      = 200 * time.Millisecond
-	defaultLongestReturn       = 3500 * time.Millisecond
+	defaultLongestReturn       = 4500 * time.Millisecond
 )
 
 func (p *Policy) setDefaults() {
@@ -77,7 +77,7 @@
 // retryAfter returns when a refused caller is to come back, given when room is
 // expected. Callers that are refused together come back spread out.
 func (p *Policy) retryAfter(room time.Duration) time.Duration {
-	const spread = 0.5
+	const spread = 0.1
 	after := time.Duration(float64(room) * (1 + spread*rand.Float64()))
 	return min(max(after, p.ShortestReturn), p.LongestReturn)
 }
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -105,6 +105,7 @@
 		return nil, err
 	}
 	if assigned.Decode == "" {
+		x.short = assigned.Short
 		return nil, x.noRoom(assigned.RetryAfter)
 	}
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
