Accept a prompt as long as its first token still comes in time

Cause: prompts were refused once 300 ms of reading lay before them, whatever the objective. Change: the request says within what time its first token is to come.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -16,6 +16,9 @@
 	Run     ledger.Run
 	// Wait is how long the request may wait for room.
 	Wait time.Duration
+	// Within is the time in which the first token is to come. A prompt that would
+	// wait too long for it is not accepted.
+	Within time.Duration
 	// Returning is set for a caller that was refused before.
 	Returning bool
 	// Avoid names engines that must not be given.
@@ -60,13 +63,12 @@
 	Now func() time.Duration
 	// Ledger are the assumptions of the books.
 	Ledger ledger.Options
-	// MaxPrefillBacklog is how long a prompt may wait for the prompts before it.
-	// Default 300ms.
-	MaxPrefillBacklog time.Duration
+	// FirstToken is the time from a read prompt to the first token. Default 80ms.
+	FirstToken time.Duration
 }
 
 const (
-	defaultPrefillBacklog = 300 * time.Millisecond
+	defaultFirstToken = 80 * time.Millisecond
 	// retryInterval is how often waiting requests are looked at where nothing ends.
 	retryInterval = 40 * time.Millisecond
 )
@@ -101,8 +103,8 @@
 
 // New returns a coordinator without books.
 func New(options Options) *Coordinator {
-	if options.MaxPrefillBacklog == 0 {
-		options.MaxPrefillBacklog = defaultPrefillBacklog
+	if options.FirstToken == 0 {
+		options.FirstToken = defaultFirstToken
 	}
 	return &Coordinator{options: options, books: map[string]*book{}}
 }
@@ -203,7 +205,7 @@
 	})
 	var still []*waiter
 	for _, queued := range current.waiting {
-		assignment, ok := c.assign(now, current, engines, queued.request)
+		assignment, ok := c.assign(now, current, engines, queued)
 		if !ok {
 			still = append(still, queued)
 			continue
@@ -213,13 +215,15 @@
 	current.waiting = still
 }
 
-func (c *Coordinator) assign(now time.Duration, current *book, engines Engines, request *Request) (Assignment, bool) {
+func (c *Coordinator) assign(now time.Duration, current *book, engines Engines, queued *waiter) (Assignment, bool) {
+	request := queued.request
 	avoid := make(map[string]bool, len(request.Avoid))
 	for _, id := range request.Avoid {
 		avoid[id] = true
 	}
-	reader, backlog := current.prefill.shortest(now, engines.Prefill, avoid)
-	if reader == "" || backlog > c.options.MaxPrefillBacklog {
+	reader, ready := current.prefill.shortest(now, engines.Prefill, request.Run, avoid)
+	left := request.Within - (now - queued.since) - c.options.FirstToken
+	if reader == "" || ready > left {
 		current.short = backend.RolePrefill
 		return Assignment{}, false
 	}
--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -50,29 +50,32 @@
 	return known
 }
 
-// shortest returns the engine at which a prompt waits least, and how long.
-func (q *prefillQueue) shortest(now time.Duration, engines []string, avoid map[string]bool) (string, time.Duration) {
-	best, bestCost := "", time.Duration(0)
-	var bestBacklog time.Duration
+// shortest returns the engine at which a prompt is read first, and how long that
+// takes.
+func (q *prefillQueue) shortest(now time.Duration, engines []string, run ledger.Run, avoid map[string]bool) (string, time.Duration) {
+	best, bestReady := "", time.Duration(0)
 	for _, id := range engines {
 		if avoid[id] {
 			continue
 		}
 		known := q.engine(id)
-		backlog := max(0, known.busyUntil-now)
-		cost := backlog + time.Duration(known.slowness*float64(100*time.Millisecond))
-		if best == "" || cost < bestCost {
-			best, bestCost, bestBacklog = id, cost, backlog
+		ready := max(0, known.busyUntil-now) + known.reading(run)
+		if best == "" || ready < bestReady {
+			best, bestReady = id, ready
 		}
 	}
-	return best, bestBacklog
+	return best, bestReady
+}
+
+// reading returns how long an engine is expected to read a prompt.
+func (e *prefillEngine) reading(run ledger.Run) time.Duration {
+	return time.Duration(float64(run.Prompt) / firstReadingPace * e.slowness * float64(time.Second))
 }
 
 // add puts a prompt into an engine's queue.
 func (q *prefillQueue) add(now time.Duration, id string, run ledger.Run) {
 	known := q.engine(id)
-	reading := time.Duration(float64(run.Prompt) / firstReadingPace * known.slowness * float64(time.Second))
-	known.busyUntil = max(now, known.busyUntil) + reading
+	known.busyUntil = max(now, known.busyUntil) + known.reading(run)
 	q.reading[run.ID] = prompt{engine: id, expected: known.busyUntil - now}
 }
 
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -32,7 +32,7 @@
 func encodeRequest(request *Request, now time.Duration) *peerpb.AssignEngines {
 	encoded := &peerpb.AssignEngines{
 		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
-		Avoid: request.Avoid, Returning: request.Returning,
+		Avoid: request.Avoid, Returning: request.Returning, WithinMs: request.Within.Milliseconds(),
 	}
 	for _, run := range request.Active {
 		encoded.Active = append(encoded.Active, encodeRun(run, now))
@@ -43,7 +43,7 @@
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
 	request := &Request{
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs()),
-		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(),
+		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()),
 	}
 	for _, run := range encoded.GetActive() {
 		request.Active = append(request.Active, decodeRun(run, now))
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -87,6 +87,7 @@
 	request := coordinator.Request{
 		Service:   x.service,
 		Wait:      policy.wait(x.route.Objective, x.returning()) - time.Since(x.arrived),
+		Within:    x.route.Objective - time.Since(x.arrived),
 		Returning: x.returning(),
 		Run: ledger.Run{
 			ID:     x.request.ID + "/" + strconv.Itoa(x.assignments),
