Announce changes of role, and outlast the restart of an engine

Change: an order is announced to all nodes 0.7 s before it is sent, and is given only after the division has stood for 6 s (2 s for the first).

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -222,7 +222,7 @@
 	var best *backend.Entry
 	var bestScore float64
 	for _, entry := range h.options.Backends.Ready(service, role) {
-		if tried[entry.Backend().ID] {
+		if tried[entry.Backend().ID] || !h.options.Assignable(entry) {
 			continue
 		}
 		score := h.score(entry)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -30,6 +30,9 @@
 	// Coordinator assigns engines. Without one, each node chooses by itself, by what
 	// the engines let it reserve.
 	Coordinator Coordinator
+	// Assignable reports whether a back end is given new work, beside its state.
+	// Default: always.
+	Assignable func(entry *backend.Entry) bool
 	// Policy is how engines are chosen; the zero value is the default.
 	Policy Policy
 }
@@ -54,6 +57,9 @@
 // back ends are known.
 func New(options Options) *Handler {
 	options.Policy.setDefaults()
+	if options.Assignable == nil {
+		options.Assignable = func(*backend.Entry) bool { return true }
+	}
 	return &Handler{options: options}
 }
 
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -187,7 +187,7 @@
 func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
 	for _, entry := range h.options.Backends.Ready(service, backend.RoleDecode) {
-		if !avoid[entry.Backend().ID] && entry.Sound() {
+		if !avoid[entry.Backend().ID] && entry.Sound() && h.options.Assignable(entry) {
 			candidates = append(candidates, entry)
 		}
 	}
--- a/roles/controller.go
+++ b/roles/controller.go
@@ -56,8 +56,17 @@
 	Logger   *slog.Logger
 	// Interval is the time between two looks. Default 1s.
 	Interval time.Duration
-	// Settle is how long a division must have stood before it is changed. Default 2s.
+	// FirstSettle is how long a change must be wanted before the first order of this
+	// node. Default 2s.
+	FirstSettle time.Duration
+	// Settle is the same for later orders. It outlasts the restart of an engine.
+	// Default 6s.
 	Settle time.Duration
+	// Announce tells all nodes of an order that is about to be given.
+	Announce func(change Change, fence uint64)
+	// Notice is the time between the announcement and the order, in which answers
+	// whose prompts are being read reach the engine. Default 700ms.
+	Notice time.Duration
 	// LatestOrder is how late an order may be carried out that got no answer. A new
 	// holder waits for so long. Default 13s.
 	LatestOrder time.Duration
@@ -67,7 +76,9 @@
 
 const (
 	defaultInterval      = time.Second
-	defaultSettle        = 2 * time.Second
+	defaultFirstSettle   = 2 * time.Second
+	defaultSettle        = 6 * time.Second
+	defaultNotice        = 700 * time.Millisecond
 	defaultLatestOrder   = 13 * time.Second
 	defaultChangeTimeout = 20 * time.Second
 	// callTimeout bounds one call to an engine or the store.
@@ -81,6 +92,8 @@
 	mu sync.Mutex
 	// changing holds the engines under an order, until the time given.
 	changing map[string]change
+	// ordered is set once this node has given an order.
+	ordered bool
 	// seen is the wanted change of each service, and since when it is wanted.
 	seen map[string]wanted
 }
@@ -100,6 +113,12 @@
 	if options.Interval == 0 {
 		options.Interval = defaultInterval
 	}
+	if options.FirstSettle == 0 {
+		options.FirstSettle = defaultFirstSettle
+	}
+	if options.Notice == 0 {
+		options.Notice = defaultNotice
+	}
 	if options.Settle == 0 {
 		options.Settle = defaultSettle
 	}
@@ -112,8 +131,8 @@
 	return &Controller{options: options, changing: map[string]change{}, seen: map[string]wanted{}}
 }
 
-// Changing reports whether an engine is under an order of this node and has not
-// taken its new role yet.
+// Changing reports whether an engine is under an order and has not taken its new
+// role yet.
 func (c *Controller) Changing(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -189,12 +208,16 @@
 		c.seen[service] = wanted{*planned, time.Now()}
 		return false
 	}
-	return time.Since(known.since) >= c.options.Settle
+	settle := c.options.Settle
+	if !c.ordered {
+		settle = c.options.FirstSettle
+	}
+	return time.Since(known.since) >= settle
 }
 
 // order has one engine change its role, if this node holds the lease.
 func (c *Controller) order(ctx context.Context, planned Change) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+c.options.Notice)
 	defer cancel()
 	fence, err := c.options.Lease.Acquire(ctx)
 	if err != nil {
@@ -212,16 +235,25 @@
 	if err != nil {
 		return errors.Wrap(err, "report")
 	}
+	// An order without an answer may be carried out all the same: the engine counts
+	// as changing from before it is sent.
+	c.Note(planned)
 	if report.Changing || report.Role == planned.Role {
-		c.note(planned)
 		return nil
 	}
+	c.options.Announce(planned, fence)
+	notice := time.NewTimer(c.options.Notice)
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-notice.C:
+	}
 	// The lease is looked at right before the order is sent.
 	if err := c.options.Lease.Check(callTimeout); err != nil {
 		return err
 	}
-	// An order without an answer may be carried out all the same.
-	c.note(planned)
+	c.ordered = true
 	err = c.options.Dialect.ChangeRole(ctx, target, Order{
 		Role: planned.Role, Holder: c.options.Holder, Fence: fence, Expected: report.Sequence,
 	})
@@ -230,7 +262,8 @@
 	return err
 }
 
-func (c *Controller) note(planned Change) {
+// Note takes an engine as changing, by an order of this node or of another one.
+func (c *Controller) Note(planned Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.changing[planned.Engine] = change{planned.Role, time.Now().Add(c.options.ChangeTimeout)}
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"strconv"
 	"time"
 
@@ -9,9 +10,11 @@
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/lease"
 	"github.com/reelrun/reelrun/ledger"
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/placement"
+	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/roles"
 )
 
@@ -92,10 +95,45 @@
 		}),
 		Holder:   r.options.Settings.Name,
 		Services: r.coordinatedServices,
+		Announce: r.announceRole,
 		Logger:   r.options.Logger,
 	})
 }
 
+// kindRoleChange is the kind of the records by which nodes tell each other of
+// orders. They are not in the store.
+const kindRoleChange objectapi.Kind = "rolechanges"
+
+// roleChangeSpec is the content of such a record.
+type roleChangeSpec struct {
+	Engine string       `json:"engine"`
+	Role   backend.Role `json:"role"`
+}
+
+// announceRole tells all nodes that an engine is about to change its role.
+func (r *Router) announceRole(change roles.Change, fence uint64) {
+	spec, err := json.Marshal(roleChangeSpec{Engine: change.Engine, Role: change.Role})
+	if err != nil {
+		r.options.Logger.Error("role change not announced", "error", err.Error())
+		return
+	}
+	// The names of two orders differ, so each record has one version only.
+	name := change.Engine + "/" + strconv.FormatUint(fence, 10) + "/" + string(change.Role)
+	record := replica.Record{Object: objectapi.Object{Kind: kindRoleChange, Name: name, Version: 1, Spec: spec}}
+	r.copy.Apply(replica.SourceStore, record)
+}
+
+// roleAnnounced takes note of another node's order.
+func (r *Router) roleAnnounced(change replica.Change) {
+	var spec roleChangeSpec
+	if err := json.Unmarshal(change.Record.Object.Spec, &spec); err != nil {
+		r.options.Logger.Error("role change refused", "error", err.Error())
+		return
+	}
+	r.roles.Note(roles.Change{Engine: spec.Engine, Role: spec.Role})
+	r.options.Logger.Info("role change announced", "engine", spec.Engine, "role", string(spec.Role), "source", string(change.Source))
+}
+
 // coordinatedServices returns the services of engines that this node coordinates.
 func (r *Router) coordinatedServices() []string {
 	configuration := r.gateway.Configuration()
--- a/router/router.go
+++ b/router/router.go
@@ -126,6 +126,7 @@
 			Now:    time.Now,
 		}),
 		Coordinator: coordinator.NewClient(r, r.client, r.coordinator, r.now),
+		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
 	})
--- a/router/view.go
+++ b/router/view.go
@@ -23,6 +23,8 @@
 		r.configurationChanged(change)
 	case r.options.Backplane.BackendKind:
 		r.backendChanged(change)
+	case kindRoleChange:
+		r.roleAnnounced(change)
 	}
 	if change.Source == replica.SourceStore && r.syncer != nil {
 		r.syncer.News()
