Wait out an engine's refusal; count silence until the deadline as a failure

Servers that said nothing until a request's time was over were still sent to. Change: the coordinator leaves an engine alone for 120 ms after it had no room, and the request waits on in its place; a back end that is silent until the deadline has failed.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,6 +47,8 @@
 	Duration time.Duration
 	// Prefill is how long the prompt took to be read; zero if it was not.
 	Prefill time.Duration
+	// Full is set where the engine had no room for it.
+	Full bool
 }
 
 // Engines are those of a service that take new work.
@@ -174,6 +176,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.book(ended.Service)
+	if ended.Full {
+		current.decode.Full(c.options.Now(), ended.ID)
+	}
 	current.prefill.done(ended.ID, ended.Prefill)
 	current.decode.End(ended.ID, ended.Duration)
 	current.returns.ended(c.options.Now())
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -178,10 +178,13 @@
 // tryFailed is the error of a try without a whole answer.
 func (x *exchange) tryFailed(ctx context.Context, entry *backend.Entry, err error) error {
 	x.runs++
+	if !errors.Is(ctx.Err(), context.Canceled) {
+		// A back end that says nothing until the time is over has failed as well.
+		entry.Failed()
+	}
 	if failure := ended(ctx); failure != nil {
 		return failure
 	}
-	entry.Failed()
 	return &tryError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -23,9 +23,6 @@
 	reserveInterval = 40 * time.Millisecond
 	// fullMemory is how long a back end counts as full after it said so.
 	fullMemory = 100 * time.Millisecond
-	// maxAssignments bounds how often a request is assigned engines that then have
-	// no room.
-	maxAssignments = 3
 )
 
 // seat is room for a run: memory reserved at a decode engine.
@@ -62,12 +59,8 @@
 	if x.handler.options.Coordinator == nil {
 		return x.reserveAlone(ctx, profile, avoid)
 	}
-	refused := map[string]bool{}
-	for id := range avoid {
-		refused[id] = true
-	}
-	for range maxAssignments {
-		taken, err := x.reserveAssigned(ctx, profile, refused)
+	for {
+		taken, err := x.reserveAssigned(ctx, profile, avoid)
 		if errors.Is(err, coordinator.ErrNoCoordinator) {
 			x.handler.options.Metrics.Add("coordinator_missed", 1)
 			return x.reserveAlone(ctx, profile, avoid)
@@ -76,12 +69,11 @@
 			return taken, err
 		}
 	}
-	return nil, x.noRoom(0)
 }
 
 // reserveAssigned takes memory at the engine that the coordinator assigns. The
-// engine may have no room all the same; it is added to those refused then.
-func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, refused map[string]bool) (*seat, error) {
+// result is nil if that engine has no room all the same; the coordinator is told.
+func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
 	policy := &x.handler.options.Policy
 	x.assignments++
 	request := coordinator.Request{
@@ -95,7 +87,7 @@
 			Output: expectedOutput(x.request.Generation),
 		},
 	}
-	for id := range refused {
+	for id := range avoid {
 		request.Avoid = append(request.Avoid, id)
 	}
 	assigned, err := x.handler.options.Coordinator.Assign(ctx, request)
@@ -110,15 +102,12 @@
 		return nil, x.noRoom(assigned.RetryAfter)
 	}
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
-	if entry == nil || entry.Backend().State != backend.StateReady {
-		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID})
-		refused[assigned.Decode] = true
-		return nil, nil
+	var reservation *Reservation
+	if entry != nil && entry.Backend().State == backend.StateReady {
+		reservation, err = x.reserveAt(ctx, entry, profile)
 	}
-	reservation, err := x.reserveAt(ctx, entry, profile)
 	if reservation == nil {
-		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID})
-		refused[assigned.Decode] = true
+		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Full: true})
 		return nil, err
 	}
 	return &seat{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -52,6 +52,8 @@
 	// forgottenAfter is how many times its expected duration a run is kept whose
 	// end was never told.
 	forgottenAfter = 4
+	// refusalPause is how long an engine that had no room is given no run.
+	refusalPause = 120 * time.Millisecond
 	// shortestMemory bounds it from below.
 	shortestMemory = 10 * time.Second
 )
@@ -62,6 +64,9 @@
 	pace    float64
 	engines map[string]Engine
 	runs    map[string]Run
+	// fullUntil holds the engines that refused a run that should have fitted, until
+	// they are given runs again.
+	fullUntil map[string]time.Duration
 }
 
 // New returns an empty book.
@@ -78,7 +83,7 @@
 	if options.Start == 0 {
 		options.Start = defaultStart
 	}
-	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}}
+	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, fullUntil: map[string]time.Duration{}}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
@@ -106,13 +111,21 @@
 	}
 }
 
+// Full notes that the engine of a run had no room for it. The book knows less than
+// the engine then, and leaves it alone for a moment.
+func (l *Ledger) Full(now time.Duration, id string) {
+	if run, known := l.runs[id]; known {
+		l.fullUntil[run.Engine] = now + refusalPause
+	}
+}
+
 // Assign gives a run to the engine that will be the least full, and reports false
 // where none has room.
 func (l *Ledger) Assign(now time.Duration, run Run, avoid map[string]bool) (string, bool) {
 	l.forget(now)
 	best, bestPeak := "", 0.0
 	for id, engine := range l.engines {
-		if avoid[id] {
+		if avoid[id] || now < l.fullUntil[id] {
 			continue
 		}
 		peak, fits := l.peakWith(now, engine, run)
