Leave an engine alone that had room and did not take a run

Ruled out: preemptions (16). Change: such a refusal is told to the coordinator, which gives that engine nothing for 2 s.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -153,7 +153,7 @@
 		// A coordinator that does not hear of it forgets the run by itself.
 		_, _ = c.peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: &peerpb.EndRun{
 			Service: ended.Service, Id: ended.ID,
-			DurationMs: ended.Duration.Milliseconds(), PrefillMs: ended.Prefill.Milliseconds(), Full: ended.Full,
+			DurationMs: ended.Duration.Milliseconds(), PrefillMs: ended.Prefill.Milliseconds(), Refusal: int32(ended.Refusal),
 		}}})
 	}()
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,8 +47,34 @@
 	Duration time.Duration
 	// Prefill is how long the prompt took to be read; zero if it was not.
 	Prefill time.Duration
-	// Full is set where the engine had no room for it.
-	Full bool
+	// Refusal is set where the engine did not take it.
+	Refusal Refusal
+}
+
+// Refusal is how an engine did not take a run.
+type Refusal int32
+
+// The refusals.
+const (
+	// RefusalNone is that of a run that was taken.
+	RefusalNone Refusal = iota
+	// RefusalFull is that of an engine without room.
+	RefusalFull
+	// RefusalClosed is that of an engine that had room and took the run all the same
+	// not: it is changing its role, say, which nobody who lives knows of.
+	RefusalClosed
+)
+
+// pause returns how long an engine is given no run after a refusal.
+func (r Refusal) pause() time.Duration {
+	switch r {
+	case RefusalFull:
+		return pauseFull
+	case RefusalClosed:
+		return pauseClosed
+	default:
+		return 0
+	}
 }
 
 // Engines are those of a service that take new work.
@@ -71,6 +97,10 @@
 
 const (
 	defaultFirstToken = 80 * time.Millisecond
+	// pauseFull is how long an engine that had no room is given no run.
+	pauseFull = 120 * time.Millisecond
+	// pauseClosed is the same after an engine had room and did not take the run.
+	pauseClosed = 2 * time.Second
 	// retryInterval is how often waiting requests are looked at where nothing ends.
 	retryInterval = 40 * time.Millisecond
 )
@@ -176,8 +206,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.book(ended.Service)
-	if ended.Full {
-		current.decode.Full(c.options.Now(), ended.ID)
+	if ended.Refusal != RefusalNone {
+		current.decode.Refused(c.options.Now(), ended.ID, ended.Refusal.pause())
 	}
 	current.prefill.done(ended.ID, ended.Prefill)
 	current.decode.End(ended.ID, ended.Duration)
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -22,7 +22,7 @@
 		c.End(Ended{
 			Service: body.EndRun.GetService(), ID: body.EndRun.GetId(),
 			Duration: millis(body.EndRun.GetDurationMs()), Prefill: millis(body.EndRun.GetPrefillMs()),
-			Full: body.EndRun.GetFull(),
+			Refusal: Refusal(body.EndRun.GetRefusal()),
 		})
 		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
 	default:
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/routing"
 )
 
@@ -100,6 +101,7 @@
 	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
+		taken.refusal = coordinator.RefusalClosed
 		x.discard(ctx, source, *result)
 		return nil, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -38,6 +38,8 @@
 	taken time.Time
 	// prefill is how long the prompt took to be read.
 	prefill time.Duration
+	// refusal is how the engine did not take the run in spite of the reservation.
+	refusal coordinator.Refusal
 	end     func()
 }
 
@@ -47,7 +49,7 @@
 	if s.run == "" {
 		return
 	}
-	ended := coordinator.Ended{Service: s.exchange.service, ID: s.run, Prefill: s.prefill}
+	ended := coordinator.Ended{Service: s.exchange.service, ID: s.run, Prefill: s.prefill, Refusal: s.refusal}
 	if whole {
 		ended.Duration = time.Since(s.taken)
 	}
@@ -107,7 +109,7 @@
 		reservation, err = x.reserveAt(ctx, entry, profile)
 	}
 	if reservation == nil {
-		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Full: true})
+		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Refusal: coordinator.RefusalFull})
 		return nil, err
 	}
 	return &seat{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -52,8 +52,6 @@
 	// forgottenAfter is how many times its expected duration a run is kept whose
 	// end was never told.
 	forgottenAfter = 4
-	// refusalPause is how long an engine that had no room is given no run.
-	refusalPause = 120 * time.Millisecond
 	// shortestMemory bounds it from below.
 	shortestMemory = 10 * time.Second
 )
@@ -64,9 +62,9 @@
 	pace    float64
 	engines map[string]Engine
 	runs    map[string]Run
-	// fullUntil holds the engines that refused a run that should have fitted, until
+	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
-	fullUntil map[string]time.Duration
+	refusedUntil map[string]time.Duration
 }
 
 // New returns an empty book.
@@ -83,7 +81,7 @@
 	if options.Start == 0 {
 		options.Start = defaultStart
 	}
-	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, fullUntil: map[string]time.Duration{}}
+	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
@@ -111,11 +109,11 @@
 	}
 }
 
-// Full notes that the engine of a run had no room for it. The book knows less than
-// the engine then, and leaves it alone for a moment.
-func (l *Ledger) Full(now time.Duration, id string) {
+// Refused notes that the engine of a run did not take it. The book knows less than
+// the engine then, and leaves it alone for a time.
+func (l *Ledger) Refused(now time.Duration, id string, pause time.Duration) {
 	if run, known := l.runs[id]; known {
-		l.fullUntil[run.Engine] = now + refusalPause
+		l.refusedUntil[run.Engine] = max(l.refusedUntil[run.Engine], now+pause)
 	}
 }
 
@@ -125,7 +123,7 @@
 	l.forget(now)
 	best, bestPeak := "", 0.0
 	for id, engine := range l.engines {
-		if avoid[id] || now < l.fullUntil[id] {
+		if avoid[id] || now < l.refusedUntil[id] {
 			continue
 		}
 		peak, fits := l.peakWith(now, engine, run)
