Bound the log; serve metrics on an address of their own

Cause: each line was written by the goroutine that served the request, at any rate; metrics of a node on the platform could not be read. Metrics (counters, gauges with units, latencies) on the first inner port.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -102,3 +102,17 @@
 	defer r.mu.RUnlock()
 	return r.byID[id]
 }
+
+// CountReady returns how many back ends of all services take new work in a role.
+func (r *Registry) CountReady(role Role) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	count := 0
+	for _, entry := range r.byID {
+		current := entry.Backend()
+		if current.State == StateReady && current.Role == role {
+			count++
+		}
+	}
+	return count
+}
--- a/cmd/reelrund/main.go
+++ b/cmd/reelrund/main.go
@@ -14,14 +14,19 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/node"
 	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/settings"
 )
 
+// logCloseTimeout bounds the wait for the reader of the log at the end.
+const logCloseTimeout = 200 * time.Millisecond
+
 // Exit codes.
 const (
 	exitFailure  = 1
@@ -34,7 +39,9 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	if path := os.Getenv(platform.SettingsVariable); path != "" {
-		return runOnPlatform(ctx, path, os.Args[1:], slog.New(slog.NewJSONHandler(os.Stdout, nil)))
+		log := logging.New(os.Stdout, logging.Options{})
+		defer log.Close(logCloseTimeout)
+		return runOnPlatform(ctx, path, os.Args[1:], log.Logger())
 	}
 	return runAlone(ctx, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -34,6 +34,11 @@
 // Add adds delta to the named counter.
 func (s *Set) Add(name string, delta int64) { s.counters.Add(name, delta) }
 
+// Gauge publishes a value that is read when the set is.
+func (s *Set) Gauge(name string, read func() float64) {
+	s.counters.Set(name, expvar.Func(func() any { return read() }))
+}
+
 // Count returns the value of the named counter.
 func (s *Set) Count(name string) int64 {
 	value, ok := s.counters.Get(name).(*expvar.Int)
--- a/router/follow.go
+++ b/router/follow.go
@@ -59,6 +59,8 @@
 	lost map[objectapi.Kind]bool
 	// disturbedAt is when a call last failed.
 	disturbedAt time.Time
+	// answeredAt is when the store last answered.
+	answeredAt time.Time
 }
 
 func newContact(logger *slog.Logger) *contact {
@@ -75,6 +77,9 @@
 		c.logger.Info("store back", "kind", string(kind))
 	}
 	c.lost[kind] = err != nil
+	if err == nil {
+		c.answeredAt = time.Now()
+	}
 	if err != nil {
 		c.disturbedAt = time.Now()
 	}
@@ -86,3 +91,13 @@
 	defer c.mu.Unlock()
 	return !c.disturbedAt.IsZero() && time.Since(c.disturbedAt) < lately
 }
+
+// age returns how long ago the store answered; zero if it never has.
+func (c *contact) age() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.answeredAt.IsZero() {
+		return 0
+	}
+	return time.Since(c.answeredAt)
+}
--- /dev/null
+++ b/router/metrics.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/reelrun/reelrun/backend"
+)
+
+// publishGauges adds what is read when somebody asks.
+func (r *Router) publishGauges() {
+	r.metrics.Gauge("uptime_seconds", func() float64 { return time.Since(r.started).Seconds() })
+	r.metrics.Gauge("configuration_version", func() float64 {
+		if configuration := r.gateway.Configuration(); configuration != nil {
+			return float64(configuration.Version)
+		}
+		return 0
+	})
+	r.metrics.Gauge("store_answer_age_seconds", func() float64 { return r.contact.age().Seconds() })
+	r.metrics.Gauge("nodes_known", func() float64 { return float64(r.nodeCount()) })
+	r.metrics.Gauge("nodes_responsive", func() float64 { return float64(len(r.Live())) })
+	r.metrics.Gauge("services_coordinated", func() float64 { return float64(len(r.coordinatedServices())) })
+	for _, role := range []backend.Role{backend.RoleNone, backend.RolePrefill, backend.RoleDecode} {
+		name := "backends_ready_" + string(role)
+		if role == backend.RoleNone {
+			name = "backends_ready_plain"
+		}
+		r.metrics.Gauge(name, func() float64 { return float64(r.backends.CountReady(role)) })
+	}
+}
+
+// metricsHandler serves all metrics as JSON.
+func (r *Router) metricsHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, r.metrics.String()) // The reader may have left.
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -115,6 +115,7 @@
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Now: r.now})
 	r.server = peer.NewServer(r.handlePeer, clock)
 	r.roles = r.newRoleController()
+	r.publishGauges()
 	r.gateway = gateway.New(gateway.Options{
 		Zone:     options.Settings.Zone,
 		Dialect:  options.Backplane.Dialect,
@@ -153,12 +154,18 @@
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
 	}
+	measured, err := r.options.Listen(r.options.Settings.MetricsAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
 	group, _ := errgroup.WithContext(ctx)
 	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(readyServer, ready) })
+	group.Go(func() error { return serve(metricsServer, measured) })
 	group.Go(func() error { return servePeers(r.server, peers) })
 	group.Go(func() error {
 		r.follow(following, r.options.Backplane.ConfigurationKind, r.options.Backplane.BackendKind, kindNode)
@@ -171,6 +178,7 @@
 	r.stop(ctx, callerServer)
 	stopFollowing()
 	_ = readyServer.Close()
+	_ = metricsServer.Close()
 	_ = peers.Close()
 	r.client.Close()
 	r.server.Close()
