--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -33,6 +33,8 @@
 
 type prompt struct {
 	engine string
+	// reading is how long it was expected to be read.
+	reading time.Duration
 	// expected is how long it was expected to take, waiting included.
 	expected time.Duration
 }
@@ -75,18 +77,24 @@
 // add puts a prompt into an engine's queue.
 func (q *prefillQueue) add(now time.Duration, id string, run ledger.Run) {
 	known := q.engine(id)
-	known.busyUntil = max(now, known.busyUntil) + known.reading(run)
-	q.reading[run.ID] = prompt{engine: id, expected: known.busyUntil - now}
+	reading := known.reading(run)
+	known.busyUntil = max(now, known.busyUntil) + reading
+	q.reading[run.ID] = prompt{engine: id, reading: reading, expected: known.busyUntil - now}
 }
 
-// done takes note of how long a prompt took.
+// done takes note of how long a prompt took; zero means that it was not read, so
+// that those behind it wait less.
 func (q *prefillQueue) done(id string, took time.Duration) {
 	read, known := q.reading[id]
 	delete(q.reading, id)
-	if !known || took <= 0 || read.expected <= 0 {
+	if !known {
 		return
 	}
 	engine := q.engine(read.engine)
+	if took <= 0 {
+		engine.busyUntil -= read.reading
+		return
+	}
 	seen := engine.slowness * took.Seconds() / read.expected.Seconds()
 	engine.slowness += slownessWeight * (seen - engine.slowness)
 	engine.slowness = min(max(engine.slowness, leastSlowness), greatestSlowness)
