--- /dev/null
+++ b/cmd/reelrunctl/explain.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/reelrun/reelrun/explain"
+)
+
+// explainCommand reads logs; it calls no node.
+func explainCommand(shared *command) *ffcli.Command {
+	flags := flag.NewFlagSet("explain", flag.ContinueOnError)
+	request := flags.String("request", "", "the request's identifier")
+	return &ffcli.Command{
+		Name:       "explain",
+		ShortUsage: "reelrunctl explain -request ID [LOG ...]",
+		ShortHelp:  "Show what the logs of several nodes say of a request, in order; without files, standard input.",
+		FlagSet:    flags,
+		Exec: func(_ context.Context, files []string) error {
+			if *request == "" {
+				return errors.Wrap(errUsage, "-request is needed")
+			}
+			return explainRequest(shared.out, *request, files)
+		},
+	}
+}
+
+func explainRequest(output io.Writer, request string, files []string) error {
+	var logs []io.Reader
+	for _, name := range files {
+		log, err := os.Open(name)
+		if err != nil {
+			return errors.Wrap(err, "open log")
+		}
+		defer func() { _ = log.Close() }()
+		logs = append(logs, log)
+	}
+	if len(files) == 0 {
+		logs = append(logs, os.Stdin)
+	}
+	lines, err := explain.Read(request, logs...)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		return errors.Newf("no line on request %s", request)
+	}
+	return explain.Write(output, lines)
+}
--- a/cmd/reelrunctl/main.go
+++ b/cmd/reelrunctl/main.go
@@ -68,7 +68,7 @@
 		Options:    []ff.Option{ff.WithEnvVarPrefix("REELRUNCTL")},
 		Subcommands: []*ffcli.Command{
 			planCommand(shared), confirmCommand(shared), applyCommand(shared), removeCommand(shared), engineCommand(shared),
-			getCommand(shared), statusCommand(shared), timelineCommand(shared), hashCommand(shared),
+			getCommand(shared), statusCommand(shared), timelineCommand(shared), hashCommand(shared), explainCommand(shared),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/cmd/reelrund/platform.go
+++ b/cmd/reelrund/platform.go
@@ -43,6 +43,7 @@
 		fmt.Println("settings: ok")
 		return 0
 	}
+	logger = logger.With("node", parsed.Name)
 	dialer := &net.Dialer{}
 	var daemon *router.Router
 	watchWait := func(kind objectapi.Kind, afterChange bool) time.Duration { return daemon.WatchWait(kind, afterChange) }
--- /dev/null
+++ b/explain/explain.go
@@ -0,0 +1,106 @@
+// Package explain finds in the logs of several nodes what became of a request.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxLineBytes bounds one line of a log.
+const maxLineBytes = 1 << 20
+
+// Line is one line of a log on a request.
+type Line struct {
+	Time    time.Time
+	Node    string
+	Message string
+	// Fields are the others, in the order of their names.
+	Fields []Field
+}
+
+// Field is one attribute of a line.
+type Field struct{ Name, Value string }
+
+// Names of the fields that a line is ordered and found by.
+const (
+	fieldTime    = "time"
+	fieldLevel   = "level"
+	fieldMessage = "msg"
+	fieldNode    = "node"
+	fieldRequest = "request"
+)
+
+// Read returns the lines on a request in the order of their time. Lines that are
+// not JSON are passed over, and so is what stands before the JSON of a line.
+func Read(request string, logs ...io.Reader) ([]Line, error) {
+	var lines []Line
+	for _, log := range logs {
+		scanner := bufio.NewScanner(log)
+		scanner.Buffer(nil, maxLineBytes)
+		for scanner.Scan() {
+			if line, ok := parse(request, scanner.Bytes()); ok {
+				lines = append(lines, line)
+			}
+		}
+		if err := scanner.Err(); err != nil {
+			return nil, errors.Wrap(err, "read log")
+		}
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
+	return lines, nil
+}
+
+// parse returns a line if it is on the request.
+func parse(request string, text []byte) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 || !bytes.Contains(text, []byte(request)) {
+		return Line{}, false
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(text[start:], &fields); err != nil || fields[fieldRequest] != request {
+		return Line{}, false
+	}
+	line := Line{Node: textOf(fields[fieldNode]), Message: textOf(fields[fieldMessage])}
+	line.Time, _ = time.Parse(time.RFC3339Nano, textOf(fields[fieldTime])) // Without a time it comes first.
+	for name, value := range fields {
+		switch name {
+		case fieldTime, fieldLevel, fieldMessage, fieldNode, fieldRequest:
+		default:
+			line.Fields = append(line.Fields, Field{name, textOf(value)})
+		}
+	}
+	sort.Slice(line.Fields, func(i, j int) bool { return line.Fields[i].Name < line.Fields[j].Name })
+	return line, true
+}
+
+func textOf(value any) string {
+	if value == nil {
+		return ""
+	}
+	return fmt.Sprint(value)
+}
+
+// Write prints the lines, one each.
+func Write(output io.Writer, lines []Line) error {
+	for _, line := range lines {
+		var fields strings.Builder
+		for _, field := range line.Fields {
+			if field.Value != "" {
+				fmt.Fprintf(&fields, " %s=%s", field.Name, field.Value)
+			}
+		}
+		const clock = "15:04:05.000"
+		if _, err := fmt.Fprintf(output, "%s %s: %s%s\n", line.Time.Format(clock), line.Node, line.Message, fields.String()); err != nil {
+			return errors.Wrap(err, "write line")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,41 @@
+package explain_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/explain"
+)
+
+func TestLinesOfSeveralNodesInOrder(t *testing.T) {
+	g := NewWithT(t)
+	first := `  1.2 node-a {"time":"2026-05-19T03:26:32.5Z","level":"INFO","msg":"request sent again","node":"node-a","request":"r1","backend":"i-2"}
+not a line
+{"time":"2026-05-19T03:26:33Z","level":"INFO","msg":"request not answered","node":"node-a","request":"r2","reason":"no_room"}
+{"time":"2026-05-19T03:26:33Z","msg":"torn and names r1`
+	second := `{"time":"2026-05-19T03:26:31Z","level":"INFO","msg":"request not answered","node":"node-b","request":"r1","reason":"no_room","short":"decode"}
+{"time":"2026-05-19T03:26:31Z","level":"INFO","msg":"other","node":"node-b","backend":"r1"}
+`
+	lines, err := explain.Read("r1", strings.NewReader(first), strings.NewReader(second))
+	g.Expect(err).NotTo(HaveOccurred())
+	var printed bytes.Buffer
+	g.Expect(explain.Write(&printed, lines)).To(Succeed())
+	g.Expect(printed.String()).To(Equal(`03:26:31.000 node-b: request not answered reason=no_room short=decode
+03:26:32.500 node-a: request sent again backend=i-2
+`))
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add("r1", `{"request":"r1","time":3,"node":[1]}`)
+	f.Fuzz(func(t *testing.T, request, log string) {
+		lines, err := explain.Read(request, strings.NewReader(log))
+		if err == nil {
+			if err := explain.Write(&bytes.Buffer{}, lines); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -232,6 +232,7 @@
 		}
 	}
 	x.answered = true
+	x.status = answer.Status
 	x.writer.WriteHeader(answer.Status)
 }
 
@@ -263,9 +264,3 @@
 	}
 	return score
 }
-
-func (h *Handler) logRetry(x *exchange, err error) {
-	h.options.Metrics.Add("repeats", 1)
-	h.options.Logger.Info("request sent again", "request", x.request.ID, "service", x.service,
-		"backend", x.target, "cause", err.Error(), "budget_left", h.options.Budget.Left(x.service))
-}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -66,6 +66,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		x.timings.room = x.since()
 		answer, err := x.startAt(ctx, taken, lastID)
 		if err == nil {
 			return answer, taken, nil
@@ -139,6 +140,7 @@
 		result, err := x.prefillAt(ctx, entry)
 		if err == nil {
 			taken.prefill = time.Since(started)
+			x.timings.prefill = x.since()
 			return result, entry, nil
 		}
 		if failure := ended(ctx); failure != nil {
@@ -195,6 +197,23 @@
 	exchange *exchange
 	// lastID is the identifier of the last event passed on.
 	lastID string
+	// lastAt is when it was passed on, counted from the request's arrival.
+	lastAt time.Duration
+}
+
+// passedOn takes note of an event.
+func (s *streamRelay) passedOn(id string) {
+	timings := &s.exchange.timings
+	now := s.exchange.since()
+	if timings.first == 0 {
+		timings.first = now
+	} else {
+		timings.pause = max(timings.pause, now-s.lastAt)
+	}
+	s.lastAt = now
+	if id != "" {
+		s.lastID = id
+	}
 }
 
 // relay passes on whole events until the stream ends.
@@ -238,8 +257,6 @@
 		if err := flusher.Flush(); err != nil {
 			return unknown(ReasonCallerLeft, err)
 		}
-		if event.id != "" {
-			s.lastID = event.id
-		}
+		s.passedOn(event.id)
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -122,7 +122,10 @@
 	// assignments counts the engines asked for.
 	assignments int
 	// target is the back end of the last send.
-	target string
+	target  string
+	timings timings
+	// status is that of the back end's answer that was passed on.
+	status int
 	// age is how long ago the caller seems to have asked first, in an attempt that
 	// was refused; zero for a first attempt.
 	age time.Duration
@@ -199,6 +202,7 @@
 	h.options.Metrics.Observe("request_duration", took)
 	if err == nil {
 		h.options.Metrics.Add("requests_answered", 1)
+		h.logAnswered(x, took)
 		return
 	}
 	var final *failure
@@ -217,31 +221,3 @@
 	}
 	final.write(x.writer)
 }
-
-func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
-	attributes := []any{
-		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds(),
-		"service", x.service, "backend", x.target, "short", x.short, "age_ms", x.age.Milliseconds(), "wait_ms", x.waitMillis(), "sends", x.sends, "runs", x.runs, "took_ms", took.Milliseconds(),
-	}
-	if x.request != nil {
-		attributes = append(attributes, "request", x.request.ID)
-	}
-	if x.route != nil {
-		attributes = append(attributes, "route", x.route.Name)
-	}
-	if x.configuration != nil {
-		attributes = append(attributes, "configuration", x.configuration.Version)
-	}
-	if final.cause != nil {
-		attributes = append(attributes, "cause", final.cause.Error())
-	}
-	h.options.Logger.Info("request not answered", attributes...)
-}
-
-// waitMillis returns how long the caller said that it waits, for the log.
-func (x *exchange) waitMillis() int64 {
-	if x.request == nil {
-		return 0
-	}
-	return x.request.Wait.Milliseconds()
-}
--- /dev/null
+++ b/gateway/log.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+)
+
+// timings are the parts of a request's time, each counted from its arrival.
+type timings struct {
+	// room is when memory was reserved, prefill when the prompt had been read and
+	// first when the first event was passed on.
+	room, prefill, first time.Duration
+	// pause is the longest time between two events.
+	pause time.Duration
+}
+
+// since returns how long ago the request arrived.
+func (x *exchange) since() time.Duration { return time.Since(x.arrived) }
+
+// attributes are what each line on a request says.
+func (x *exchange) attributes(took time.Duration) []any {
+	attributes := []any{
+		"service", x.service, "backend", x.target, "sends", x.sends, "runs", x.runs,
+		"age_ms", x.age.Milliseconds(), "took_ms", took.Milliseconds(),
+	}
+	if x.request != nil {
+		attributes = append(attributes, "request", x.request.ID, "wait_ms", x.request.Wait.Milliseconds())
+	}
+	if x.route != nil {
+		attributes = append(attributes, "route", x.route.Name)
+	}
+	if x.configuration != nil {
+		attributes = append(attributes, "configuration", x.configuration.Version)
+	}
+	if x.timings.room > 0 {
+		attributes = append(attributes, "room_ms", x.timings.room.Milliseconds(), "prefill_ms", x.timings.prefill.Milliseconds(),
+			"first_ms", x.timings.first.Milliseconds(), "longest_pause_ms", x.timings.pause.Milliseconds())
+	}
+	return attributes
+}
+
+// logFailure tells of a request that got the gateway's own answer.
+func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
+	attributes := append(x.attributes(took),
+		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds())
+	if x.short != "" {
+		attributes = append(attributes, "short", x.short)
+	}
+	if final.cause != nil {
+		attributes = append(attributes, "cause", final.cause.Error())
+	}
+	h.options.Logger.Info("request not answered", attributes...)
+}
+
+// logRetry tells of a request that is sent once more.
+func (h *Handler) logRetry(x *exchange, err error) {
+	h.options.Metrics.Add("repeats", 1)
+	h.options.Logger.Info("request sent again", append(x.attributes(x.since()),
+		"cause", err.Error(), "budget_left", int(h.options.Budget.Left(x.service)))...)
+}
+
+// logAnswered tells of an answer that is late or a failure of its back end. Other
+// answers cost no line.
+func (h *Handler) logAnswered(x *exchange, took time.Duration) {
+	if x.status >= http.StatusInternalServerError {
+		h.options.Metrics.Add("requests_failed_by_backend", 1)
+		h.options.Logger.Info("request failed by its back end", append(x.attributes(took), "status", x.status)...)
+		return
+	}
+	first := took
+	if x.timings.first > 0 {
+		first = x.timings.first
+	}
+	h.options.Metrics.Observe("request_first_answer", first)
+	late := x.age+first > x.route.Objective
+	paused := x.route.MaxPause > 0 && x.timings.pause > x.route.MaxPause
+	if late || paused {
+		h.options.Metrics.Add("requests_late", 1)
+		h.options.Logger.Info("request late", append(x.attributes(took),
+			"objective_ms", x.route.Objective.Milliseconds(), "max_pause_ms", x.route.MaxPause.Milliseconds())...)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -137,7 +137,7 @@
 // Run serves until the context ends, and then until the requests under way have
 // ended or the grace period is over.
 func (r *Router) Run(ctx context.Context) error {
-	r.options.Logger.Info("start", "node", r.options.Settings.Name, "zone", r.options.Settings.Zone)
+	r.options.Logger.Info("start", "zone", r.options.Settings.Zone)
 	callers, err := r.options.Listen(r.options.Settings.CallerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -183,7 +183,7 @@
 	r.client.Close()
 	r.server.Close()
 	err = group.Wait()
-	r.options.Logger.Info("stopped", "node", r.options.Settings.Name)
+	r.options.Logger.Info("stopped")
 	return err
 }
 
@@ -191,7 +191,7 @@
 // connections are closed and the requests under way run to their end.
 func (r *Router) stop(ctx context.Context, callerServer *http.Server) {
 	started := time.Now()
-	r.options.Logger.Info("stop", "node", r.options.Settings.Name, "grace_ms", r.options.Settings.Grace.Milliseconds())
+	r.options.Logger.Info("stop", "grace_ms", r.options.Settings.Grace.Milliseconds())
 	r.gateway.Drain()
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), started.Add(r.options.Settings.Grace-stopMargin))
 	defer cancel()
