Tell coordinators of all runs each second; learn slowness only from prompts read alone

Ruled out: true queues (prompts took 100 ms); the engines' own refusals. Change: each node tells its coordinator all its runs each second and at once when there is a new one; what it does not name has ended (TestSyncHealsTheBook). A node that leaves withdraws its object first. Without a coordinator the full reservation is taken. Slowness is learned from prompts that waited for none.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -16,6 +16,11 @@
 const (
 	// firstAnswerTimeout is how long a coordinator may take for its first answer.
 	firstAnswerTimeout = 60 * time.Millisecond
+	// lookInterval is how often a node looks whether a service has another
+	// coordinator.
+	lookInterval = 100 * time.Millisecond
+	// syncInterval is how often a coordinator is told of all runs of a node.
+	syncInterval = time.Second
 	// endTimeout bounds the call that tells of a run's end.
 	endTimeout = 300 * time.Millisecond
 	// maxCoordinators bounds how many coordinators one request asks.
@@ -27,14 +32,22 @@
 
 // Fleet tells which nodes live.
 type Fleet interface {
-	// Live returns the addresses of the nodes that seem to live, this one included.
-	Live() []string
+	// Candidates returns the nodes that may coordinate: those that seem to live and
+	// are not leaving.
+	Candidates() []Node
 	// Own returns the address of this node.
 	Own() string
 	// Silent notes that a node did not answer.
 	Silent(address string, err error)
 }
 
+// Node is one start of a node.
+type Node struct {
+	Address string
+	// Incarnation tells one start from another. It is empty while it is not known.
+	Incarnation string
+}
+
 // Client asks the coordinators of services. It is safe for concurrent use.
 type Client struct {
 	fleet Fleet
@@ -45,50 +58,69 @@
 	mu sync.Mutex
 	// runs are this node's runs by service and identifier.
 	runs map[string]map[string]ledger.Run
-	// known is the coordinator that has been told of a service's runs.
-	known map[string]string
+	// told is what the coordinator of each service was last told.
+	told map[string]synced
 }
 
 // NewClient returns a client that asks the local coordinator where this node
 // coordinates itself.
 func NewClient(fleet Fleet, peers *peer.Client, local *Coordinator, now func() time.Duration) *Client {
-	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, known: map[string]string{}}
+	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, told: map[string]synced{}}
 }
 
 // Assign asks for engines.
 func (c *Client) Assign(ctx context.Context, request Request) (Assignment, error) {
 	for range maxCoordinators {
-		address := placement.Owner(request.Service, c.fleet.Live())
-		assignment, err := c.ask(ctx, address, request)
+		node, found := c.coordinator(request.Service)
+		if !found {
+			return Assignment{}, ErrNoCoordinator
+		}
+		assignment, err := c.ask(ctx, node, request)
 		if err == nil {
 			c.remember(request, assignment)
 			return assignment, nil
 		}
+		// It may have been assigned all the same.
+		c.tellEnd(node.Address, Ended{Service: request.Service, ID: request.Run.ID})
 		if ctx.Err() != nil {
-			// It may have been assigned all the same.
-			c.End(Ended{Service: request.Service, ID: request.Run.ID})
 			return Assignment{}, ctx.Err()
 		}
-		c.fleet.Silent(address, err)
+		c.fleet.Silent(node.Address, err)
 	}
 	return Assignment{}, ErrNoCoordinator
 }
 
+// coordinator returns the node that coordinates a service.
+func (c *Client) coordinator(service string) (Node, bool) {
+	candidates := c.fleet.Candidates()
+	addresses := make([]string, len(candidates))
+	for i, candidate := range candidates {
+		addresses[i] = candidate.Address
+	}
+	owner := placement.Owner(service, addresses)
+	for _, candidate := range candidates {
+		if candidate.Address == owner {
+			return candidate, true
+		}
+	}
+	return Node{}, false
+}
+
 // ask asks one coordinator, first without waiting, so that one that does not
 // answer costs little time.
-func (c *Client) ask(ctx context.Context, address string, request Request) (Assignment, error) {
-	request.Active = c.untold(request.Service, address)
-	if address == c.fleet.Own() {
+func (c *Client) ask(ctx context.Context, node Node, request Request) (Assignment, error) {
+	request.Run.Holder = c.fleet.Own()
+	if node.Address == c.fleet.Own() {
 		return c.local.Assign(ctx, &request), nil
 	}
 	wait := request.Wait
 	request.Wait = 0
-	assignment, err := c.call(ctx, address, &request, firstAnswerTimeout)
+	assignment, err := c.call(ctx, node.Address, &request, firstAnswerTimeout)
 	if err != nil || assignment.Decode != "" || wait <= 0 {
 		return assignment, err
 	}
-	request.Wait, request.Active = wait, nil
-	return c.call(ctx, address, &request, wait+firstAnswerTimeout)
+	request.Wait = wait
+	return c.call(ctx, node.Address, &request, wait+firstAnswerTimeout)
 }
 
 func (c *Client) call(ctx context.Context, address string, request *Request, timeout time.Duration) (Assignment, error) {
@@ -107,22 +139,6 @@
 	}, nil
 }
 
-// untold returns this node's runs of a service if the coordinator does not know
-// them yet.
-func (c *Client) untold(service, address string) []ledger.Run {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.known[service] == address {
-		return nil
-	}
-	c.known[service] = address
-	active := make([]ledger.Run, 0, len(c.runs[service]))
-	for _, run := range c.runs[service] {
-		active = append(active, run)
-	}
-	return active
-}
-
 func (c *Client) remember(request Request, assignment Assignment) {
 	if assignment.Decode == "" {
 		return
@@ -137,12 +153,97 @@
 	c.runs[request.Service][run.ID] = run
 }
 
+// Run tells the coordinators of this node's runs, at once where there is a new one
+// and at intervals, until the context ends. What got lost on the way, an end or an
+// assignment, is mended by that.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, service := range c.services() {
+				c.syncService(ctx, service)
+			}
+		}
+	}
+}
+
+// services returns the services of which this node has had runs.
+func (c *Client) services() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	services := make([]string, 0, len(c.runs))
+	for service := range c.runs {
+		services = append(services, service)
+	}
+	return services
+}
+
+// synced is what a coordinator was last told.
+type synced struct {
+	node Node
+	at   time.Duration
+	// count is how many runs there were.
+	count int
+}
+
+// due returns this node's runs of a service if its coordinator is to be told.
+func (c *Client) due(service string, node Node) ([]ledger.Run, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last, now := c.told[service], c.now()
+	runs := c.runs[service]
+	isNew := last.node != node
+	if !isNew && (now-last.at < syncInterval || len(runs)+last.count == 0) {
+		return nil, false
+	}
+	c.told[service] = synced{node: node, at: now, count: len(runs)}
+	listed := make([]ledger.Run, 0, len(runs))
+	for _, run := range runs {
+		listed = append(listed, run)
+	}
+	return listed, true
+}
+
+// syncService tells the coordinator of a service of this node's runs, if that is
+// due.
+func (c *Client) syncService(ctx context.Context, service string) {
+	node, found := c.coordinator(service)
+	if !found {
+		return
+	}
+	runs, isDue := c.due(service, node)
+	if !isDue {
+		return
+	}
+	if node.Address == c.fleet.Own() {
+		c.local.Sync(service, c.fleet.Own(), runs)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, endTimeout)
+	defer cancel()
+	_, err := c.peers.Call(ctx, node.Address, &peerpb.Request{Body: &peerpb.Request_SyncRuns{SyncRuns: &peerpb.SyncRuns{
+		Service: service, Holder: c.fleet.Own(), Runs: encodeRuns(runs, c.now()),
+	}}})
+	if err != nil && ctx.Err() == nil {
+		c.fleet.Silent(node.Address, err)
+	}
+}
+
 // End tells the coordinator that a run is over. It does not wait for the answer.
 func (c *Client) End(ended Ended) {
 	c.mu.Lock()
 	delete(c.runs[ended.Service], ended.ID)
-	address := c.known[ended.Service]
 	c.mu.Unlock()
+	if node, found := c.coordinator(ended.Service); found {
+		c.tellEnd(node.Address, ended)
+	}
+}
+
+func (c *Client) tellEnd(address string, ended Ended) {
 	if address == c.fleet.Own() {
 		c.local.End(ended)
 		return
@@ -150,7 +251,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
-		// A coordinator that does not hear of it forgets the run by itself.
+		// A coordinator that does not hear of it hears it at the next sync.
 		_, _ = c.peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: &peerpb.EndRun{
 			Service: ended.Service, Id: ended.ID,
 			DurationMs: ended.Duration.Milliseconds(), PrefillMs: ended.Prefill.Milliseconds(), Refusal: int32(ended.Refusal),
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -23,9 +23,6 @@
 	Returning bool
 	// Avoid names engines that must not be given.
 	Avoid []string
-	// Active are all runs of the sender, where it has not spoken with this
-	// coordinator lately.
-	Active []ledger.Run
 }
 
 // Assignment answers a Request.
@@ -171,9 +168,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	current := c.book(request.Service)
-	for _, run := range request.Active {
-		current.decode.Restore(run)
-	}
 	queued := &waiter{request: request, since: c.options.Now(), assigned: make(chan Assignment, 1)}
 	current.waiting = append(current.waiting, queued)
 	c.serve(request.Service, current)
@@ -215,6 +209,13 @@
 	c.serve(ended.Service, current)
 }
 
+// Sync takes over all runs of a node.
+func (c *Coordinator) Sync(service, holder string, runs []ledger.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.book(service).decode.Sync(c.options.Now(), holder, runs)
+}
+
 func (c *Coordinator) serveWaiting(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// firstReadingPace is the first guess of how many prompt tokens an engine reads
-	// in a second.
-	firstReadingPace = 50_000.0
+	// usualReadingPace is how many prompt tokens an engine reads in a second, before
+	// its slowness is known.
+	usualReadingPace = 50_000.0
 	// slownessWeight is the weight of one prompt in an engine's slowness.
 	slownessWeight = 0.3
 	// Bounds of an engine's slowness.
 	leastSlowness    = 0.7
-	greatestSlowness = 10.0
+	greatestSlowness = 5.0
 )
 
 // prefillQueue follows the prompts that each prefill engine has before it.
@@ -35,8 +35,10 @@
 	engine string
 	// reading is how long it was expected to be read.
 	reading time.Duration
-	// expected is how long it was expected to take, waiting included.
-	expected time.Duration
+	// usual is how long an engine takes that is not slow.
+	usual time.Duration
+	// alone is set where no other prompt was before it.
+	alone bool
 }
 
 func newPrefillQueue() *prefillQueue {
@@ -69,17 +71,23 @@
 	return best, bestReady
 }
 
+// usualReading returns how long an engine that is not slow reads a prompt.
+func usualReading(run ledger.Run) time.Duration {
+	return time.Duration(float64(run.Prompt) / usualReadingPace * float64(time.Second))
+}
+
 // reading returns how long an engine is expected to read a prompt.
 func (e *prefillEngine) reading(run ledger.Run) time.Duration {
-	return time.Duration(float64(run.Prompt) / firstReadingPace * e.slowness * float64(time.Second))
+	return time.Duration(e.slowness * float64(usualReading(run)))
 }
 
 // add puts a prompt into an engine's queue.
 func (q *prefillQueue) add(now time.Duration, id string, run ledger.Run) {
 	known := q.engine(id)
 	reading := known.reading(run)
+	alone := known.busyUntil <= now
 	known.busyUntil = max(now, known.busyUntil) + reading
-	q.reading[run.ID] = prompt{engine: id, reading: reading, expected: known.busyUntil - now}
+	q.reading[run.ID] = prompt{engine: id, reading: reading, usual: usualReading(run), alone: alone}
 }
 
 // done takes note of how long a prompt took; zero means that it was not read, so
@@ -95,7 +103,10 @@
 		engine.busyUntil -= read.reading
 		return
 	}
-	seen := engine.slowness * took.Seconds() / read.expected.Seconds()
+	// Only a prompt that waited for no other one tells how slow its engine is.
+	if !read.alone || read.usual <= 0 {
+		return
+	}
+	seen := min(max(took.Seconds()/read.usual.Seconds(), leastSlowness), greatestSlowness)
 	engine.slowness += slownessWeight * (seen - engine.slowness)
-	engine.slowness = min(max(engine.slowness, leastSlowness), greatestSlowness)
 }
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -25,44 +25,55 @@
 			Refusal: Refusal(body.EndRun.GetRefusal()),
 		})
 		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
+	case *peerpb.Request_SyncRuns:
+		c.Sync(body.SyncRuns.GetService(), body.SyncRuns.GetHolder(), decodeRuns(body.SyncRuns.GetRuns(), c.options.Now()))
+		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
 	default:
 		return nil, peer.ErrUnknownCall
 	}
 }
 
 func encodeRequest(request *Request, now time.Duration) *peerpb.AssignEngines {
-	encoded := &peerpb.AssignEngines{
+	return &peerpb.AssignEngines{
 		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
 		Avoid: request.Avoid, Returning: request.Returning, WithinMs: request.Within.Milliseconds(),
 	}
-	for _, run := range request.Active {
-		encoded.Active = append(encoded.Active, encodeRun(run, now))
-	}
-	return encoded
 }
 
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
-	request := &Request{
+	return &Request{
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs()),
 		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()),
 	}
-	for _, run := range encoded.GetActive() {
-		request.Active = append(request.Active, decodeRun(run, now))
+}
+
+func encodeRuns(runs []ledger.Run, now time.Duration) []*peerpb.Run {
+	encoded := make([]*peerpb.Run, len(runs))
+	for i, run := range runs {
+		encoded[i] = encodeRun(run, now)
+	}
+	return encoded
+}
+
+func decodeRuns(encoded []*peerpb.Run, now time.Duration) []ledger.Run {
+	runs := make([]ledger.Run, len(encoded))
+	for i, run := range encoded {
+		runs[i] = decodeRun(run, now)
 	}
-	return request
+	return runs
 }
 
 func encodeRun(run ledger.Run, now time.Duration) *peerpb.Run {
 	return &peerpb.Run{
 		Id: run.ID, PromptTokens: int64(run.Prompt), OutputTokens: int64(run.Output),
-		Engine: run.Engine, AgeMs: (now - run.Started).Milliseconds(),
+		Engine: run.Engine, Holder: run.Holder, AgeMs: (now - run.Started).Milliseconds(),
 	}
 }
 
 func decodeRun(encoded *peerpb.Run, now time.Duration) ledger.Run {
 	return ledger.Run{
 		ID: encoded.GetId(), Prompt: int(encoded.GetPromptTokens()), Output: int(encoded.GetOutputTokens()),
-		Engine: encoded.GetEngine(), Started: now - millis(encoded.GetAgeMs()),
+		Engine: encoded.GetEngine(), Holder: encoded.GetHolder(), Started: now - millis(encoded.GetAgeMs()),
 	}
 }
 
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -9,10 +9,13 @@
 // was measured on its own; docs/BENCH.md has the figures.
 type Policy struct {
 	// OutputMargin is how much of the output that the caller expects is reserved at
-	// the engine. Default 0.1: an engine
-	// sets a reservation aside as a whole until its run has ended, and the
-	// coordinator's book already sees to the room that runs grow into.
+	// an engine that the coordinator assigned. Default 0.1: an engine sets a
+	// reservation aside as a whole until its run has ended, and the coordinator's
+	// book already sees to the room that runs grow into.
 	OutputMargin float64
+	// OutputMarginAlone is the same without a coordinator. Default 1.3: only the
+	// reservations at the engine guard its memory then.
+	OutputMarginAlone float64
 	// FirstWait is how long a first attempt waits for room, as a share of the
 	// objective. Default 0.2: a refusal counts as prompt only within a quarter.
 	FirstWait float64
@@ -30,6 +33,7 @@
 
 const (
 	defaultOutputMargin        = 0.1
+	defaultOutputMarginAlone   = 1.3
 	defaultFirstWait           = 0.2
 	defaultReturnWait          = 0.65
 	defaultReservationLifetime = 1500 * time.Millisecond
@@ -39,6 +43,7 @@
 
 func (p *Policy) setDefaults() {
 	setDefault(&p.OutputMargin, defaultOutputMargin)
+	setDefault(&p.OutputMarginAlone, defaultOutputMarginAlone)
 	setDefault(&p.FirstWait, defaultFirstWait)
 	setDefault(&p.ReturnWait, defaultReturnWait)
 	setDefault(&p.ReservationLifetime, defaultReservationLifetime)
@@ -62,9 +67,14 @@
 	return expected
 }
 
-// reservedTokens returns how much memory is reserved for a request.
-func (p *Policy) reservedTokens(generation Generation) int {
-	output := int(float64(expectedOutput(generation)) * p.OutputMargin)
+// reservedTokens returns how much memory is reserved for a request, at an engine
+// that the coordinator assigned or not.
+func (p *Policy) reservedTokens(generation Generation, assigned bool) int {
+	margin := p.OutputMarginAlone
+	if assigned {
+		margin = p.OutputMargin
+	}
+	output := int(float64(expectedOutput(generation)) * margin)
 	return generation.PromptTokens + min(output, generation.MaxOutputTokens)
 }
 
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -106,7 +106,7 @@
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
 	var reservation *Reservation
 	if entry != nil && entry.Backend().State == backend.StateReady {
-		reservation, err = x.reserveAt(ctx, entry, profile)
+		reservation, err = x.reserveAt(ctx, entry, profile, true)
 	}
 	if reservation == nil {
 		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Refusal: coordinator.RefusalFull})
@@ -135,7 +135,7 @@
 	until := x.arrived.Add(wait)
 	for {
 		for _, entry := range x.handler.decodeCandidates(x.service, avoid) {
-			reservation, err := x.reserveAt(ctx, entry, profile)
+			reservation, err := x.reserveAt(ctx, entry, profile, false)
 			if err != nil {
 				return nil, err
 			}
@@ -154,9 +154,9 @@
 
 // reserveAt asks one engine for memory. The result is nil if it has no room or
 // does not answer.
-func (x *exchange) reserveAt(ctx context.Context, entry *backend.Entry, profile *routing.EngineProfile) (*Reservation, error) {
+func (x *exchange) reserveAt(ctx context.Context, entry *backend.Entry, profile *routing.EngineProfile, assigned bool) (*Reservation, error) {
 	policy := &x.handler.options.Policy
-	tokens := min(policy.reservedTokens(x.request.Generation), profile.MemoryTokens)
+	tokens := min(policy.reservedTokens(x.request.Generation, assigned), profile.MemoryTokens)
 	lasting := min(policy.ReservationLifetime, profile.HoldLimit)
 	callContext, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -16,6 +16,8 @@
 	Engine string
 	// Started is when it was given.
 	Started time.Duration
+	// Holder names the node that serves it.
+	Holder string
 }
 
 // Engine is a decode engine.
@@ -49,11 +51,11 @@
 	defaultStart   = 150 * time.Millisecond
 	// paceWeight is the weight of one run in the learned pace.
 	paceWeight = 0.05
-	// forgottenAfter is how many times its expected duration a run is kept whose
-	// end was never told.
-	forgottenAfter = 4
-	// shortestMemory bounds it from below.
-	shortestMemory = 10 * time.Second
+	// silenceLimit is how long the runs of a node are kept that tells nothing of them.
+	silenceLimit = 4 * time.Second
+	// syncSlack is how old a run must be to be missed in what its holder tells: the
+	// assignment of a younger one may still be on its way there.
+	syncSlack = 500 * time.Millisecond
 )
 
 // Ledger is the book.
@@ -65,6 +67,8 @@
 	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
+	// heard is when each holder last told of its runs or asked for an engine.
+	heard map[string]time.Duration
 }
 
 // New returns an empty book.
@@ -81,7 +85,7 @@
 	if options.Start == 0 {
 		options.Start = defaultStart
 	}
-	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}}
+	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
@@ -93,8 +97,24 @@
 	}
 }
 
-// Restore takes over a run that another book gave.
-func (l *Ledger) Restore(run Run) { l.runs[run.ID] = run }
+// Sync takes over all runs of a holder, whichever book gave them. Runs of the
+// holder that it does not name have ended.
+func (l *Ledger) Sync(now time.Duration, holder string, runs []Run) {
+	l.heard[holder] = now
+	named := make(map[string]bool, len(runs))
+	for _, run := range runs {
+		named[run.ID] = true
+		if _, known := l.runs[run.ID]; !known {
+			run.Holder = holder
+			l.runs[run.ID] = run
+		}
+	}
+	for id, run := range l.runs {
+		if run.Holder == holder && !named[id] && now-run.Started > syncSlack {
+			delete(l.runs, id)
+		}
+	}
+}
 
 // End forgets a run. Where its answer was whole, the duration teaches the pace.
 func (l *Ledger) End(id string, duration time.Duration) {
@@ -120,6 +140,7 @@
 // Assign gives a run to the engine that will be the least full, and reports false
 // where none has room.
 func (l *Ledger) Assign(now time.Duration, run Run, avoid map[string]bool) (string, bool) {
+	l.heard[run.Holder] = now
 	l.forget(now)
 	best, bestPeak := "", 0.0
 	for id, engine := range l.engines {
@@ -233,11 +254,10 @@
 	return greatest
 }
 
-// forget drops runs whose end was never told.
+// forget drops the runs of holders that have been silent for too long.
 func (l *Ledger) forget(now time.Duration) {
 	for id, run := range l.runs {
-		expected := time.Duration(float64(run.Output) / l.pace * float64(time.Second))
-		if now-run.Started > max(shortestMemory, forgottenAfter*expected) {
+		if now-l.heard[run.Holder] > silenceLimit {
 			delete(l.runs, id)
 		}
 	}
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -128,14 +128,27 @@
 	g.Expect(after).To(And(BeNumerically(">", time.Second), BeNumerically("<", 4*time.Second)))
 }
 
-// TestForgottenRunsLeaveTheBook never tells of their ends.
-func TestForgottenRunsLeaveTheBook(t *testing.T) {
+// TestRunsOfSilentHoldersLeaveTheBook never tells of their ends.
+func TestRunsOfSilentHoldersLeaveTheBook(t *testing.T) {
 	g := NewWithT(t)
 	book := newLedger(1)
 	for i := range 8 {
-		book.Assign(0, ledger.Run{ID: fmt.Sprint(i), Prompt: 10_000, Output: 1000}, nil)
+		book.Assign(0, ledger.Run{ID: fmt.Sprint(i), Prompt: 10_000, Output: 1000, Holder: "dead"}, nil)
 	}
 	g.Expect(book.Len()).To(Equal(8))
-	book.Assign(time.Minute, ledger.Run{ID: "next", Prompt: 10_000, Output: 1000}, nil)
+	book.Assign(time.Minute, ledger.Run{ID: "next", Prompt: 10_000, Output: 1000, Holder: "alive"}, nil)
+	g.Expect(book.Len()).To(Equal(1))
+}
+
+// TestSyncHealsTheBook loses the ends of runs, and the runs themselves.
+func TestSyncHealsTheBook(t *testing.T) {
+	g := NewWithT(t)
+	book := newLedger(1)
+	book.Assign(0, ledger.Run{ID: "ended", Prompt: 1, Output: 1000, Holder: "a"}, nil)
+	book.Assign(0, ledger.Run{ID: "other", Prompt: 1, Output: 1000, Holder: "b"}, nil)
+	book.Assign(900*time.Millisecond, ledger.Run{ID: "young", Prompt: 1, Output: 1000, Holder: "a"}, nil)
+	book.Sync(time.Second, "a", []ledger.Run{{ID: "unknown", Prompt: 1, Output: 1000, Engine: "e0"}})
+	g.Expect(book.Len()).To(Equal(3), "other, young and unknown")
+	book.Sync(2*time.Second, "a", nil)
 	g.Expect(book.Len()).To(Equal(1))
 }
--- a/router/engines.go
+++ b/router/engines.go
@@ -26,22 +26,26 @@
 	switch request.GetBody().(type) {
 	case *peerpb.Request_CompareReplicas, *peerpb.Request_ExchangeObjects:
 		return r.syncer.Handle(ctx, request)
-	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun:
+	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun, *peerpb.Request_SyncRuns:
 		return r.coordinator.Handle(ctx, request)
 	default:
 		return nil, peer.ErrUnknownCall
 	}
 }
 
-// Live implements coordinator.Fleet.
-func (r *Router) Live() []string {
-	live := []string{r.Own()}
-	for _, address := range r.peers() {
-		if r.syncer.Responsive(address) {
-			live = append(live, address)
+// Candidates implements coordinator.Fleet. A node that is leaving is none itself;
+// that others leave is seen by their objects.
+func (r *Router) Candidates() []coordinator.Node {
+	var candidates []coordinator.Node
+	if !r.leaving.Load() {
+		candidates = append(candidates, coordinator.Node{Address: r.Own(), Incarnation: r.incarnation()})
+	}
+	for _, node := range r.otherNodes() {
+		if r.syncer.Responsive(node.Address) {
+			candidates = append(candidates, node)
 		}
 	}
-	return live
+	return candidates
 }
 
 // Own implements coordinator.Fleet.
@@ -140,10 +144,13 @@
 	if configuration == nil || !r.backends.Synced() {
 		return nil
 	}
-	live := r.Live()
+	var addresses []string
+	for _, candidate := range r.Candidates() {
+		addresses = append(addresses, candidate.Address)
+	}
 	var services []string
 	for name, service := range configuration.Services {
-		if service.Engine != nil && placement.Owner(name, live) == r.Own() {
+		if service.Engine != nil && placement.Owner(name, addresses) == r.Own() {
 			services = append(services, name)
 		}
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
 )
 
@@ -23,38 +25,51 @@
 	Started int64 `json:"started"`
 }
 
-// peers returns the addresses of the other nodes that are known.
-func (r *Router) peers() []string {
-	own := r.options.Settings.PeerAddress
-	seen := map[string]bool{own: true}
-	var addresses []string
-	add := func(address string) {
-		if !seen[address] {
-			seen[address] = true
-			addresses = append(addresses, address)
+// otherNodes returns the other nodes that are known: those with an object in the
+// store, or the seeds where there is none.
+func (r *Router) otherNodes() []coordinator.Node {
+	seen := map[string]bool{r.options.Settings.PeerAddress: true}
+	var nodes []coordinator.Node
+	add := func(node coordinator.Node) {
+		if node.Address != "" && !seen[node.Address] {
+			seen[node.Address] = true
+			nodes = append(nodes, node)
 		}
 	}
 	for _, object := range r.copy.Live(kindNode) {
 		var spec nodeSpec
-		if err := json.Unmarshal(object.Spec, &spec); err == nil && spec.Address != "" {
-			add(spec.Address)
+		if err := json.Unmarshal(object.Spec, &spec); err == nil {
+			add(coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)})
 		}
 	}
-	if len(addresses) == 0 {
+	if len(nodes) == 0 {
 		for _, seed := range r.settings.Load().Seeds {
-			add(seed)
+			add(coordinator.Node{Address: seed})
 		}
 	}
+	return nodes
+}
+
+// peers returns the addresses of the other nodes that are known.
+func (r *Router) peers() []string {
+	nodes := r.otherNodes()
+	addresses := make([]string, len(nodes))
+	for i, node := range nodes {
+		addresses[i] = node.Address
+	}
 	return addresses
 }
 
+// incarnation names this start of the node.
+func (r *Router) incarnation() string { return strconv.FormatInt(r.started.UnixNano(), 10) }
+
 // nodeCount returns how many nodes are known, this one included.
 func (r *Router) nodeCount() int { return max(1, len(r.copy.Live(kindNode))) }
 
 // register writes the node's object, so that others find it.
 func (r *Router) register(ctx context.Context) {
 	spec, err := json.Marshal(nodeSpec{
-		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: time.Now().UnixNano(),
+		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: r.started.UnixNano(),
 	})
 	if err != nil {
 		r.options.Logger.Error("node not registered", "error", err.Error())
@@ -82,6 +97,19 @@
 	return err
 }
 
+// withdraw removes the node's object, so that others stop asking it.
+func (r *Router) withdraw(ctx context.Context) {
+	r.leaving.Store(true)
+	for _, object := range r.copy.Live(kindNode) {
+		if object.Name != r.options.Settings.Name {
+			continue
+		}
+		if err := r.options.Backplane.Store.Delete(ctx, kindNode, object.Name, object.Version); err != nil {
+			r.options.Logger.Warn("node not withdrawn", "error", err.Error())
+		}
+	}
+}
+
 const (
 	// watchInterval is how often, over the whole fleet, a watch of a kind begins
 	// anew. A watch that the store has silently forgotten is noticed then, and the
--- a/router/router.go
+++ b/router/router.go
@@ -70,8 +70,12 @@
 	server  *peer.Server
 	// coordinator assigns the engines of the services that this node coordinates.
 	coordinator *coordinator.Coordinator
-	roles       *roles.Controller
-	started     time.Time
+	// assigner asks the coordinators of all services.
+	assigner *coordinator.Client
+	roles    *roles.Controller
+	started  time.Time
+	// leaving is set at a planned stop.
+	leaving atomic.Bool
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
 	settings atomic.Pointer[settings.Router]
@@ -113,6 +117,7 @@
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
 	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Now: r.now})
+	r.assigner = coordinator.NewClient(r, r.client, r.coordinator, r.now)
 	r.server = peer.NewServer(r.handlePeer, clock)
 	r.roles = r.newRoleController()
 	r.publishGauges()
@@ -126,7 +131,7 @@
 			Window: options.Settings.RetryWindow,
 			Now:    time.Now,
 		}),
-		Coordinator: coordinator.NewClient(r, r.client, r.coordinator, r.now),
+		Coordinator: r.assigner,
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
@@ -173,6 +178,7 @@
 	})
 	group.Go(func() error { r.register(following); return nil })
 	group.Go(func() error { r.syncer.Run(following); return nil })
+	group.Go(func() error { r.assigner.Run(following); return nil })
 	group.Go(func() error { r.roles.Run(ctx); return nil })
 	<-ctx.Done()
 	r.stop(ctx, callerServer)
@@ -193,6 +199,7 @@
 	started := time.Now()
 	r.options.Logger.Info("stop", "grace_ms", r.options.Settings.Grace.Milliseconds())
 	r.gateway.Drain()
+	go r.withdraw(context.WithoutCancel(ctx))
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), started.Add(r.options.Settings.Grace-stopMargin))
 	defer cancel()
 	timer := time.NewTimer(readyDelay)
