Tell the coordinator when a prompt has been read

Change: one more message a request; the queue of each prefill engine holds the prompts that are not read yet, and slowness is the time between two of them.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -248,13 +248,30 @@
 		c.local.End(ended)
 		return
 	}
+	// A coordinator that does not hear of it hears it at the next sync.
+	c.tell(address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: &peerpb.EndRun{
+		Service: ended.Service, Id: ended.ID, DurationMs: ended.Duration.Milliseconds(), Refusal: int32(ended.Refusal),
+	}}})
+}
+
+// PromptRead tells the coordinator that a run's prompt has been read. It does not
+// wait for the answer.
+func (c *Client) PromptRead(service, id string) {
+	node, found := c.coordinator(service)
+	switch {
+	case !found:
+	case node.Address == c.fleet.Own():
+		c.local.PromptRead(service, id)
+	default:
+		c.tell(node.Address, &peerpb.Request{Body: &peerpb.Request_PromptRead{PromptRead: &peerpb.PromptRead{Service: service, Id: id}}})
+	}
+}
+
+// tell calls a node without waiting for its answer.
+func (c *Client) tell(address string, request *peerpb.Request) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
-		// A coordinator that does not hear of it hears it at the next sync.
-		_, _ = c.peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: &peerpb.EndRun{
-			Service: ended.Service, Id: ended.ID,
-			DurationMs: ended.Duration.Milliseconds(), PrefillMs: ended.Prefill.Milliseconds(), Refusal: int32(ended.Refusal),
-		}}})
+		_, _ = c.peers.Call(ctx, address, request)
 	}()
 }
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -42,8 +42,6 @@
 	ID      string
 	// Duration is how long the answer took, if it was whole; otherwise zero.
 	Duration time.Duration
-	// Prefill is how long the prompt took to be read; zero if it was not.
-	Prefill time.Duration
 	// Refusal is set where the engine did not take it.
 	Refusal Refusal
 }
@@ -203,7 +201,7 @@
 	if ended.Refusal != RefusalNone {
 		current.decode.Refused(c.options.Now(), ended.ID, ended.Refusal.pause())
 	}
-	current.prefill.done(ended.ID, ended.Prefill)
+	current.prefill.remove(c.options.Now(), ended.ID, false)
 	current.decode.End(ended.ID, ended.Duration)
 	current.returns.ended(c.options.Now())
 	c.serve(ended.Service, current)
@@ -216,6 +214,15 @@
 	c.book(service).decode.Sync(c.options.Now(), holder, runs)
 }
 
+// PromptRead notes that a run's prompt has been read, and serves those that wait.
+func (c *Coordinator) PromptRead(service, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.book(service)
+	current.prefill.remove(c.options.Now(), id, true)
+	c.serve(service, current)
+}
+
 func (c *Coordinator) serveWaiting(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/reelrun/reelrun/ledger"
@@ -11,7 +12,7 @@
 	// its slowness is known.
 	usualReadingPace = 50_000.0
 	// slownessWeight is the weight of one prompt in an engine's slowness.
-	slownessWeight = 0.3
+	slownessWeight = 0.2
 	// Bounds of an engine's slowness.
 	leastSlowness    = 0.7
 	greatestSlowness = 5.0
@@ -20,29 +21,29 @@
 // prefillQueue follows the prompts that each prefill engine has before it.
 type prefillQueue struct {
 	engines map[string]*prefillEngine
-	// reading holds the prompts that are being read.
-	reading map[string]prompt
+	// reading names the engine of each prompt that is not read yet.
+	reading map[string]string
 }
 
+// prefillEngine is one engine; it reads its prompts in the order in which it was
+// given them.
 type prefillEngine struct {
-	// busyUntil is when the prompts that it was given are expected to be read.
-	busyUntil time.Duration
-	// slowness is how much longer it takes than expected.
+	prompts []prompt
+	// doneAt is when it last had read one.
+	doneAt time.Duration
+	// slowness is how much longer than usual it takes.
 	slowness float64
 }
 
 type prompt struct {
-	engine string
-	// reading is how long it was expected to be read.
-	reading time.Duration
+	id    string
+	given time.Duration
 	// usual is how long an engine takes that is not slow.
 	usual time.Duration
-	// alone is set where no other prompt was before it.
-	alone bool
 }
 
 func newPrefillQueue() *prefillQueue {
-	return &prefillQueue{engines: map[string]*prefillEngine{}, reading: map[string]prompt{}}
+	return &prefillQueue{engines: map[string]*prefillEngine{}, reading: map[string]string{}}
 }
 
 func (q *prefillQueue) engine(id string) *prefillEngine {
@@ -54,6 +55,11 @@
 	return known
 }
 
+// usualReading returns how long an engine that is not slow reads a prompt.
+func usualReading(run ledger.Run) time.Duration {
+	return time.Duration(float64(run.Prompt) / usualReadingPace * float64(time.Second))
+}
+
 // shortest returns the engine at which a prompt is read first, and how long that
 // takes.
 func (q *prefillQueue) shortest(now time.Duration, engines []string, run ledger.Run, avoid map[string]bool) (string, time.Duration) {
@@ -63,7 +69,7 @@
 			continue
 		}
 		known := q.engine(id)
-		ready := max(0, known.busyUntil-now) + known.reading(run)
+		ready := known.backlog(now) + time.Duration(known.slowness*float64(usualReading(run)))
 		if best == "" || ready < bestReady {
 			best, bestReady = id, ready
 		}
@@ -71,42 +77,51 @@
 	return best, bestReady
 }
 
-// usualReading returns how long an engine that is not slow reads a prompt.
-func usualReading(run ledger.Run) time.Duration {
-	return time.Duration(float64(run.Prompt) / usualReadingPace * float64(time.Second))
-}
-
-// reading returns how long an engine is expected to read a prompt.
-func (e *prefillEngine) reading(run ledger.Run) time.Duration {
-	return time.Duration(e.slowness * float64(usualReading(run)))
+// backlog returns how long the engine still reads the prompts that it has.
+func (e *prefillEngine) backlog(now time.Duration) time.Duration {
+	if len(e.prompts) == 0 {
+		return 0
+	}
+	left := time.Duration(0)
+	for _, given := range e.prompts {
+		left += time.Duration(e.slowness * float64(given.usual))
+	}
+	first := e.prompts[0]
+	already := min(now-max(first.given, e.doneAt), time.Duration(e.slowness*float64(first.usual)))
+	return left - already
 }
 
 // add puts a prompt into an engine's queue.
 func (q *prefillQueue) add(now time.Duration, id string, run ledger.Run) {
 	known := q.engine(id)
-	reading := known.reading(run)
-	alone := known.busyUntil <= now
-	known.busyUntil = max(now, known.busyUntil) + reading
-	q.reading[run.ID] = prompt{engine: id, reading: reading, usual: usualReading(run), alone: alone}
+	known.prompts = append(known.prompts, prompt{id: run.ID, given: now, usual: usualReading(run)})
+	q.reading[run.ID] = id
 }
 
-// done takes note of how long a prompt took; zero means that it was not read, so
-// that those behind it wait less.
-func (q *prefillQueue) done(id string, took time.Duration) {
-	read, known := q.reading[id]
-	delete(q.reading, id)
+// remove takes a prompt out of its queue: it has been read, or will not be.
+func (q *prefillQueue) remove(now time.Duration, id string, wasRead bool) {
+	engineID, known := q.reading[id]
 	if !known {
 		return
 	}
-	engine := q.engine(read.engine)
-	if took <= 0 {
-		engine.busyUntil -= read.reading
-		return
+	delete(q.reading, id)
+	engine := q.engine(engineID)
+	at := slices.IndexFunc(engine.prompts, func(given prompt) bool { return given.id == id })
+	read := engine.prompts[at]
+	engine.prompts = slices.Delete(engine.prompts, at, at+1)
+	if wasRead {
+		engine.learn(now, read)
 	}
-	// Only a prompt that waited for no other one tells how slow its engine is.
-	if !read.alone || read.usual <= 0 {
+}
+
+// learn takes note of how long the engine was busy with a prompt: since it was
+// given it, or since it had read the one before.
+func (e *prefillEngine) learn(now time.Duration, read prompt) {
+	took := now - max(read.given, e.doneAt)
+	e.doneAt = now
+	if read.usual <= 0 {
 		return
 	}
 	seen := min(max(took.Seconds()/read.usual.Seconds(), leastSlowness), greatestSlowness)
-	engine.slowness += slownessWeight * (seen - engine.slowness)
+	e.slowness += slownessWeight * (seen - e.slowness)
 }
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -21,10 +21,13 @@
 	case *peerpb.Request_EndRun:
 		c.End(Ended{
 			Service: body.EndRun.GetService(), ID: body.EndRun.GetId(),
-			Duration: millis(body.EndRun.GetDurationMs()), Prefill: millis(body.EndRun.GetPrefillMs()),
-			Refusal: Refusal(body.EndRun.GetRefusal()),
+			Duration: millis(body.EndRun.GetDurationMs()),
+			Refusal:  Refusal(body.EndRun.GetRefusal()),
 		})
 		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
+	case *peerpb.Request_PromptRead:
+		c.PromptRead(body.PromptRead.GetService(), body.PromptRead.GetId())
+		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
 	case *peerpb.Request_SyncRuns:
 		c.Sync(body.SyncRuns.GetService(), body.SyncRuns.GetHolder(), decodeRuns(body.SyncRuns.GetRuns(), c.options.Now()))
 		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -136,10 +136,9 @@
 			return nil, nil, notRun(ReasonPrefillFailed, retryShed, nil)
 		}
 		tried[entry.Backend().ID] = true
-		started := time.Now()
 		result, err := x.prefillAt(ctx, entry)
 		if err == nil {
-			taken.prefill = time.Since(started)
+			taken.promptRead()
 			x.timings.prefill = x.since()
 			return result, entry, nil
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -41,6 +41,8 @@
 type Coordinator interface {
 	// Assign asks for engines. An error means that no coordinator answers.
 	Assign(ctx context.Context, request coordinator.Request) (coordinator.Assignment, error)
+	// PromptRead tells that the prompt of a run has been read.
+	PromptRead(service, id string)
 	// End tells of a run that is over.
 	End(ended coordinator.Ended)
 }
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -36,8 +36,6 @@
 	run string
 	// taken is when the seat was taken.
 	taken time.Time
-	// prefill is how long the prompt took to be read.
-	prefill time.Duration
 	// refusal is how the engine did not take the run in spite of the reservation.
 	refusal coordinator.Refusal
 	end     func()
@@ -49,13 +47,20 @@
 	if s.run == "" {
 		return
 	}
-	ended := coordinator.Ended{Service: s.exchange.service, ID: s.run, Prefill: s.prefill, Refusal: s.refusal}
+	ended := coordinator.Ended{Service: s.exchange.service, ID: s.run, Refusal: s.refusal}
 	if whole {
 		ended.Duration = time.Since(s.taken)
 	}
 	s.exchange.handler.options.Coordinator.End(ended)
 }
 
+// promptRead tells the coordinator that the prompt has been read.
+func (s *seat) promptRead() {
+	if s.run != "" {
+		s.exchange.handler.options.Coordinator.PromptRead(s.exchange.service, s.run)
+	}
+}
+
 // reserve takes memory at a decode engine, waiting a bounded time for it.
 func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
 	if x.handler.options.Coordinator == nil {
--- a/router/engines.go
+++ b/router/engines.go
@@ -26,7 +26,8 @@
 	switch request.GetBody().(type) {
 	case *peerpb.Request_CompareReplicas, *peerpb.Request_ExchangeObjects:
 		return r.syncer.Handle(ctx, request)
-	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun, *peerpb.Request_SyncRuns:
+	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun, *peerpb.Request_SyncRuns,
+		*peerpb.Request_PromptRead:
 		return r.coordinator.Handle(ctx, request)
 	default:
 		return nil, peer.ErrUnknownCall
