--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 					delete(runs, id)
 				}
 			}
-			id := fmt.Sprint(i)
+			id := strconv.Itoa(i)
 			run := trueRun{
 				prompt: rapid.IntRange(100, 11_000).Draw(t, "prompt"), output: rapid.IntRange(1, 10_000).Draw(t, "output"), started: now,
 			}
@@ -93,7 +94,7 @@
 	book := newLedger(3)
 	seen := map[string]bool{}
 	for i := range 3 {
-		engine, ok := book.Assign(0, ledger.Run{ID: fmt.Sprint(i), Prompt: 5000, Output: 2000}, nil)
+		engine, ok := book.Assign(0, ledger.Run{ID: strconv.Itoa(i), Prompt: 5000, Output: 2000}, nil)
 		g.Expect(ok).To(BeTrue())
 		seen[engine] = true
 	}
@@ -118,7 +119,7 @@
 	g := NewWithT(t)
 	book := newLedger(1)
 	for i := range 8 {
-		_, ok := book.Assign(0, ledger.Run{ID: fmt.Sprint(i), Prompt: 9000, Output: 2000 + 100*i}, nil)
+		_, ok := book.Assign(0, ledger.Run{ID: strconv.Itoa(i), Prompt: 9000, Output: 2000 + 100*i}, nil)
 		g.Expect(ok).To(BeTrue())
 	}
 	run := ledger.Run{ID: "next", Prompt: 9000, Output: 2000}
@@ -133,7 +134,7 @@
 	g := NewWithT(t)
 	book := newLedger(1)
 	for i := range 8 {
-		book.Assign(0, ledger.Run{ID: fmt.Sprint(i), Prompt: 10_000, Output: 1000, Holder: "dead"}, nil)
+		book.Assign(0, ledger.Run{ID: strconv.Itoa(i), Prompt: 10_000, Output: 1000, Holder: "dead"}, nil)
 	}
 	g.Expect(book.Len()).To(Equal(8))
 	book.Assign(time.Minute, ledger.Run{ID: "next", Prompt: 10_000, Output: 1000, Holder: "alive"}, nil)
