Let one node at a time coordinate: the one whose object all nodes see

Change: a node is a candidate by its own object in the store; in its first second a book is taken to know only the share of the runs that the nodes heard so far make.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -82,6 +82,8 @@
 type Options struct {
 	// Engines returns the engines of a service.
 	Engines func(service string) Engines
+	// Nodes returns how many nodes may have runs.
+	Nodes func() int
 	// Now reads a monotonic clock.
 	Now func() time.Duration
 	// Ledger are the assumptions of the books.
@@ -96,6 +98,10 @@
 	pauseFull = 120 * time.Millisecond
 	// pauseClosed is the same after an engine had room and did not take the run.
 	pauseClosed = 2 * time.Second
+	// coverageTime is how long a new coordinator may not know all runs.
+	coverageTime = time.Second
+	// leastCoverage bounds the share of them that it is taken to know.
+	leastCoverage = 0.3
 	// retryInterval is how often waiting requests are looked at where nothing ends.
 	retryInterval = 40 * time.Millisecond
 )
@@ -111,6 +117,8 @@
 
 // book is one service.
 type book struct {
+	// opened is when this node began to coordinate the service.
+	opened  time.Duration
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
@@ -239,6 +247,7 @@
 	engines := c.options.Engines(service)
 	current.decode.SetEngines(engines.Decode)
 	now := c.options.Now()
+	current.decode.SetCoverage(c.coverage(now, current))
 	sort.SliceStable(current.waiting, func(i, j int) bool {
 		first, second := current.waiting[i], current.waiting[j]
 		if first.request.Returning != second.request.Returning {
@@ -279,11 +288,21 @@
 	return Assignment{Decode: decoder, Prefill: reader}, true
 }
 
+// coverage returns which share of a service's runs its book is taken to know. A
+// new coordinator hears of them from one node after the other.
+func (c *Coordinator) coverage(now time.Duration, current *book) float64 {
+	nodes := c.options.Nodes()
+	if now-current.opened > coverageTime || nodes == 0 {
+		return 1
+	}
+	return min(1, max(leastCoverage, float64(current.decode.Holders())/float64(nodes)))
+}
+
 // book returns the book of a service; the lock is held.
 func (c *Coordinator) book(service string) *book {
 	current := c.books[service]
 	if current == nil {
-		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue()}
+		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), opened: c.options.Now()}
 		c.books[service] = current
 	}
 	return current
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -67,6 +67,8 @@
 	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
+	// coverage is the share of the runs that the book is taken to know.
+	coverage float64
 	// heard is when each holder last told of its runs or asked for an engine.
 	heard map[string]time.Duration
 }
@@ -85,7 +87,7 @@
 	if options.Start == 0 {
 		options.Start = defaultStart
 	}
-	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}}
+	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, coverage: 1}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
@@ -172,7 +174,7 @@
 		endings = append(endings, ending{id, now + l.remaining(now, active)})
 	}
 	sort.Slice(endings, func(i, j int) bool { return endings[i].at < endings[j].at })
-	later := &Ledger{options: l.options, pace: l.pace, engines: l.engines, runs: maps.Clone(l.runs)}
+	later := &Ledger{options: l.options, pace: l.pace, engines: l.engines, runs: maps.Clone(l.runs), coverage: l.coverage}
 	for _, next := range endings {
 		engine := later.engines[later.runs[next.id].Engine]
 		delete(later.runs, next.id)
@@ -183,6 +185,13 @@
 	return 0
 }
 
+// SetCoverage states which share of the runs the book knows, above 0 and up to 1.
+// Each engine is taken to need as much more as that.
+func (l *Ledger) SetCoverage(share float64) { l.coverage = share }
+
+// Holders returns how many holders the book has heard of.
+func (l *Ledger) Holders() int { return len(l.heard) }
+
 // Len returns the number of runs in the book.
 func (l *Ledger) Len() int { return len(l.runs) }
 
@@ -208,7 +217,7 @@
 	if len(runs) > engine.Slots && engine.Slots > 0 {
 		return 1, false
 	}
-	peak := l.peak(runs) / (float64(engine.Memory) * l.options.Fill)
+	peak := l.peak(runs) / l.coverage / (float64(engine.Memory) * l.options.Fill)
 	// A run that no engine could ever hold is let in where nothing else is.
 	return peak, peak <= 1 || len(runs) == 1
 }
--- a/router/engines.go
+++ b/router/engines.go
@@ -34,12 +34,13 @@
 	}
 }
 
-// Candidates implements coordinator.Fleet. A node that is leaving is none itself;
-// that others leave is seen by their objects.
+// Candidates implements coordinator.Fleet. A node coordinates as long as it has an
+// object in the store, as the others see it as well: not before it has registered,
+// and no longer once it has withdrawn.
 func (r *Router) Candidates() []coordinator.Node {
 	var candidates []coordinator.Node
-	if !r.leaving.Load() {
-		candidates = append(candidates, coordinator.Node{Address: r.Own(), Incarnation: r.incarnation()})
+	if own, registered := r.ownNode(); registered {
+		candidates = append(candidates, own)
 	}
 	for _, node := range r.otherNodes() {
 		if r.syncer.Responsive(node.Address) {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -11,6 +11,7 @@
 
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/replica"
 )
 
 // kindNode is the kind of the objects by which nodes find each other.
@@ -60,8 +61,17 @@
 	return addresses
 }
 
-// incarnation names this start of the node.
-func (r *Router) incarnation() string { return strconv.FormatInt(r.started.UnixNano(), 10) }
+// ownNode returns this start of this node, and whether its object is in the store.
+func (r *Router) ownNode() (coordinator.Node, bool) {
+	own := coordinator.Node{Address: r.Own(), Incarnation: strconv.FormatInt(r.started.UnixNano(), 10)}
+	for _, record := range r.copy.Records([]replica.Key{{Kind: kindNode, Name: r.options.Settings.Name}}) {
+		var spec nodeSpec
+		if err := json.Unmarshal(record.Object.Spec, &spec); err == nil && !record.Deleted {
+			return own, spec.Started == r.started.UnixNano()
+		}
+	}
+	return own, false
+}
 
 // nodeCount returns how many nodes are known, this one included.
 func (r *Router) nodeCount() int { return max(1, len(r.copy.Live(kindNode))) }
@@ -99,7 +109,6 @@
 
 // withdraw removes the node's object, so that others stop asking it.
 func (r *Router) withdraw(ctx context.Context) {
-	r.leaving.Store(true)
 	for _, object := range r.copy.Live(kindNode) {
 		if object.Name != r.options.Settings.Name {
 			continue
