--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -22,10 +23,10 @@
 	for i := range records {
 		deleted := rapid.Bool().Draw(t, "deleted")
 		object := objectapi.Object{
-			Kind: kind, Name: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "name")), Version: int64(i + 1),
+			Kind: kind, Name: strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "name")), Version: int64(i + 1),
 		}
 		if !deleted {
-			object.Spec = []byte(fmt.Sprint(i))
+			object.Spec = []byte(strconv.Itoa(i))
 		}
 		records[i] = replica.Record{Object: object, Deleted: deleted}
 	}
--- a/roles/plan_test.go
+++ b/roles/plan_test.go
@@ -1,7 +1,7 @@
 package roles_test
 
 import (
-	"fmt"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -18,7 +18,7 @@
 		policy := roles.Policy{PrefillShare: rapid.Float64Range(0.01, 0.99).Draw(t, "share")}
 		role := map[string]backend.Role{}
 		for i := range rapid.IntRange(0, 40).Draw(t, "engines") {
-			role[fmt.Sprint(i)] = rapid.SampledFrom([]backend.Role{backend.RolePrefill, backend.RoleDecode}).Draw(t, "role")
+			role[strconv.Itoa(i)] = rapid.SampledFrom([]backend.Role{backend.RolePrefill, backend.RoleDecode}).Draw(t, "role")
 		}
 		moved := map[string]bool{}
 		for {
