--- a/cmd/reelrund/platform.go
+++ b/cmd/reelrund/platform.go
@@ -24,6 +24,9 @@
 func runOnPlatform(ctx context.Context, path string, arguments []string, logger *slog.Logger) int {
 	flags := flag.NewFlagSet("reelrund", flag.ContinueOnError)
 	check := flags.Bool("check", false, "check the settings file and exit")
+	placement := flags.String("placement", string(router.PlacementCoordinator),
+		"who chooses engines: coordinator (one node a service), or reservation (each node asks the engines)")
+	keepRoles := flags.Bool("keep-roles", false, "leave the roles of engines as they are")
 	if err := flags.Parse(arguments); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
 			return 0
@@ -31,6 +34,9 @@
 		return exitSettings
 	}
 	parsed, findings, err := platform.ReadSettings(path)
+	if *placement != string(router.PlacementCoordinator) && *placement != string(router.PlacementReservation) {
+		findings.Addf("-placement", "%q is neither coordinator nor reservation", *placement)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
@@ -48,8 +54,10 @@
 	var daemon *router.Router
 	watchWait := func(kind objectapi.Kind, afterChange bool) time.Duration { return daemon.WatchWait(kind, afterChange) }
 	daemon = router.New(router.Options{
-		Settings: parsed,
-		Logger:   logger,
+		Settings:  parsed,
+		Placement: router.Placement(*placement),
+		KeepRoles: *keepRoles,
+		Logger:    logger,
 		Backplane: router.Backplane{
 			Store:               platform.NewStore(parsed.StoreAddress, dialer.DialContext, watchWait),
 			Dialect:             platform.NewDialect(dialer.DialContext),
--- /dev/null
+++ b/gateway/events_test.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/gomega"
+)
+
+// readAll returns the events of a stream, their identifiers, and how it ended.
+func readAll(body io.Reader) (events []string, ids []string, err error) {
+	reader := newEventReader(body)
+	for {
+		next, err := reader.next()
+		if err != nil || next == nil {
+			return events, ids, err
+		}
+		events = append(events, string(next.bytes))
+		ids = append(ids, next.id)
+	}
+}
+
+func TestEventsKeepTheirBytes(t *testing.T) {
+	g := NewWithT(t)
+	stream := "x-weight-versions: 3\nid: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\n"
+	events, ids, err := readAll(iotest.OneByteReader(bytes.NewBufferString(stream)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ids).To(Equal([]string{"1", "2", ""}))
+	joined := ""
+	for _, event := range events {
+		joined += event
+	}
+	g.Expect(joined).To(Equal(stream))
+}
+
+func TestTornEventIsNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	events, _, err := readAll(bytes.NewBufferString("id: 1\ndata: a\n\nid: 2\ndat"))
+	g.Expect(err).To(MatchError(errTornEvent))
+	g.Expect(events).To(HaveLen(1))
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		events, _, err := readAll(bytes.NewReader(stream))
+		joined := ""
+		for _, event := range events {
+			joined += event
+		}
+		if !bytes.HasPrefix(stream, []byte(joined)) {
+			t.Fatal("bytes were changed")
+		}
+		if err == nil && joined != string(stream) {
+			t.Fatal("a part was lost without an error")
+		}
+		if err != nil && !errors.Is(err, errTornEvent) && len(stream) < maxEventBytes {
+			t.Fatal(err)
+		}
+	})
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -50,6 +50,7 @@
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	options       Options
+	started       time.Time
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
 	waits         longestWaits
@@ -62,7 +63,7 @@
 	if options.Assignable == nil {
 		options.Assignable = func(*backend.Entry) bool { return true }
 	}
-	return &Handler{options: options}
+	return &Handler{options: options, started: time.Now()}
 }
 
 // Configure puts a configuration in force, unless a newer one is. It reports
@@ -90,8 +91,23 @@
 	return !h.draining.Load() && h.configuration.Load() != nil && h.options.Backends.Synced()
 }
 
-// retryNotReady is when a caller comes back to a node that is starting.
-const retryNotReady = 500 * time.Millisecond
+const (
+	// startTime is how long a node usually takes to learn what it needs.
+	startTime = 500 * time.Millisecond
+	// retryStarting is when a caller comes back to a node that has just started.
+	retryStarting = 300 * time.Millisecond
+	// retryStoreAway is when it comes back where the node has learned nothing for
+	// longer: the store is away, and no other node knows anything either.
+	retryStoreAway = 2500 * time.Millisecond
+)
+
+// retryNotReady returns when a caller comes back to a node that is not ready.
+func (h *Handler) retryNotReady() time.Duration {
+	if time.Since(h.started) < startTime {
+		return retryStarting
+	}
+	return retryStoreAway
+}
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -138,7 +154,7 @@
 	h := x.handler
 	x.configuration = h.configuration.Load()
 	if x.configuration == nil || !h.options.Backends.Synced() {
-		return notRun(ReasonNotReady, retryNotReady, nil)
+		return notRun(ReasonNotReady, h.retryNotReady(), nil)
 	}
 	if err := x.read(r); err != nil {
 		return err
--- a/router/router.go
+++ b/router/router.go
@@ -54,8 +54,24 @@
 	Listen func(address string) (net.Listener, error)
 	// Dial opens connections to other nodes. Default net.Dialer.
 	Dial peer.DialFunc
+	// Placement is how engines are chosen. Default PlacementCoordinator.
+	Placement Placement
+	// KeepRoles leaves the roles of engines as they are.
+	KeepRoles bool
 }
 
+// Placement is how engines are chosen.
+type Placement string
+
+// The placements.
+const (
+	// PlacementCoordinator lets one node a service assign its engines.
+	PlacementCoordinator Placement = "coordinator"
+	// PlacementReservation lets each node ask the engines for room. It is the
+	// simplest way, and the baseline of every comparison.
+	PlacementReservation Placement = "reservation"
+)
+
 // Router is the daemon.
 type Router struct {
 	options  Options
@@ -129,7 +145,7 @@
 			Window: options.Settings.RetryWindow,
 			Now:    time.Now,
 		}),
-		Coordinator: r.assigner,
+		Coordinator: r.gatewayCoordinator(),
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
@@ -137,6 +153,14 @@
 	return r
 }
 
+// gatewayCoordinator returns who assigns engines; nil lets each node choose.
+func (r *Router) gatewayCoordinator() gateway.Coordinator {
+	if r.options.Placement == PlacementReservation {
+		return nil
+	}
+	return r.assigner
+}
+
 // Run serves until the context ends, and then until the requests under way have
 // ended or the grace period is over.
 func (r *Router) Run(ctx context.Context) error {
@@ -177,7 +201,9 @@
 	group.Go(func() error { r.register(following); return nil })
 	group.Go(func() error { r.syncer.Run(following); return nil })
 	group.Go(func() error { r.assigner.Run(following); return nil })
-	group.Go(func() error { r.roles.Run(ctx); return nil })
+	if !r.options.KeepRoles {
+		group.Go(func() error { r.roles.Run(ctx); return nil })
+	}
 	<-ctx.Done()
 	r.stop(ctx, callerServer)
 	stopFollowing()
