Count connections between nodes so that closing cannot race with them

Ruled out: the test itself (it closes in the order that the daemon does). Change: connections are counted under the lock that Close takes.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -157,6 +157,34 @@
 	g.Expect(errors.Is(err, ErrMessageTooLarge)).To(BeTrue())
 }
 
+// TestCloseWhileConnectionsArrive opens connections until the server is gone.
+func TestCloseWhileConnectionsArrive(t *testing.T) {
+	for range 50 {
+		server := NewServer(echo, timeline.NewClock(time.Now))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served := make(chan error, 1)
+		go func() { served <- server.Serve(listener) }()
+		dialed := make(chan struct{})
+		go func() {
+			defer close(dialed)
+			for {
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					return
+				}
+				_ = conn.Close()
+			}
+		}()
+		server.Close()
+		_ = listener.Close()
+		<-served
+		<-dialed
+	}
+}
+
 // TestHostileConnectionIsDropped sends bytes that are no session.
 func TestHostileConnectionIsDropped(t *testing.T) {
 	g := NewWithT(t)
--- a/peer/server.go
+++ b/peer/server.go
@@ -45,7 +45,10 @@
 		if err != nil {
 			return err
 		}
-		s.done.Add(1)
+		if !s.begin() {
+			_ = conn.Close()
+			return net.ErrClosed
+		}
 		go func() {
 			defer s.done.Done()
 			s.serveConn(conn)
@@ -53,6 +56,18 @@
 	}
 }
 
+// begin counts a connection, unless the server is closed: Close must not wait
+// while one is added.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.done.Add(1)
+	return true
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	mux, err := yamux.Server(newFrameConn(conn), sessionConfig())
 	if err != nil {
