Pass a slow coordinator over only after three misses; leave small parts without one

What can do it: one late answer of 60 ms made a node take another coordinator, whose book knows no other runs. Change: a coordinator that gives no answer in time is passed over after three misses, one that surely does not live at once; until then the request takes its own way, with a full reservation. A node that hears less than half of the fleet takes its own way as well.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -23,6 +23,8 @@
 	syncInterval = time.Second
 	// endTimeout bounds the call that tells of a run's end.
 	endTimeout = 300 * time.Millisecond
+	// missLimit is how many calls in a row a coordinator may miss.
+	missLimit = 3
 	// maxCoordinators bounds how many coordinators one request asks.
 	maxCoordinators = 2
 )
@@ -33,8 +35,8 @@
 // Fleet tells which nodes live.
 type Fleet interface {
 	// Candidates returns the nodes that may coordinate: those that seem to live and
-	// are not leaving.
-	Candidates() []Node
+	// are not leaving. It also returns how many nodes are known.
+	Candidates() (candidates []Node, known int)
 	// Own returns the address of this node.
 	Own() string
 	// Silent notes that a node did not answer.
@@ -58,6 +60,9 @@
 	mu sync.Mutex
 	// runs are this node's runs by service and identifier.
 	runs map[string]map[string]ledger.Run
+	// misses counts the calls that a coordinator has not answered since its last
+	// answer.
+	misses map[string]int
 	// told is what the coordinator of each service was last told.
 	told map[string]synced
 }
@@ -65,7 +70,7 @@
 // NewClient returns a client that asks the local coordinator where this node
 // coordinates itself.
 func NewClient(fleet Fleet, peers *peer.Client, local *Coordinator, now func() time.Duration) *Client {
-	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, told: map[string]synced{}}
+	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, told: map[string]synced{}, misses: map[string]int{}}
 }
 
 // Assign asks for engines.
@@ -78,6 +83,7 @@
 		assignment, err := c.ask(ctx, node, request)
 		if err == nil {
 			c.remember(request, assignment)
+			c.answered(node.Address)
 			return assignment, nil
 		}
 		// It may have been assigned all the same.
@@ -85,14 +91,40 @@
 		if ctx.Err() != nil {
 			return Assignment{}, ctx.Err()
 		}
-		c.fleet.Silent(node.Address, err)
+		if c.missed(node.Address, err) {
+			return Assignment{}, ErrNoCoordinator
+		}
 	}
 	return Assignment{}, ErrNoCoordinator
 }
 
-// coordinator returns the node that coordinates a service.
+// missed takes note of a coordinator that gave no answer, and reports whether it
+// may only be slow. Another one would know none of the runs of all other nodes, so
+// it is passed over only where it misses again or surely does not live.
+func (c *Client) missed(address string, err error) bool {
+	c.mu.Lock()
+	c.misses[address]++
+	slow := errors.Is(err, context.DeadlineExceeded) && c.misses[address] < missLimit
+	c.mu.Unlock()
+	if !slow {
+		c.fleet.Silent(address, err)
+	}
+	return slow
+}
+
+func (c *Client) answered(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.misses, address)
+}
+
+// coordinator returns the node that coordinates a service. There is none where
+// less than half of the fleet is heard: the greater part has another one.
 func (c *Client) coordinator(service string) (Node, bool) {
-	candidates := c.fleet.Candidates()
+	candidates, known := c.fleet.Candidates()
+	if 2*len(candidates) < known {
+		return Node{}, false
+	}
 	addresses := make([]string, len(candidates))
 	for i, candidate := range candidates {
 		addresses[i] = candidate.Address
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/iotest"
 
@@ -29,11 +30,7 @@
 	events, ids, err := readAll(iotest.OneByteReader(bytes.NewBufferString(stream)))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(ids).To(Equal([]string{"1", "2", ""}))
-	joined := ""
-	for _, event := range events {
-		joined += event
-	}
-	g.Expect(joined).To(Equal(stream))
+	g.Expect(strings.Join(events, "")).To(Equal(stream))
 }
 
 func TestTornEventIsNotPassedOn(t *testing.T) {
@@ -47,10 +44,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		events, _, err := readAll(bytes.NewReader(stream))
-		joined := ""
-		for _, event := range events {
-			joined += event
-		}
+		joined := strings.Join(events, "")
 		if !bytes.HasPrefix(stream, []byte(joined)) {
 			t.Fatal("bytes were changed")
 		}
--- a/router/engines.go
+++ b/router/engines.go
@@ -37,8 +37,7 @@
 // Candidates implements coordinator.Fleet. A node coordinates as long as it has an
 // object in the store, as the others see it as well: not before it has registered,
 // and no longer once it has withdrawn.
-func (r *Router) Candidates() []coordinator.Node {
-	var candidates []coordinator.Node
+func (r *Router) Candidates() (candidates []coordinator.Node, known int) {
 	if own, registered := r.ownNode(); registered {
 		candidates = append(candidates, own)
 	}
@@ -47,7 +46,7 @@
 			candidates = append(candidates, node)
 		}
 	}
-	return candidates
+	return candidates, r.nodeCount()
 }
 
 // Own implements coordinator.Fleet.
@@ -147,7 +146,8 @@
 		return nil
 	}
 	var addresses []string
-	for _, candidate := range r.Candidates() {
+	candidates, _ := r.Candidates()
+	for _, candidate := range candidates {
 		addresses = append(addresses, candidate.Address)
 	}
 	var services []string
