Follow the store from a few nodes; let strong nodes coordinate

Any node coordinated, also those with a fifth of a core. Ruled out: polling (there is none). Change: the first twelve nodes that answer, in the order of a hash, follow the store; the others hear from them. Deletions that may be lapses are held back by those who follow. A node's object tells its capacity, and only those with three quarters of the strongest one's coordinate. Node objects are decoded once.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -34,9 +34,8 @@
 
 // Fleet tells which nodes live.
 type Fleet interface {
-	// Candidates returns the nodes that may coordinate: those that seem to live and
-	// are not leaving. It also returns how many nodes are known.
-	Candidates() (candidates []Node, known int)
+	// Candidates returns the nodes that may coordinate.
+	Candidates() []Node
 	// Own returns the address of this node.
 	Own() string
 	// Silent notes that a node did not answer.
@@ -118,13 +117,9 @@
 	delete(c.misses, address)
 }
 
-// coordinator returns the node that coordinates a service. There is none where
-// less than half of the fleet is heard: the greater part has another one.
+// coordinator returns the node that coordinates a service, if there is one.
 func (c *Client) coordinator(service string) (Node, bool) {
-	candidates, known := c.fleet.Candidates()
-	if 2*len(candidates) < known {
-		return Node{}, false
-	}
+	candidates := c.fleet.Candidates()
 	addresses := make([]string, len(candidates))
 	for i, candidate := range candidates {
 		addresses[i] = candidate.Address
--- a/router/engines.go
+++ b/router/engines.go
@@ -34,19 +34,38 @@
 	}
 }
 
+// strongShare is the share of the strongest node's capacity from which a node
+// coordinates.
+const strongShare = 0.75
+
 // Candidates implements coordinator.Fleet. A node coordinates as long as it has an
 // object in the store, as the others see it as well: not before it has registered,
-// and no longer once it has withdrawn.
-func (r *Router) Candidates() (candidates []coordinator.Node, known int) {
+// and no longer once it has withdrawn. Weak nodes do not, and there is no candidate
+// where less than half of the fleet answers: the greater part has another one.
+func (r *Router) Candidates() []coordinator.Node {
+	var heard []knownNode
 	if own, registered := r.ownNode(); registered {
-		candidates = append(candidates, own)
+		heard = append(heard, own)
 	}
 	for _, node := range r.otherNodes() {
 		if r.syncer.Responsive(node.Address) {
-			candidates = append(candidates, node)
+			heard = append(heard, node)
+		}
+	}
+	if 2*len(heard) < r.nodeCount() {
+		return nil
+	}
+	strongest := 0.0
+	for _, node := range heard {
+		strongest = max(strongest, node.capacity)
+	}
+	var candidates []coordinator.Node
+	for _, node := range heard {
+		if node.capacity >= strongShare*strongest {
+			candidates = append(candidates, node.Node)
 		}
 	}
-	return candidates, r.nodeCount()
+	return candidates
 }
 
 // Own implements coordinator.Fleet.
@@ -146,8 +165,7 @@
 		return nil
 	}
 	var addresses []string
-	candidates, _ := r.Candidates()
-	for _, candidate := range candidates {
+	for _, candidate := range r.Candidates() {
 		addresses = append(addresses, candidate.Address)
 	}
 	var services []string
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
-	"github.com/reelrun/reelrun/replica"
 )
 
 // kindNode is the kind of the objects by which nodes find each other.
@@ -24,31 +24,23 @@
 	Zone    string `json:"zone"`
 	// Started tells one start of a node from another.
 	Started int64 `json:"started"`
+	// Capacity is the node's share of a core.
+	Capacity float64 `json:"capacity"`
 }
 
 // otherNodes returns the other nodes that are known: those with an object in the
 // store, or the seeds where there is none.
-func (r *Router) otherNodes() []coordinator.Node {
-	seen := map[string]bool{r.options.Settings.PeerAddress: true}
-	var nodes []coordinator.Node
-	add := func(node coordinator.Node) {
-		if node.Address != "" && !seen[node.Address] {
-			seen[node.Address] = true
-			nodes = append(nodes, node)
-		}
-	}
-	for _, object := range r.copy.Live(kindNode) {
-		var spec nodeSpec
-		if err := json.Unmarshal(object.Spec, &spec); err == nil {
-			add(coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)})
-		}
+func (r *Router) otherNodes() []knownNode {
+	if others := r.nodes.others(r.Own()); len(others) > 0 {
+		return others
 	}
-	if len(nodes) == 0 {
-		for _, seed := range r.settings.Load().Seeds {
-			add(coordinator.Node{Address: seed})
+	var seeds []knownNode
+	for _, seed := range r.settings.Load().Seeds {
+		if seed != r.Own() {
+			seeds = append(seeds, knownNode{Node: coordinator.Node{Address: seed}})
 		}
 	}
-	return nodes
+	return seeds
 }
 
 // peers returns the addresses of the other nodes that are known.
@@ -62,24 +54,19 @@
 }
 
 // ownNode returns this start of this node, and whether its object is in the store.
-func (r *Router) ownNode() (coordinator.Node, bool) {
-	own := coordinator.Node{Address: r.Own(), Incarnation: strconv.FormatInt(r.started.UnixNano(), 10)}
-	for _, record := range r.copy.Records([]replica.Key{{Kind: kindNode, Name: r.options.Settings.Name}}) {
-		var spec nodeSpec
-		if err := json.Unmarshal(record.Object.Spec, &spec); err == nil && !record.Deleted {
-			return own, spec.Started == r.started.UnixNano()
-		}
-	}
-	return own, false
+func (r *Router) ownNode() (knownNode, bool) {
+	own, found := r.nodes.named(r.options.Settings.Name)
+	return own, found && own.Incarnation == strconv.FormatInt(r.started.UnixNano(), 10)
 }
 
 // nodeCount returns how many nodes are known, this one included.
-func (r *Router) nodeCount() int { return max(1, len(r.copy.Live(kindNode))) }
+func (r *Router) nodeCount() int { return max(1, r.nodes.count()) }
 
 // register writes the node's object, so that others find it.
 func (r *Router) register(ctx context.Context) {
 	spec, err := json.Marshal(nodeSpec{
 		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: r.started.UnixNano(),
+		Capacity: r.options.Settings.Capacity,
 	})
 	if err != nil {
 		r.options.Logger.Error("node not registered", "error", err.Error())
@@ -130,32 +117,45 @@
 	longestWatch = 20 * time.Second
 )
 
-// WatchWait returns how long the next watch of a kind waits. Nodes begin their
-// watches anew one after the other, in the order of their names, so that the
-// calls of the fleet stay the same however many nodes there are. After a change,
-// which ends the watches of all nodes, the order begins anew.
+// maxWatchers is how many nodes follow the store. The others hear from them: the
+// calls of the fleet do not grow with it. It is above what an outage for a part of
+// the nodes, or the loss of a zone, takes away.
+const maxWatchers = 12
+
+// WatchWait returns how long the next watch of a kind waits. Watchers begin their
+// watches anew one after the other. After a change, which ends the watches of all
+// of them, the order begins anew.
 func (r *Router) WatchWait(kind objectapi.Kind, afterChange bool) time.Duration {
 	if kind == kindNode {
 		return longestWatch
 	}
 	count, position := r.place()
-	turns := count
+	turns := min(count, maxWatchers)
 	if afterChange {
-		turns = position + 1
+		turns = position%maxWatchers + 1
 	}
-	slots := int(longestWatch / watchInterval)
-	wait := watchInterval * time.Duration((turns-1)%slots+1)
-	return max(wait, shortestWatch)
+	return max(watchInterval*time.Duration(turns), shortestWatch)
 }
 
-// place returns the number of nodes and the position of this one in the order of
-// names.
+// isWatcher reports whether this node follows the store: it is among the first of
+// those that answer.
+func (r *Router) isWatcher() bool {
+	_, position := r.place()
+	return position < maxWatchers
+}
+
+// place returns the number of nodes that answer and the position of this one among
+// them, in the order of a hash of their addresses: the zones mix in it.
 func (r *Router) place() (count, position int) {
-	for _, object := range r.copy.Live(kindNode) {
-		if object.Name < r.options.Settings.Name {
-			position++
+	own := xxhash.Sum64String(r.Own())
+	for _, node := range r.otherNodes() {
+		if !r.syncer.Responsive(node.Address) {
+			continue
 		}
 		count++
+		if xxhash.Sum64String(node.Address) < own {
+			position++
+		}
 	}
-	return max(1, count), position
+	return count + 1, position
 }
--- a/router/follow.go
+++ b/router/follow.go
@@ -21,7 +21,10 @@
 
 // Replace implements objectapi.Follower.
 func (f *follower) Replace(objects []objectapi.Object, revision int64) {
-	f.copy.Replace(f.kind, objects, revision)
+	for _, object := range objects {
+		f.copy.Apply(replica.SourceStore, replica.Record{Object: object})
+	}
+	f.whenLapsed(func() { f.copy.Replace(f.kind, objects, revision) })
 	if f.listed != nil {
 		f.listed()
 	}
@@ -29,25 +32,74 @@
 
 // Apply implements objectapi.Follower.
 func (f *follower) Apply(event objectapi.Event) {
-	f.copy.Apply(replica.SourceStore, replica.Record{Object: event.Object, Deleted: event.Deleted})
+	record := replica.Record{Object: event.Object, Deleted: event.Deleted}
+	if !event.Deleted {
+		f.copy.Apply(replica.SourceStore, record)
+		return
+	}
+	f.whenLapsed(func() { f.copy.Apply(replica.SourceStore, record) })
+}
+
+const (
+	// lapseWindow is how long after a failure of the store an entry that is gone
+	// may only have lapsed, because its back end could not renew it.
+	lapseWindow = 4 * time.Second
+	// lapseGrace is how long such an entry is still kept. Those of live back ends are
+	// back in the store about two seconds after it.
+	lapseGrace = 1800 * time.Millisecond
+)
+
+// whenLapsed takes a deletion over, at once or, where the entry may only have
+// lapsed, a little later: what has been written again by then is newer and stays.
+func (f *follower) whenLapsed(takeOver func()) {
+	if f.contact.disturbed(lapseWindow) {
+		time.AfterFunc(lapseGrace, takeOver)
+		return
+	}
+	takeOver()
 }
 
 // Contact implements objectapi.Follower.
 func (f *follower) Contact(err error) { f.contact.observe(f.kind, err) }
 
-// follow keeps the copies of the given kinds up to date until the context ends.
+// watcherInterval is how often a node looks whether it is to follow the store.
+const watcherInterval = 500 * time.Millisecond
+
+// follow keeps the copies of the given kinds up to date until the context ends,
+// from the store while this node is a watcher, and from other nodes otherwise.
 func (r *Router) follow(ctx context.Context, kinds ...objectapi.Kind) {
-	var following sync.WaitGroup
-	for _, kind := range kinds {
-		following.Go(func() {
-			fed := &follower{kind: kind, copy: r.copy, contact: r.contact}
-			if kind == r.options.Backplane.BackendKind {
-				fed.listed = r.backends.SetSynced
-			}
-			objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
-		})
+	ticker := time.NewTicker(watcherInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		watching, stop := context.WithCancel(ctx)
+		var following sync.WaitGroup
+		for _, kind := range kinds {
+			following.Go(func() { r.followKind(watching, kind) })
+		}
+		r.waitFor(ctx, ticker, func() bool { return !r.isWatcher() })
+		stop()
+		following.Wait()
+		r.options.Logger.Info("store followed by others")
+		r.waitFor(ctx, ticker, r.isWatcher)
+	}
+}
+
+// waitFor returns when a condition holds or the context has ended.
+func (r *Router) waitFor(ctx context.Context, ticker *time.Ticker, holds func() bool) {
+	for ctx.Err() == nil && !holds() {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Router) followKind(ctx context.Context, kind objectapi.Kind) {
+	fed := &follower{kind: kind, copy: r.copy, contact: r.contact}
+	if kind == r.options.Backplane.BackendKind {
+		fed.listed = r.backends.SetSynced
 	}
-	following.Wait()
+	objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
 }
 
 // contact knows whether the store answers, and logs when it is lost and when it
--- /dev/null
+++ b/router/nodes.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"encoding/json"
+	"strconv"
+	"sync"
+
+	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/replica"
+)
+
+// knownNode is a node as its object tells of it.
+type knownNode struct {
+	coordinator.Node
+	capacity float64
+}
+
+// nodeList holds the nodes that have an object, decoded once. It is safe for
+// concurrent use.
+type nodeList struct {
+	mu     sync.RWMutex
+	byName map[string]knownNode
+}
+
+// take puts a newer version of a node's object into the list.
+func (l *nodeList) take(record replica.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byName == nil {
+		l.byName = map[string]knownNode{}
+	}
+	if record.Deleted {
+		delete(l.byName, record.Object.Name)
+		return nil
+	}
+	var spec nodeSpec
+	if err := json.Unmarshal(record.Object.Spec, &spec); err != nil {
+		return err
+	}
+	l.byName[record.Object.Name] = knownNode{
+		Node:     coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
+		capacity: spec.Capacity,
+	}
+	return nil
+}
+
+// named returns a node by the name of its object.
+func (l *nodeList) named(name string) (knownNode, bool) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	node, found := l.byName[name]
+	return node, found
+}
+
+// others returns the nodes at other addresses than the given one.
+func (l *nodeList) others(own string) []knownNode {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	others := make([]knownNode, 0, len(l.byName))
+	for _, node := range l.byName {
+		if node.Address != own && node.Address != "" {
+			others = append(others, node)
+		}
+	}
+	return others
+}
+
+func (l *nodeList) count() int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return len(l.byName)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -81,6 +81,7 @@
 	// copy is what this node knows of the store's objects.
 	copy    *replica.Replica
 	contact *contact
+	nodes   nodeList
 	syncer  *antientropy.Syncer
 	client  *peer.Client
 	server  *peer.Server
--- a/router/view.go
+++ b/router/view.go
@@ -1,19 +1,6 @@
 package router
 
-import (
-	"time"
-
-	"github.com/reelrun/reelrun/replica"
-)
-
-const (
-	// lapseWindow is how long after a failure of the store an entry that is gone
-	// may only have lapsed, because its back end could not renew it.
-	lapseWindow = 4 * time.Second
-	// lapseGrace is how long such a back end is still used. Live ones are back in
-	// the store about two seconds after it.
-	lapseGrace = 1800 * time.Millisecond
-)
+import "github.com/reelrun/reelrun/replica"
 
 // changed puts a newer version of an object into force. It is called by the copy,
 // one change at a time.
@@ -23,6 +10,10 @@
 		r.configurationChanged(change)
 	case r.options.Backplane.BackendKind:
 		r.backendChanged(change)
+	case kindNode:
+		if err := r.nodes.take(change.Record); err != nil {
+			r.options.Logger.Error("node refused", "name", change.Record.Object.Name, "error", err.Error())
+		}
 	case kindRoleChange:
 		r.roleAnnounced(change)
 	}
@@ -50,7 +41,9 @@
 func (r *Router) backendChanged(change replica.Change) {
 	object := change.Record.Object
 	if change.Record.Deleted {
-		r.backendGone(change)
+		if r.backends.Remove(object.Name) {
+			r.options.Logger.Info("back end gone", "backend", object.Name, "revision", object.Version, "source", string(change.Source))
+		}
 		return
 	}
 	decoded, err := r.options.Backplane.DecodeBackend(object)
@@ -67,23 +60,3 @@
 		r.backends.SetSynced()
 	}
 }
-
-// backendGone stops the use of a back end, at once or, where its entry may only
-// have lapsed, a little later.
-func (r *Router) backendGone(change replica.Change) {
-	object := change.Record.Object
-	lapsed := r.contact.disturbed(lapseWindow)
-	r.options.Logger.Info("back end gone", "backend", object.Name, "revision", object.Version,
-		"source", string(change.Source), "maybe_lapsed", lapsed)
-	if !lapsed {
-		r.backends.Remove(object.Name)
-		return
-	}
-	time.AfterFunc(lapseGrace, func() {
-		for _, record := range r.copy.Records([]replica.Key{change.Record.Key()}) {
-			if record.Deleted {
-				r.backends.Remove(object.Name)
-			}
-		}
-	})
-}
--- a/settings/router.go
+++ b/settings/router.go
@@ -15,6 +15,8 @@
 	MetricsAddress string
 	// StoreAddress is that of the store.
 	StoreAddress string
+	// Capacity is the share of a core that the node has.
+	Capacity float64
 	// Seeds are addresses of other nodes; they may be stale.
 	Seeds []string
 	// Grace is how long a planned stop may take.
