--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -255,8 +255,8 @@
 	_, err := c.peers.Call(ctx, node.Address, &peerpb.Request{Body: &peerpb.Request_SyncRuns{SyncRuns: &peerpb.SyncRuns{
 		Service: service, Holder: c.fleet.Own(), Runs: encodeRuns(runs, c.now()),
 	}}})
-	if err != nil && ctx.Err() == nil {
-		c.fleet.Silent(node.Address, err)
+	if err != nil {
+		c.missed(node.Address, err)
 	}
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -228,7 +228,9 @@
 	defer c.mu.Unlock()
 	current := c.book(service)
 	current.prefill.remove(c.options.Now(), id, true)
-	c.serve(service, current)
+	if current.short == backend.RolePrefill {
+		c.serve(service, current)
+	}
 }
 
 func (c *Coordinator) serveWaiting(service string) {
@@ -256,9 +258,16 @@
 		return first.since < second.since
 	})
 	var still []*waiter
+	var failed []ledger.Run
 	for _, queued := range current.waiting {
+		run := queued.request.Run
+		if len(queued.request.Avoid) == 0 && isLarger(run, failed) {
+			still = append(still, queued)
+			continue
+		}
 		assignment, ok := c.assign(now, current, engines, queued)
 		if !ok {
+			failed = append(failed, run)
 			still = append(still, queued)
 			continue
 		}
@@ -267,6 +276,16 @@
 	current.waiting = still
 }
 
+// isLarger reports whether a run is at least as large as one that did not fit.
+func isLarger(run ledger.Run, failed []ledger.Run) bool {
+	for _, smaller := range failed {
+		if run.Prompt >= smaller.Prompt && run.Output >= smaller.Output {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Coordinator) assign(now time.Duration, current *book, engines Engines, queued *waiter) (Assignment, bool) {
 	request := queued.request
 	avoid := make(map[string]bool, len(request.Avoid))
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,8 +1,8 @@
 package ledger
 
 import (
-	"maps"
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -53,6 +53,8 @@
 	paceWeight = 0.05
 	// silenceLimit is how long the runs of a node are kept that tells nothing of them.
 	silenceLimit = 4 * time.Second
+	// forgetInterval is the least time between two looks for such nodes.
+	forgetInterval = 500 * time.Millisecond
 	// syncSlack is how old a run must be to be missed in what its holder tells: the
 	// assignment of a younger one may still be on its way there.
 	syncSlack = 500 * time.Millisecond
@@ -64,9 +66,12 @@
 	pace    float64
 	engines map[string]Engine
 	runs    map[string]Run
+	// byEngine holds the runs of each engine.
+	byEngine map[string]map[string]Run
 	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
+	forgotAt     time.Duration
 	// coverage is the share of the runs that the book is taken to know.
 	coverage float64
 	// heard is when each holder last told of its runs or asked for an engine.
@@ -87,7 +92,10 @@
 	if options.Start == 0 {
 		options.Start = defaultStart
 	}
-	return &Ledger{options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, coverage: 1}
+	return &Ledger{
+		options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{},
+		byEngine: map[string]map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, coverage: 1,
+	}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
@@ -108,12 +116,12 @@
 		named[run.ID] = true
 		if _, known := l.runs[run.ID]; !known {
 			run.Holder = holder
-			l.runs[run.ID] = run
+			l.add(run)
 		}
 	}
 	for id, run := range l.runs {
 		if run.Holder == holder && !named[id] && now-run.Started > syncSlack {
-			delete(l.runs, id)
+			l.remove(id)
 		}
 	}
 }
@@ -124,7 +132,7 @@
 	if !known {
 		return
 	}
-	delete(l.runs, id)
+	l.remove(id)
 	if duration > l.options.Start && run.Output > 0 {
 		seen := float64(run.Output) / (duration - l.options.Start).Seconds()
 		l.pace += paceWeight * (seen - l.pace)
@@ -158,31 +166,57 @@
 		return "", false
 	}
 	run.Engine, run.Started = best, now
-	l.runs[run.ID] = run
+	l.add(run)
 	return best, true
 }
 
+func (l *Ledger) add(run Run) {
+	l.runs[run.ID] = run
+	if l.byEngine[run.Engine] == nil {
+		l.byEngine[run.Engine] = map[string]Run{}
+	}
+	l.byEngine[run.Engine][run.ID] = run
+}
+
+func (l *Ledger) remove(id string) {
+	run, known := l.runs[id]
+	if !known {
+		return
+	}
+	delete(l.runs, id)
+	delete(l.byEngine[run.Engine], id)
+	if len(l.byEngine[run.Engine]) == 0 {
+		delete(l.byEngine, run.Engine)
+	}
+}
+
 // RoomAfter returns how long it will take until a run fits somewhere, if every
 // run ends as expected and no other comes.
 func (l *Ledger) RoomAfter(now time.Duration, run Run) time.Duration {
-	type ending struct {
-		id string
-		at time.Duration
+	soonest := time.Duration(0)
+	for id, engine := range l.engines {
+		after, found := l.roomAt(now, engine, run, l.byEngine[id])
+		if found && (soonest == 0 || after < soonest) {
+			soonest = after
+		}
 	}
-	var endings []ending
-	for id, active := range l.runs {
-		endings = append(endings, ending{id, now + l.remaining(now, active)})
+	return soonest
+}
+
+// roomAt returns how long it will take until a run fits at one engine.
+func (l *Ledger) roomAt(now time.Duration, engine Engine, run Run, active map[string]Run) (time.Duration, bool) {
+	left := make([]Run, 0, len(active))
+	for _, current := range active {
+		left = append(left, current)
 	}
-	sort.Slice(endings, func(i, j int) bool { return endings[i].at < endings[j].at })
-	later := &Ledger{options: l.options, pace: l.pace, engines: l.engines, runs: maps.Clone(l.runs), coverage: l.coverage}
-	for _, next := range endings {
-		engine := later.engines[later.runs[next.id].Engine]
-		delete(later.runs, next.id)
-		if _, fits := later.peakWith(next.at, engine, run); fits && engine.ID != "" {
-			return next.at - now
+	slices.SortFunc(left, func(a, b Run) int { return cmp.Compare(l.remaining(now, a), l.remaining(now, b)) })
+	for i, ending := range left {
+		after := l.remaining(now, ending)
+		if _, fits := l.peakOf(now+after, engine, run, left[i+1:]); fits {
+			return after, true
 		}
 	}
-	return 0
+	return 0, false
 }
 
 // SetCoverage states which share of the runs the book knows, above 0 and up to 1.
@@ -204,15 +238,20 @@
 // peakWith returns the greatest memory that an engine will need with one more
 // run, as a share of what may be given, and whether that is enough.
 func (l *Ledger) peakWith(now time.Duration, engine Engine, run Run) (float64, bool) {
+	active := make([]Run, 0, len(l.byEngine[engine.ID]))
+	for _, current := range l.byEngine[engine.ID] {
+		active = append(active, current)
+	}
+	return l.peakOf(now, engine, run, active)
+}
+
+// peakOf is peakWith for given runs of the engine.
+func (l *Ledger) peakOf(now time.Duration, engine Engine, run Run, active []Run) (float64, bool) {
 	run.Started = now
-	runs := []projected{l.project(now, run)}
-	for _, active := range l.runs {
-		if active.Engine != engine.ID {
-			continue
-		}
-		if future := l.project(now, active); future.left > 0 {
-			runs = append(runs, future)
-		}
+	runs := make([]projected, 0, len(active)+1)
+	runs = append(runs, l.project(now, run))
+	for _, current := range active {
+		runs = append(runs, l.project(now, current))
 	}
 	if len(runs) > engine.Slots && engine.Slots > 0 {
 		return 1, false
@@ -248,7 +287,7 @@
 // peak returns the greatest total size of runs that all grow at the learned pace
 // until they end.
 func (l *Ledger) peak(runs []projected) float64 {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].left < runs[j].left })
+	slices.SortFunc(runs, func(a, b projected) int { return cmp.Compare(a.left, b.left) })
 	total := 0.0
 	for _, run := range runs {
 		total += run.size
@@ -265,9 +304,13 @@
 
 // forget drops the runs of holders that have been silent for too long.
 func (l *Ledger) forget(now time.Duration) {
+	if now-l.forgotAt < forgetInterval {
+		return
+	}
+	l.forgotAt = now
 	for id, run := range l.runs {
 		if now-l.heard[run.Holder] > silenceLimit {
-			delete(l.runs, id)
+			l.remove(id)
 		}
 	}
 }
