--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The version of the linter is pinned here; CI installs it by itself.
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.12.2
 
-.PHONY: build test lint demo demo-faults demo-serve prove capacity generate
+.PHONY: soak build test lint demo demo-faults demo-serve prove capacity generate
 
 build:
 	go build ./...
@@ -35,3 +35,7 @@
 # Needs buf and protoc-gen-go on the path; the result is committed.
 generate:
 	buf generate
+
+# The fault soak with fresh seeds; SOAK_SEEDS, SOAK_DURATION and SOAK_JOBS bound it.
+soak:
+	bash scripts/soak.sh
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# The fault soak by hand: SOAK_SEEDS seeds from SOAK_FIRST on (drawn if unset), each
+# for SOAK_DURATION of faults, SOAK_JOBS at a time. A seed that fails keeps the logs of
+# its nodes in the folder for temporary files; repeat it by SOAK_SEED=<seed> go test ./soak
+set -uo pipefail
+cd "$(dirname "$0")/.."
+seeds=${SOAK_SEEDS:-50}
+first=${SOAK_FIRST:-$((RANDOM * 32768 + RANDOM))}
+export SOAK_DURATION=${SOAK_DURATION:-8s}
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+go test -c -o "$out/soak.test" ./soak || exit 1
+cd soak
+seq "$first" $((first + seeds - 1)) |
+  xargs -P "${SOAK_JOBS:-4}" -I SEED sh -c "SOAK_SEED=SEED '$out/soak.test' -test.run '^TestSoak\$' -test.v -test.timeout 5m >'$out/SEED' 2>&1 || echo SEED >>'$out/failed'"
+grep -h 'seed ' "$out"/[0-9]* | sed 's/.*seed/seed/'
+failed=0
+if [ -f "$out/failed" ]; then
+  failed=$(wc -l <"$out/failed")
+  while read -r seed; do
+    echo "== seed $seed"
+    grep -E 'soak_test.go|panic|log of node' "$out/$seed" | head -n 12
+  done <"$out/failed"
+fi
+echo "soak: seeds=$seeds first=$first failed=$failed"
+exit $((failed > 0))
--- /dev/null
+++ b/soak/doc.go
@@ -0,0 +1,8 @@
+// Package soak holds the fault soak: real daemons as separate processes on
+// loopback, with stand-ins of the users' platform, under randomized faults from
+// outside. It checks the promises of the platform's pages from what callers and
+// back ends see. Everything lives in test files.
+//
+//	make soak                      # SOAK_SEEDS=50 SOAK_DURATION=8s by default
+//	SOAK_SEED=7 go test ./soak     # one seed
+package soak
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/platform/standin"
+)
+
+// kind is a kind of route that the soak asks.
+type kind string
+
+// The kinds, each the path of its route.
+const (
+	kindOnce   kind = "once"
+	kindAgain  kind = "again"
+	kindStream kind = "stream"
+	kindResume kind = "resume"
+)
+
+// observation is one request as its caller saw it.
+type observation struct {
+	id   string
+	kind kind
+	node int
+	// sent is set once the whole request was written; without it nothing is judged
+	// but that it did not run twice.
+	sent bool
+	// status is 0 where there was no answer.
+	status int
+	// complete is set where the answer ended as an answer does.
+	complete  bool
+	body      string
+	signature string
+	requestID string
+	began     time.Time
+	ended     time.Time
+}
+
+// disturbance is a time in which a node was killed or stood still.
+type disturbance struct {
+	node     int
+	from, to time.Time
+}
+
+// promised are the statuses that say that a request has not run and never will.
+var promised = map[int]bool{
+	http.StatusServiceUnavailable: true, http.StatusTooManyRequests: true,
+	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
+}
+
+// judge returns what broke a promise. The runs are counted by request.
+func judge(observations []observation, runs map[string]int, disturbances []disturbance) []string {
+	var violations []string
+	report := func(o observation, what string) {
+		violations = append(violations, fmt.Sprintf("%s %s at node %d: %s (status %d, complete %t, runs %d)",
+			o.kind, o.id, o.node, what, o.status, o.complete, runs[o.id]))
+	}
+	for _, o := range observations {
+		once := o.kind == kindOnce || o.kind == kindStream
+		if once && runs[o.id] > 1 {
+			report(o, "ran more than once")
+		}
+		if promised[o.status] && runs[o.id] > 0 {
+			report(o, "was promised not to run and ran")
+		}
+		if o.status == http.StatusOK {
+			judgeSuccess(o, report)
+		}
+		if o.status == http.StatusNotFound {
+			report(o, "its route was not found")
+		}
+		if o.sent && o.status == 0 && runs[o.id] > 0 && !disturbed(o, disturbances) {
+			report(o, "was passed on and got no answer")
+		}
+	}
+	return violations
+}
+
+func judgeSuccess(o observation, report func(observation, string)) {
+	whole := standin.Body(o.id)
+	if o.kind == kindStream || o.kind == kindResume {
+		whole = standin.StreamText(o.id, events)
+	}
+	switch {
+	case o.requestID != o.id || o.signature == "":
+		report(o, "got a success that is not its server's")
+	case !strings.HasPrefix(whole, o.body):
+		report(o, "got other bytes than its server's")
+	case o.complete && o.body != whole:
+		report(o, "got a part that looks complete")
+	}
+}
+
+// disturbed reports whether the node of a request was killed or stood still while
+// it was under way.
+func disturbed(o observation, disturbances []disturbance) bool {
+	for _, d := range disturbances {
+		if d.node == o.node && d.from.Before(o.ended) && o.began.Before(d.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// TestJudgeNoticesEachDefect seeds one defect for each check.
+func TestJudgeNoticesEachDefect(t *testing.T) {
+	sound := observation{id: "r", kind: kindOnce, sent: true, status: 200, complete: true, body: standin.Body("r"), signature: "s", requestID: "r"}
+	cases := map[string]struct {
+		change func(*observation)
+		runs   int
+		want   string
+	}{
+		"sound":       {func(*observation) {}, 1, ""},
+		"twice":       {func(*observation) {}, 2, "more than once"},
+		"promise":     {func(o *observation) { o.status = 503 }, 1, "promised"},
+		"refused":     {func(o *observation) { o.status = 503 }, 0, ""},
+		"other":       {func(o *observation) { o.requestID = "q" }, 1, "not its server's"},
+		"unsigned":    {func(o *observation) { o.signature = "" }, 1, "not its server's"},
+		"bytes":       {func(o *observation) { o.body = "x" }, 1, "other bytes"},
+		"part":        {func(o *observation) { o.body = o.body[:3] }, 1, "looks complete"},
+		"broken":      {func(o *observation) { o.body, o.complete = o.body[:3], false }, 1, ""},
+		"not found":   {func(o *observation) { o.status = 404 }, 0, "not found"},
+		"no answer":   {func(o *observation) { o.status, o.complete = 0, false }, 1, "no answer"},
+		"crossed":     {func(o *observation) { o.status, o.complete = 0, false }, 0, ""},
+		"stream part": {func(o *observation) { o.kind, o.body = kindResume, standin.StreamText("r", 2) }, 1, "looks complete"},
+		"joined":      {func(o *observation) { o.kind, o.body = kindResume, standin.EventText("r", 1)+standin.EventText("r", 1) }, 2, "other bytes"},
+		"resumed":     {func(o *observation) { o.kind, o.body = kindResume, standin.StreamText("r", events) }, 2, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			changed := sound
+			c.change(&changed)
+			violations := judge([]observation{changed}, map[string]int{"r": c.runs}, nil)
+			if c.want == "" {
+				g.Expect(violations).To(BeEmpty())
+				return
+			}
+			g.Expect(violations).To(ContainElement(ContainSubstring(c.want)))
+		})
+	}
+	g := NewWithT(t)
+	cut := sound
+	cut.status, cut.complete = 0, false
+	cut.began, cut.ended = time.Unix(10, 0), time.Unix(12, 0)
+	killed := []disturbance{{node: 0, from: time.Unix(11, 0), to: time.Unix(13, 0)}}
+	g.Expect(judge([]observation{cut}, map[string]int{"r": 1}, killed)).To(BeEmpty())
+}
--- /dev/null
+++ b/soak/world_test.go
@@ -0,0 +1,297 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/reelrun/reelrun/platform/standin"
+)
+
+const (
+	// events is how many events a stream has.
+	events    = 12
+	eventTime = 40 * time.Millisecond
+	routeHost = "soak.example"
+)
+
+// binary is the daemon.
+var binary string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binary = filepath.Join(folder, "reelrund")
+	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/reelrund").CombinedOutput(); err != nil {
+		fmt.Fprintln(os.Stderr, err, string(output))
+		return 1
+	}
+	return m.Run()
+}
+
+// backEnd is a stand-in behind a proxy.
+type backEnd struct {
+	id      string
+	service string
+	stage   string
+	proxy   *proxy
+	engine  *standin.Engine
+	server  *standin.Server
+	web     *http.Server
+}
+
+// world is everything around the nodes, and the nodes.
+type world struct {
+	t      *testing.T
+	folder string
+	store  *standin.Store
+	web    *http.Server
+
+	mu           sync.Mutex
+	backEnds     []*backEnd
+	nodes        []*node
+	disturbances []disturbance
+	version      int
+	made         int
+	serving      sync.WaitGroup
+}
+
+// node is one daemon, over all its processes.
+type node struct {
+	index   int
+	ports   []int
+	store   *proxy
+	process *exec.Cmd
+	ended   chan struct{}
+	log     *logBuffer
+}
+
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *logBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func newWorld(t *testing.T, nodes int) *world {
+	w := &world{t: t, folder: t.TempDir(), store: standin.NewStore()}
+	storeAddress := w.serve(w.store, &w.web)
+	w.configure()
+	for _, stage := range []string{"prefill", "prefill", "decode", "decode", "decode", "decode"} {
+		w.addBackEnd("llm", stage)
+	}
+	for range 4 {
+		w.addBackEnd("app", "")
+	}
+	for i := range nodes {
+		storeProxy, err := newProxy(storeAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.nodes = append(w.nodes, &node{index: i, ports: freePorts(t, 5), store: storeProxy, log: &logBuffer{}})
+	}
+	for _, n := range w.nodes {
+		w.start(n)
+	}
+	return w
+}
+
+// serve answers HTTP on loopback.
+func (w *world) serve(handler http.Handler, server **http.Server) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	*server = &http.Server{Handler: handler, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
+	serving := *server
+	w.serving.Go(func() { _ = serving.Serve(listener) })
+	return listener.Addr().String()
+}
+
+// freePorts returns ports that nobody uses now.
+func freePorts(t *testing.T, count int) []int {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+		defer func() { _ = listener.Close() }()
+	}
+	return ports
+}
+
+// configure writes the next version; routes of the soak are in each.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	route := func(name, routeKind, service string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": routeHost, "path_prefix": "/" + name + "/", "route_kind": routeKind, "timeout_ms": 4000,
+			"target_latency_ms": 900, "priority": 1, "service": service, "max_attempts": attempts, "resumable": resumable, "target_gap_ms": 300,
+		}
+	}
+	routes := []map[string]any{
+		route("once", "unsafe", "app", 1, false), route("again", "safe", "app", 2, false),
+		route("stream", "stream", "llm", 1, false), route("resume", "stream", "llm", 2, true),
+	}
+	for i := range w.version % 5 {
+		routes = append(routes, route(fmt.Sprintf("more%d", i), "safe", "app", 2, false))
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version, "routes": routes,
+		"services": []map[string]any{
+			{"name": "llm", "max_connections": 300, "engine": map[string]any{"slots": 32, "kv_tokens": 90000, "hold_ms": 2000, "stride": 64, "stage_switch_s": 1}},
+			{"name": "app", "max_connections": 300},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+}
+
+func (w *world) addBackEnd(service, stage string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.made++
+	b := &backEnd{id: fmt.Sprintf("i-%d", w.made), service: service, stage: stage}
+	var handler http.Handler
+	if service == "llm" {
+		b.engine = standin.NewEngine(b.id, stage)
+		b.engine.Events, b.engine.Event, b.engine.Switch = events, eventTime, time.Second
+		b.engine.Staged = func(stage string) { w.announce(b, "ready", stage) }
+		handler = b.engine
+	} else {
+		b.server = standin.NewServer(b.id)
+		b.server.Work = 20 * time.Millisecond
+		handler = b.server
+	}
+	address := w.serve(handler, &b.web)
+	var err error
+	if b.proxy, err = newProxy(address); err != nil {
+		w.t.Fatal(err)
+	}
+	w.backEnds = append(w.backEnds, b)
+	w.announce(b, "ready", stage)
+}
+
+func (w *world) announce(b *backEnd, state, stage string) {
+	w.store.Put("servers", b.id, map[string]any{
+		"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state, "stage": stage,
+	})
+}
+
+// start begins a process of a node.
+func (w *world) start(n *node) {
+	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", n.ports[i]) }
+	settings := map[string]any{
+		"node": fmt.Sprintf("node-%d", n.index), "ip": "127.0.0.1", "zone": "a",
+		"listen":           map[string]any{"front": address(0), "ready": address(1), "control": address(2)},
+		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
+		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", w.nodes[0].ports[2])},
+		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1},
+		"bounds":           map[string]any{"grace_s": 8, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 50, "lease_ms": 1000},
+		"platform":         map[string]any{"address": n.store.address()},
+	}
+	encoded, err := json.Marshal(settings)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	path := filepath.Join(w.folder, fmt.Sprintf("node-%d.json", n.index))
+	if err := os.WriteFile(path, encoded, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+	process := exec.Command(binary)
+	process.Env = []string{"REELRUN_SETTINGS=" + path, "GOMAXPROCS=1", "GOMEMLIMIT=200MiB"}
+	process.Stdout, process.Stderr = n.log, n.log
+	if err := process.Start(); err != nil {
+		w.t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = process.Wait()
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n.process, n.ended = process, ended
+}
+
+// signal sends a signal to a node's process.
+func (w *world) signal(n *node, signal syscall.Signal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = n.process.Process.Signal(signal) // It may have ended.
+}
+
+// disturb notes that a node is killed or stands still from now on. The function
+// that it returns notes the end.
+func (w *world) disturb(n *node) func() {
+	from := time.Now()
+	return func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.disturbances = append(w.disturbances, disturbance{n.index, from, time.Now()})
+	}
+}
+
+// runs counts the runs of each request at all back ends that ever were.
+func (w *world) runs() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := map[string]int{}
+	for _, b := range w.backEnds {
+		var runs []standin.Run
+		if b.engine != nil {
+			runs = b.engine.Runs()
+		} else {
+			runs = b.server.Runs()
+		}
+		for _, run := range runs {
+			counts[run.ID]++
+		}
+	}
+	return counts
+}
+
+// close ends the processes that this world started, and its stand-ins.
+func (w *world) close() {
+	for _, n := range w.nodes {
+		w.signal(n, syscall.SIGCONT)
+		w.signal(n, syscall.SIGKILL)
+		<-n.ended
+		n.store.close()
+	}
+	for _, b := range w.backEnds {
+		b.proxy.close()
+		_ = b.web.Close()
+	}
+	_ = w.web.Close()
+	w.serving.Wait()
+}
