Give the soak's nodes ports that nobody else takes

Change: ports below the system's own range, apart for each seed; the script names seeds by another mark; logs are kept whenever a seed fails.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -12,14 +12,14 @@
 go test -c -o "$out/soak.test" ./soak || exit 1
 cd soak
 seq "$first" $((first + seeds - 1)) |
-  xargs -P "${SOAK_JOBS:-4}" -I SEED sh -c "SOAK_SEED=SEED '$out/soak.test' -test.run '^TestSoak\$' -test.v -test.timeout 5m >'$out/SEED' 2>&1 || echo SEED >>'$out/failed'"
+  xargs -P "${SOAK_JOBS:-4}" -I @@ sh -c "SOAK_SEED=@@ '$out/soak.test' -test.run '^TestSoak\$' -test.v -test.timeout 5m >'$out/@@' 2>&1 || echo @@ >>'$out/failed'"
 grep -h 'seed ' "$out"/[0-9]* | sed 's/.*seed/seed/'
 failed=0
 if [ -f "$out/failed" ]; then
   failed=$(wc -l <"$out/failed")
   while read -r seed; do
     echo "== seed $seed"
-    grep -E 'soak_test.go|panic|log of node' "$out/$seed" | head -n 12
+    grep -E 'soak_test.go|panic|log of node' "$out/$seed" | head -n 30
   done <"$out/failed"
 fi
 echo "soak: seeds=$seeds first=$first failed=$failed"
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -68,8 +68,9 @@
 // soak runs one seed.
 func soak(t *testing.T, seed uint64, duration time.Duration) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	w := newWorld(t, 3+random.IntN(4))
+	w := newWorld(t, seed, 3+random.IntN(4))
 	defer w.close()
+	defer w.keepLogs(seed)
 	w.awaitReady()
 	load := startLoad(w, seed)
 	w.faults(random, duration)
@@ -85,12 +86,17 @@
 	for _, violation := range violations {
 		t.Error(violation)
 	}
-	if t.Failed() {
-		for _, n := range w.nodes {
-			name := fmt.Sprintf("%s/reelrun-soak-%d-node-%d.log", os.TempDir(), seed, n.index)
-			if err := os.WriteFile(name, []byte(n.log.String()), 0o600); err == nil {
-				t.Logf("log of node %d: %s", n.index, name)
-			}
+}
+
+// keepLogs writes the logs of a failed seed's nodes to files.
+func (w *world) keepLogs(seed uint64) {
+	if !w.t.Failed() {
+		return
+	}
+	for _, n := range w.nodes {
+		name := fmt.Sprintf("%s/reelrun-soak-%d-node-%d.log", os.TempDir(), seed, n.index)
+		if err := os.WriteFile(name, []byte(n.log.String()), 0o600); err == nil {
+			w.t.Logf("log of node %d: %s", n.index, name)
 		}
 	}
 }
@@ -101,7 +107,7 @@
 	for _, n := range w.nodes {
 		for !n.ready() {
 			if time.Now().After(until) {
-				w.t.Fatalf("node %d is not ready: %s", n.index, n.log.String())
+				w.t.Fatalf("node %d is not ready", n.index)
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -99,7 +99,7 @@
 	return b.buffer.String()
 }
 
-func newWorld(t *testing.T, nodes int) *world {
+func newWorld(t *testing.T, seed uint64, nodes int) *world {
 	w := &world{t: t, folder: t.TempDir(), store: standin.NewStore()}
 	storeAddress := w.serve(w.store, &w.web)
 	w.configure()
@@ -114,7 +114,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.nodes = append(w.nodes, &node{index: i, ports: freePorts(t, 5), store: storeProxy, log: &logBuffer{}})
+		w.nodes = append(w.nodes, &node{index: i, ports: nodePorts(t, seed, i), store: storeProxy, log: &logBuffer{}})
 	}
 	for _, n := range w.nodes {
 		w.start(n)
@@ -134,16 +134,26 @@
 	return listener.Addr().String()
 }
 
-// freePorts returns ports that nobody uses now.
-func freePorts(t *testing.T, count int) []int {
-	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+// Ports of nodes lie below those that the system gives to connections, apart for
+// each seed, so that nothing else takes one while a node is down.
+const (
+	firstPort   = 10_000
+	portsOfSeed = 64
+	seedsApart  = 300
+	portsOfNode = 5
+)
+
+// nodePorts returns the ports of a node.
+func nodePorts(t *testing.T, seed uint64, index int) []int {
+	base := firstPort + int(seed%seedsApart)*portsOfSeed + index*portsOfNode
+	ports := make([]int, portsOfNode)
+	for i := range ports {
+		ports[i] = base + i
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[i]))
 		if err != nil {
-			t.Fatal(err)
+			t.Fatalf("port %d is taken", ports[i])
 		}
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
-		defer func() { _ = listener.Close() }()
+		_ = listener.Close()
 	}
 	return ports
 }
