Let each of two coordinators take its book for partial

Change: a coordinator takes its book for the share of the runs that the nodes heard in the last 2.5 s make, always; each node tells the coordinators of all services each second, also that it has no runs.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -38,6 +38,8 @@
 	Candidates() []Node
 	// Own returns the address of this node.
 	Own() string
+	// Services returns the services of engines.
+	Services() []string
 	// Silent notes that a node did not answer.
 	Silent(address string, err error)
 }
@@ -192,30 +194,17 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, service := range c.services() {
+			for _, service := range c.fleet.Services() {
 				c.syncService(ctx, service)
 			}
 		}
 	}
 }
 
-// services returns the services of which this node has had runs.
-func (c *Client) services() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	services := make([]string, 0, len(c.runs))
-	for service := range c.runs {
-		services = append(services, service)
-	}
-	return services
-}
-
 // synced is what a coordinator was last told.
 type synced struct {
 	node Node
 	at   time.Duration
-	// count is how many runs there were.
-	count int
 }
 
 // due returns this node's runs of a service if its coordinator is to be told.
@@ -225,10 +214,10 @@
 	last, now := c.told[service], c.now()
 	runs := c.runs[service]
 	isNew := last.node != node
-	if !isNew && (now-last.at < syncInterval || len(runs)+last.count == 0) {
+	if !isNew && now-last.at < syncInterval {
 		return nil, false
 	}
-	c.told[service] = synced{node: node, at: now, count: len(runs)}
+	c.told[service] = synced{node: node, at: now}
 	listed := make([]ledger.Run, 0, len(runs))
 	for _, run := range runs {
 		listed = append(listed, run)
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,8 +103,9 @@
 	pauseFull = 120 * time.Millisecond
 	// pauseClosed is the same after an engine had room and did not take the run.
 	pauseClosed = 2 * time.Second
-	// coverageTime is how long a new coordinator may not know all runs.
-	coverageTime = time.Second
+	// coverageTime is how long a coordinator goes by what a node has told. Nodes
+	// tell each second.
+	coverageTime = 2500 * time.Millisecond
 	// leastCoverage bounds the share of them that it is taken to know.
 	leastCoverage = 0.3
 	// retryInterval is how often waiting requests are looked at where nothing ends.
@@ -122,8 +123,6 @@
 
 // book is one service.
 type book struct {
-	// opened is when this node began to coordinate the service.
-	opened  time.Duration
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
@@ -328,21 +327,23 @@
 	}
 }
 
-// coverage returns which share of a service's runs its book is taken to know. A
-// new coordinator hears of them from one node after the other.
+// coverage returns which share of a service's runs its book is taken to know: that
+// of the nodes which have told of theirs lately. While nodes differ on who
+// coordinates, each of two coordinators knows a part.
 func (c *Coordinator) coverage(now time.Duration, current *book) float64 {
 	nodes := c.options.Nodes()
-	if now-current.opened > coverageTime || nodes == 0 {
+	if nodes == 0 {
 		return 1
 	}
-	return min(1, max(leastCoverage, float64(current.decode.Holders())/float64(nodes)))
+	heard := current.decode.Holders(now, coverageTime)
+	return min(1, max(leastCoverage, float64(heard)/float64(nodes)))
 }
 
 // book returns the book of a service; the lock is held.
 func (c *Coordinator) book(service string) *book {
 	current := c.books[service]
 	if current == nil {
-		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), asked: map[string]int{}, opened: c.options.Now()}
+		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), asked: map[string]int{}}
 		c.books[service] = current
 	}
 	return current
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -126,6 +126,11 @@
 			l.remove(id)
 		}
 	}
+	for holder, at := range l.heard {
+		if now-at > silenceLimit {
+			delete(l.heard, holder)
+		}
+	}
 }
 
 // End forgets a run. Where its answer was whole, its duration and length teach the
@@ -225,8 +230,16 @@
 // Each engine is taken to need as much more as that.
 func (l *Ledger) SetCoverage(share float64) { l.coverage = share }
 
-// Holders returns how many holders the book has heard of.
-func (l *Ledger) Holders() int { return len(l.heard) }
+// Holders returns how many holders the book has heard of lately.
+func (l *Ledger) Holders(now, lately time.Duration) int {
+	count := 0
+	for _, at := range l.heard {
+		if now-at <= lately {
+			count++
+		}
+	}
+	return count
+}
 
 // Len returns the number of runs in the book.
 func (l *Ledger) Len() int { return len(l.runs) }
@@ -315,4 +328,9 @@
 			l.remove(id)
 		}
 	}
+	for holder, at := range l.heard {
+		if now-at > silenceLimit {
+			delete(l.heard, holder)
+		}
+	}
 }
--- a/router/engines.go
+++ b/router/engines.go
@@ -158,19 +158,30 @@
 	r.options.Logger.Info("role change announced", "engine", spec.Engine, "role", string(spec.Role), "source", string(change.Source))
 }
 
-// coordinatedServices returns the services of engines that this node coordinates.
-func (r *Router) coordinatedServices() []string {
+// Services implements coordinator.Fleet.
+func (r *Router) Services() []string {
 	configuration := r.gateway.Configuration()
 	if configuration == nil || !r.backends.Synced() {
 		return nil
 	}
+	var services []string
+	for name, service := range configuration.Services {
+		if service.Engine != nil {
+			services = append(services, name)
+		}
+	}
+	return services
+}
+
+// coordinatedServices returns the services of engines that this node coordinates.
+func (r *Router) coordinatedServices() []string {
 	var addresses []string
 	for _, candidate := range r.Candidates() {
 		addresses = append(addresses, candidate.Address)
 	}
 	var services []string
-	for name, service := range configuration.Services {
-		if service.Engine != nil && placement.Owner(name, addresses) == r.Own() {
+	for _, name := range r.Services() {
+		if placement.Owner(name, addresses) == r.Own() {
 			services = append(services, name)
 		}
 	}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -144,6 +144,12 @@
 	return position < maxWatchers
 }
 
+// responsiveCount returns how many nodes answer, this one included.
+func (r *Router) responsiveCount() int {
+	count, _ := r.place()
+	return count
+}
+
 // place returns the number of nodes that answer and the position of this one among
 // them, in the order of a hash of their addresses: the zones mix in it.
 func (r *Router) place() (count, position int) {
