Choose plain back ends by how full they seem, and failures by their share

A failure counted as six requests of this node, and a node has one or two under way. Change: what a node has under way is taken for what each has, as a share of the slots; the share of answers that fail counts beside it.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -7,8 +7,15 @@
 	"time"
 )
 
-// failureHalfLife is the time in which a failure counts half as much.
-const failureHalfLife = 2 * time.Second
+const (
+	// failureHalfLife is the time in which a failure counts half as much.
+	failureHalfLife = 2 * time.Second
+	// outcomeWeight is the weight of one answer in the share of failures.
+	outcomeWeight = 0.2
+	// unsoundFailures is the number of recent failures above which a back end is
+	// given no work that can go elsewhere.
+	unsoundFailures = 0.7
+)
 
 // Entry is a back end together with what this node has seen of it. It is safe
 // for concurrent use.
@@ -17,8 +24,12 @@
 	backend atomic.Pointer[Backend]
 	pending atomic.Int64
 
-	mu        sync.Mutex
-	failures  float64
+	mu sync.Mutex
+	// failures counts those of late, older ones less.
+	failures float64
+	// failing is the share of answers that failed, newer ones counting more. It
+	// falls by itself as well, so that the back end is tried again.
+	failing   float64
 	failureAt time.Time
 	// fullUntil is when a back end that refused for want of room is asked again.
 	fullUntil time.Time
@@ -56,30 +67,40 @@
 func (e *Entry) Failed() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failures = e.decayed() + 1
+	e.failures = e.decayed(e.failures) + 1
+	e.failing = e.decayed(e.failing)
+	e.failing += outcomeWeight * (1 - e.failing)
 	e.failureAt = e.now()
 }
 
-// Failures returns how many failures there were, older ones counting less.
-func (e *Entry) Failures() float64 {
+// Succeeded notes an answer.
+func (e *Entry) Succeeded() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.decayed()
+	e.failing -= outcomeWeight * e.failing
 }
 
-// unsoundFailures is the number of recent failures above which a back end is
-// given no work that can go elsewhere.
-const unsoundFailures = 0.7
+// Failing returns the share of requests that seem to fail there.
+func (e *Entry) Failing() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decayed(e.failing)
+}
 
 // Sound reports whether the back end has not failed lately.
-func (e *Entry) Sound() bool { return e.Failures() <= unsoundFailures }
+func (e *Entry) Sound() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decayed(e.failures) <= unsoundFailures
+}
 
-func (e *Entry) decayed() float64 {
-	if e.failures == 0 {
+// decayed returns a value of the time of the last failure as of now.
+func (e *Entry) decayed(value float64) float64 {
+	if value == 0 {
 		return 0
 	}
 	age := e.now().Sub(e.failureAt)
-	return e.failures * math.Exp2(-age.Seconds()/failureHalfLife.Seconds())
+	return value * math.Exp2(-age.Seconds()/failureHalfLife.Seconds())
 }
 
 // Full notes that the back end has no room until the given time has passed.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -26,10 +26,16 @@
 	retryNoBackend = 1000 * time.Millisecond
 	// retryShed is when a caller comes back after back ends were full.
 	retryShed = 400 * time.Millisecond
-	// zonePenalty is how many pending requests another zone counts for.
-	zonePenalty = 3.0
-	// failurePenalty is how many pending requests a recent failure counts for.
-	failurePenalty = 6.0
+	// zonePenalty is the share of a back end's slots that another zone counts for.
+	zonePenalty = 0.5
+	// failurePenalty is the share of its slots that counts for a back end of which
+	// every request fails. One that still answers most is better than one that is
+	// full.
+	failurePenalty = 3.0
+	// fullPenalty is the same for one that has just been full.
+	fullPenalty = 2.0
+	// chancePenalty is the most by which chance decides.
+	chancePenalty = 0.1
 )
 
 // forward sends the request to a plain service.
@@ -151,8 +157,10 @@
 		return nil, &tryError{failure: unknown(ReasonBackendFailed, errors.Newf("status %d", answer.Status)), arrived: true, ran: true}
 	}
 	if answer.Status >= http.StatusInternalServerError {
+		entry.Failed()
 		return answer, &tryError{failure: unknown(ReasonBackendFailed, nil), arrived: true, ran: true}
 	}
+	entry.Succeeded()
 	return answer, nil
 }
 
@@ -236,8 +244,8 @@
 	x.writer.WriteHeader(answer.Status)
 }
 
-// pick chooses a back end of a service, or nil: the one with the least work of
-// this node, where distance and recent failures count as work.
+// pick chooses a back end of a service, or nil: the one that seems least full, where
+// distance and failures count as work.
 func (h *Handler) pick(service string, role backend.Role, tried map[string]bool) *backend.Entry {
 	var best *backend.Entry
 	var bestScore float64
@@ -253,14 +261,17 @@
 	return best
 }
 
-// score is the work that a back end seems to have; equal ones differ by chance.
+// score is how full a back end seems to be, as a share of its slots. What this node
+// has there is taken for what each node has. Equal ones differ by chance.
 func (h *Handler) score(entry *backend.Entry) float64 {
-	score := float64(entry.Pending()) + failurePenalty*entry.Failures() + rand.Float64()
-	if entry.Backend().Zone != h.options.Zone {
+	described := entry.Backend()
+	score := float64(entry.Pending()*h.options.Nodes()) / float64(max(1, described.Slots))
+	score += failurePenalty*entry.Failing() + chancePenalty*rand.Float64()
+	if described.Zone != h.options.Zone {
 		score += zonePenalty
 	}
 	if entry.IsFull() {
-		score += failurePenalty
+		score += fullPenalty
 	}
 	return score
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -33,6 +33,8 @@
 	// Assignable reports whether a back end is given new work, beside its state.
 	// Default: always.
 	Assignable func(entry *backend.Entry) bool
+	// Nodes returns how many nodes send to the same back ends. Default: one.
+	Nodes func() int
 	// Policy is how engines are chosen; the zero value is the default.
 	Policy Policy
 }
@@ -60,6 +62,9 @@
 // back ends are known.
 func New(options Options) *Handler {
 	options.Policy.setDefaults()
+	if options.Nodes == nil {
+		options.Nodes = func() int { return 1 }
+	}
 	if options.Assignable == nil {
 		options.Assignable = func(*backend.Entry) bool { return true }
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -148,6 +148,7 @@
 		}),
 		Coordinator: r.gatewayCoordinator(),
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
+		Nodes:       r.responsiveCount,
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
 	})
