Withdraw an announced change of role that is not ordered

Change: where the order was not sent, the lease is handed on also while the node stops, and the announcement is withdrawn. Measured: TestAStopBeforeAnOrderHandsTheLeaseOn failed first (no order within 12 s).

--- a/roles/controller.go
+++ b/roles/controller.go
@@ -64,6 +64,8 @@
 	Settle time.Duration
 	// Announce tells all nodes of an order that is about to be given.
 	Announce func(change Change, fence uint64)
+	// Withdraw tells them that the order is not given after all.
+	Withdraw func(change Change, fence uint64)
 	// Notice is the time between the announcement and the order, in which answers
 	// whose prompts are being read reach the engine. Default 700ms.
 	Notice time.Duration
@@ -228,29 +230,31 @@
 	}
 	entry := c.options.Backends.Lookup(planned.Engine)
 	if entry == nil {
-		return c.options.Lease.Rest(ctx)
+		return c.rest(ctx)
 	}
 	target := entry.Backend()
 	report, err := c.options.Dialect.Report(ctx, target)
 	if err != nil {
-		return errors.CombineErrors(errors.Wrap(err, "report"), c.options.Lease.Rest(ctx))
+		return errors.CombineErrors(errors.Wrap(err, "report"), c.rest(ctx))
 	}
 	// An order without an answer may be carried out all the same: the engine counts
 	// as changing from before it is sent.
 	c.Note(planned)
 	if report.Changing || report.Role == planned.Role {
-		return c.options.Lease.Rest(ctx)
+		return c.rest(ctx)
 	}
 	c.options.Announce(planned, fence)
 	notice := time.NewTimer(c.options.Notice)
 	defer notice.Stop()
 	select {
 	case <-ctx.Done():
-		return ctx.Err()
+		c.withdraw(planned, fence)
+		return errors.CombineErrors(ctx.Err(), c.rest(ctx))
 	case <-notice.C:
 	}
 	// The lease is looked at right before the order is sent.
 	if err := c.options.Lease.Check(callTimeout); err != nil {
+		c.withdraw(planned, fence)
 		return err
 	}
 	c.ordered = true
@@ -261,11 +265,32 @@
 		"fence", fence, "expected", report.Sequence, "error", errorText(err))
 	if err == nil || errors.Is(err, ErrOrderRefused) {
 		// A definite answer: nothing of this holder is under way.
-		return errors.CombineErrors(err, c.options.Lease.Rest(ctx))
+		return errors.CombineErrors(err, c.rest(ctx))
 	}
 	return err
 }
 
+// rest lets others take the lease, also where this node is about to stop. Nothing of
+// it may be under way.
+func (c *Controller) rest(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer cancel()
+	return c.options.Lease.Rest(ctx)
+}
+
+// withdraw takes back an announced change whose order was not sent.
+func (c *Controller) withdraw(planned Change, fence uint64) {
+	c.Forget(planned.Engine)
+	c.options.Withdraw(planned, fence)
+}
+
+// Forget takes an engine as not changing: its order was not given.
+func (c *Controller) Forget(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.changing, id)
+}
+
 // Note takes an engine as changing, by an order of this node or of another one.
 func (c *Controller) Note(planned Change) {
 	c.mu.Lock()
--- a/router/engines.go
+++ b/router/engines.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -120,6 +121,7 @@
 		Holder:   r.options.Settings.Name,
 		Services: r.coordinatedServices,
 		Announce: r.announceRole,
+		Withdraw: r.withdrawRole,
 		Logger:   r.options.Logger,
 	})
 }
@@ -141,14 +143,37 @@
 		r.options.Logger.Error("role change not announced", "error", err.Error())
 		return
 	}
-	// The names of two orders differ, so each record has one version only.
-	name := change.Engine + "/" + strconv.FormatUint(fence, 10) + "/" + string(change.Role)
-	record := replica.Record{Object: objectapi.Object{Kind: kindRoleChange, Name: name, Version: 1, Spec: spec}}
+	record := replica.Record{Object: objectapi.Object{
+		Kind: kindRoleChange, Name: roleChangeName(change, fence), Version: versionAnnounced, Spec: spec,
+	}}
 	r.copy.Apply(replica.SourceStore, record)
 }
 
+// Versions of the record of one order.
+const (
+	versionAnnounced = 1
+	versionWithdrawn = 2
+)
+
+// roleChangeName names the record of an order; the names of two orders differ.
+func roleChangeName(change roles.Change, fence uint64) string {
+	return change.Engine + "/" + strconv.FormatUint(fence, 10) + "/" + string(change.Role)
+}
+
+// withdrawRole tells all nodes that an announced order is not given.
+func (r *Router) withdrawRole(change roles.Change, fence uint64) {
+	object := objectapi.Object{Kind: kindRoleChange, Name: roleChangeName(change, fence), Version: versionWithdrawn}
+	r.copy.Apply(replica.SourceStore, replica.Record{Object: object, Deleted: true})
+}
+
 // roleAnnounced takes note of another node's order.
 func (r *Router) roleAnnounced(change replica.Change) {
+	if change.Record.Deleted {
+		engine, _, _ := strings.Cut(change.Record.Object.Name, "/")
+		r.roles.Forget(engine)
+		r.options.Logger.Info("role change withdrawn", "engine", engine, "source", string(change.Source))
+		return
+	}
 	var spec roleChangeSpec
 	if err := json.Unmarshal(change.Record.Object.Spec, &spec); err != nil {
 		r.options.Logger.Error("role change refused", "error", err.Error())
