Ask decode engines for the memory they use (a try)

Change: a coordinator asks its decode engines once a second; what lies well above its book takes room (TestForeignRunsTakeRoom).

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -230,6 +230,13 @@
 	c.book(service).decode.Sync(c.options.Now(), holder, runs)
 }
 
+// Reported takes note of the memory that a decode engine says it uses.
+func (c *Coordinator) Reported(service, engine string, used int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.book(service).decode.Reported(c.options.Now(), engine, used)
+}
+
 // PromptRead notes that a run's prompt has been read, and serves those that wait.
 func (c *Coordinator) PromptRead(service, id string) {
 	c.mu.Lock()
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -74,6 +74,8 @@
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
 	forgotAt     time.Duration
+	// foreign holds what engines use for runs that the book does not know.
+	foreign map[string]foreignUse
 	// coverage is the share of the runs that the book is taken to know.
 	coverage float64
 	// heard is when each holder last told of its runs or asked for an engine.
@@ -96,7 +98,7 @@
 	}
 	return &Ledger{
 		options: options, pace: options.Pace, engines: map[string]Engine{}, runs: map[string]Run{},
-		byEngine: map[string]map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, coverage: 1,
+		byEngine: map[string]map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, foreign: map[string]foreignUse{}, coverage: 1,
 	}
 }
 
@@ -226,6 +228,40 @@
 	return 0, false
 }
 
+// foreignUse is memory of an engine that the book cannot explain.
+type foreignUse struct {
+	tokens float64
+	at     time.Duration
+}
+
+const (
+	// explainedShare and explainedTokens are how far the use that an engine reports
+	// may lie above the book's: reports are late, and estimates are off.
+	explainedShare  = 1.25
+	explainedTokens = 4000
+	// foreignLifetime is how long a report counts.
+	foreignLifetime = 2500 * time.Millisecond
+)
+
+// Reported takes note of the memory that an engine says it uses. Runs of nodes that
+// were lost go on there until the engine finds out.
+func (l *Ledger) Reported(now time.Duration, id string, used int) {
+	known := 0.0
+	for _, run := range l.byEngine[id] {
+		known += l.project(now, run).size
+	}
+	l.foreign[id] = foreignUse{tokens: max(0, float64(used)-explainedShare*known-explainedTokens), at: now}
+}
+
+// foreignTokens returns the memory of an engine that the book cannot explain.
+func (l *Ledger) foreignTokens(now time.Duration, id string) float64 {
+	use := l.foreign[id]
+	if now-use.at > foreignLifetime {
+		return 0
+	}
+	return use.tokens
+}
+
 // SetCoverage states which share of the runs the book knows, above 0 and up to 1.
 // Each engine is taken to need as much more as that.
 func (l *Ledger) SetCoverage(share float64) { l.coverage = share }
@@ -271,9 +307,10 @@
 	if len(runs) > engine.Slots && engine.Slots > 0 {
 		return 1, false
 	}
-	peak := l.peak(runs) / l.coverage / (float64(engine.Memory) * l.options.Fill)
+	foreign := l.foreignTokens(now, engine.ID)
+	peak := (l.peak(runs)/l.coverage + foreign) / (float64(engine.Memory) * l.options.Fill)
 	// A run that no engine could ever hold is let in where nothing else is.
-	return peak, peak <= 1 || len(runs) == 1
+	return peak, peak <= 1 || len(runs) == 1 && foreign == 0
 }
 
 // project returns how a run will go on.
--- a/ledger/property_test.go
+++ b/ledger/property_test.go
@@ -129,6 +129,25 @@
 	g.Expect(after).To(And(BeNumerically(">", time.Second), BeNumerically("<", 4*time.Second)))
 }
 
+// TestForeignRunsTakeRoom reports memory that the book does not know of.
+func TestForeignRunsTakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	book := newLedger(2)
+	book.Reported(0, "e0", 80_000)
+	for i := range 5 {
+		engine, ok := book.Assign(0, ledger.Run{ID: strconv.Itoa(i), Prompt: 10_000, Output: 1000}, nil)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(engine).To(Equal("e1"))
+	}
+	// What the book knows explains itself, and old reports count for nothing.
+	book.Reported(time.Second, "e1", 55_000)
+	_, ok := book.Assign(time.Second, ledger.Run{ID: "more", Prompt: 10_000, Output: 1000}, map[string]bool{"e0": true})
+	g.Expect(ok).To(BeTrue())
+	engine, ok := book.Assign(10*time.Second, ledger.Run{ID: "later", Prompt: 10_000, Output: 1000}, map[string]bool{"e1": true})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(engine).To(Equal("e0"))
+}
+
 // TestRunsOfSilentHoldersLeaveTheBook never tells of their ends.
 func TestRunsOfSilentHoldersLeaveTheBook(t *testing.T) {
 	g := NewWithT(t)
--- a/roles/controller.go
+++ b/roles/controller.go
@@ -19,6 +19,8 @@
 	Sequence int64
 	// Changing is set while an order is under way.
 	Changing bool
+	// UsedTokens is how much memory cannot give way, some hundred milliseconds ago.
+	UsedTokens int
 }
 
 // Order has an engine take a role.
--- a/router/router.go
+++ b/router/router.go
@@ -203,6 +203,7 @@
 	group.Go(func() error { r.register(following); return nil })
 	group.Go(func() error { r.syncer.Run(following); return nil })
 	group.Go(func() error { r.assigner.Run(following); return nil })
+	group.Go(func() error { r.followReports(following); return nil })
 	if !r.options.KeepRoles {
 		group.Go(func() error { r.roles.Run(ctx); return nil })
 	}
