Split the larger files of the new packages; drop what nothing uses

Change: projection, foreign use, messages, faults and load in files of their own; cmp.Or. No behaviour changes; tests of the packages pass.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -11,72 +11,6 @@
 	"github.com/reelrun/reelrun/ledger"
 )
 
-// Request asks for engines.
-type Request struct {
-	Service string
-	Run     ledger.Run
-	// Wait is how long the request may wait for room.
-	Wait time.Duration
-	// Within is the time in which the first token is to come. A prompt that would
-	// wait too long for it is not accepted.
-	Within time.Duration
-	// Returning is set for a caller that was refused before.
-	Returning bool
-	// Avoid names engines that must not be given.
-	Avoid []string
-}
-
-// Assignment answers a Request.
-type Assignment struct {
-	// Decode and Prefill name engines; they are empty where there is no room.
-	Decode  string
-	Prefill string
-	// RetryAfter is when room is expected, where there is none.
-	RetryAfter time.Duration
-	// Output is how many tokens the run is taken to make.
-	Output int
-	// Short is the role of which there were too few engines, where there is no room.
-	Short string
-}
-
-// Ended tells of a run that is over.
-type Ended struct {
-	Service string
-	ID      string
-	// Duration is how long the answer took, if it was whole; otherwise zero.
-	Duration time.Duration
-	// Output is how many tokens a whole answer had.
-	Output int
-	// Refusal is set where the engine did not take it.
-	Refusal Refusal
-}
-
-// Refusal is how an engine did not take a run.
-type Refusal int32
-
-// The refusals.
-const (
-	// RefusalNone is that of a run that was taken.
-	RefusalNone Refusal = iota
-	// RefusalFull is that of an engine without room.
-	RefusalFull
-	// RefusalClosed is that of an engine that had room and took the run all the same
-	// not: it is changing its role, say, which nobody who lives knows of.
-	RefusalClosed
-)
-
-// pause returns how long an engine is given no run after a refusal.
-func (r Refusal) pause() time.Duration {
-	switch r {
-	case RefusalFull:
-		return pauseFull
-	case RefusalClosed:
-		return pauseClosed
-	default:
-		return 0
-	}
-}
-
 // Engines are those of a service that take new work.
 type Engines struct {
 	Decode  []ledger.Engine
@@ -99,10 +33,6 @@
 
 const (
 	defaultFirstToken = 80 * time.Millisecond
-	// pauseFull is how long an engine that had no room is given no run.
-	pauseFull = 120 * time.Millisecond
-	// pauseClosed is the same after an engine had room and did not take the run.
-	pauseClosed = 2 * time.Second
 	// coverageTime is how long a coordinator goes by what a node has told. Nodes
 	// tell each second.
 	coverageTime = 2500 * time.Millisecond
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -11,20 +11,18 @@
 
 // The reasons.
 const (
-	ReasonNotReady        Reason = "not_ready"
-	ReasonMalformed       Reason = "malformed"
-	ReasonNoRoute         Reason = "no_route"
-	ReasonBodyTooLarge    Reason = "body_too_large"
-	ReasonNoBackend       Reason = "no_backend"
-	ReasonNoRoom          Reason = "no_room"
-	ReasonPrefillFailed   Reason = "prefill_failed"
-	ReasonBackendRefused  Reason = "backend_refused"
-	ReasonBackendFailed   Reason = "backend_failed"
-	ReasonBudgetSpent     Reason = "retry_budget_spent"
-	ReasonDeadline        Reason = "deadline"
-	ReasonCallerLeft      Reason = "caller_left"
-	ReasonStreamBroken    Reason = "stream_broken"
-	ReasonTooManyRequests Reason = "too_many_requests"
+	ReasonNotReady       Reason = "not_ready"
+	ReasonMalformed      Reason = "malformed"
+	ReasonNoRoute        Reason = "no_route"
+	ReasonBodyTooLarge   Reason = "body_too_large"
+	ReasonNoBackend      Reason = "no_backend"
+	ReasonNoRoom         Reason = "no_room"
+	ReasonPrefillFailed  Reason = "prefill_failed"
+	ReasonBackendRefused Reason = "backend_refused"
+	ReasonBackendFailed  Reason = "backend_failed"
+	ReasonDeadline       Reason = "deadline"
+	ReasonCallerLeft     Reason = "caller_left"
+	ReasonStreamBroken   Reason = "stream_broken"
 )
 
 // failure is the gateway's own final answer. It is an error, so that each step
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -42,20 +43,13 @@
 )
 
 func (p *Policy) setDefaults() {
-	setDefault(&p.OutputMargin, defaultOutputMargin)
-	setDefault(&p.OutputMarginAlone, defaultOutputMarginAlone)
-	setDefault(&p.FirstWait, defaultFirstWait)
-	setDefault(&p.ReturnWait, defaultReturnWait)
-	setDefault(&p.ReservationLifetime, defaultReservationLifetime)
-	setDefault(&p.ShortestReturn, defaultShortestReturn)
-	setDefault(&p.LongestReturn, defaultLongestReturn)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	p.OutputMargin = cmp.Or(p.OutputMargin, defaultOutputMargin)
+	p.OutputMarginAlone = cmp.Or(p.OutputMarginAlone, defaultOutputMarginAlone)
+	p.FirstWait = cmp.Or(p.FirstWait, defaultFirstWait)
+	p.ReturnWait = cmp.Or(p.ReturnWait, defaultReturnWait)
+	p.ReservationLifetime = cmp.Or(p.ReservationLifetime, defaultReservationLifetime)
+	p.ShortestReturn = cmp.Or(p.ShortestReturn, defaultShortestReturn)
+	p.LongestReturn = cmp.Or(p.LongestReturn, defaultLongestReturn)
 }
 
 // expectedOutput returns how many tokens a request is expected to make.
--- /dev/null
+++ b/soak/load_test.go
@@ -0,0 +1,101 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// load sends requests until it is stopped.
+type load struct {
+	world    *world
+	stopping chan struct{}
+	done     sync.WaitGroup
+	next     atomic.Int64
+	prefix   string
+
+	mu   sync.Mutex
+	seen []observation
+}
+
+func startLoad(w *world, seed uint64) *load {
+	l := &load{world: w, stopping: make(chan struct{}), prefix: fmt.Sprintf("s%d", seed)}
+	for i := range callers {
+		random := rand.New(rand.NewPCG(seed, uint64(i)+100))
+		l.done.Go(func() { l.call(random) })
+	}
+	return l
+}
+
+// call sends one request after the other, on kept connections for the most part.
+func (l *load) call(random *rand.Rand) {
+	kinds := []kind{kindOnce, kindAgain, kindStream, kindResume}
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 4}
+	defer transport.CloseIdleConnections()
+	for {
+		select {
+		case <-l.stopping:
+			return
+		case <-time.After(time.Duration(20+random.IntN(120)) * time.Millisecond):
+		}
+		n := l.world.nodes[random.IntN(len(l.world.nodes))]
+		id := fmt.Sprintf("%s-%d", l.prefix, l.next.Add(1))
+		o := ask(transport, n, kinds[random.IntN(len(kinds))], id, random.IntN(4) == 0)
+		l.mu.Lock()
+		l.seen = append(l.seen, o)
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) observations() []observation {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]observation(nil), l.seen...)
+}
+
+func (l *load) stop() {
+	close(l.stopping)
+	l.done.Wait()
+}
+
+// ask sends one request and returns what its caller sees.
+func ask(transport http.RoundTripper, n *node, k kind, id string, lastOnConnection bool) observation {
+	o := observation{id: id, kind: k, node: n.index, began: time.Now()}
+	defer func() { o.ended = time.Now() }()
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) }})
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d/%s/x", n.ports[0], k), strings.NewReader("body of "+id))
+	if err != nil {
+		return o
+	}
+	request.Host, request.Close, request.GetBody = routeHost, lastOnConnection, nil
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Deadline-Ms": "4000", "X-Token-Counts": "3000,2000", "X-Length-Hint": "600",
+	} {
+		request.Header.Set(name, value)
+	}
+	response, err := transport.RoundTrip(request)
+	o.sent = sent.Load()
+	if err != nil {
+		return finished(o)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	o.sent, o.status, o.complete, o.body = true, response.StatusCode, err == nil, string(body)
+	o.signature, o.requestID = response.Header.Get("X-Instance-Signature"), response.Header.Get("X-Request-Id")
+	return finished(o)
+}
+
+func finished(o observation) observation {
+	o.ended = time.Now()
+	return o
+}
