--- a/sim/certificates/authority.go
+++ b/sim/certificates/authority.go
@@ -125,11 +125,24 @@
 }
 
 func writeAll(contents map[string][]byte) error {
-	const ownerReadWrite = 0o600
 	for name, content := range contents {
-		if err := os.WriteFile(name, content, ownerReadWrite); err != nil {
-			return errors.Wrap(err, "write certificate")
+		if err := replaceFile(name, content); err != nil {
+			return err
 		}
 	}
 	return nil
 }
+
+// replaceFile writes a file as a whole: a process that starts meanwhile reads the
+// earlier content or the new one.
+func replaceFile(name string, content []byte) error {
+	written, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name)+".*")
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	_, err = written.Write(content)
+	if err = errors.CombineErrors(err, written.Close()); err != nil {
+		return errors.Wrap(err, "write certificate")
+	}
+	return errors.Wrap(os.Rename(written.Name(), name), "replace certificate")
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -143,19 +143,31 @@
 	portsOfNode = 5
 )
 
-// nodePorts returns the ports of a node.
+// nodePorts returns the ports of a node. Another series of the same seed may run on
+// this machine: then the next free ones are taken.
 func nodePorts(t *testing.T, seed uint64, index int) []int {
-	base := firstPort + int(seed%seedsApart)*portsOfSeed + index*portsOfNode
+	for shift := range seedsApart {
+		base := firstPort + (int(seed%seedsApart)+shift)%seedsApart*portsOfSeed + index*portsOfNode
+		if ports, free := portsFrom(base); free {
+			return ports
+		}
+	}
+	t.Fatal("no ports are free")
+	return nil
+}
+
+// portsFrom returns the ports of a node from a first one, if they are free.
+func portsFrom(base int) ([]int, bool) {
 	ports := make([]int, portsOfNode)
 	for i := range ports {
 		ports[i] = base + i
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[i]))
 		if err != nil {
-			t.Fatalf("port %d is taken", ports[i])
+			return nil, false
 		}
 		_ = listener.Close()
 	}
-	return ports
+	return ports, true
 }
 
 // configure writes the next version; routes of the soak are in each.
