Remove the objects of lost nodes from the store

Cause: a machine that is replaced for good left its object for ever: nodes would go on calling it, divide the retry budget by it, and in the end take themselves for the smaller part. Change: the first watcher removes the objects of nodes that were silent for a minute, unless it hears no more than half of the fleet itself; a node that lives after all registers again.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -45,8 +45,15 @@
 	news    chan struct{}
 
 	mu sync.Mutex
-	// silent holds the nodes that did not answer, until they are asked again.
-	silent map[string]time.Time
+	// silent holds the nodes that did not answer.
+	silent map[string]silence
+}
+
+// silence is a time in which a node has not answered.
+type silence struct {
+	since time.Time
+	// until is when it is asked again.
+	until time.Time
 }
 
 // New returns a syncer that does nothing until Run.
@@ -63,7 +70,7 @@
 	if options.Avoidance == 0 {
 		options.Avoidance = defaultAvoidance
 	}
-	return &Syncer{options: options, news: make(chan struct{}, 1), silent: map[string]time.Time{}}
+	return &Syncer{options: options, news: make(chan struct{}, 1), silent: map[string]silence{}}
 }
 
 // News has the copy compared at once. It never blocks.
@@ -104,7 +111,7 @@
 	now := time.Now()
 	var drawn []string
 	for _, address := range peers {
-		if len(drawn) < count && !now.Before(s.silent[address]) {
+		if len(drawn) < count && !now.Before(s.silent[address].until) {
 			drawn = append(drawn, address)
 		}
 	}
@@ -119,6 +126,17 @@
 	return !silent
 }
 
+// SilentFor returns how long a node has not answered; zero if it does.
+func (s *Syncer) SilentFor(address string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current, silent := s.silent[address]
+	if !silent {
+		return 0
+	}
+	return time.Since(current.since)
+}
+
 // Silent notes that a node did not answer a call. It counts as silent until a
 // comparison with it succeeds.
 func (s *Syncer) Silent(address string, err error) {
@@ -129,10 +147,14 @@
 
 // noteSilent leaves a node alone for a while; the lock is held.
 func (s *Syncer) noteSilent(address string, err error) {
-	if _, known := s.silent[address]; !known {
+	now := time.Now()
+	current, known := s.silent[address]
+	if !known {
+		current.since = now
 		s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
 	}
-	s.silent[address] = time.Now().Add(s.options.Avoidance)
+	current.until = now.Add(s.options.Avoidance)
+	s.silent[address] = current
 	s.options.Client.Reset(address)
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -62,7 +62,72 @@
 // nodeCount returns how many nodes are known, this one included.
 func (r *Router) nodeCount() int { return max(1, r.nodes.count()) }
 
-// register writes the node's object, so that others find it.
+// stayRegistered writes the node's object, so that others find it, and again if
+// another node has taken this one for lost and removed it.
+func (r *Router) stayRegistered(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.register(ctx)
+		select {
+		case <-ctx.Done():
+		case <-r.removed:
+			r.options.Logger.Warn("node registers again")
+		}
+	}
+}
+
+// ownObjectRemoved notes that the node's object is gone.
+func (r *Router) ownObjectRemoved() {
+	if r.withdrawn.Load() {
+		return
+	}
+	select {
+	case r.removed <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	// lostAfter is how long a node is silent before its object is removed.
+	lostAfter = time.Minute
+	// removeInterval is how often a node looks for such nodes.
+	removeInterval = 10 * time.Second
+)
+
+// removeLost removes the objects of nodes that are gone for good, until the context
+// ends. One watcher does it; a node that lives after all registers again.
+func (r *Router) removeLost(ctx context.Context) {
+	ticker := time.NewTicker(removeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		responsive, position := r.place()
+		if position > 0 || 2*responsive <= r.nodeCount() {
+			// Another node does it, or this one is itself cut off.
+			continue
+		}
+		for _, object := range r.copy.Live(kindNode) {
+			node, known := r.nodes.named(object.Name)
+			if !known || r.syncer.SilentFor(node.Address) < lostAfter {
+				continue
+			}
+			err := r.options.Backplane.Store.Delete(ctx, kindNode, object.Name, object.Version)
+			r.options.Logger.Info("lost node removed", "name", object.Name, "address", node.Address, "error", errorText(err))
+		}
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// register writes the node's object.
 func (r *Router) register(ctx context.Context) {
 	spec, err := json.Marshal(nodeSpec{
 		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: r.started.UnixNano(),
@@ -96,6 +161,7 @@
 
 // withdraw removes the node's object, so that others stop asking it.
 func (r *Router) withdraw(ctx context.Context) {
+	r.withdrawn.Store(true)
 	for _, object := range r.copy.Live(kindNode) {
 		if object.Name != r.options.Settings.Name {
 			continue
--- a/router/router.go
+++ b/router/router.go
@@ -91,6 +91,10 @@
 	assigner *coordinator.Client
 	roles    *roles.Controller
 	started  time.Time
+	// withdrawn is set once the node has removed its own object.
+	withdrawn atomic.Bool
+	// removed tells that another one has.
+	removed chan struct{}
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
 	settings atomic.Pointer[settings.Router]
@@ -123,7 +127,7 @@
 		}
 	}
 	r := &Router{
-		options: options, metrics: metrics.NewSet(), started: time.Now(),
+		options: options, metrics: metrics.NewSet(), started: time.Now(), removed: make(chan struct{}, 1),
 		backends: backend.NewRegistry(time.Now), contact: newContact(options.Logger),
 	}
 	r.settings.Store(options.Settings)
@@ -200,7 +204,8 @@
 		r.follow(following, r.options.Backplane.ConfigurationKind, r.options.Backplane.BackendKind, kindNode)
 		return nil
 	})
-	group.Go(func() error { r.register(following); return nil })
+	group.Go(func() error { r.stayRegistered(ctx); return nil })
+	group.Go(func() error { r.removeLost(ctx); return nil })
 	group.Go(func() error { r.syncer.Run(following); return nil })
 	group.Go(func() error { r.assigner.Run(following); return nil })
 	group.Go(func() error { r.followReports(following); return nil })
--- a/router/view.go
+++ b/router/view.go
@@ -11,6 +11,9 @@
 	case r.options.Backplane.BackendKind:
 		r.backendChanged(change)
 	case kindNode:
+		if change.Record.Deleted && change.Record.Object.Name == r.options.Settings.Name {
+			r.ownObjectRemoved()
+		}
 		if err := r.nodes.take(change.Record); err != nil {
 			r.options.Logger.Error("node refused", "name", change.Record.Object.Name, "error", err.Error())
 		}
