Do not take a stream up elsewhere for a caller that left; plainer names

Cause: reading the change as a newcomer: a write that failed because the caller had left counted as a failure of the engine, and might have begun the stream at another one; 'seat' and 'book' are no terms of the field. Change: reservedEngine and serviceState; such an error ends the request.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -47,12 +47,12 @@
 type Coordinator struct {
 	options Options
 
-	mu    sync.Mutex
-	books map[string]*book
+	mu       sync.Mutex
+	services map[string]*serviceState
 }
 
-// book is one service.
-type book struct {
+// serviceState is what the coordinator knows of one service.
+type serviceState struct {
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
@@ -78,7 +78,7 @@
 	if options.FirstToken == 0 {
 		options.FirstToken = defaultFirstToken
 	}
-	return &Coordinator{options: options, books: map[string]*book{}}
+	return &Coordinator{options: options, services: map[string]*serviceState{}}
 }
 
 // Assign gives engines to a request, or tells when room is expected.
@@ -110,7 +110,7 @@
 func (c *Coordinator) enqueue(request *Request) *waiter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.book(request.Service)
+	current := c.state(request.Service)
 	queued := &waiter{request: request, since: c.options.Now(), assigned: make(chan Assignment, 1)}
 	current.waiting = append(current.waiting, queued)
 	c.serve(request.Service, current)
@@ -126,7 +126,7 @@
 		return assignment
 	default:
 	}
-	current := c.book(left.request.Service)
+	current := c.state(left.request.Service)
 	for i, queued := range current.waiting {
 		if queued == left {
 			current.waiting = append(current.waiting[:i], current.waiting[i+1:]...)
@@ -142,7 +142,7 @@
 func (c *Coordinator) End(ended Ended) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.book(ended.Service)
+	current := c.state(ended.Service)
 	if ended.Refusal != RefusalNone {
 		current.decode.Refused(c.options.Now(), ended.ID, ended.Refusal.pause())
 	}
@@ -157,21 +157,21 @@
 func (c *Coordinator) Sync(service, holder string, runs []ledger.Run) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.book(service).decode.Sync(c.options.Now(), holder, runs)
+	c.state(service).decode.Sync(c.options.Now(), holder, runs)
 }
 
 // Reported takes note of the memory that a decode engine says it uses.
 func (c *Coordinator) Reported(service, engine string, used int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.book(service).decode.Reported(c.options.Now(), engine, used)
+	c.state(service).decode.Reported(c.options.Now(), engine, used)
 }
 
 // PromptRead notes that a run's prompt has been read, and serves those that wait.
 func (c *Coordinator) PromptRead(service, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	current := c.book(service)
+	current := c.state(service)
 	current.prefill.remove(c.options.Now(), id, true)
 	if current.short == backend.RolePrefill {
 		c.serve(service, current)
@@ -181,13 +181,13 @@
 func (c *Coordinator) serveWaiting(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serve(service, c.book(service))
+	c.serve(service, c.state(service))
 }
 
 // serve gives engines to those that wait, returning callers first, then in the
 // order of arrival; the lock is held. A request that does not fit lets smaller
 // ones pass.
-func (c *Coordinator) serve(service string, current *book) {
+func (c *Coordinator) serve(service string, current *serviceState) {
 	if len(current.waiting) == 0 {
 		return
 	}
@@ -231,7 +231,7 @@
 	return false
 }
 
-func (c *Coordinator) assign(now time.Duration, current *book, engines Engines, queued *waiter) (Assignment, bool) {
+func (c *Coordinator) assign(now time.Duration, current *serviceState, engines Engines, queued *waiter) (Assignment, bool) {
 	request := queued.request
 	avoid := make(map[string]bool, len(request.Avoid))
 	for _, id := range request.Avoid {
@@ -256,18 +256,18 @@
 }
 
 // outputEnded learns from a whole answer.
-func (b *book) outputEnded(ended Ended) {
-	expected, known := b.asked[ended.ID]
-	delete(b.asked, ended.ID)
+func (s *serviceState) outputEnded(ended Ended) {
+	expected, known := s.asked[ended.ID]
+	delete(s.asked, ended.ID)
 	if known && ended.Output > 0 {
-		b.output.Observe(expected, ended.Output)
+		s.output.Observe(expected, ended.Output)
 	}
 }
 
 // coverage returns which share of a service's runs its book is taken to know: that
 // of the nodes which have told of theirs lately. While nodes differ on who
 // coordinates, each of two coordinators knows a part.
-func (c *Coordinator) coverage(now time.Duration, current *book) float64 {
+func (c *Coordinator) coverage(now time.Duration, current *serviceState) float64 {
 	nodes := c.options.Nodes()
 	if nodes == 0 {
 		return 1
@@ -276,12 +276,12 @@
 	return min(1, max(leastCoverage, float64(heard)/float64(nodes)))
 }
 
-// book returns the book of a service; the lock is held.
-func (c *Coordinator) book(service string) *book {
-	current := c.books[service]
+// state returns what is known of a service; the lock is held.
+func (c *Coordinator) state(service string) *serviceState {
+	current := c.services[service]
 	if current == nil {
-		current = &book{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), asked: map[string]int{}}
-		c.books[service] = current
+		current = &serviceState{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), asked: map[string]int{}}
+		c.services[service] = current
 	}
 	return current
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -38,7 +38,7 @@
 		}
 		err = relayed.relay(ctx, answer)
 		taken.close(err == nil, relayed.events*profile.EventTokens)
-		if err == nil || ended(ctx) != nil {
+		if err == nil || ended(ctx) != nil || isReason(err, ReasonCallerLeft) {
 			return err
 		}
 		taken.entry.Failed()
@@ -60,7 +60,7 @@
 
 // start has an answer begin at a decode engine. Engines that refuse are replaced
 // by others while the retry budget lasts.
-func (x *exchange) start(ctx context.Context, profile *routing.EngineProfile, lastID string, avoid map[string]bool) (*Answer, *seat, error) {
+func (x *exchange) start(ctx context.Context, profile *routing.EngineProfile, lastID string, avoid map[string]bool) (*Answer, *reservedEngine, error) {
 	for prefills := 1; ; prefills++ {
 		taken, err := x.reserve(ctx, profile, avoid)
 		if err != nil {
@@ -84,7 +84,7 @@
 }
 
 // startAt reads the prompt and begins the answer at the engine of a reservation.
-func (x *exchange) startAt(ctx context.Context, taken *seat, lastID string) (*Answer, error) {
+func (x *exchange) startAt(ctx context.Context, taken *reservedEngine, lastID string) (*Answer, error) {
 	result, source, err := x.prefill(ctx, taken)
 	if err != nil {
 		return nil, err
@@ -128,7 +128,7 @@
 
 // prefill has the prompt read. Reading it runs nothing, so that another engine
 // may be asked after any failure.
-func (x *exchange) prefill(ctx context.Context, taken *seat) (*PrefillResult, *backend.Entry, error) {
+func (x *exchange) prefill(ctx context.Context, taken *reservedEngine) (*PrefillResult, *backend.Entry, error) {
 	tried := map[string]bool{}
 	for {
 		entry := x.prefillEngine(taken, tried)
@@ -154,7 +154,7 @@
 
 // prefillEngine returns the engine that was assigned, or another one once that
 // has been tried.
-func (x *exchange) prefillEngine(taken *seat, tried map[string]bool) *backend.Entry {
+func (x *exchange) prefillEngine(taken *reservedEngine, tried map[string]bool) *backend.Entry {
 	if len(tried) == 0 && taken.prefillEngine != "" {
 		entry := x.handler.options.Backends.Lookup(taken.prefillEngine)
 		if entry != nil && entry.Backend().State == backend.StateReady {
@@ -198,7 +198,7 @@
 	lastID string
 	// events counts those passed on.
 	events int
-	// lastAt is when it was passed on, counted from the request's arrival.
+	// lastAt is when the last event was passed on, counted from the request's arrival.
 	lastAt time.Duration
 }
 
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Reason is why a request got no answer of a back end.
@@ -67,6 +69,12 @@
 	return &failure{status: status, reason: reason, cause: cause}
 }
 
+// isReason reports whether an error is a failure for a reason.
+func isReason(err error, reason Reason) bool {
+	var failed *failure
+	return errors.As(err, &failed) && failed.reason == reason
+}
+
 // write sends the failure to the caller.
 func (f *failure) write(w http.ResponseWriter) {
 	header := w.Header()
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -25,8 +25,8 @@
 	fullMemory = 100 * time.Millisecond
 )
 
-// seat is room for a run: memory reserved at a decode engine.
-type seat struct {
+// reservedEngine is a decode engine with memory reserved for a run.
+type reservedEngine struct {
 	exchange    *exchange
 	entry       *backend.Entry
 	reservation Reservation
@@ -34,7 +34,7 @@
 	prefillEngine string
 	// run names the run at its coordinator; empty if it has none.
 	run string
-	// taken is when the seat was taken.
+	// taken is when it was reserved.
 	taken time.Time
 	// refusal is how the engine did not take the run in spite of the reservation.
 	refusal coordinator.Refusal
@@ -42,7 +42,7 @@
 }
 
 // close ends the run. The answer was whole or not, and had so many tokens.
-func (s *seat) close(whole bool, output int) {
+func (s *reservedEngine) close(whole bool, output int) {
 	s.end()
 	if s.run == "" {
 		return
@@ -55,14 +55,14 @@
 }
 
 // promptRead tells the coordinator that the prompt has been read.
-func (s *seat) promptRead() {
+func (s *reservedEngine) promptRead() {
 	if s.run != "" {
 		s.exchange.handler.options.Coordinator.PromptRead(s.exchange.service, s.run)
 	}
 }
 
 // reserve takes memory at a decode engine, waiting a bounded time for it.
-func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
+func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	if x.handler.options.Coordinator == nil {
 		return x.reserveAlone(ctx, profile, avoid)
 	}
@@ -80,7 +80,7 @@
 
 // reserveAssigned takes memory at the engine that the coordinator assigns. The
 // result is nil if that engine has no room all the same; the coordinator is told.
-func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
+func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	policy := &x.handler.options.Policy
 	x.assignments++
 	request := coordinator.Request{
@@ -118,7 +118,7 @@
 		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Refusal: coordinator.RefusalFull})
 		return nil, err
 	}
-	return &seat{
+	return &reservedEngine{
 		exchange: x, entry: entry, reservation: *reservation, prefillEngine: assigned.Prefill,
 		run: request.Run.ID, taken: time.Now(), end: entry.Begin(),
 	}, nil
@@ -136,7 +136,7 @@
 }
 
 // reserveAlone asks all engines for memory, without a coordinator.
-func (x *exchange) reserveAlone(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*seat, error) {
+func (x *exchange) reserveAlone(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	wait := x.handler.options.Policy.wait(x.route.Objective, x.returning())
 	until := x.arrived.Add(wait)
 	for {
@@ -146,7 +146,7 @@
 				return nil, err
 			}
 			if reservation != nil {
-				return &seat{exchange: x, entry: entry, reservation: *reservation, taken: time.Now(), end: entry.Begin()}, nil
+				return &reservedEngine{exchange: x, entry: entry, reservation: *reservation, taken: time.Now(), end: entry.Begin()}, nil
 			}
 		}
 		if time.Now().Add(reserveInterval).After(until) {
@@ -193,7 +193,7 @@
 }
 
 // release gives a reservation back that no run has used.
-func (x *exchange) release(ctx context.Context, taken *seat) {
+func (x *exchange) release(ctx context.Context, taken *reservedEngine) {
 	taken.close(false, 0)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
 	go func() {
