--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -59,7 +59,8 @@
 // marked by ErrNotSent where nothing was sent; any other error leaves open
 // whether the request ran. It is safe for concurrent use.
 type Dialect interface {
-	// Parse reads the head of a caller's request. The body is read later.
+	// Parse reads the head of a caller's request. The body is read later. With an
+	// error, the request is what could be read, for the log.
 	Parse(request *http.Request) (*Request, error)
 	// Send sends a request to a back end of a plain service. The time left is
 	// passed on.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -157,10 +157,15 @@
 // serve answers the request or returns why it cannot.
 func (x *exchange) serve(r *http.Request) error {
 	h := x.handler
+	request, malformed := h.options.Dialect.Parse(r)
+	x.request = request
 	x.configuration = h.configuration.Load()
 	if x.configuration == nil || !h.options.Backends.Synced() {
 		return notRun(ReasonNotReady, h.retryNotReady(), nil)
 	}
+	if malformed != nil {
+		return rejected(http.StatusBadRequest, ReasonMalformed, malformed)
+	}
 	if err := x.read(r); err != nil {
 		return err
 	}
@@ -181,19 +186,16 @@
 	return x.forward(ctx)
 }
 
-// read parses the request, finds its route and reads its body.
+// read finds the route of the request and reads its body.
 func (x *exchange) read(r *http.Request) error {
-	request, err := x.handler.options.Dialect.Parse(r)
-	if err != nil {
-		return rejected(http.StatusBadRequest, ReasonMalformed, err)
-	}
-	x.request = request
+	request := x.request
 	x.route = x.configuration.Match(request.Host, r.URL.Path)
 	if x.route == nil {
 		return rejected(http.StatusNotFound, ReasonNoRoute, nil)
 	}
 	limited := http.MaxBytesReader(x.writer, r.Body, x.configuration.Limits.MaxBodyBytes)
-	request.Body, err = io.ReadAll(limited)
+	body, err := io.ReadAll(limited)
+	request.Body = body
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return rejected(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, err)
