Compare copies by bucket

Change: 64 buckets; only the versions of buckets that differ are sent, and a message holds at most 512 kB of content, the rest comes with the next comparison.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -181,27 +181,44 @@
 	if err != nil {
 		return err
 	}
-	versions := response.GetReplicaVersions()
-	if versions.GetSame() {
+	compared := response.GetReplicaVersions()
+	if compared.GetSame() {
 		return nil
 	}
-	newerHere, newerThere := s.options.Replica.Compare(recordsOf(versions.GetVersions()))
-	if len(newerHere)+len(newerThere) == 0 {
+	differing := s.options.Replica.Differing(compared.GetBuckets())
+	return s.exchange(ctx, address, differing)
+}
+
+// exchange takes over what another node has newer in some buckets, and brings it
+// what it lacks.
+func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) error {
+	if len(buckets) == 0 {
 		return nil
 	}
-	response, err = s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
-		ExchangeObjects: &peerpb.ExchangeObjects{
-			Objects: storedObjects(s.options.Replica.Records(newerHere)),
-			Wanted:  wantedVersions(newerThere),
-		},
-	}})
+	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
+	for _, bucket := range buckets {
+		request.Buckets = append(request.Buckets, uint32(bucket))
+	}
+	response, err := s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{ExchangeObjects: request}})
 	if err != nil {
 		return err
 	}
-	if s.options.Replica.Apply(replica.SourcePeer, recordsOfObjects(response.GetStoredObjects().GetObjects())...) > 0 {
+	s.take(response.GetStoredObjects().GetObjects())
+	wanted := s.options.Replica.Records(keysOf(response.GetStoredObjects().GetWanted()))
+	if len(wanted) == 0 {
+		return nil
+	}
+	_, err = s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
+		ExchangeObjects: &peerpb.ExchangeObjects{Objects: storedObjects(wanted)},
+	}})
+	return err
+}
+
+// take takes over objects of another node. News are passed on.
+func (s *Syncer) take(objects []*peerpb.StoredObject) {
+	if s.options.Replica.Apply(replica.SourcePeer, recordsOfObjects(objects)...) > 0 {
 		s.News()
 	}
-	return nil
 }
 
 func (s *Syncer) call(ctx context.Context, address string, request *peerpb.Request) (*peerpb.Response, error) {
@@ -223,25 +240,39 @@
 }
 
 func (s *Syncer) handleCompare(request *peerpb.CompareReplicas) *peerpb.Response {
-	versions := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest()}
-	if !versions.GetSame() {
-		for _, record := range s.options.Replica.Versions() {
-			versions.Versions = append(versions.Versions, objectVersion(record))
-		}
+	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest()}
+	if !compared.GetSame() {
+		compared.Buckets = s.options.Replica.Buckets()
 	}
-	return &peerpb.Response{Body: &peerpb.Response_ReplicaVersions{ReplicaVersions: versions}}
+	return &peerpb.Response{Body: &peerpb.Response_ReplicaVersions{ReplicaVersions: compared}}
 }
 
 func (s *Syncer) handleExchange(request *peerpb.ExchangeObjects) *peerpb.Response {
-	if s.options.Replica.Apply(replica.SourcePeer, recordsOfObjects(request.GetObjects())...) > 0 {
-		s.News()
+	s.take(request.GetObjects())
+	buckets := make([]int, len(request.GetBuckets()))
+	for i, bucket := range request.GetBuckets() {
+		buckets[i] = int(bucket)
 	}
-	var wanted []replica.Key
-	for _, record := range recordsOf(request.GetWanted()) {
-		wanted = append(wanted, record.Key())
+	newerHere, newerThere := s.options.Replica.Compare(buckets, recordsOf(request.GetVersions()))
+	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: &peerpb.StoredObjects{
+		Objects: storedObjects(s.options.Replica.Records(newerHere)), Wanted: wantedVersions(newerThere),
+	}}}
+}
+
+func objectVersions(records []replica.Record) []*peerpb.ObjectVersion {
+	versions := make([]*peerpb.ObjectVersion, len(records))
+	for i, record := range records {
+		versions[i] = objectVersion(record)
+	}
+	return versions
+}
+
+func keysOf(versions []*peerpb.ObjectVersion) []replica.Key {
+	keys := make([]replica.Key, len(versions))
+	for i, version := range versions {
+		keys[i] = recordOf(version).Key()
 	}
-	objects := &peerpb.StoredObjects{Objects: storedObjects(s.options.Replica.Records(wanted))}
-	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: objects}}
+	return keys
 }
 
 func objectVersion(record replica.Record) *peerpb.ObjectVersion {
@@ -259,10 +290,20 @@
 	return wanted
 }
 
+// maxExchangedBytes bounds the content of one message. What does not fit comes with
+// the next comparison.
+const maxExchangedBytes = 512 << 10
+
+// storedObjects returns as many of the records as one message holds, at least one.
 func storedObjects(records []replica.Record) []*peerpb.StoredObject {
-	stored := make([]*peerpb.StoredObject, len(records))
-	for i, record := range records {
-		stored[i] = &peerpb.StoredObject{Version: objectVersion(record), Spec: record.Object.Spec}
+	var stored []*peerpb.StoredObject
+	size := 0
+	for _, record := range records {
+		size += len(record.Object.Spec)
+		if size > maxExchangedBytes && len(stored) > 0 {
+			break
+		}
+		stored = append(stored, &peerpb.StoredObject{Version: objectVersion(record), Spec: record.Object.Spec})
 	}
 	return stored
 }
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -33,6 +33,14 @@
 	return records
 }
 
+func allBuckets() []int {
+	buckets := make([]int, replica.BucketCount)
+	for i := range buckets {
+		buckets[i] = i
+	}
+	return buckets
+}
+
 // TestOrderDoesNotMatter applies a history in two orders, one with repeats.
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -48,7 +56,8 @@
 		if fmt.Sprint(first.Live(kind)) != fmt.Sprint(second.Live(kind)) {
 			t.Fatalf("%v, %v", first.Live(kind), second.Live(kind))
 		}
-		here, there := first.Compare(second.Versions())
+		all := allBuckets()
+		here, there := first.Compare(all, second.Versions(all))
 		if len(here)+len(there) != 0 {
 			t.Fatal("equal copies differ")
 		}
@@ -85,7 +94,8 @@
 				second.Apply(replica.SourceStore, record)
 			}
 		}
-		newerFirst, newerSecond := first.Compare(second.Versions())
+		differing := first.Differing(second.Buckets())
+		newerFirst, newerSecond := first.Compare(differing, second.Versions(differing))
 		second.Apply(replica.SourcePeer, first.Records(newerFirst)...)
 		first.Apply(replica.SourcePeer, second.Records(newerSecond)...)
 		if first.Digest() != second.Digest() {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -14,6 +14,20 @@
 // version, so that all copies forget the same ones.
 const maxTombstones = 4096
 
+// BucketCount is into how many buckets the objects fall. Copies that differ are
+// compared by bucket, so that few versions are exchanged for few differences.
+const BucketCount = 64
+
+// Bucket returns the bucket of an object.
+func (k Key) Bucket() int {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(k.Kind)) // These never fail.
+	_, _ = digest.WriteString("/")
+	_, _ = digest.WriteString(k.Name)
+	return int(digest.Sum64() % BucketCount)
+}
+
 // Key names an object.
 type Key struct {
 	Kind objectapi.Kind
@@ -53,9 +67,10 @@
 	// they were taken over.
 	changed func(Change)
 
-	mu         sync.Mutex
-	records    map[Key]Record
-	digest     uint64
+	mu      sync.Mutex
+	records map[Key]Record
+	// buckets are the digests of the buckets.
+	buckets    [BucketCount]uint64
 	tombstones int
 }
 
@@ -120,17 +135,20 @@
 		r.tombstones++
 	}
 	if exists {
-		r.digest ^= hash(known)
+		r.mix(known)
 		if known.Deleted {
 			r.tombstones--
 		}
 	}
-	r.digest ^= hash(record)
+	r.mix(record)
 	r.records[record.Key()] = record
 	r.changed(Change{Record: record, Source: source, New: !exists || known.Deleted})
 	return true
 }
 
+// mix puts a record into the digest of its bucket, or takes it out again.
+func (r *Replica) mix(record Record) { r.buckets[record.Key().Bucket()] ^= hash(record) }
+
 // forget drops the oldest deletions beyond the bound; the lock is held.
 func (r *Replica) forget() {
 	if r.tombstones <= maxTombstones {
@@ -144,7 +162,7 @@
 	}
 	sort.Slice(deleted, func(i, j int) bool { return deleted[i].Object.Version < deleted[j].Object.Version })
 	for _, record := range deleted[:len(deleted)-maxTombstones] {
-		r.digest ^= hash(record)
+		r.mix(record)
 		delete(r.records, record.Key())
 		r.tombstones--
 	}
@@ -154,21 +172,56 @@
 func (r *Replica) Digest() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.digest
+	var encoded [8 * BucketCount]byte
+	for i, bucket := range r.buckets {
+		binary.LittleEndian.PutUint64(encoded[8*i:], bucket)
+	}
+	return xxhash.Sum64(encoded[:])
 }
 
-// Versions returns all records without their content.
-func (r *Replica) Versions() []Record {
+// Buckets returns the digests of all buckets.
+func (r *Replica) Buckets() []uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	versions := make([]Record, 0, len(r.records))
-	for _, record := range r.records {
-		record.Object.Spec = nil
-		versions = append(versions, record)
+	return append([]uint64(nil), r.buckets[:]...)
+}
+
+// Differing returns the buckets whose digests differ from those of another copy.
+func (r *Replica) Differing(others []uint64) []int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var differing []int
+	for i, bucket := range r.buckets {
+		if i >= len(others) || others[i] != bucket {
+			differing = append(differing, i)
+		}
+	}
+	return differing
+}
+
+// Versions returns the records of some buckets without their content.
+func (r *Replica) Versions(buckets []int) []Record {
+	wanted := bucketSet(buckets)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var versions []Record
+	for key, record := range r.records {
+		if wanted[key.Bucket()] {
+			record.Object.Spec = nil
+			versions = append(versions, record)
+		}
 	}
 	return versions
 }
 
+func bucketSet(buckets []int) map[int]bool {
+	set := make(map[int]bool, len(buckets))
+	for _, bucket := range buckets {
+		set[bucket] = true
+	}
+	return set
+}
+
 // Records returns the records of the given objects that the copy has.
 func (r *Replica) Records(keys []Key) []Record {
 	r.mu.Lock()
@@ -196,9 +249,10 @@
 	return live
 }
 
-// Compare sorts the differences from another copy: keys that are newer here, and
-// keys that are newer there.
-func (r *Replica) Compare(others []Record) (newerHere, newerThere []Key) {
+// Compare sorts the differences from another copy in some buckets: keys that are
+// newer here, and keys that are newer there.
+func (r *Replica) Compare(buckets []int, others []Record) (newerHere, newerThere []Key) {
+	wanted := bucketSet(buckets)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := make(map[Key]bool, len(others))
@@ -214,7 +268,7 @@
 		}
 	}
 	for key := range r.records {
-		if !seen[key] {
+		if !seen[key] && wanted[key.Bucket()] {
 			newerHere = append(newerHere, key)
 		}
 	}
