Let a probe take no return; forget prompts of lost nodes

Cause: reading the change as a newcomer: a request that found no room asked twice, first without waiting, and took two places in the schedule of returns; a prompt whose node was lost stayed in its engine's queue for ever, and so did what its caller had expected. Change: a probe is marked and schedules nothing; prompts are dropped after 5 s (TestPromptsOfLostNodesAreForgotten); what was expected is kept with the run. The share of the rate for returns is 0.25 now, which is what it came to before.

--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -143,12 +143,12 @@
 		return c.local.Assign(ctx, &request), nil
 	}
 	wait := request.Wait
-	request.Wait = 0
+	request.Wait, request.Probe = 0, wait > 0
 	assignment, err := c.call(ctx, node.Address, &request, firstAnswerTimeout)
 	if err != nil || assignment.Decode != "" || wait <= 0 {
 		return assignment, err
 	}
-	request.Wait = wait
+	request.Wait, request.Probe = wait, false
 	return c.call(ctx, node.Address, &request, wait+firstAnswerTimeout)
 }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -25,7 +25,7 @@
 	Nodes func() int
 	// Now reads a monotonic clock.
 	Now func() time.Duration
-	// Ledger are the assumptions of the books.
+	// Ledger are the assumptions of the ledgers.
 	Ledger ledger.Options
 	// FirstToken is the time from a read prompt to the first token. Default 80ms.
 	FirstToken time.Duration
@@ -42,7 +42,7 @@
 	retryInterval = 40 * time.Millisecond
 )
 
-// Coordinator keeps the books of the services that this node coordinates. It is
+// Coordinator keeps the ledgers of the services that this node coordinates. It is
 // safe for concurrent use.
 type Coordinator struct {
 	options Options
@@ -56,9 +56,8 @@
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
-	// output learns how long answers become; asked is what their callers expected.
+	// output learns how long answers become.
 	output estimate.Output
-	asked  map[string]int
 	// returns spreads the callers that come back.
 	returns returnSchedule
 	// short is the role of which there were too few engines for the last request
@@ -73,7 +72,7 @@
 	assigned chan Assignment
 }
 
-// New returns a coordinator without books.
+// New returns a coordinator that knows of no runs.
 func New(options Options) *Coordinator {
 	if options.FirstToken == 0 {
 		options.FirstToken = defaultFirstToken
@@ -133,12 +132,15 @@
 			break
 		}
 	}
+	if left.request.Probe {
+		return Assignment{Short: string(current.short)}
+	}
 	now := c.options.Now()
 	room := current.decode.RoomAfter(now, left.request.Run)
 	return Assignment{RetryAfter: current.returns.next(now, room), Short: string(current.short)}
 }
 
-// End takes a run out of the book and serves those that wait.
+// End takes a run out of the ledger and serves those that wait.
 func (c *Coordinator) End(ended Ended) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,8 +149,9 @@
 		current.decode.Refused(c.options.Now(), ended.ID, ended.Refusal.pause())
 	}
 	current.prefill.remove(c.options.Now(), ended.ID, false)
-	current.outputEnded(ended)
-	current.decode.End(ended.ID, ended.Duration, ended.Output)
+	if run, known := current.decode.End(ended.ID, ended.Duration, ended.Output); known {
+		current.output.Observe(run.Expected, ended.Output)
+	}
 	current.returns.ended(c.options.Now())
 	c.serve(ended.Service, current)
 }
@@ -244,27 +247,18 @@
 		return Assignment{}, false
 	}
 	run := request.Run
-	run.Output = current.output.Mean(run.Output, run.Most)
+	run.Expected = run.Output
+	run.Output = current.output.Mean(run.Expected, run.Most)
 	decoder, ok := current.decode.Assign(now, run, avoid)
 	if !ok {
 		current.short = backend.RoleDecode
 		return Assignment{}, false
 	}
 	current.prefill.add(now, reader, run)
-	current.asked[run.ID] = request.Run.Output
 	return Assignment{Decode: decoder, Prefill: reader, Output: run.Output}, true
 }
 
-// outputEnded learns from a whole answer.
-func (s *serviceState) outputEnded(ended Ended) {
-	expected, known := s.asked[ended.ID]
-	delete(s.asked, ended.ID)
-	if known && ended.Output > 0 {
-		s.output.Observe(expected, ended.Output)
-	}
-}
-
-// coverage returns which share of a service's runs its book is taken to know: that
+// coverage returns which share of a service's runs its ledger is taken to know: that
 // of the nodes which have told of theirs lately. While nodes differ on who
 // coordinates, each of two coordinators knows a part.
 func (c *Coordinator) coverage(now time.Duration, current *serviceState) float64 {
@@ -280,7 +274,7 @@
 func (c *Coordinator) state(service string) *serviceState {
 	current := c.services[service]
 	if current == nil {
-		current = &serviceState{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue(), asked: map[string]int{}}
+		current = &serviceState{decode: ledger.New(c.options.Ledger), prefill: newPrefillQueue()}
 		c.services[service] = current
 	}
 	return current
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -22,6 +22,8 @@
 	// Within is the time in which the first token is to come. A prompt that would
 	// wait too long for it is not accepted.
 	Within time.Duration
+	// Probe is set where the sender asks again, with a wait, if there is no room now.
+	Probe bool
 	// Returning is set for a caller that was refused before.
 	Returning bool
 	// Avoid names engines that must not be given.
--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -16,6 +16,9 @@
 	// Bounds of an engine's slowness.
 	leastSlowness    = 0.7
 	greatestSlowness = 5.0
+	// promptLifetime is how long a prompt may be read. The node of an older one was
+	// lost, or what it told.
+	promptLifetime = 5 * time.Second
 )
 
 // prefillQueue follows the prompts that each prefill engine has before it.
@@ -69,6 +72,7 @@
 			continue
 		}
 		known := q.engine(id)
+		q.forget(now, known)
 		ready := known.backlog(now) + time.Duration(known.slowness*float64(usualReading(run)))
 		if best == "" || ready < bestReady {
 			best, bestReady = id, ready
@@ -77,6 +81,17 @@
 	return best, bestReady
 }
 
+// forget drops prompts that are no longer read.
+func (q *prefillQueue) forget(now time.Duration, engine *prefillEngine) {
+	engine.prompts = slices.DeleteFunc(engine.prompts, func(given prompt) bool {
+		old := now-given.given > promptLifetime
+		if old {
+			delete(q.reading, given.id)
+		}
+		return old
+	})
+}
+
 // backlog returns how long the engine still reads the prompts that it has.
 func (e *prefillEngine) backlog(now time.Duration) time.Duration {
 	if len(e.prompts) == 0 {
--- a/coordinator/prefill_test.go
+++ b/coordinator/prefill_test.go
@@ -62,3 +62,16 @@
 	_, ready := queue.shortest(0, []string{"e"}, promptOf(5000, "next"), nil)
 	g.Expect(ready).To(Equal(200 * time.Millisecond))
 }
+
+// TestPromptsOfLostNodesAreForgotten never tells of their end.
+func TestPromptsOfLostNodesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	queue := newPrefillQueue()
+	for i := range 20 {
+		queue.add(0, "e", promptOf(5000, strconv.Itoa(i)))
+	}
+	_, ready := queue.shortest(6*time.Second, []string{"e"}, promptOf(5000, "next"), nil)
+	g.Expect(ready).To(Equal(100 * time.Millisecond))
+	g.Expect(queue.reading).To(BeEmpty())
+	queue.remove(6*time.Second, "3", true)
+}
--- a/coordinator/returns.go
+++ b/coordinator/returns.go
@@ -8,7 +8,7 @@
 const (
 	// returnShare is the share of the runs that end whose room is promised to
 	// callers that come back; new ones take the rest.
-	returnShare = 0.5
+	returnShare = 0.25
 	// rateSmoothing is the time constant of the rate at which runs end.
 	rateSmoothing = 2 * time.Second
 	// leastRate bounds the rate from below, in runs a second.
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -40,14 +40,14 @@
 func encodeRequest(request *Request, now time.Duration) *peerpb.AssignEngines {
 	return &peerpb.AssignEngines{
 		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
-		Avoid: request.Avoid, Returning: request.Returning, WithinMs: request.Within.Milliseconds(),
+		Avoid: request.Avoid, Returning: request.Returning, WithinMs: request.Within.Milliseconds(), Probe: request.Probe,
 	}
 }
 
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
 	return &Request{
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs()),
-		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()),
+		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
 	}
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -12,6 +12,8 @@
 	Prompt int
 	// Output is how many tokens are expected to come out.
 	Output int
+	// Expected is what its caller expected; zero where that is not known.
+	Expected int
 	// Most bounds it; zero where that is not known.
 	Most int
 	// Engine is the decode engine that it was given.
@@ -135,17 +137,19 @@
 	}
 }
 
-// End forgets a run. Where its answer was whole, its duration and length teach the
-// pace.
-func (l *Ledger) End(id string, duration time.Duration, output int) {
-	if _, known := l.runs[id]; !known {
-		return
+// End forgets a run and returns it. Where its answer was whole, its duration and
+// length teach the pace.
+func (l *Ledger) End(id string, duration time.Duration, output int) (Run, bool) {
+	run, known := l.runs[id]
+	if !known {
+		return Run{}, false
 	}
 	l.remove(id)
 	if duration > l.options.Start && output > 0 {
 		seen := float64(output) / (duration - l.options.Start).Seconds()
 		l.pace += paceWeight * (seen - l.pace)
 	}
+	return run, true
 }
 
 // Refused notes that the engine of a run did not take it. The book knows less than
