--- a/router/router.go
+++ b/router/router.go
@@ -167,57 +167,63 @@
 	return r.assigner
 }
 
+// listeners are the ports of a running router.
+type listeners struct {
+	callers, ready, peers, metrics net.Listener
+}
+
+// listen opens all ports.
+func (r *Router) listen() (listeners, error) {
+	var opened listeners
+	own := r.options.Settings
+	for _, port := range []struct {
+		name     string
+		address  string
+		listener *net.Listener
+	}{
+		{"callers", own.CallerAddress, &opened.callers}, {"the balancer", own.ReadyAddress, &opened.ready},
+		{"nodes", own.PeerAddress, &opened.peers}, {"metrics", own.MetricsAddress, &opened.metrics},
+	} {
+		listener, err := r.options.Listen(port.address)
+		if err != nil {
+			return opened, errors.Wrapf(err, "listen for %s", port.name)
+		}
+		*port.listener = listener
+	}
+	return opened, nil
+}
+
 // Run serves until the context ends, and then until the requests under way have
 // ended or the grace period is over.
 func (r *Router) Run(ctx context.Context) error {
 	r.options.Logger.Info("start", "zone", r.options.Settings.Zone)
-	callers, err := r.options.Listen(r.options.Settings.CallerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	ready, err := r.options.Listen(r.options.Settings.ReadyAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for the balancer")
-	}
-	peers, err := r.options.Listen(r.options.Settings.PeerAddress)
+	ports, err := r.listen()
 	if err != nil {
-		return errors.Wrap(err, "listen for nodes")
+		return err
 	}
 	callerServer := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
 	}
-	measured, err := r.options.Listen(r.options.Settings.MetricsAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
-	}
 	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	// While the node drains it goes on to follow the store and the other nodes.
 	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollowing()
 	group, _ := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(callerServer, callers) })
-	group.Go(func() error { return serve(readyServer, ready) })
-	group.Go(func() error { return serve(metricsServer, measured) })
-	group.Go(func() error { return servePeers(r.server, peers) })
-	group.Go(func() error {
-		r.follow(following, r.options.Backplane.ConfigurationKind, r.options.Backplane.BackendKind, kindNode)
-		return nil
-	})
-	group.Go(func() error { r.stayRegistered(ctx); return nil })
-	group.Go(func() error { r.removeLost(ctx); return nil })
-	group.Go(func() error { r.syncer.Run(following); return nil })
-	group.Go(func() error { r.assigner.Run(following); return nil })
-	group.Go(func() error { r.followReports(following); return nil })
-	if !r.options.KeepRoles {
-		group.Go(func() error { r.roles.Run(ctx); return nil })
+	group.Go(func() error { return serve(callerServer, ports.callers) })
+	group.Go(func() error { return serve(readyServer, ports.ready) })
+	group.Go(func() error { return serve(metricsServer, ports.metrics) })
+	group.Go(func() error { return servePeers(r.server, ports.peers) })
+	for _, run := range r.backgroundTasks(ctx, following) {
+		group.Go(func() error { run(); return nil })
 	}
 	<-ctx.Done()
 	r.stop(ctx, callerServer)
 	stopFollowing()
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
-	_ = peers.Close()
+	_ = ports.peers.Close()
 	r.client.Close()
 	r.server.Close()
 	err = group.Wait()
@@ -225,6 +231,24 @@
 	return err
 }
 
+// backgroundTasks returns what runs beside the servers: until a planned stop begins,
+// or until the node has drained.
+func (r *Router) backgroundTasks(untilStop, untilDrained context.Context) []func() {
+	backplane := r.options.Backplane
+	tasks := []func(){
+		func() { r.follow(untilDrained, backplane.ConfigurationKind, backplane.BackendKind, kindNode) },
+		func() { r.syncer.Run(untilDrained) },
+		func() { r.assigner.Run(untilDrained) },
+		func() { r.followReports(untilDrained) },
+		func() { r.stayRegistered(untilStop) },
+		func() { r.removeLost(untilStop) },
+	}
+	if !r.options.KeepRoles {
+		tasks = append(tasks, func() { r.roles.Run(untilStop) })
+	}
+	return tasks
+}
+
 // stop drains: callers stay served until the balancer has turned away, then idle
 // connections are closed and the requests under way run to their end.
 func (r *Router) stop(ctx context.Context, callerServer *http.Server) {
