--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -10,6 +10,7 @@
 	"github.com/reelrun/reelrun/ledger"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/placement"
 )
 
@@ -187,18 +188,11 @@
 // and at intervals, until the context ends. What got lost on the way, an end or an
 // assignment, is mended by that.
 func (c *Client) Run(ctx context.Context) {
-	ticker := time.NewTicker(lookInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, service := range c.fleet.Services() {
-				c.syncService(ctx, service)
-			}
+	periodic.Run(ctx, lookInterval, func(ctx context.Context) {
+		for _, service := range c.fleet.Services() {
+			c.syncService(ctx, service)
 		}
-	}
+	})
 }
 
 // synced is what a coordinator was last told.
--- /dev/null
+++ b/periodic/periodic.go
@@ -0,0 +1,23 @@
+// Package periodic runs work at a fixed interval.
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Run calls work at each interval until the context ends. The first call comes after
+// one interval. Calls never overlap: while one takes longer than the interval, those
+// that fall due meanwhile are left out.
+func Run(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			work(ctx)
+		}
+	}
+}
--- /dev/null
+++ b/periodic/periodic_test.go
@@ -0,0 +1,42 @@
+package periodic_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/periodic"
+)
+
+func TestRunCallsAtEachInterval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		calls := 0
+		periodic.Run(ctx, time.Second, func(context.Context) { calls++ })
+		g.Expect(calls).To(Equal(3))
+	})
+}
+
+func TestRunLeavesOutWhatFellDueDuringACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 9500*time.Millisecond)
+		defer cancel()
+		var begins []time.Duration
+		periodic.Run(ctx, time.Second, func(context.Context) {
+			begins = append(begins, time.Since(began))
+			time.Sleep(2500 * time.Millisecond)
+		})
+		for i := 1; i < len(begins); i++ {
+			g.Expect(begins[i] - begins[i-1]).To(BeNumerically(">=", 2500*time.Millisecond))
+		}
+		g.Expect(len(begins)).To(BeNumerically("<=", 4))
+		g.Expect(len(begins)).To(BeNumerically(">=", 3))
+	})
+}
--- a/roles/controller.go
+++ b/roles/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/lease"
+	"github.com/reelrun/reelrun/periodic"
 )
 
 // EngineReport is what an engine says of its orders.
@@ -154,18 +155,11 @@
 
 // Run looks at the division at each interval until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(c.options.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, service := range c.options.Services() {
-				c.reconcile(ctx, service)
-			}
+	periodic.Run(ctx, c.options.Interval, func(ctx context.Context) {
+		for _, service := range c.options.Services() {
+			c.reconcile(ctx, service)
 		}
-	}
+	})
 }
 
 // reconcile orders one change of a service, if one is due.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -12,6 +12,7 @@
 
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/periodic"
 )
 
 // kindNode is the kind of the objects by which nodes find each other.
@@ -96,28 +97,25 @@
 // removeLost removes the objects of nodes that are gone for good, until the context
 // ends. One watcher does it; a node that lives after all registers again.
 func (r *Router) removeLost(ctx context.Context) {
-	ticker := time.NewTicker(removeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	periodic.Run(ctx, removeInterval, func(ctx context.Context) {
 		responsive, position := r.place()
 		if position > 0 || 2*responsive <= r.nodeCount() {
 			// Another node does it, or this one is itself cut off.
-			continue
+			return
 		}
 		for _, object := range r.copy.Live(kindNode) {
-			node, known := r.nodes.named(object.Name)
-			if !known || r.syncer.SilentFor(node.Address) < lostAfter {
-				continue
-			}
-			err := r.options.Backplane.Store.Delete(ctx, kindNode, object.Name, object.Version)
-			r.options.Logger.Info("lost node removed", "name", object.Name, "address", node.Address, "error", errorText(err))
+			r.removeIfLost(ctx, object)
 		}
+	})
+}
+
+func (r *Router) removeIfLost(ctx context.Context, object objectapi.Object) {
+	node, known := r.nodes.named(object.Name)
+	if !known || r.syncer.SilentFor(node.Address) < lostAfter {
+		return
 	}
+	err := r.options.Backplane.Store.Delete(ctx, kindNode, object.Name, object.Version)
+	r.options.Logger.Info("lost node removed", "name", object.Name, "address", node.Address, "error", errorText(err))
 }
 
 func errorText(err error) string {
--- a/router/reports.go
+++ b/router/reports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/periodic"
 )
 
 const (
@@ -19,18 +20,11 @@
 // they use, until the context ends. After nodes were lost, engines still run what
 // these had begun.
 func (r *Router) followReports(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			for _, service := range r.coordinatedServices() {
-				r.askReports(ctx, service)
-			}
+	periodic.Run(ctx, reportInterval, func(ctx context.Context) {
+		for _, service := range r.coordinatedServices() {
+			r.askReports(ctx, service)
 		}
-	}
+	})
 }
 
 func (r *Router) askReports(ctx context.Context, service string) {
--- a/sim/rehearsal/monitor.go
+++ b/sim/rehearsal/monitor.go
@@ -8,6 +8,7 @@
 
 	"github.com/reelrun/reelrun/configuration"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/sim/enginesim"
 )
 
@@ -48,16 +49,7 @@
 
 // Run watches until the context ends.
 func (m *Monitor) Run(ctx context.Context) {
-	ticker := time.NewTicker(monitorStep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.look()
-		}
-	}
+	periodic.Run(ctx, monitorStep, func(context.Context) { m.look() })
 }
 
 // Violations returns what was seen to break.
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/reelrun/reelrun/platform/standin"
 )
 
 // load sends requests until it is stopped.
@@ -79,11 +81,8 @@
 		return o
 	}
 	request.Host, request.Close, request.GetBody = routeHost, lastOnConnection, nil
-	for name, value := range map[string]string{
-		"X-Request-Id": id, "X-Deadline-Ms": "4000", "X-Token-Counts": "3000,2000", "X-Length-Hint": "600",
-	} {
-		request.Header.Set(name, value)
-	}
+	caller := standin.Caller{ID: id, Wait: 4 * time.Second, PromptTokens: 3000, MaxOutputTokens: 2000, LengthHint: 600}
+	caller.Set(request.Header)
 	response, err := transport.RoundTrip(request)
 	o.sent = sent.Load()
 	if err != nil {
@@ -92,7 +91,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	o.sent, o.status, o.complete, o.body = true, response.StatusCode, err == nil, string(body)
-	o.signature, o.requestID = response.Header.Get("X-Instance-Signature"), response.Header.Get("X-Request-Id")
+	o.requestID, o.signature = standin.AnswerOf(response.Header)
 	return finished(o)
 }
 
