Name runs in the book apart from the ids that callers choose

Two requests of one id, or of none, were one run: the end of one ended both, and where they had been given different engines, the first stayed at its engine for good, which then counted as fuller than it was. Tenants trust each other with nothing, and an id is the caller's to choose.

Ruled out: the tenant's name before the id (one tenant can send an id twice, and requests have no tenant on this platform); comparing the holder as well (two requests at one node).

Change: a process names its runs by a random prefix and a count; the ledger puts a run into the place of one of the same name.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -56,6 +56,7 @@
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
 	waits         longestWaits
+	runNames      *runNames
 }
 
 // New returns a handler that is not ready until it has a configuration and the
@@ -68,7 +69,7 @@
 	if options.Assignable == nil {
 		options.Assignable = func(*backend.Entry) bool { return true }
 	}
-	return &Handler{options: options, started: time.Now()}
+	return &Handler{options: options, started: time.Now(), runNames: newRunNames()}
 }
 
 // Configure puts a configuration in force, unless a newer one is. It reports
@@ -142,8 +143,6 @@
 	// short is the role of which there were too few engines, if the coordinator
 	// said so.
 	short string
-	// assignments counts the engines asked for.
-	assignments int
 	// target is the back end of the last send.
 	target  string
 	timings timings
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,14 +81,13 @@
 // result is nil if that engine has no room all the same; the coordinator is told.
 func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	policy := &x.handler.options.Policy
-	x.assignments++
 	request := coordinator.Request{
 		Service:   x.service,
 		Wait:      policy.wait(x.route.Objective, x.returning()) - time.Since(x.arrived),
 		Within:    x.route.Objective - time.Since(x.arrived),
 		Returning: x.returning(),
 		Run: ledger.Run{
-			ID:     x.request.ID + "/" + strconv.Itoa(x.assignments),
+			ID:     x.handler.runNames.next(),
 			Prompt: x.request.Generation.PromptTokens,
 			Output: expectedOutput(x.request.Generation),
 			Most:   x.request.Generation.MaxOutputTokens,
--- /dev/null
+++ b/gateway/runname_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/gateway"
+	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/retrybudget"
+	"github.com/reelrun/reelrun/routing"
+)
+
+// fullCoordinator has no room and keeps the names of the runs it was asked for.
+type fullCoordinator struct {
+	mu    sync.Mutex
+	names []string
+}
+
+func (c *fullCoordinator) Assign(_ context.Context, request coordinator.Request) (coordinator.Assignment, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = append(c.names, request.Run.ID)
+	return coordinator.Assignment{RetryAfter: time.Second}, nil
+}
+
+func (c *fullCoordinator) PromptRead(string, string) {}
+
+func (c *fullCoordinator) End(coordinator.Ended) {}
+
+// parser reads the id of a request alone.
+type parser struct{ gateway.Dialect }
+
+func (parser) Parse(r *http.Request) (*gateway.Request, error) {
+	return &gateway.Request{ID: r.Header.Get("Id"), Host: r.Host, URI: r.URL.Path}, nil
+}
+
+// TestRunsOfOneRequestIDAreToldApart: what a tenant calls its request must not end
+// or hide a run of another tenant.
+func TestRunsOfOneRequestIDAreToldApart(t *testing.T) {
+	g := NewWithT(t)
+	full := &fullCoordinator{}
+	newHandler := func() *gateway.Handler {
+		backends := backend.NewRegistry(time.Now)
+		backends.SetSynced()
+		handler := gateway.New(gateway.Options{
+			Dialect: parser{}, Backends: backends, Coordinator: full, Budget: retrybudget.New(retrybudget.Options{Window: time.Second, Now: time.Now}),
+			Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+		})
+		route := &routing.Route{
+			Name: "r", Host: "h", PathPrefix: "/", Kind: routing.KindStream, Timeout: time.Second, Objective: time.Second,
+			Targets: []routing.Target{{Service: "s", Weight: 1}},
+		}
+		service := &routing.Service{Name: "s", Engine: &routing.EngineProfile{MemoryTokens: 1000}}
+		handler.Configure(routing.New(1, []*routing.Route{route}, []*routing.Service{service}, routing.Limits{MaxBodyBytes: 1000}))
+		return handler
+	}
+	for _, handler := range []*gateway.Handler{newHandler(), newHandler()} {
+		for _, id := range []string{"same", "same", "", ""} {
+			request := httptest.NewRequest(http.MethodPost, "http://h/x", nil)
+			request.Header.Set("Id", id)
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, request)
+			g.Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+		}
+	}
+	seen := map[string]bool{}
+	for _, name := range full.names {
+		seen[name] = true
+	}
+	g.Expect(full.names).To(HaveLen(8))
+	g.Expect(seen).To(HaveLen(8))
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -183,7 +183,9 @@
 	return best, true
 }
 
+// add puts a run into the book, in the place of one of the same name.
 func (l *Ledger) add(run Run) {
+	l.remove(run.ID)
 	l.runs[run.ID] = run
 	if l.byEngine[run.Engine] == nil {
 		l.byEngine[run.Engine] = map[string]Run{}
