End the run of a caller that leaves while it is assigned an engine

Cause (found when reading the change): a caller that left between the assignment and the reservation ended its request without ending its run. The node told its coordinator of that run each second from then on, so the engine counted as fuller until the node restarted. One that left during the reservation was told as "the engine had no room", and the engine was left alone for a time.

Ruled out: an end for every assignment that failed; the client tells that already.

Change: endUnused on both ways out, without a refusal where the caller left.

--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -98,6 +98,9 @@
 	}
 	assigned, err := x.handler.options.Coordinator.Assign(ctx, request)
 	if failure := ended(ctx); failure != nil {
+		if assigned.Decode != "" {
+			x.endUnused(request.Run.ID, coordinator.RefusalNone)
+		}
 		return nil, failure
 	}
 	if err != nil {
@@ -112,16 +115,25 @@
 	if entry != nil && entry.Backend().State == backend.StateReady {
 		reservation, err = x.reserveAt(ctx, entry, profile, true)
 	}
-	if reservation == nil {
-		x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: request.Run.ID, Refusal: coordinator.RefusalFull})
+	if err != nil {
+		x.endUnused(request.Run.ID, coordinator.RefusalNone)
 		return nil, err
 	}
+	if reservation == nil {
+		x.endUnused(request.Run.ID, coordinator.RefusalFull)
+		return nil, nil
+	}
 	return &reservedEngine{
 		exchange: x, entry: entry, reservation: *reservation, prefillEngine: assigned.Prefill,
 		run: request.Run.ID, taken: time.Now(), end: entry.Begin(),
 	}, nil
 }
 
+// endUnused tells the coordinator that no run uses what it assigned.
+func (x *exchange) endUnused(run string, refusal coordinator.Refusal) {
+	x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: run, Refusal: refusal})
+}
+
 // returning reports whether the caller was refused before.
 func (x *exchange) returning() bool { return x.age > returningAge }
 
--- a/gateway/runname_test.go
+++ b/gateway/runname_test.go
@@ -43,27 +43,31 @@
 	return &gateway.Request{ID: r.Header.Get("Id"), Host: r.Host, URI: r.URL.Path}, nil
 }
 
+// newEngineHandler returns a handler of one route of streams, with one decode engine.
+func newEngineHandler(dialect gateway.Dialect, assigned gateway.Coordinator) *gateway.Handler {
+	backends := backend.NewRegistry(time.Now)
+	backends.Update(backend.Backend{ID: "engine", Service: "s", Role: backend.RoleDecode, State: backend.StateReady})
+	backends.SetSynced()
+	handler := gateway.New(gateway.Options{
+		Dialect: dialect, Backends: backends, Coordinator: assigned,
+		Budget:  retrybudget.New(retrybudget.Options{Window: time.Second, Now: time.Now}),
+		Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+	})
+	route := &routing.Route{
+		Name: "r", Host: "h", PathPrefix: "/", Kind: routing.KindStream, Timeout: time.Second, Objective: time.Second,
+		Targets: []routing.Target{{Service: "s", Weight: 1}},
+	}
+	service := &routing.Service{Name: "s", Engine: &routing.EngineProfile{MemoryTokens: 1000}}
+	handler.Configure(routing.New(1, []*routing.Route{route}, []*routing.Service{service}, routing.Limits{MaxBodyBytes: 1000}))
+	return handler
+}
+
 // TestRunsOfOneRequestIDAreToldApart: what a tenant calls its request must not end
 // or hide a run of another tenant.
 func TestRunsOfOneRequestIDAreToldApart(t *testing.T) {
 	g := NewWithT(t)
 	full := &fullCoordinator{}
-	newHandler := func() *gateway.Handler {
-		backends := backend.NewRegistry(time.Now)
-		backends.SetSynced()
-		handler := gateway.New(gateway.Options{
-			Dialect: parser{}, Backends: backends, Coordinator: full, Budget: retrybudget.New(retrybudget.Options{Window: time.Second, Now: time.Now}),
-			Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
-		})
-		route := &routing.Route{
-			Name: "r", Host: "h", PathPrefix: "/", Kind: routing.KindStream, Timeout: time.Second, Objective: time.Second,
-			Targets: []routing.Target{{Service: "s", Weight: 1}},
-		}
-		service := &routing.Service{Name: "s", Engine: &routing.EngineProfile{MemoryTokens: 1000}}
-		handler.Configure(routing.New(1, []*routing.Route{route}, []*routing.Service{service}, routing.Limits{MaxBodyBytes: 1000}))
-		return handler
-	}
-	for _, handler := range []*gateway.Handler{newHandler(), newHandler()} {
+	for _, handler := range []*gateway.Handler{newEngineHandler(parser{}, full), newEngineHandler(parser{}, full)} {
 		for _, id := range []string{"same", "same", "", ""} {
 			request := httptest.NewRequest(http.MethodPost, "http://h/x", nil)
 			request.Header.Set("Id", id)
