--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -1,11 +1,9 @@
 package antientropy
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,8 +24,6 @@
 // Options are the parts of a Syncer.
 type Options struct {
 	Replica *replica.Replica
-	// First is the kind whose objects are exchanged before all others. Default: none.
-	First objectapi.Kind
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
 	// Client calls them.
@@ -189,41 +185,16 @@
 	if compared.GetSame() {
 		return nil
 	}
-	differing := s.firstFirst(s.options.Replica.Differing(compared.GetBuckets()))
-	for buckets := range slices.Chunk(differing, bucketsPerExchange) {
-		if err := s.exchange(ctx, address, buckets); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// bucketsPerExchange bounds the buckets of one call, so that a node far behind gets
-// on by each call also where all of it would not come in time.
-const bucketsPerExchange = 8
-
-// firstFirst puts the buckets with objects of the first kind before the others.
-func (s *Syncer) firstFirst(buckets []int) []int {
-	isFirst := s.options.Replica.BucketsOf(s.options.First)
-	slices.SortStableFunc(buckets, func(a, b int) int { return trueFirst(isFirst[a], isFirst[b]) })
-	return buckets
-}
-
-// trueFirst compares so that what is true comes first.
-func trueFirst(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	default:
-		return 1
-	}
+	differing := s.options.Replica.Differing(compared.GetBuckets())
+	return s.exchange(ctx, address, differing)
 }
 
 // exchange takes over what another node has newer in some buckets, and brings it
 // what it lacks.
 func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) error {
+	if len(buckets) == 0 {
+		return nil
+	}
 	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
 	for _, bucket := range buckets {
 		request.Buckets = append(request.Buckets, uint32(bucket))
@@ -238,7 +209,7 @@
 		return nil
 	}
 	_, err = s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
-		ExchangeObjects: &peerpb.ExchangeObjects{Objects: s.storedObjects(wanted)},
+		ExchangeObjects: &peerpb.ExchangeObjects{Objects: storedObjects(wanted)},
 	}})
 	return err
 }
@@ -284,7 +255,7 @@
 	}
 	newerHere, newerThere := s.options.Replica.Compare(buckets, recordsOf(request.GetVersions()))
 	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: &peerpb.StoredObjects{
-		Objects: s.storedObjects(s.options.Replica.Records(newerHere)), Wanted: wantedVersions(newerThere),
+		Objects: storedObjects(s.options.Replica.Records(newerHere)), Wanted: wantedVersions(newerThere),
 	}}}
 }
 
@@ -323,13 +294,8 @@
 // the next comparison.
 const maxExchangedBytes = 512 << 10
 
-// storedObjects returns as many of the records as one message holds, at least one:
-// those of the first kind, and then the newest.
-func (s *Syncer) storedObjects(records []replica.Record) []*peerpb.StoredObject {
-	slices.SortFunc(records, func(a, b replica.Record) int {
-		first := trueFirst(a.Object.Kind == s.options.First, b.Object.Kind == s.options.First)
-		return cmp.Or(first, cmp.Compare(b.Object.Version, a.Object.Version))
-	})
+// storedObjects returns as many of the records as one message holds, at least one.
+func storedObjects(records []replica.Record) []*peerpb.StoredObject {
 	var stored []*peerpb.StoredObject
 	size := 0
 	for _, record := range records {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -199,19 +199,6 @@
 	return differing
 }
 
-// BucketsOf returns the buckets that hold objects of a kind.
-func (r *Replica) BucketsOf(kind objectapi.Kind) map[int]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	buckets := map[int]bool{}
-	for key := range r.records {
-		if key.Kind == kind {
-			buckets[key.Bucket()] = true
-		}
-	}
-	return buckets
-}
-
 // Versions returns the records of some buckets without their content.
 func (r *Replica) Versions(buckets []int) []Record {
 	wanted := bucketSet(buckets)
--- a/router/router.go
+++ b/router/router.go
@@ -134,9 +134,7 @@
 	r.copy = replica.New(r.changed)
 	clock := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
-	r.syncer = antientropy.New(antientropy.Options{
-		Replica: r.copy, First: options.Backplane.ConfigurationKind, Peers: r.peers, Client: r.client, Logger: options.Logger,
-	})
+	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Nodes: r.responsiveCount, Now: r.now})
 	r.assigner = coordinator.NewClient(r, r.client, r.coordinator, r.now)
 	r.server = peer.NewServer(r.handlePeer, clock)
