Copy a registered request before the directory changes it

A call to the own node hands over the caller's message itself, and the directory set its turn, state and more while the caller went on using it.

Ruled out: a copy in the call to the own node; every other handler would pay for it.

Change: Register works on a copy.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -51,7 +51,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sweep()
-	running := register.GetRunning()
+	// A caller on this node goes on using its message.
+	running := proto.CloneOf(register.GetRunning())
 	key := Key(running.GetTenant(), running.GetKey())
 	standing, exists := d.entries[key]
 	switch register.GetMode() {
