Serve on the platform by a program of its own, reelrun-router

Cause: the daemon on the platform linked the product's own interface as well; its libraries (iris and what comes with it) are initialised at every start. A started process had 32.4 MB resident, 8.4 MB of it anonymous, before it did anything; the budget of a node at 410 nodes is 32 MB.

Ruled out: dropping the own interface (it stays part of the product), and loading it late (Go initialises linked packages at the start).

Change: cmd/reelrun-router with the settings file of the platform; reelrund keeps flags and the own interface.

--- /dev/null
+++ b/cmd/reelrun-router/reload.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/platform"
+	"github.com/reelrun/reelrun/router"
+)
+
+// settingsInterval is how often the settings file is read again without a signal.
+const settingsInterval = 5 * time.Second
+
+// followSettings reads the settings file again at SIGHUP and at intervals.
+func followSettings(ctx context.Context, path string, daemon *router.Router, logger *slog.Logger) {
+	// The signal stays taken until the process ends: a hangup during a planned stop
+	// must not end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-ticker.C:
+		}
+		parsed, findings, err := platform.ReadSettings(path)
+		if err != nil || len(findings) > 0 {
+			logger.Error("settings not reloaded", "error", errors.CombineErrors(err, findingsError(findings)).Error())
+			continue
+		}
+		daemon.Reload(parsed)
+	}
+}
--- a/cmd/reelrund/main.go
+++ b/cmd/reelrund/main.go
@@ -1,7 +1,6 @@
-// Command reelrund is the router's daemon, the same on every entry machine.
-//
-// Where the variable REELRUN_SETTINGS names a settings file of the users'
-// platform, the daemon serves there; otherwise it takes flags.
+// Command reelrund is the daemon of the product's own interface (completions, operators'
+// API), the same on every entry machine. It takes flags and environment variables. On the
+// users' platform, reelrun-router serves.
 //
 // Exit codes: 0 after a planned stop, 1 for a failure, 2 for faulty settings.
 package main
@@ -14,19 +13,13 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/node"
-	"github.com/reelrun/reelrun/platform"
 	"github.com/reelrun/reelrun/settings"
 )
 
-// logCloseTimeout bounds the wait for the reader of the log at the end.
-const logCloseTimeout = 200 * time.Millisecond
-
 // Exit codes.
 const (
 	exitFailure  = 1
@@ -38,17 +31,7 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if path := os.Getenv(platform.SettingsVariable); path != "" {
-		log := logging.New(os.Stdout, logging.Options{})
-		defer log.Close(logCloseTimeout)
-		return runOnPlatform(ctx, path, os.Args[1:], log.Logger())
-	}
-	return runAlone(ctx, slog.New(slog.NewJSONHandler(os.Stderr, nil)))
-}
-
-// runAlone serves the product's own interface, with settings in flags and
-// environment variables.
-func runAlone(ctx context.Context, logger *slog.Logger) int {
+	logger := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	parsed, findings, err := settings.Parse(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -37,8 +37,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "reelrund")
-	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/reelrund").CombinedOutput(); err != nil {
+	binary = filepath.Join(folder, "reelrun-router")
+	if output, err := exec.Command("go", "build", "-o", binary, "../cmd/reelrun-router").CombinedOutput(); err != nil {
 		fmt.Fprintln(os.Stderr, err, string(output))
 		return 1
 	}
