Speak today's engine protocol behind the gateway as well; send through backendhttp

Cause: the engine interface had one implementation, the platform's, so nothing showed that it holds what another engine protocol needs. It did not: the sizes of a request stand in the head there and in the body here.

Ruled out: reading the body in Parse (the route bounds it), and a copy of the platform's sender (the same lines twice).

Change: engine/dialect implements gateway.Dialect over package engine; Dialect.Measure reads sizes once the body is there; backendhttp has what both send through and tells whether anything left the node. platform/ shrinks to what is the platform's.

Found by its tests: the prompt stays at the prefill engine until it is cancelled, also after the answer has ended (TestCallerThatLeavesHoldsNothing failed first).

--- /dev/null
+++ b/backendhttp/exchange.go
@@ -0,0 +1,152 @@
+package backendhttp
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/gateway"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to a back end.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout is how long an unused connection to a back end is kept.
+	idleTimeout = 2 * time.Second
+	// idlePerBackend is how many unused connections to a back end are kept.
+	idlePerBackend = 16
+	// maxAnswerHeadBytes bounds the head of an answer.
+	maxAnswerHeadBytes = 64 << 10
+)
+
+// DialFunc opens a connection to an address.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Conn counts what was written to it, so that a failed call can tell whether anything
+// was sent.
+type Conn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Transport sends requests. It is safe for concurrent use.
+type Transport struct{ http *http.Transport }
+
+// NewTransport returns a transport that opens connections by a function.
+func NewTransport(dial DialFunc) *Transport {
+	return &Transport{&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &Conn{Conn: conn}, nil
+		},
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerBackend,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeadBytes,
+	}}
+}
+
+// CloseIdle closes the connections that are not in use.
+func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
+
+// onceBody is a request's body that the transport cannot send a second time by itself, as
+// it would for some methods.
+type onceBody struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceBody) Close() error { return nil }
+
+// NewRequest returns a request to a back end. The URI is a path with its query.
+func NewRequest(ctx context.Context, method, address, uri string, body []byte) (*http.Request, error) {
+	target, err := url.ParseRequestURI(uri)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse path")
+	}
+	target.Scheme, target.Host = "http", address
+	request := &http.Request{
+		Method: method, URL: target, Host: address, Header: http.Header{},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: onceBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
+	}
+	return request.WithContext(ctx), nil
+}
+
+// Exchange sends a request and returns the response with the connection used. The error is
+// marked by gateway.ErrNotSent where no byte was written.
+func (t *Transport) Exchange(request *http.Request) (*http.Response, *Conn, error) {
+	var mu sync.Mutex
+	var used *Conn
+	var before int64
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		mu.Lock()
+		defer mu.Unlock()
+		used, _ = info.Conn.(*Conn)
+		if used != nil {
+			before = used.written.Load()
+		}
+	}}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+	response, err := t.http.RoundTrip(request)
+	mu.Lock()
+	defer mu.Unlock()
+	if err == nil {
+		return response, used, nil
+	}
+	if used == nil || used.written.Load() == before {
+		err = errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	return nil, used, err
+}
+
+// Abandon closes a response's connection, so that nothing follows on it.
+func Abandon(response *http.Response, conn *Conn) {
+	_ = response.Body.Close()
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// connectionHeaders concern one connection and are never passed on (RFC 9110, section
+// 7.6.1).
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// EndToEnd returns the headers without those that concern one connection, also those that
+// the Connection header names.
+func EndToEnd(header http.Header) http.Header {
+	passed := header.Clone()
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			passed.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		passed.Del(name)
+	}
+	return passed
+}
--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -85,7 +85,7 @@
 	var given flagValues
 	flags := flag.NewFlagSet("reelrun-router", flag.ContinueOnError)
 	flags.Usage = func() {
-		fmt.Fprintf(flags.Output(), "%s=FILE reelrun-router [flags]\n", platform.SettingsVariable)
+		_, _ = fmt.Fprintf(flags.Output(), "%s=FILE reelrun-router [flags]\n", platform.SettingsVariable)
 		flags.PrintDefaults()
 	}
 	flags.BoolVar(&given.check, "check", false, "check the settings file and exit")
--- /dev/null
+++ b/engine/dialect/answer.go
@@ -0,0 +1,62 @@
+package dialect
+
+import (
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/reelrun/reelrun/engine"
+)
+
+// answerBody is an engine's stream as the events that a caller receives.
+type answerBody struct {
+	stream *engine.Stream
+	// next is the offset of the first token that the caller lacks.
+	next int
+	// release frees what the engines keep: the prompt, and the stream unless it is whole.
+	release func(whole bool)
+	// pending is what has not been read of the last event.
+	pending bytes.Buffer
+	whole   bool
+}
+
+// Read implements io.Reader. It fails where the stream ends before its last token.
+func (b *answerBody) Read(buffer []byte) (int, error) {
+	for b.pending.Len() == 0 {
+		if b.whole {
+			return 0, io.EOF
+		}
+		if err := b.advance(); err != nil {
+			return 0, err
+		}
+	}
+	return b.pending.Read(buffer)
+}
+
+// advance takes the next token, or the end, from the stream.
+func (b *answerBody) advance() error {
+	token, _, err := b.stream.Next()
+	switch {
+	case errors.Is(err, io.EOF):
+		b.whole = true
+		return nil
+	case err != nil:
+		return err
+	case token.Offset < b.next:
+		return nil
+	}
+	event := &sse.Message{ID: sse.ID(strconv.Itoa(token.Offset))}
+	event.AppendData(token.Text)
+	_, err = event.WriteTo(&b.pending)
+	return errors.Wrap(err, "encode event")
+}
+
+// Close implements io.Closer. Engines keep prompts and streams until they are cancelled.
+func (b *answerBody) Close() error {
+	b.stream.Close()
+	b.release(b.whole)
+	return nil
+}
--- /dev/null
+++ b/engine/dialect/dialect.go
@@ -0,0 +1,182 @@
+package dialect
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/backendhttp"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/gateway"
+)
+
+// Headers of requests.
+const (
+	// HeaderRequestID is the caller's name of an attempt.
+	HeaderRequestID = "Reelrun-Request-Id"
+	// HeaderWait is how long the caller waits, and to back ends how long is left, in
+	// milliseconds.
+	HeaderWait = "Reelrun-Wait-Ms"
+	// HeaderLastEvent is the id of the last event that the caller has.
+	HeaderLastEvent = "Last-Event-Id"
+)
+
+// cancelTimeout bounds the call that frees what an engine keeps.
+const cancelTimeout = 2 * time.Second
+
+// Options are the parts of a Dialect.
+type Options struct {
+	// Node names this node to engines as the holder of its streams.
+	Node string
+	// Engines calls the engines.
+	Engines *engine.Client
+	// Services sends requests to plain services.
+	Services *backendhttp.Transport
+}
+
+// Dialect speaks the product's own engine protocol. It is safe for concurrent use.
+type Dialect struct {
+	options Options
+	// name is part of the name of each attempt, so that nothing that a caller chooses
+	// names one.
+	name     string
+	attempts atomic.Uint32
+}
+
+var _ gateway.Dialect = (*Dialect)(nil)
+
+// New returns a dialect with the given parts.
+func New(options Options) *Dialect { return &Dialect{options: options, name: uuid.NewString()} }
+
+// generationBody is what the dialect reads of a request's body.
+type generationBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+}
+
+// Parse implements gateway.Dialect.
+func (d *Dialect) Parse(r *http.Request) (*gateway.Request, error) {
+	request := &gateway.Request{
+		ID: r.Header.Get(HeaderRequestID), Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(),
+		Header:     backendhttp.EndToEnd(r.Header),
+		Generation: gateway.Generation{LastEventID: r.Header.Get(HeaderLastEvent)},
+	}
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	text := r.Header.Get(HeaderWait)
+	if text == "" {
+		return request, nil
+	}
+	wait, err := strconv.Atoi(text)
+	if err != nil || wait < 0 {
+		return request, errors.Newf("%s: %q is not a number of milliseconds", HeaderWait, text)
+	}
+	request.Wait = time.Duration(wait) * time.Millisecond
+	return request, nil
+}
+
+// Measure implements gateway.Dialect. The sizes stand in the body.
+func (d *Dialect) Measure(request *gateway.Request) error {
+	body, err := parseBody(request)
+	if err != nil {
+		return err
+	}
+	if last := request.Generation.LastEventID; last != "" {
+		if _, err := nextOffset(last); err != nil {
+			return err
+		}
+	}
+	request.Generation.PromptTokens = engine.CountTokens(body.Prompt)
+	request.Generation.MaxOutputTokens = body.MaxTokens
+	return nil
+}
+
+func parseBody(request *gateway.Request) (generationBody, error) {
+	var body generationBody
+	if err := json.Unmarshal(request.Body, &body); err != nil {
+		return body, errors.Wrap(err, "parse body")
+	}
+	if body.Prompt == "" || body.MaxTokens < 1 {
+		return body, errors.New("body without a prompt or without max_tokens")
+	}
+	return body, nil
+}
+
+// nextOffset returns the offset of the token after an event.
+func nextOffset(lastEventID string) (int, error) {
+	if lastEventID == "" {
+		return 0, nil
+	}
+	last, err := strconv.Atoi(lastEventID)
+	if err != nil || last < 0 {
+		return 0, errors.Newf("%s: %q is not an offset", HeaderLastEvent, lastEventID)
+	}
+	return last + 1, nil
+}
+
+// newAttempt names an attempt that no engine has seen.
+func (d *Dialect) newAttempt() engine.Attempt {
+	return engine.Attempt{RequestID: d.name, Number: d.attempts.Add(1)}
+}
+
+func (d *Dialect) holder() engine.Holder { return engine.Holder{Node: d.options.Node} }
+
+// Send implements gateway.Dialect. These services state nothing of requests that they have
+// not run.
+func (d *Dialect) Send(ctx context.Context, target backend.Backend, request *gateway.Request, left time.Duration) (*gateway.Answer, error) {
+	outgoing, err := backendhttp.NewRequest(ctx, request.Method, target.Address, request.URI, request.Body)
+	if err != nil {
+		return nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	outgoing.Host = request.Host
+	outgoing.Header = request.Header.Clone()
+	outgoing.Header.Set(HeaderRequestID, request.ID)
+	outgoing.Header.Set(HeaderWait, strconv.FormatInt(max(0, left.Milliseconds()), 10))
+	response, _, err := d.options.Services.Exchange(outgoing) //nolint:bodyclose // the answer's reader closes it
+	if err != nil {
+		return nil, err
+	}
+	return &gateway.Answer{Status: response.StatusCode, Header: backendhttp.EndToEnd(response.Header), Body: response.Body}, nil
+}
+
+// Reserve implements gateway.Dialect. These engines have no reservations: room is known
+// when the answer begins.
+func (d *Dialect) Reserve(context.Context, backend.Backend, int, time.Duration) (*gateway.Reservation, error) {
+	return &gateway.Reservation{}, nil
+}
+
+// Release implements gateway.Dialect.
+func (d *Dialect) Release(context.Context, backend.Backend, gateway.Reservation) error { return nil }
+
+// Discard implements gateway.Dialect.
+func (d *Dialect) Discard(ctx context.Context, target backend.Backend, result gateway.PrefillResult) error {
+	read, err := parseHandle(result.Handle)
+	if err != nil {
+		return err
+	}
+	return d.options.Engines.Cancel(ctx, target.Address, d.attempt(read.number))
+}
+
+// cancel frees what an engine keeps of an attempt. It does not wait.
+func (d *Dialect) cancel(ctx context.Context, address string, attempt engine.Attempt) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTimeout)
+	go func() {
+		defer cancel()
+		// An engine that does not hear of it drops a prompt after a while; a stream that
+		// nobody reads is found by its holder's name.
+		_ = d.options.Engines.Cancel(ctx, address, attempt)
+	}()
+}
+
+func (d *Dialect) attempt(number uint32) engine.Attempt {
+	return engine.Attempt{RequestID: d.name, Number: number}
+}
--- /dev/null
+++ b/engine/dialect/generate.go
@@ -0,0 +1,117 @@
+package dialect
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/engine"
+	"github.com/reelrun/reelrun/gateway"
+)
+
+// readOnly is the least number of tokens for which a prefill engine only reads the prompt;
+// asked for one, it answers by itself.
+const readOnly = 2
+
+// handle names a prompt that was read: the number of its attempt and the engine's result.
+type handle struct {
+	number uint32
+	result string
+}
+
+func (h handle) String() string { return strconv.FormatUint(uint64(h.number), 10) + "/" + h.result }
+
+func parseHandle(text string) (handle, error) {
+	number, result, found := strings.Cut(text, "/")
+	parsed, err := strconv.ParseUint(number, 10, 32)
+	if err != nil || !found {
+		return handle{}, errors.Newf("%q names no prompt", text)
+	}
+	return handle{uint32(parsed), result}, nil
+}
+
+// Prefill implements gateway.Dialect.
+func (d *Dialect) Prefill(ctx context.Context, target backend.Backend, request *gateway.Request, left time.Duration) (*gateway.PrefillResult, *gateway.Answer, error) {
+	body, err := parseBody(request)
+	if err != nil {
+		return nil, nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	attempt := d.newAttempt()
+	limited, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	result, err := d.options.Engines.Prefill(limited, target.Address, engine.PrefillRequest{
+		Attempt: attempt, Holder: d.holder(), Model: body.Model, Salt: request.Host, Prompt: body.Prompt,
+		MaxTokens: max(readOnly, body.MaxTokens),
+		// The same for all attempts, so that one can go on with another one's answer.
+		Seed: xxhash.Sum64String(request.Host + "\x00" + request.ID),
+	})
+	if err == nil {
+		return &gateway.PrefillResult{Address: target.Address, Handle: handle{attempt.Number, result.ResultID}.String()}, nil, nil
+	}
+	refusal, err := refusalOf(err)
+	if refusal == nil && !errors.Is(err, gateway.ErrNotSent) {
+		d.cancel(ctx, target.Address, attempt)
+	}
+	return nil, refusal, err
+}
+
+// refusalOf returns the answer of an engine that has refused, or the error of one that did
+// not answer.
+func refusalOf(err error) (*gateway.Answer, error) {
+	var typed *api.Error
+	switch {
+	case !errors.As(err, &typed):
+		return nil, err
+	case typed.Outcome != api.OutcomeNotRun:
+		return nil, err
+	case typed.Code == api.CodeBackendFailed && typed.Status == http.StatusBadGateway:
+		return nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	return &gateway.Answer{Status: typed.Status, NotRun: true, Body: http.NoBody}, nil
+}
+
+// Decode implements gateway.Dialect. An answer that goes on after an event is made anew, with
+// the same seed, and what the caller has is left out.
+func (d *Dialect) Decode(ctx context.Context, target backend.Backend, request *gateway.Request, _ time.Duration, options gateway.DecodeOptions) (*gateway.Answer, error) {
+	body, err := parseBody(request)
+	if err != nil {
+		return nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	next, err := nextOffset(options.LastEventID)
+	if err != nil {
+		return nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	if options.Prefill == nil {
+		return nil, errors.CombineErrors(gateway.ErrNotSent, errors.New("no prompt was read"))
+	}
+	read, err := parseHandle(options.Prefill.Handle)
+	if err != nil {
+		return nil, errors.CombineErrors(gateway.ErrNotSent, err)
+	}
+	attempt := d.attempt(read.number)
+	stream, err := d.options.Engines.Decode(ctx, target.Address, engine.DecodeRequest{
+		Attempt: attempt, Holder: d.holder(), SourceAddress: options.Prefill.Address, ResultID: read.result,
+		Model: body.Model, MaxTokens: body.MaxTokens,
+	})
+	if err != nil {
+		refusal, err := refusalOf(err)
+		if refusal == nil && !errors.Is(err, gateway.ErrNotSent) {
+			d.cancel(ctx, target.Address, attempt)
+		}
+		return refusal, err
+	}
+	header := http.Header{"Content-Type": {"text/event-stream"}, http.CanonicalHeaderKey(HeaderRequestID): {request.ID}}
+	return &gateway.Answer{Status: http.StatusOK, Header: header, Body: &answerBody{stream: stream, next: next, release: func(whole bool) {
+		d.cancel(ctx, options.Prefill.Address, attempt)
+		if !whole {
+			d.cancel(ctx, target.Address, attempt)
+		}
+	}}}, nil
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -62,6 +62,9 @@
 	// Parse reads the head of a caller's request. The body is read later. With an
 	// error, the request is what could be read, for the log.
 	Parse(request *http.Request) (*Request, error)
+	// Measure reads what of a request's sizes stands in its body. It is called once the
+	// body is read, for requests to engines.
+	Measure(request *Request) error
 	// Send sends a request to a back end of a plain service. The time left is
 	// passed on.
 	Send(ctx context.Context, target backend.Backend, request *Request, left time.Duration) (*Answer, error)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -180,6 +180,9 @@
 	h.options.Budget.Request(x.service)
 	service := x.configuration.Services[x.service]
 	if service != nil && service.Engine != nil && x.route.Kind == routing.KindStream {
+		if err := h.options.Dialect.Measure(x.request); err != nil {
+			return rejected(http.StatusBadRequest, ReasonMalformed, err)
+		}
 		return x.generate(ctx, service.Engine)
 	}
 	return x.forward(ctx)
--- a/gateway/runname_test.go
+++ b/gateway/runname_test.go
@@ -43,6 +43,8 @@
 	return &gateway.Request{ID: r.Header.Get("Id"), Host: r.Host, URI: r.URL.Path}, nil
 }
 
+func (parser) Measure(*gateway.Request) error { return nil }
+
 // newEngineHandler returns a handler of one route of streams, with one decode engine.
 func newEngineHandler(dialect gateway.Dialect, assigned gateway.Coordinator) *gateway.Handler {
 	backends := backend.NewRegistry(time.Now)
