Let watches rest after a change; let a starting node tell of itself

Cause: each node that registers ended the watches of all others. While a fleet starts every node watches, so that N starts cost N x N calls; later twelve watchers paid for each.

Ruled out: stale lists at the start (a tenth of the price for 3 calls a start, against a start with an old configuration), fewer watchers (a zone and a partial outage at once).

Change: a node puts its own object into its copy as soon as the store has taken it, so that the comparison of copies spreads it; the watch of the nodes rests for 2 s after a change, that of the back ends for 60 ms; the one of the configuration never does.

--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -125,14 +125,17 @@
 func newRouter(parsed *settings.Router, given flagValues, logger *slog.Logger) *router.Router {
 	dialer := &net.Dialer{}
 	var daemon *router.Router
-	watchWait := func(kind objectapi.Kind, afterChange bool) time.Duration { return daemon.WatchWait(kind, afterChange) }
+	pacer := func(kind objectapi.Kind, afterChange bool) platform.WatchPace {
+		wait, pause := daemon.WatchPace(kind, afterChange)
+		return platform.WatchPace{Wait: wait, Pause: pause}
+	}
 	daemon = router.New(router.Options{
 		Settings:  parsed,
 		Placement: given.placement,
 		KeepRoles: given.keepRoles,
 		Logger:    logger,
 		Backplane: router.Backplane{
-			Store:               platform.NewStore(parsed.StoreAddress, dialer.DialContext, watchWait),
+			Store:               platform.NewStore(parsed.StoreAddress, dialer.DialContext, pacer),
 			Dialect:             platform.NewDialect(dialer.DialContext),
 			ConfigurationKind:   platform.KindConfiguration,
 			BackendKind:         platform.KindServer,
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/periodic"
+	"github.com/reelrun/reelrun/replica"
 )
 
 // kindNode is the kind of the objects by which nodes find each other.
@@ -144,16 +145,18 @@
 
 func (r *Router) tryRegister(ctx context.Context, spec json.RawMessage) error {
 	store, name := r.options.Backplane.Store, r.options.Settings.Name
-	_, err := store.Put(ctx, objectapi.Object{Kind: kindNode, Name: name, Spec: spec})
-	if !errors.Is(err, objectapi.ErrConflict) {
-		return err
+	written, err := store.Put(ctx, objectapi.Object{Kind: kindNode, Name: name, Spec: spec})
+	if errors.Is(err, objectapi.ErrConflict) {
+		// An earlier start of this node left its object.
+		var known objectapi.Object
+		if known, err = store.Get(ctx, kindNode, name); err != nil {
+			return err
+		}
+		written, err = store.Put(ctx, objectapi.Object{Kind: kindNode, Name: name, Version: known.Version, Spec: spec})
 	}
-	// An earlier start of this node left its object.
-	known, err := store.Get(ctx, kindNode, name)
-	if err != nil {
-		return err
+	if err == nil {
+		r.copy.Apply(replica.SourceStore, replica.Record{Object: written})
 	}
-	_, err = store.Put(ctx, objectapi.Object{Kind: kindNode, Name: name, Version: known.Version, Spec: spec})
 	return err
 }
 
@@ -186,19 +189,31 @@
 // the nodes, or the loss of a zone, takes away.
 const maxWatchers = 12
 
-// WatchWait returns how long the next watch of a kind waits. Watchers begin their
-// watches anew one after the other. After a change, which ends the watches of all
-// of them, the order begins anew.
-func (r *Router) WatchWait(kind objectapi.Kind, afterChange bool) time.Duration {
+const (
+	// nodePause is how long the watch of the nodes rests after a change. A node that starts
+	// tells the others itself, so that the store's word is only for those that hear nobody.
+	nodePause = 2 * time.Second
+	// backendPause is the same for the back ends: a rack that is lost, or a release, changes
+	// many entries within milliseconds.
+	backendPause = 60 * time.Millisecond
+)
+
+// WatchPace returns how long the next watch of a kind waits, and how long it rests after a
+// change. Watchers begin their watches anew one after the other. After a change, which ends
+// the watches of all of them, the order begins anew.
+func (r *Router) WatchPace(kind objectapi.Kind, afterChange bool) (wait, pause time.Duration) {
 	if kind == kindNode {
-		return longestWatch
+		return longestWatch, nodePause
+	}
+	if kind == r.options.Backplane.BackendKind {
+		pause = backendPause
 	}
 	count, position := r.place()
 	turns := min(count, maxWatchers)
 	if afterChange {
 		turns = position%maxWatchers + 1
 	}
-	return max(watchInterval*time.Duration(turns), shortestWatch)
+	return max(watchInterval*time.Duration(turns), shortestWatch), pause
 }
 
 // isWatcher reports whether this node follows the store: it is among the first of
