Compare the configuration first, and few buckets at a time

Cause: an empty or late copy got up to 512 KB in one call of 300 ms, in an order left to chance. Over a link of 10 Mbit/s that is 419 ms: the call fails, the node counts as silent for 2 s, and the configuration may be left out each time.

Ruled out: smaller messages alone (each would send the versions of all buckets again); ordering objects by what a node has (an empty one knows of no configuration).

Change: the configuration has a bucket of its own, which is exchanged first; four buckets a call and twelve a comparison, the others in an order of chance; 128 KB a message. TestOneComparisonBringsTheUrgent fails without either half of it.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -185,16 +186,38 @@
 	if compared.GetSame() {
 		return nil
 	}
-	differing := s.options.Replica.Differing(compared.GetBuckets())
-	return s.exchange(ctx, address, differing)
+	differing := shuffled(s.options.Replica.Differing(compared.GetBuckets()))
+	for buckets := range slices.Chunk(differing[:min(len(differing), bucketsPerComparison)], bucketsPerExchange) {
+		if err := s.exchange(ctx, address, buckets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+const (
+	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
+	// slow link too.
+	bucketsPerExchange = 4
+	// bucketsPerComparison bounds the buckets of one comparison, so that news do not
+	// wait for the rest of a large difference. The rest comes with the next comparisons.
+	bucketsPerComparison = 12
+)
+
+// shuffled returns buckets in the order in which they are exchanged: the urgent one,
+// and then the others by chance, so that a node far behind gets different ones from
+// different nodes.
+func shuffled(buckets []int) []int {
+	rand.Shuffle(len(buckets), func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
+	if i := slices.Index(buckets, replica.UrgentBucket); i > 0 {
+		buckets[0], buckets[i] = buckets[i], buckets[0]
+	}
+	return buckets
 }
 
 // exchange takes over what another node has newer in some buckets, and brings it
 // what it lacks.
 func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) error {
-	if len(buckets) == 0 {
-		return nil
-	}
 	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
 	for _, bucket := range buckets {
 		request.Buckets = append(request.Buckets, uint32(bucket))
@@ -292,7 +315,7 @@
 
 // maxExchangedBytes bounds the content of one message. What does not fit comes with
 // the next comparison.
-const maxExchangedBytes = 512 << 10
+const maxExchangedBytes = 128 << 10
 
 // storedObjects returns as many of the records as one message holds, at least one.
 func storedObjects(records []replica.Record) []*peerpb.StoredObject {
--- a/antientropy/syncer_test.go
+++ b/antientropy/syncer_test.go
@@ -6,28 +6,46 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/timeline"
 )
 
+const urgentKind objectapi.Kind = "urgent"
+
 // testNode is one copy behind a server on loopback.
 type testNode struct {
 	copied  *replica.Replica
 	syncer  *Syncer
 	address string
+
+	mu sync.Mutex
+	// largestCall is the size of the largest request or response of a call to it.
+	largestCall int
+}
+
+// handle answers a call and notes its size.
+func (n *testNode) handle(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	response, err := n.syncer.Handle(ctx, request)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.largestCall = max(n.largestCall, proto.Size(request), proto.Size(response))
+	return response, err
 }
 
 func newTestNode(t *testing.T) *testNode {
 	t.Helper()
 	clock := timeline.NewClock(time.Now)
-	n := &testNode{copied: replica.New(func(replica.Change) {})}
+	n := &testNode{copied: replica.New(urgentKind, func(replica.Change) {})}
 	client := peer.NewClient("test", func(ctx context.Context, address string) (net.Conn, error) {
 		return new(net.Dialer).DialContext(ctx, "tcp", address)
 	}, clock)
@@ -35,7 +53,7 @@
 		Replica: n.copied, Peers: func() []string { return nil }, Client: client,
 		Logger: slog.New(slog.DiscardHandler), CallTimeout: 10 * time.Second,
 	})
-	server := peer.NewServer(n.syncer.Handle, clock)
+	server := peer.NewServer(n.handle, clock)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -78,3 +96,31 @@
 	g.Expect(first.copied.Live("things")).To(HaveLen(81))
 	g.Expect(first.copied.Live("things")).To(Equal(second.copied.Live("things")))
 }
+
+// TestOneComparisonBringsTheUrgent joins an empty copy to one of a large site. The first
+// comparison must bring the urgent object, no call may be so large that a slow link does
+// not carry it in time, and repeated comparisons must bring the rest.
+func TestOneComparisonBringsTheUrgent(t *testing.T) {
+	const (
+		others    = 3000
+		otherSize = 250
+		// slowestLink is the link of the smallest machines, in bytes a second.
+		slowestLink = 10_000_000 / 8
+	)
+	g := NewWithT(t)
+	full, joining := newTestNode(t), newTestNode(t)
+	for i := range others {
+		full.put(fmt.Sprintf("thing-%d", i), int64(i+1), otherSize)
+	}
+	full.copied.Apply(replica.SourceStore, replica.Record{Object: objectapi.Object{Kind: urgentKind, Name: "only", Version: 1}})
+
+	g.Expect(joining.syncer.compare(t.Context(), full.address)).To(Succeed())
+	g.Expect(joining.copied.Live(urgentKind)).To(HaveLen(1))
+	for range replica.BucketCount / bucketsPerComparison {
+		g.Expect(joining.syncer.compare(t.Context(), full.address)).To(Succeed())
+	}
+	g.Expect(joining.copied.Digest()).To(Equal(full.copied.Digest()))
+	full.mu.Lock()
+	defer full.mu.Unlock()
+	g.Expect(time.Duration(full.largestCall) * time.Second / slowestLink).To(BeNumerically("<", defaultCallTimeout/2))
+}
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -45,7 +45,7 @@
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		records := drawRecords(t)
-		first, second := replica.New(ignore), replica.New(ignore)
+		first, second := replica.New("urgent", ignore), replica.New("urgent", ignore)
 		first.Apply(replica.SourceStore, records...)
 		for _, record := range rapid.Permutation(append(records, records...)).Draw(t, "order") {
 			second.Apply(replica.SourcePeer, record)
@@ -68,7 +68,7 @@
 func TestVersionsNeverGoBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		last := map[string]int64{}
-		copied := replica.New(func(change replica.Change) {
+		copied := replica.New("urgent", func(change replica.Change) {
 			object := change.Record.Object
 			if object.Version <= last[object.Name] {
 				t.Fatalf("%s went from %d to %d", object.Name, last[object.Name], object.Version)
@@ -85,7 +85,7 @@
 func TestExchangeMakesAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		records := drawRecords(t)
-		first, second := replica.New(ignore), replica.New(ignore)
+		first, second := replica.New("urgent", ignore), replica.New("urgent", ignore)
 		for _, record := range records {
 			if rapid.Bool().Draw(t, "first") {
 				first.Apply(replica.SourceStore, record)
@@ -106,7 +106,7 @@
 
 func TestListDeletesWhatItDoesNotName(t *testing.T) {
 	g := NewWithT(t)
-	copied := replica.New(ignore)
+	copied := replica.New("urgent", ignore)
 	object := func(name string, version int64) objectapi.Object {
 		return objectapi.Object{Kind: kind, Name: name, Version: version, Spec: []byte("1")}
 	}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -18,15 +18,9 @@
 // compared by bucket, so that few versions are exchanged for few differences.
 const BucketCount = 64
 
-// Bucket returns the bucket of an object.
-func (k Key) Bucket() int {
-	var digest xxhash.Digest
-	digest.Reset()
-	_, _ = digest.WriteString(string(k.Kind)) // These never fail.
-	_, _ = digest.WriteString("/")
-	_, _ = digest.WriteString(k.Name)
-	return int(digest.Sum64() % BucketCount)
-}
+// UrgentBucket holds the objects of the urgent kind, and no others, so that they can be
+// compared before all others by a node that has none of them yet.
+const UrgentBucket = 0
 
 // Key names an object.
 type Key struct {
@@ -66,6 +60,8 @@
 	// changed is called for each change, one at a time and in the order in which
 	// they were taken over.
 	changed func(Change)
+	// urgent is the kind of the objects in UrgentBucket.
+	urgent objectapi.Kind
 
 	mu      sync.Mutex
 	records map[Key]Record
@@ -75,9 +71,22 @@
 }
 
 // New returns an empty copy that tells of its changes. The function must not
-// call the replica.
-func New(changed func(Change)) *Replica {
-	return &Replica{changed: changed, records: map[Key]Record{}}
+// call the replica. All copies of a fleet name the same urgent kind; it may be empty.
+func New(urgent objectapi.Kind, changed func(Change)) *Replica {
+	return &Replica{changed: changed, urgent: urgent, records: map[Key]Record{}}
+}
+
+// bucketOf returns the bucket of an object.
+func (r *Replica) bucketOf(key Key) int {
+	if key.Kind == r.urgent {
+		return UrgentBucket
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(string(key.Kind)) // These never fail.
+	_, _ = digest.WriteString("/")
+	_, _ = digest.WriteString(key.Name)
+	return UrgentBucket + 1 + int(digest.Sum64()%(BucketCount-1))
 }
 
 // Apply takes over the records that are newer than the copy's. It returns how
@@ -147,7 +156,7 @@
 }
 
 // mix puts a record into the digest of its bucket, or takes it out again.
-func (r *Replica) mix(record Record) { r.buckets[record.Key().Bucket()] ^= hash(record) }
+func (r *Replica) mix(record Record) { r.buckets[r.bucketOf(record.Key())] ^= hash(record) }
 
 // forget drops the oldest deletions beyond the bound; the lock is held.
 func (r *Replica) forget() {
@@ -206,7 +215,7 @@
 	defer r.mu.Unlock()
 	var versions []Record
 	for key, record := range r.records {
-		if wanted[key.Bucket()] {
+		if wanted[r.bucketOf(key)] {
 			record.Object.Spec = nil
 			versions = append(versions, record)
 		}
@@ -268,7 +277,7 @@
 		}
 	}
 	for key := range r.records {
-		if !seen[key] && wanted[key.Bucket()] {
+		if !seen[key] && wanted[r.bucketOf(key)] {
 			newerHere = append(newerHere, key)
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -131,7 +131,7 @@
 		backends: backend.NewRegistry(time.Now), contact: newContact(options.Logger),
 	}
 	r.settings.Store(options.Settings)
-	r.copy = replica.New(r.changed)
+	r.copy = replica.New(options.Backplane.ConfigurationKind, r.changed)
 	clock := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
 	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
