Play the engines of the users' sites in the emulator

Cause: the emulator played slots and fixed sizes; at the users' sites the memory that growing answers fill is what binds, so its ranking said little about them.

--- a/cmd/reelrun-sim/compare.go
+++ b/cmd/reelrun-sim/compare.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -14,12 +16,13 @@
 
 	"github.com/reelrun/reelrun/sim/model"
 	"github.com/reelrun/reelrun/sim/modelcheck"
+	"github.com/reelrun/reelrun/sim/sitemodel"
 )
 
 func compareCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("compare", flag.ContinueOnError)
 	options := model.Options{Parameters: model.DefaultParameters()}
-	flags.StringVar(&options.Workload, "workload", "fisio-xela", "fisio-xela, amrc or fleet")
+	flags.StringVar(&options.Workload, "workload", "fisio-xela", "fisio-xela, amrc or fleet; "+strings.Join(sitemodel.Sites(), " or ")+" for the engines of the users' sites")
 	flags.Uint64Var(&options.Seed, "seed", 1, "first seed")
 	seeds := flags.Int("seeds", 1, "number of seeds, from the first one up")
 	flags.Float64Var(&options.Load, "load", 1, "offered load; 1 fills the decode pool on average")
@@ -36,6 +39,9 @@
 			if *check {
 				return checkModel(ctx, modelcheck.Options{Seed: options.Seed, Load: options.Load, Requests: checkRequests})
 			}
+			if slices.Contains(sitemodel.Sites(), options.Workload) {
+				return compareSite(options, *policy, *seeds, *format)
+			}
 			policies := selectPolicies(*policy)
 			if *plot != "" {
 				return model.Plot(options, policies, *seeds, *plot)
@@ -58,6 +64,41 @@
 	}
 }
 
+// compareSite plays policies before the engines of one of the users' sites.
+func compareSite(options model.Options, policy string, seeds int, format string) error {
+	policies := []string{policy}
+	if policy == "all" {
+		policies = sitemodel.Policies()
+	}
+	var outcomes []sitemodel.Outcome
+	for seed := options.Seed; seed < options.Seed+uint64(seeds); seed++ {
+		for _, name := range policies {
+			outcome, err := sitemodel.Run(sitemodel.Options{
+				Site: options.Workload, Policy: name, Seed: seed, Load: options.Load, Length: options.Length,
+			})
+			if err != nil {
+				return err
+			}
+			outcomes = append(outcomes, outcome)
+		}
+	}
+	if format == "json" {
+		return writeOutcomes(outcomes)
+	}
+	return tabulateSite(outcomes)
+}
+
+func tabulateSite(outcomes []sitemodel.Outcome) error {
+	const padding = 2
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, padding, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "site\tseed\tload\tpolicy\tworth\tin time\tlate\trefused\twasted\tpreemptions\t")
+	for _, o := range outcomes {
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%.2f\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t\n",
+			o.Site, o.Seed, o.Load, o.Policy, o.Worth, o.InTime, o.Late, o.Refused, o.WastedPrefill, o.Preemptions)
+	}
+	return errors.Wrap(table.Flush(), "write table")
+}
+
 // checkRequests is the length of the trace of -check, about half a minute.
 const checkRequests = 300
 
@@ -80,7 +121,7 @@
 	}
 }
 
-func writeOutcomes(outcomes []model.Outcome) error {
+func writeOutcomes[O any](outcomes []O) error {
 	encoder := json.NewEncoder(os.Stdout)
 	for _, outcome := range outcomes {
 		if err := encoder.Encode(outcome); err != nil {
--- /dev/null
+++ b/sim/sitemodel/run_test.go
@@ -0,0 +1,80 @@
+package sitemodel
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// play runs a policy with some seeds and returns the mean worth.
+func play(g *WithT, site, policy string, prefill int) float64 {
+	const seeds = 3
+	total := 0.0
+	for seed := range uint64(seeds) {
+		outcome, err := Run(Options{Site: site, Policy: policy, Seed: seed, Load: 1, Length: time.Minute, Prefill: prefill})
+		g.Expect(err).NotTo(HaveOccurred())
+		total += outcome.Worth
+	}
+	return total / seeds
+}
+
+// TestRankingOfPolicies wants the order in which the users' bench puts them.
+func TestRankingOfPolicies(t *testing.T) {
+	for _, site := range Sites() {
+		t.Run(site, func(t *testing.T) {
+			g := NewWithT(t)
+			coordinator := play(g, site, PolicyCoordinator, 0)
+			reservation := play(g, site, PolicyReservation, 0)
+			random := play(g, site, PolicyRandom, 0)
+			g.Expect(coordinator).To(BeNumerically(">", reservation+0.05))
+			g.Expect(reservation).To(BeNumerically(">", random+0.05))
+			const asTheyCome = 4
+			g.Expect(coordinator).To(BeNumerically(">", play(g, site, PolicyCoordinator, asTheyCome)+0.05))
+		})
+	}
+}
+
+func TestSameSeedSameOutcome(t *testing.T) {
+	g := NewWithT(t)
+	options := Options{Site: "amrc-site", Policy: PolicyCoordinator, Seed: 3, Load: 1.3, Length: 30 * time.Second}
+	first, err := Run(options)
+	g.Expect(err).NotTo(HaveOccurred())
+	second, err := Run(options)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(first).To(Equal(second))
+}
+
+// TestNothingIsLost wants each request ended once, and all memory free at the end, at any
+// load and with any policy.
+func TestNothingIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := Options{
+			Site: rapid.SampledFrom(Sites()).Draw(t, "site"), Policy: rapid.SampledFrom(Policies()).Draw(t, "policy"),
+			Seed: rapid.Uint64().Draw(t, "seed"), Load: rapid.Float64Range(0.1, 3).Draw(t, "load"),
+			Length: 5 * time.Second, Prefill: rapid.IntRange(1, 8).Draw(t, "prefill"),
+		}
+		outcome, err := Run(options)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if outcome.Failed != 0 {
+			t.Fatalf("%v of the requests never ended", outcome.Failed)
+		}
+		const rounding = 1e-4
+		if sum := outcome.InTime + outcome.Late + outcome.Refused; sum < 1-rounding || sum > 1+rounding {
+			if outcome.Offered > 0 {
+				t.Fatalf("shares sum to %v", sum)
+			}
+		}
+	})
+}
+
+func TestUnknownNames(t *testing.T) {
+	g := NewWithT(t)
+	_, err := Run(Options{Site: "elsewhere", Policy: PolicyRandom})
+	g.Expect(err).To(MatchError(ContainSubstring("elsewhere")))
+	_, err = Run(Options{Site: "amrc-site", Policy: "chance"})
+	g.Expect(err).To(MatchError(ContainSubstring("chance")))
+}
