Take a copy for whole only once it has all of a whole one

Cause: a starting node counted as knowing the back ends as soon as another node had brought it any.

Ruled out: waiting for equal digests (while nodes register, copies never quite agree).

Change: a node tells with each comparison whether its copy is whole: it has listed the back ends, or has taken over all buckets of whole copies. Two messages have a field more. Failing first: TestACopyBecomesWholeByAWholeOne. The start line names the metrics address.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -27,6 +27,12 @@
 	Replica *replica.Replica
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
+	// Whole reports whether the copy of this node is whole: it has listed all kinds. Default:
+	// it never is.
+	Whole func() bool
+	// BecameWhole is called once the copy has all that a whole one has, though this node
+	// may have listed nothing. It may be called again. Default: nothing.
+	BecameWhole func()
 	// Client calls them.
 	Client *peer.Client
 	Logger *slog.Logger
@@ -48,6 +54,8 @@
 	mu sync.Mutex
 	// silent holds the nodes that did not answer.
 	silent map[string]silence
+	// covered marks the buckets that this node has taken over from whole copies.
+	covered [replica.BucketCount]bool
 }
 
 // silence is a time in which a node has not answered.
@@ -71,6 +79,12 @@
 	if options.Avoidance == 0 {
 		options.Avoidance = defaultAvoidance
 	}
+	if options.Whole == nil {
+		options.Whole = func() bool { return false }
+	}
+	if options.BecameWhole == nil {
+		options.BecameWhole = func() {}
+	}
 	return &Syncer{options: options, news: make(chan struct{}, 1), silent: map[string]silence{}}
 }
 
@@ -183,18 +197,50 @@
 		return err
 	}
 	compared := response.GetReplicaVersions()
-	if compared.GetSame() {
-		return nil
+	var differing []int
+	if !compared.GetSame() {
+		differing = shuffled(s.options.Replica.Differing(compared.GetBuckets()))
+	}
+	if compared.GetWhole() {
+		s.cover(othersThan(differing))
 	}
-	differing := shuffled(s.options.Replica.Differing(compared.GetBuckets()))
 	for buckets := range slices.Chunk(differing[:min(len(differing), bucketsPerComparison)], bucketsPerExchange) {
-		if err := s.exchange(ctx, address, buckets); err != nil {
+		complete, err := s.exchange(ctx, address, buckets)
+		if err != nil {
 			return err
 		}
+		if complete && compared.GetWhole() {
+			s.cover(buckets)
+		}
 	}
 	return nil
 }
 
+// othersThan returns all buckets but the given ones.
+func othersThan(buckets []int) []int {
+	others := make([]int, 0, replica.BucketCount-len(buckets))
+	for i := range replica.BucketCount {
+		if !slices.Contains(buckets, i) {
+			others = append(others, i)
+		}
+	}
+	return others
+}
+
+// cover notes that some buckets have all that a whole copy has. Once all of them do, this
+// copy is whole as well.
+func (s *Syncer) cover(buckets []int) {
+	s.mu.Lock()
+	for _, bucket := range buckets {
+		s.covered[bucket] = true
+	}
+	whole := !slices.Contains(s.covered[:], false)
+	s.mu.Unlock()
+	if whole {
+		s.options.BecameWhole()
+	}
+}
+
 const (
 	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
 	// slow link too.
@@ -215,26 +261,29 @@
 	return buckets
 }
 
-// exchange takes over what another node has newer in some buckets, and brings it
-// what it lacks.
-func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) error {
+// exchange takes over what another node has newer in some buckets, and brings it what it
+// lacks. It reports whether nothing newer is left there.
+func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) (complete bool, err error) {
 	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
 	for _, bucket := range buckets {
 		request.Buckets = append(request.Buckets, uint32(bucket))
 	}
 	response, err := s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{ExchangeObjects: request}})
 	if err != nil {
-		return err
+		return false, err
 	}
-	s.take(response.GetStoredObjects().GetObjects())
-	wanted := s.options.Replica.Records(keysOf(response.GetStoredObjects().GetWanted()))
+	received := response.GetStoredObjects()
+	s.take(received.GetObjects())
+	complete = !received.GetTruncated()
+	wanted := s.options.Replica.Records(keysOf(received.GetWanted()))
 	if len(wanted) == 0 {
-		return nil
+		return complete, nil
 	}
+	brought, _ := storedObjects(wanted)
 	_, err = s.call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
-		ExchangeObjects: &peerpb.ExchangeObjects{Objects: storedObjects(wanted)},
+		ExchangeObjects: &peerpb.ExchangeObjects{Objects: brought},
 	}})
-	return err
+	return complete, err
 }
 
 // take takes over objects of another node. News are passed on.
@@ -263,7 +312,9 @@
 }
 
 func (s *Syncer) handleCompare(request *peerpb.CompareReplicas) *peerpb.Response {
-	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest()}
+	// Asked before the digest is taken: what is whole then stays so.
+	whole := s.options.Whole()
+	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest(), Whole: whole}
 	if !compared.GetSame() {
 		compared.Buckets = s.options.Replica.Buckets()
 	}
@@ -277,8 +328,9 @@
 		buckets[i] = int(bucket)
 	}
 	newerHere, newerThere := s.options.Replica.Compare(buckets, recordsOf(request.GetVersions()))
+	stored, truncated := storedObjects(s.options.Replica.Records(newerHere))
 	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: &peerpb.StoredObjects{
-		Objects: storedObjects(s.options.Replica.Records(newerHere)), Wanted: wantedVersions(newerThere),
+		Objects: stored, Wanted: wantedVersions(newerThere), Truncated: truncated,
 	}}}
 }
 
@@ -317,18 +369,18 @@
 // the next comparison.
 const maxExchangedBytes = 128 << 10
 
-// storedObjects returns as many of the records as one message holds, at least one.
-func storedObjects(records []replica.Record) []*peerpb.StoredObject {
-	var stored []*peerpb.StoredObject
+// storedObjects returns as many of the records as one message holds, at least one, and
+// whether some are left out.
+func storedObjects(records []replica.Record) (stored []*peerpb.StoredObject, truncated bool) {
 	size := 0
 	for _, record := range records {
 		size += len(record.Object.Spec)
 		if size > maxExchangedBytes && len(stored) > 0 {
-			break
+			return stored, true
 		}
 		stored = append(stored, &peerpb.StoredObject{Version: objectVersion(record), Spec: record.Object.Spec})
 	}
-	return stored
+	return stored, false
 }
 
 func recordOf(version *peerpb.ObjectVersion) replica.Record {
--- a/antientropy/syncer_test.go
+++ b/antientropy/syncer_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,9 @@
 	syncer  *Syncer
 	address string
 
+	// whole is set for a node that has listed all kinds, or has become whole.
+	whole atomic.Bool
+
 	mu sync.Mutex
 	// largestCall is the size of the largest request or response of a call to it.
 	largestCall int
@@ -52,6 +56,7 @@
 	n.syncer = New(Options{
 		Replica: n.copied, Peers: func() []string { return nil }, Client: client,
 		Logger: slog.New(slog.DiscardHandler), CallTimeout: 10 * time.Second,
+		Whole: n.whole.Load, BecameWhole: func() { n.whole.Store(true) },
 	})
 	server := peer.NewServer(n.handle, clock)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -124,3 +129,36 @@
 	defer full.mu.Unlock()
 	g.Expect(time.Duration(full.largestCall) * time.Second / slowestLink).To(BeNumerically("<", defaultCallTimeout/2))
 }
+
+// TestACopyBecomesWholeByAWholeOne joins an empty copy to one that has listed all kinds, and
+// to one that has not. Nobody may serve by a part of the back ends, nor two empty copies
+// take each other for whole.
+func TestACopyBecomesWholeByAWholeOne(t *testing.T) {
+	g := NewWithT(t)
+	partial, joining := newTestNode(t), newTestNode(t)
+	g.Expect(joining.syncer.compare(t.Context(), partial.address)).To(Succeed())
+	g.Expect(joining.whole.Load()).To(BeFalse(), "both are empty")
+	for i := range 500 {
+		partial.put(fmt.Sprintf("thing-%d", i), int64(i+1), 2000)
+	}
+	for joining.copied.Digest() != partial.copied.Digest() {
+		g.Expect(joining.syncer.compare(t.Context(), partial.address)).To(Succeed())
+	}
+	g.Expect(joining.whole.Load()).To(BeFalse(), "the other one has listed nothing")
+
+	whole, late := newTestNode(t), newTestNode(t)
+	whole.whole.Store(true)
+	for i := range 500 {
+		whole.put(fmt.Sprintf("thing-%d", i), int64(i+1), 2000)
+	}
+	for !late.whole.Load() {
+		g.Expect(late.syncer.compare(t.Context(), whole.address)).To(Succeed())
+		if late.whole.Load() {
+			g.Expect(late.copied.Digest()).To(Equal(whole.copied.Digest()))
+		}
+	}
+	third := newTestNode(t)
+	for !third.whole.Load() {
+		g.Expect(third.syncer.compare(t.Context(), late.address)).To(Succeed(), "it passes on")
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -134,7 +134,10 @@
 	r.copy = replica.New(options.Backplane.ConfigurationKind, r.changed)
 	clock := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
-	r.syncer = antientropy.New(antientropy.Options{Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger})
+	r.syncer = antientropy.New(antientropy.Options{
+		Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger,
+		Whole: r.backends.Synced, BecameWhole: r.backends.SetSynced,
+	})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Nodes: r.responsiveCount, Now: r.now})
 	r.assigner = coordinator.NewClient(r, r.client, r.coordinator, r.now)
 	r.server = peer.NewServer(r.handlePeer, clock)
@@ -196,7 +199,7 @@
 // Run serves until the context ends, and then until the requests under way have
 // ended or the grace period is over.
 func (r *Router) Run(ctx context.Context) error {
-	r.options.Logger.Info("start", "zone", r.options.Settings.Zone)
+	r.options.Logger.Info("start", "zone", r.options.Settings.Zone, "metrics", r.options.Settings.MetricsAddress)
 	ports, err := r.listen()
 	if err != nil {
 		return err
--- a/router/view.go
+++ b/router/view.go
@@ -58,8 +58,4 @@
 		r.options.Logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
 			"role", string(decoded.Role), "revision", object.Version, "source", string(change.Source))
 	}
-	if change.Source == replica.SourcePeer {
-		// Another node gives all that it knows at once.
-		r.backends.SetSynced()
-	}
 }
