Write the emulator's event queue and two more loops once

Cause: both models of the emulator had the same queue of events, and three loops of the syncers the ticker that periodic.Run has.

No behaviour changed but that a syncer's first interval begins after its first look.

--- a/configuration/syncer.go
+++ b/configuration/syncer.go
@@ -10,6 +10,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/tasks"
 )
 
@@ -67,18 +68,11 @@
 // to, until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
 	defer s.pulls.Close()
-	ticker := time.NewTicker(roleInterval)
-	defer ticker.Stop()
-	for {
+	periodic.RunNow(ctx, roleInterval, func(ctx context.Context) {
 		if !s.Asked() || s.placement.IsAmong(watcherKey, watchersPerZone) {
 			s.watch(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 // watch reads the head and follows it until the watch ends or the node is no
@@ -111,19 +105,11 @@
 
 // resign ends the watch when another node has taken the node's place.
 func (s *Syncer) resign(ctx context.Context, cancel context.CancelFunc) {
-	ticker := time.NewTicker(roleInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if !s.placement.IsAmong(watcherKey, watchersPerZone) {
-				cancel()
-				return
-			}
+	periodic.Run(ctx, roleInterval, func(context.Context) {
+		if !s.placement.IsAmong(watcherKey, watchersPerZone) {
+			cancel()
 		}
-	}
+	})
 }
 
 func (s *Syncer) advance(ctx context.Context, object objectapi.Object) {
--- a/machines/syncer.go
+++ b/machines/syncer.go
@@ -11,6 +11,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/tasks"
 )
 
@@ -61,18 +62,11 @@
 // Run watches the list whenever the node is chosen to, until the context ends.
 func (s *Syncer) Run(ctx context.Context) {
 	defer s.pulls.Close()
-	ticker := time.NewTicker(roleInterval)
-	defer ticker.Stop()
-	for {
+	periodic.RunNow(ctx, roleInterval, func(ctx context.Context) {
 		if s.placement.IsAmong(watcherKey, watchersPerZone) {
 			s.watch(ctx)
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
+	})
 }
 
 func (s *Syncer) watch(ctx context.Context) {
--- a/periodic/periodic.go
+++ b/periodic/periodic.go
@@ -25,3 +25,11 @@
 		}
 	}
 }
+
+// RunNow is Run with a first call at once.
+func RunNow(ctx context.Context, interval time.Duration, work func(context.Context)) {
+	if ctx.Err() == nil {
+		work(ctx)
+	}
+	Run(ctx, interval, work)
+}
--- a/periodic/periodic_test.go
+++ b/periodic/periodic_test.go
@@ -39,3 +39,18 @@
 		g.Expect(begins).To(HaveLen(4), "none after the context has ended")
 	})
 }
+
+func TestRunNowCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
+		defer cancel()
+		var begins []time.Duration
+		work := func(context.Context) { begins = append(begins, time.Since(began)) }
+		periodic.RunNow(ctx, time.Second, work)
+		g.Expect(begins).To(Equal([]time.Duration{0, time.Second, 2 * time.Second}))
+		periodic.RunNow(ctx, time.Second, work)
+		g.Expect(begins).To(HaveLen(3), "none after the context has ended")
+	})
+}
--- a/sim/model/compare.go
+++ b/sim/model/compare.go
@@ -57,7 +57,7 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	s.play(options.Length + drainTime)
+	s.Play(options.Length + drainTime)
 	return s.outcome(jobs, options), nil
 }
 
@@ -100,14 +100,14 @@
 // schedule plans the arrivals, the callers' patience and the failure.
 func (s *simulation) schedule(jobs []*job, options Options) {
 	for _, j := range jobs {
-		s.after(j.arrival, func() {
+		s.After(j.arrival, func() {
 			patience := time.Duration(s.parameters.Patience * float64(j.kind.firstToken))
-			s.after(patience, func() { s.leave(j) })
+			s.After(patience, func() { s.leave(j) })
 			s.router.arrive(j)
 		})
 	}
 	if options.Fail {
-		s.after(options.Length/2, func() { s.fail(0, failTime) })
+		s.After(options.Length/2, func() { s.fail(0, failTime) })
 	}
 }
 
--- a/sim/model/engines.go
+++ b/sim/model/engines.go
@@ -1,45 +1,10 @@
 package model
 
 import (
-	"container/heap"
 	"time"
-)
-
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-// eventQueue orders events by time, then by when they were planned.
-type eventQueue []event
-
-// Len implements heap.Interface.
-func (q eventQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-
-// Swap implements heap.Interface.
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(value any) { *q = append(*q, value.(event)) }
 
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	removed := (*q)[last]
-	(*q)[last] = event{}
-	*q = (*q)[:last]
-	return removed
-}
+	"github.com/reelrun/reelrun/sim/eventqueue"
+)
 
 // phase is where a job stands.
 type phase int
@@ -101,10 +66,8 @@
 
 // simulation is one run of the model.
 type simulation struct {
+	eventqueue.Queue
 	parameters Parameters
-	now        time.Duration
-	planned    eventQueue
-	order      int
 	prefills   []*prefillEngine
 	decodes    []*decodeEngine
 	router     router
@@ -115,23 +78,6 @@
 	wasted    int
 }
 
-func (s *simulation) after(delay time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.planned, event{s.now + delay, s.order, run})
-}
-
-// play runs every event until the given time.
-func (s *simulation) play(until time.Duration) {
-	for len(s.planned) > 0 {
-		next := heap.Pop(&s.planned).(event)
-		if next.at > until {
-			return
-		}
-		s.now = next.at
-		next.run()
-	}
-}
-
 // startPrefill queues a job at a prefill engine.
 func (s *simulation) startPrefill(j *job, engine int) {
 	j.state.phase = phaseQueued
@@ -157,7 +103,7 @@
 		cached := min(target.cache.match(j.blocks), j.prompt)
 		j.state.computed = j.prompt - cached
 		duration := s.parameters.PrefillOverhead + time.Duration(float64(j.state.computed)/s.parameters.PrefillTokensPerSecond*float64(second))
-		s.after(duration, func() { s.endPrefill(j, engine) })
+		s.After(duration, func() { s.endPrefill(j, engine) })
 	}
 }
 
@@ -191,7 +137,7 @@
 			told = append(told, block)
 		}
 	}
-	s.after(s.parameters.EventDelay, func() { s.router.evicted(engine, told) })
+	s.After(s.parameters.EventDelay, func() { s.router.evicted(engine, told) })
 }
 
 // hold keeps a prefill result for a few seconds.
@@ -199,7 +145,7 @@
 	j.state.phase = phaseHeld
 	j.state.used = false
 	attempt := j.state.attempt
-	s.after(s.parameters.Hold, func() {
+	s.After(s.parameters.Hold, func() {
 		if j.state.attempt == attempt && j.state.phase == phaseHeld {
 			s.lapse(j)
 		}
@@ -258,14 +204,14 @@
 	j.state.phase = phaseMoving
 	j.state.used = true
 	source := s.prefills[j.state.prefill]
-	start := max(s.now, source.linkFree)
+	start := max(s.Now(), source.linkFree)
 	duration := time.Duration(float64(j.prompt) / s.parameters.LinkTokensPerSecond * float64(second))
 	if s.stalls() {
 		duration += s.parameters.StallTime
 	}
 	source.linkFree = start + duration
 	attempt := j.state.attempt
-	s.after(start+duration-s.now, func() { s.moved(j, engine, attempt) })
+	s.After(start+duration-s.Now(), func() { s.moved(j, engine, attempt) })
 }
 
 func (s *simulation) moved(j *job, engine, attempt int) {
@@ -295,7 +241,7 @@
 	for _, j := range target.batch {
 		context += j.prompt + j.state.produced
 	}
-	s.after(s.parameters.Step.Time(len(target.batch), context), func() { s.endStep(engine) })
+	s.After(s.parameters.Step.Time(len(target.batch), context), func() { s.endStep(engine) })
 }
 
 func (s *simulation) endStep(engine int) {
@@ -333,9 +279,9 @@
 
 func (s *simulation) emit(j *job) {
 	if j.state.produced == 0 {
-		j.state.first = s.now
+		j.state.first = s.Now()
 	}
-	j.state.last = s.now
+	j.state.last = s.Now()
 	j.state.produced++
 }
 
@@ -384,7 +330,7 @@
 			s.router.failed(j)
 		}
 	}
-	s.after(down, func() {
+	s.After(down, func() {
 		target.up = true
 		s.router.engineUp(engine)
 		s.router.changed()
--- a/sim/model/policies.go
+++ b/sim/model/policies.go
@@ -155,7 +155,7 @@
 		Prefixes: j.blocks, LateAllowed: j.state.produced > 0,
 	}
 	p.byID[request.ID], p.requests[j] = j, request
-	if refused := p.pool.Submit(p.simulation.now, request); refused != nil {
+	if refused := p.pool.Submit(p.simulation.Now(), request); refused != nil {
 		p.refuse(j)
 		return
 	}
@@ -175,7 +175,7 @@
 }
 
 func (p *pooled) prefillDone(j *job) {
-	p.pool.PrefillDone(p.simulation.now, p.requests[j].ID)
+	p.pool.PrefillDone(p.simulation.Now(), p.requests[j].ID)
 	p.changed()
 }
 
@@ -190,7 +190,7 @@
 		return
 	}
 	if !p.pool.Withdraw(request) {
-		p.pool.Finished(p.simulation.now, request.ID, tokens)
+		p.pool.Finished(p.simulation.Now(), request.ID, tokens)
 	}
 	p.forget(j)
 }
@@ -205,7 +205,7 @@
 
 // changed carries out what is due, and looks again later while requests wait.
 func (p *pooled) changed() {
-	for _, decision := range p.pool.Schedule(p.simulation.now) {
+	for _, decision := range p.pool.Schedule(p.simulation.Now()) {
 		j := p.byID[decision.RequestID]
 		switch decision.Kind {
 		case scheduler.KindPrefill:
@@ -219,7 +219,7 @@
 	}
 	if p.pool.Waiting() > 0 && !p.armed {
 		p.armed = true
-		p.simulation.after(scheduler.RecheckInterval, func() {
+		p.simulation.After(scheduler.RecheckInterval, func() {
 			p.armed = false
 			p.changed()
 		})
@@ -275,7 +275,7 @@
 		current.slots[i] = engine.slotsUsed() + len(engine.waiting)
 		current.down[i] = !engine.up
 	}
-	s.after(s.parameters.LoadLag, func() {
+	s.After(s.parameters.LoadLag, func() {
 		p.known = current
 		p.report()
 	})
--- a/sim/model/roles.go
+++ b/sim/model/roles.go
@@ -29,7 +29,7 @@
 	return &roleChanger{pooled: p, advisor: rebalance.New(rebalance.Options{})}
 }
 
-func (c *roleChanger) start() { c.pooled.simulation.after(roleInterval, c.look) }
+func (c *roleChanger) start() { c.pooled.simulation.After(roleInterval, c.look) }
 
 func (c *roleChanger) look() {
 	s := c.pooled.simulation
@@ -49,7 +49,7 @@
 			load.DecodeEngines++
 		}
 	}
-	if advice, due := c.advisor.Observe(s.now, load); due {
+	if advice, due := c.advisor.Observe(s.Now(), load); due {
 		c.change(advice)
 	}
 	c.start()
@@ -98,10 +98,10 @@
 func (c *roleChanger) whenDrained(drained func() bool, add func()) {
 	s := c.pooled.simulation
 	if !drained() {
-		s.after(drainPoll, func() { c.whenDrained(drained, add) })
+		s.After(drainPoll, func() { c.whenDrained(drained, add) })
 		return
 	}
-	s.after(roleChangeTime, func() {
+	s.After(roleChangeTime, func() {
 		add()
 		c.pooled.setEngines()
 		c.pooled.changed()
--- a/sim/sitemodel/engine.go
+++ b/sim/sitemodel/engine.go
@@ -59,7 +59,7 @@
 
 // advance lets the batch go on until now.
 func (e *decodeEngine) advance() {
-	now := e.simulation.now
+	now := e.simulation.Now()
 	if len(e.batch) > 0 {
 		tokens := float64(now-e.advanced) / float64(e.step())
 		for _, current := range e.batch {
@@ -98,7 +98,7 @@
 	room := (float64(e.simulation.sheet.Memory) - e.used()) / float64(len(e.batch))
 	steps := max(1, math.Ceil(min(least, room)))
 	epoch := e.epoch
-	e.simulation.after(time.Duration(steps*float64(e.step())), func() {
+	e.simulation.After(time.Duration(steps*float64(e.step())), func() {
 		if e.epoch == epoch {
 			e.look()
 		}
@@ -130,7 +130,7 @@
 func (e *decodeEngine) preempt() {
 	newest := slices.MaxFunc(e.batch, func(a, b *run) int { return a.entered - b.entered })
 	e.batch = slices.DeleteFunc(e.batch, func(current *run) bool { return current == newest })
-	newest.since = e.simulation.now
+	newest.since = e.simulation.Now()
 	e.preempted = append(e.preempted, newest)
 	e.simulation.preemptions++
 }
@@ -146,10 +146,10 @@
 	e.simulation.readTokens += resumed.size()
 	e.simulation.wastedTokens += resumed.size()
 	reading := time.Duration(2 * resumed.size() / e.simulation.sheet.ReadPerMillisecond * float64(time.Millisecond))
-	if e.simulation.now+reading-resumed.since > e.simulation.sheet.MaxPause {
+	if e.simulation.Now()+reading-resumed.since > e.simulation.sheet.MaxPause {
 		resumed.request.paused = true
 	}
-	e.simulation.after(reading, func() { e.admit(resumed) })
+	e.simulation.After(reading, func() { e.admit(resumed) })
 }
 
 // prefillEngine reads one prompt at a time.
--- a/sim/sitemodel/policy.go
+++ b/sim/sitemodel/policy.go
@@ -92,7 +92,7 @@
 	p.start(s)
 	p.next++
 	p.names[asked] = strconv.Itoa(p.next)
-	given, found := p.book.Assign(s.now, p.runOf(s, asked), nil)
+	given, found := p.book.Assign(s.Now(), p.runOf(s, asked), nil)
 	if !found {
 		return nil
 	}
@@ -117,7 +117,7 @@
 }
 
 func (p *coordinated) returnAfter(s *simulation, refused *request) time.Duration {
-	return max(shortestReturn, p.book.RoomAfter(s.now, p.runOf(s, refused)))
+	return max(shortestReturn, p.book.RoomAfter(s.Now(), p.runOf(s, refused)))
 }
 
 // reserving asks the engines for the memory that the caller expects to need.
--- a/sim/sitemodel/run.go
+++ b/sim/sitemodel/run.go
@@ -1,10 +1,11 @@
 package sitemodel
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/reelrun/reelrun/sim/eventqueue"
 )
 
 const (
@@ -61,46 +62,10 @@
 	Offered       int     `json:"offered"`
 }
 
-// event is something that happens at a time.
-type event struct {
-	at    time.Duration
-	order int
-	run   func()
-}
-
-type eventQueue []event
-
-// Len implements heap.Interface.
-func (q eventQueue) Len() int { return len(q) }
-
-// Less implements heap.Interface.
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-
-// Swap implements heap.Interface.
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *eventQueue) Push(value any) { *q = append(*q, value.(event)) }
-
-// Pop implements heap.Interface.
-func (q *eventQueue) Pop() any {
-	last := len(*q) - 1
-	removed := (*q)[last]
-	*q = (*q)[:last]
-	return removed
-}
-
 // simulation is one run of the model.
 type simulation struct {
+	eventqueue.Queue
 	sheet    Sheet
-	now      time.Duration
-	planned  eventQueue
-	order    int
 	prefills []*prefillEngine
 	decodes  []*decodeEngine
 	// pending counts the requests given to each decode engine.
@@ -129,13 +94,9 @@
 	s := newSimulation(sheet, chosen)
 	requests := sheet.generate(rand.New(rand.NewPCG(options.Seed, requestStream)), options.Load, options.Length)
 	for _, arriving := range requests {
-		s.after(arriving.arrival, func() { s.arrive(arriving) })
-	}
-	for len(s.planned) > 0 {
-		next := heap.Pop(&s.planned).(event)
-		s.now = next.at
-		next.run()
+		s.After(arriving.arrival, func() { s.arrive(arriving) })
 	}
+	s.PlayAll()
 	return s.outcome(options, requests), nil
 }
 
@@ -150,37 +111,32 @@
 	return s
 }
 
-func (s *simulation) after(delay time.Duration, run func()) {
-	s.order++
-	heap.Push(&s.planned, event{s.now + delay, s.order, run})
-}
-
 // arrive begins an attempt.
 func (s *simulation) arrive(arriving *request) {
-	arriving.attempt = s.now
+	arriving.attempt = s.Now()
 	share := firstWait
 	if arriving.returning {
 		share = returnWait
 	}
-	s.wait(arriving, s.now+time.Duration(share*float64(s.sheet.Objective)))
+	s.wait(arriving, s.Now()+time.Duration(share*float64(s.sheet.Objective)))
 }
 
 // wait gives a request engines, or looks again until its time is over.
 func (s *simulation) wait(waiting *request, until time.Duration) {
 	reader := s.shortestPrefill()
 	reading := s.readingTime(waiting.prompt)
-	inTime := max(s.now, reader.free)+reading-waiting.attempt < s.sheet.Objective
+	inTime := max(s.Now(), reader.free)+reading-waiting.attempt < s.sheet.Objective
 	if inTime {
 		if engine := s.policy.place(s, waiting); engine != nil {
 			s.read(waiting, reader, engine)
 			return
 		}
 	}
-	if s.now+waitStep > until {
+	if s.Now()+waitStep > until {
 		s.refuse(waiting)
 		return
 	}
-	s.after(waitStep, func() { s.wait(waiting, until) })
+	s.After(waitStep, func() { s.wait(waiting, until) })
 }
 
 // refuse gives a request its final answer; the caller comes back once.
@@ -191,7 +147,7 @@
 	}
 	refused.returning = true
 	after := min(s.policy.returnAfter(s, refused), longestReturn)
-	s.after(after, func() { s.arrive(refused) })
+	s.After(after, func() { s.arrive(refused) })
 }
 
 func (s *simulation) shortestPrefill() *prefillEngine {
@@ -213,17 +169,17 @@
 	given.reads++
 	s.pending[engine.id]++
 	engine.reserved += s.policy.setAside(given)
-	reader.free = max(s.now, reader.free) + s.readingTime(given.prompt)
-	s.after(reader.free-s.now, func() {
+	reader.free = max(s.Now(), reader.free) + s.readingTime(given.prompt)
+	s.After(reader.free-s.Now(), func() {
 		s.readTokens += float64(given.prompt)
-		begins := max(s.now, engine.linkFree)
+		begins := max(s.Now(), engine.linkFree)
 		move := s.sheet.MoveSetup + time.Duration(float64(given.prompt)/s.sheet.LinkPerMillisecond*float64(time.Millisecond))
-		if begins-s.now > s.sheet.HandleLife {
+		if begins-s.Now() > s.sheet.HandleLife {
 			s.turnedAway(given, engine)
 			return
 		}
 		engine.linkFree = begins + move
-		s.after(begins+move-s.now, func() { s.begin(given, engine) })
+		s.After(begins+move-s.Now(), func() { s.begin(given, engine) })
 	})
 }
 
@@ -235,7 +191,7 @@
 		return
 	}
 	engine.reserved -= setAside
-	given.first = s.now + engine.step()*time.Duration(s.sheet.EventTokens)
+	given.first = s.Now() + engine.step()*time.Duration(s.sheet.EventTokens)
 	engine.admit(&run{request: given, setAside: setAside})
 }
 
@@ -249,14 +205,14 @@
 		s.refuse(given)
 		return
 	}
-	s.wait(given, s.now)
+	s.wait(given, s.Now())
 }
 
 // served ends a request with a whole answer.
 func (s *simulation) served(engine *decodeEngine, over *run) {
 	s.pending[engine.id]--
 	over.request.outcome = outcomeServed
-	s.policy.ended(s, engine, over.request, s.now-over.request.attempt, true)
+	s.policy.ended(s, engine, over.request, s.Now()-over.request.attempt, true)
 }
 
 func (s *simulation) outcome(options Options, requests []*request) Outcome {
