--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -1,9 +1,8 @@
 package coordinator
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -39,12 +38,6 @@
 	coverageTime = 2500 * time.Millisecond
 	// leastCoverage bounds the share of them that it is taken to know.
 	leastCoverage = 0.3
-	// longestLateRead bounds the time until the prompt is read of a request whose answer
-	// will be late: callers leave before long.
-	longestLateRead = 600 * time.Millisecond
-	// spareForLate is the share of an engine's memory that is kept for those who can still be
-	// in time when a late one is let in.
-	spareForLate = 0.4
 	// retryInterval is how often waiting requests are looked at where nothing ends.
 	retryInterval = 40 * time.Millisecond
 )
@@ -79,29 +72,6 @@
 	assigned chan Assignment
 }
 
-// Ranks of those that wait.
-const (
-	rankReturning = iota
-	rankFirst
-	rankLate
-)
-
-// isLate reports whether the answer can no longer begin in time.
-func (w *waiter) isLate(now time.Duration) bool { return now-w.since > w.request.Within }
-
-// rank orders those that wait: callers that were refused before come first, and those whose
-// answers will be late in any case last.
-func (w *waiter) rank(now time.Duration) int {
-	switch {
-	case w.isLate(now):
-		return rankLate
-	case w.request.Returning:
-		return rankReturning
-	default:
-		return rankFirst
-	}
-}
-
 // New returns a coordinator that knows of no runs.
 func New(options Options) *Coordinator {
 	if options.FirstToken == 0 {
@@ -217,8 +187,9 @@
 	c.serve(service, c.state(service))
 }
 
-// serve gives engines to those that wait, in their order; the lock is held. A request that
-// does not fit lets smaller ones pass.
+// serve gives engines to those that wait, returning callers first, then in the
+// order of arrival; the lock is held. A request that does not fit lets smaller
+// ones pass.
 func (c *Coordinator) serve(service string, current *serviceState) {
 	if len(current.waiting) == 0 {
 		return
@@ -227,8 +198,12 @@
 	current.decode.SetEngines(engines.Decode)
 	now := c.options.Now()
 	current.decode.SetCoverage(c.coverage(now, current))
-	slices.SortStableFunc(current.waiting, func(a, b *waiter) int {
-		return cmp.Or(cmp.Compare(a.rank(now), b.rank(now)), cmp.Compare(a.since, b.since))
+	sort.SliceStable(current.waiting, func(i, j int) bool {
+		first, second := current.waiting[i], current.waiting[j]
+		if first.request.Returning != second.request.Returning {
+			return first.request.Returning
+		}
+		return first.since < second.since
 	})
 	var still []*waiter
 	var failed []ledger.Run
@@ -267,9 +242,6 @@
 	}
 	reader, ready := current.prefill.shortest(now, engines.Prefill, request.Run, avoid)
 	left := request.Within - (now - queued.since) - c.options.FirstToken
-	if queued.isLate(now) {
-		left = longestLateRead
-	}
 	if reader == "" || ready > left {
 		current.short = backend.RolePrefill
 		return Assignment{}, false
@@ -277,9 +249,6 @@
 	run := request.Run
 	run.Expected = run.Output
 	run.Output = current.output.Mean(run.Expected, run.Most)
-	if queued.isLate(now) {
-		run.Spare = spareForLate
-	}
 	decoder, ok := current.decode.Assign(now, run, avoid)
 	if !ok {
 		current.short = backend.RoleDecode
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -23,10 +23,6 @@
 	// ReturnWait is how long a caller that was refused before waits for room, as a
 	// share of the objective. Default 0.65.
 	ReturnWait float64
-	// LateWait is how long in all such a caller waits where a coordinator assigns, though its
-	// answer comes late then, as a share of the objective. Default 2.4: a late answer is
-	// worth more than a second refusal, and callers leave after four objectives.
-	LateWait float64
 	// ReservationLifetime is how long memory stays reserved until the answer
 	// begins. Default 1.5s.
 	ReservationLifetime time.Duration
@@ -41,7 +37,6 @@
 	defaultOutputMarginAlone   = 1.3
 	defaultFirstWait           = 0.2
 	defaultReturnWait          = 0.65
-	defaultLateWait            = 2.4
 	defaultReservationLifetime = 1500 * time.Millisecond
 	defaultShortestReturn      = 200 * time.Millisecond
 	defaultLongestReturn       = 4500 * time.Millisecond
@@ -52,7 +47,6 @@
 	p.OutputMarginAlone = cmp.Or(p.OutputMarginAlone, defaultOutputMarginAlone)
 	p.FirstWait = cmp.Or(p.FirstWait, defaultFirstWait)
 	p.ReturnWait = cmp.Or(p.ReturnWait, defaultReturnWait)
-	p.LateWait = cmp.Or(p.LateWait, defaultLateWait)
 	p.ReservationLifetime = cmp.Or(p.ReservationLifetime, defaultReservationLifetime)
 	p.ShortestReturn = cmp.Or(p.ShortestReturn, defaultShortestReturn)
 	p.LongestReturn = cmp.Or(p.LongestReturn, defaultLongestReturn)
@@ -86,14 +80,6 @@
 	return time.Duration(p.FirstWait * float64(objective))
 }
 
-// assignedWait returns how long a request waits for the coordinator to assign engines.
-func (p *Policy) assignedWait(objective time.Duration, returning bool) time.Duration {
-	if returning {
-		return time.Duration(p.LateWait * float64(objective))
-	}
-	return p.wait(objective, returning)
-}
-
 // retryAfter returns when a refused caller is to come back, given when room is
 // expected. Callers that are refused together come back spread out.
 func (p *Policy) retryAfter(room time.Duration) time.Duration {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -83,7 +83,7 @@
 	policy := &x.handler.options.Policy
 	request := coordinator.Request{
 		Service:   x.service,
-		Wait:      policy.assignedWait(x.route.Objective, x.returning()) - time.Since(x.arrived),
+		Wait:      policy.wait(x.route.Objective, x.returning()) - time.Since(x.arrived),
 		Within:    x.route.Objective - time.Since(x.arrived),
 		Returning: x.returning(),
 		Run: ledger.Run{
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -22,8 +22,6 @@
 	Started time.Duration
 	// Holder names the node that serves it.
 	Holder string
-	// Spare is the share of the memory given that must stay free with it.
-	Spare float64
 }
 
 // Engine is a decode engine.
--- a/ledger/projection.go
+++ b/ledger/projection.go
@@ -36,7 +36,7 @@
 	foreign := l.foreignTokens(now, engine.ID)
 	peak := (l.peak(runs)/l.coverage + foreign) / (float64(engine.Memory) * l.options.Fill)
 	// A run that no engine could ever hold is let in where nothing else is.
-	return peak, peak <= 1-run.Spare || len(runs) == 1 && foreign == 0
+	return peak, peak <= 1 || len(runs) == 1 && foreign == 0
 }
 
 // project returns how a run will go on.
