Compare copies with few partners; end unused sessions

Cause: each comparison drew any other node, and its session stayed: the middle node at 300 machines had 328 connections and 35.0 MB, both growing with the fleet, against a budget of 32 MB at 410 nodes. A node that follows the store was looked at by each other one only once in as many rounds as there are nodes.

Ruled out: closing each session at once (a new connection for each comparison), a fixed set of partners (a part of a fleet could stay apart for good).

Change: twelve partners of each node's own, drawn anew each 30 s, in turn with the nodes that follow the store, so that these are known to live or not; nodes that did not answer are tried again wherever they are; sessions unused for 20 s end. Tests: connections do not grow with the fleet, news reach 400 nodes, silent ones are tried again, small fleets compare with all, sessions in use stay.

What grows still is the coordinator, which has a connection to each engine that it asks for reports.

--- /dev/null
+++ b/antientropy/partners.go
@@ -0,0 +1,89 @@
+package antientropy
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// partnerCount is how many nodes one node compares its copy with in a period. Each draws
+	// others, so that news reach a fleet of any size in a number of rounds that grows with
+	// its logarithm, while connections do not grow with it.
+	partnerCount = 12
+	// partnerPeriod is how long it keeps to them. It then draws others, so that no part of a
+	// fleet stays apart.
+	partnerPeriod = 30 * time.Second
+	// retriedSilent is how many nodes that did not answer are tried again in a draw.
+	retriedSilent = 2
+)
+
+// draw returns up to count nodes for one round. A round of news goes to partners; others take
+// turns between partners and the nodes that hear first from the store, so that these are
+// known to live or not wherever they are.
+func (s *Syncer) draw(count int, isNews bool) []string {
+	now := time.Now()
+	s.mu.Lock()
+	s.rounds++
+	useSources := !isNews && s.rounds%2 == 0
+	s.mu.Unlock()
+	addresses := s.options.Peers()
+	if useSources {
+		if sources := s.options.Sources(); len(sources) > 0 {
+			addresses = sources
+		}
+	}
+	answering, silent := s.available(addresses, now)
+	candidates := append(s.partners(answering, now), silent...)
+	shuffle(candidates)
+	return candidates[:min(count, len(candidates))]
+}
+
+// available returns the nodes that answered when they were last called, and a few of those
+// that did not and are not left alone at present: these are tried again.
+func (s *Syncer) available(addresses []string, now time.Time) (answering, silent []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		known, isSilent := s.silent[address]
+		switch {
+		case !isSilent:
+			answering = append(answering, address)
+		case !now.Before(known.until):
+			silent = append(silent, address)
+		}
+	}
+	shuffle(silent)
+	return answering, silent[:min(retriedSilent, len(silent))]
+}
+
+// partners returns this node's partners of the present period among others.
+func (s *Syncer) partners(addresses []string, now time.Time) []string {
+	if len(addresses) <= partnerCount {
+		return addresses
+	}
+	period := uint64(now.Sub(s.started) / partnerPeriod)
+	ranked := make([]rankedNode, len(addresses))
+	for i, address := range addresses {
+		ranked[i] = rankedNode{address, xxhash.Sum64String(address) * (s.salt + 2*period)}
+	}
+	slices.SortFunc(ranked, func(a, b rankedNode) int { return cmp.Compare(a.rank, b.rank) })
+	chosen := make([]string, partnerCount)
+	for i := range chosen {
+		chosen[i] = ranked[i].address
+	}
+	return chosen
+}
+
+// rankedNode is a node with its place in this node's order.
+type rankedNode struct {
+	address string
+	rank    uint64
+}
+
+func shuffle(addresses []string) {
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+}
--- /dev/null
+++ b/antientropy/partners_test.go
@@ -0,0 +1,120 @@
+package antientropy
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/replica"
+	"github.com/reelrun/reelrun/timeline"
+)
+
+// newDrawing returns the syncer of one node of a fleet; nothing is called.
+func newDrawing(peers, sources []string) *Syncer {
+	return New(Options{
+		Replica: replica.New(urgentKind, func(replica.Change) {}), Logger: slog.New(slog.DiscardHandler),
+		Client: peer.NewClient("test", nil, timeline.NewClock(time.Now)),
+		Peers:  func() []string { return peers }, Sources: func() []string { return sources },
+	})
+}
+
+func fleetOf(size int) []string {
+	addresses := make([]string, size)
+	for i := range addresses {
+		addresses[i] = fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+	}
+	return addresses
+}
+
+// drawn returns all nodes of many rounds.
+func drawn(s *Syncer, rounds int, isNews bool) map[string]bool {
+	seen := map[string]bool{}
+	for range rounds {
+		for _, address := range s.draw(2, isNews) {
+			seen[address] = true
+		}
+	}
+	return seen
+}
+
+// TestConnectionsDoNotGrowWithTheFleet counts the nodes that one of 400 calls in a period.
+func TestConnectionsDoNotGrowWithTheFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fleet := fleetOf(400)
+		s := newDrawing(fleet, fleet[:12])
+		first := drawn(s, 1000, true)
+		g.Expect(first).To(HaveLen(partnerCount))
+		g.Expect(drawn(s, 1000, false)).To(HaveLen(len(union(first, fleet[:12]))))
+		time.Sleep(partnerPeriod)
+		g.Expect(drawn(s, 1000, true)).NotTo(Equal(first), "others in the next period")
+	})
+}
+
+func union(set map[string]bool, more []string) map[string]bool {
+	joined := map[string]bool{}
+	for address := range set {
+		joined[address] = true
+	}
+	for _, address := range more {
+		joined[address] = true
+	}
+	return joined
+}
+
+// TestASmallFleetComparesWithAll has each node call each other one.
+func TestASmallFleetComparesWithAll(t *testing.T) {
+	fleet := fleetOf(8)
+	NewWithT(t).Expect(drawn(newDrawing(fleet, fleet), 500, false)).To(HaveLen(len(fleet)))
+}
+
+// TestNewsReachAll spreads news from one node over the partners of 400: each node that hears
+// of them brings them to two.
+func TestNewsReachAll(t *testing.T) {
+	g := NewWithT(t)
+	const rounds = 25
+	fleet := fleetOf(400)
+	nodes := map[string]*Syncer{}
+	for _, address := range fleet {
+		nodes[address] = newDrawing(fleet, fleet[:12])
+	}
+	knows := map[string]bool{fleet[0]: true}
+	for range rounds {
+		for address := range union(knows, nil) {
+			for _, next := range nodes[address].draw(defaultFanout, true) {
+				knows[next] = true
+			}
+		}
+	}
+	g.Expect(knows).To(HaveLen(len(fleet)))
+}
+
+// TestSilentNodesAreTriedAgain marks a node as silent that is no partner of this one: it is
+// left alone for a while, and then tried until it answers.
+func TestSilentNodesAreTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fleet := fleetOf(400)
+		s := newDrawing(fleet, fleet[:12])
+		partners := drawn(s, 1000, true)
+		var other string
+		for _, address := range fleet {
+			if !partners[address] {
+				other = address
+			}
+		}
+		s.Silent(other, fmt.Errorf("no answer"))
+		g.Expect(drawn(s, 200, true)).NotTo(HaveKey(other))
+		time.Sleep(defaultAvoidance)
+		g.Expect(drawn(s, 200, true)).To(HaveKey(other))
+		for address := range partners {
+			s.Silent(address, fmt.Errorf("no answer"))
+		}
+		g.Expect(len(drawn(s, 200, true))).To(BeNumerically(">=", partnerCount), "others take their place")
+	})
+}
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -27,6 +27,9 @@
 	Replica *replica.Replica
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
+	// Sources returns the addresses of the other nodes that hear first from the store. Default:
+	// none.
+	Sources func() []string
 	// Whole reports whether the copy of this node is whole: it has listed all kinds. Default:
 	// it never is.
 	Whole func() bool
@@ -50,8 +53,13 @@
 type Syncer struct {
 	options Options
 	news    chan struct{}
+	started time.Time
+	// salt makes this node's order of the others its own. It is odd.
+	salt uint64
 
 	mu sync.Mutex
+	// rounds counts the draws.
+	rounds int
 	// silent holds the nodes that did not answer.
 	silent map[string]silence
 	// covered marks the buckets that this node has taken over from whole copies.
@@ -85,7 +93,13 @@
 	if options.BecameWhole == nil {
 		options.BecameWhole = func() {}
 	}
-	return &Syncer{options: options, news: make(chan struct{}, 1), silent: map[string]silence{}}
+	if options.Sources == nil {
+		options.Sources = func() []string { return nil }
+	}
+	return &Syncer{
+		options: options, news: make(chan struct{}, 1), silent: map[string]silence{},
+		started: time.Now(), salt: rand.Uint64() | 1,
+	}
 }
 
 // News has the copy compared at once. It never blocks.
@@ -101,38 +115,22 @@
 	ticker := time.NewTicker(s.options.Interval)
 	defer ticker.Stop()
 	for {
-		count := 1
+		count, isNews := 1, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		case <-s.news:
-			count = s.options.Fanout
+			count, isNews = s.options.Fanout, true
 		}
 		var round sync.WaitGroup
-		for _, address := range s.draw(count) {
+		for _, address := range s.draw(count, isNews) {
 			round.Go(func() { s.syncWith(ctx, address) })
 		}
 		round.Wait()
 	}
 }
 
-// draw returns up to count nodes, those that answered before the others.
-func (s *Syncer) draw(count int) []string {
-	peers := s.options.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	var drawn []string
-	for _, address := range peers {
-		if len(drawn) < count && !now.Before(s.silent[address].until) {
-			drawn = append(drawn, address)
-		}
-	}
-	return drawn
-}
-
 // Responsive reports whether a node answered when it was last called.
 func (s *Syncer) Responsive(address string) bool {
 	s.mu.Lock()
--- a/peer/client.go
+++ b/peer/client.go
@@ -91,6 +91,8 @@
 	if session == nil || session.mux.IsClosed() {
 		return nil
 	}
+	// While the lock is held, so that CloseIdle does not end what is about to be used.
+	session.touch()
 	return session
 }
 
@@ -140,6 +142,23 @@
 	}
 }
 
+// CloseIdle ends the sessions that no call has used for a time, so that a node does not keep
+// a connection to each one that it ever called.
+func (c *Client) CloseIdle(unused time.Duration) {
+	c.mu.Lock()
+	var idle []*clientSession
+	for address, session := range c.sessions {
+		if session.unusedFor() > unused {
+			idle = append(idle, session)
+			delete(c.sessions, address)
+		}
+	}
+	c.mu.Unlock()
+	for _, session := range idle {
+		_ = session.mux.Close()
+	}
+}
+
 // Close ends every session.
 func (c *Client) Close() {
 	c.close()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -226,3 +226,32 @@
 		}
 	})
 }
+
+// TestUnusedSessionsEnd ends what no call uses, keeps what one does, and dials anew.
+func TestUnusedSessionsEnd(t *testing.T) {
+	g := NewWithT(t)
+	entered, leave := make(chan struct{}), make(chan struct{})
+	client, address := pair(t, func(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+		if request.GetFetchPart().GetDigest() == "held" {
+			close(entered)
+			<-leave
+		}
+		return echo(ctx, request)
+	})
+	result := make(chan error, 1)
+	go func() {
+		_, err := client.Call(context.Background(), address, fetchPart("held"))
+		result <- err
+	}()
+	<-entered
+	client.CloseIdle(0)
+	close(leave)
+	g.Expect(<-result).To(Succeed(), "a session in use stays")
+	client.CloseIdle(time.Hour)
+	g.Expect(client.lookup(address)).NotTo(BeNil(), "one used lately stays")
+	first := client.lookup(address)
+	client.CloseIdle(0)
+	g.Expect(first.mux.IsClosed()).To(BeTrue())
+	_, err := client.Call(context.Background(), address, fetchPart("x"))
+	g.Expect(err).NotTo(HaveOccurred())
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -50,6 +50,9 @@
 
 	mu   sync.Mutex
 	idle []*stream
+	// calls counts those under way, usedAt is when the last one began or ended.
+	calls  int
+	usedAt time.Time
 }
 
 func newClientSession(conn net.Conn) (*clientSession, error) {
@@ -57,7 +60,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open session")
 	}
-	return &clientSession{mux: mux}, nil
+	return &clientSession{mux: mux, usedAt: time.Now()}, nil
 }
 
 func (s *clientSession) take() (*stream, error) {
@@ -86,6 +89,37 @@
 	s.idle = append(s.idle, returned)
 }
 
+// begin counts a call; the function that it returns ends it.
+func (s *clientSession) begin() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.usedAt = time.Now()
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.calls--
+		s.usedAt = time.Now()
+	}
+}
+
+// touch counts as a use.
+func (s *clientSession) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.usedAt = time.Now()
+}
+
+// unusedFor returns how long no call has used the session.
+func (s *clientSession) unusedFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.calls > 0 {
+		return 0
+	}
+	return time.Since(s.usedAt)
+}
+
 // callResult is what a call ended with.
 type callResult struct {
 	response *peerpb.Response
@@ -97,6 +131,7 @@
 // connection by itself while it opens or writes a stream, up to writeTimeout; the
 // call does not.
 func (s *clientSession) call(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	defer s.begin()()
 	results := make(chan callResult, 1)
 	go func() {
 		response, err := s.callOnStream(ctx, request)
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -216,6 +218,24 @@
 	return max(watchInterval*time.Duration(turns), shortestWatch), pause
 }
 
+// sources returns the other nodes that follow the store, as far as this one knows.
+func (r *Router) sources() []string {
+	others := r.otherNodes()
+	slices.SortFunc(others, func(a, b knownNode) int {
+		return cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address))
+	})
+	var addresses []string
+	for _, node := range others {
+		if len(addresses) == maxWatchers {
+			break
+		}
+		if r.syncer.Responsive(node.Address) {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	return addresses
+}
+
 // isWatcher reports whether this node follows the store: it is among the first of
 // those that answer.
 func (r *Router) isWatcher() bool {
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/roles"
@@ -112,6 +113,10 @@
 	readyDelay = 2500 * time.Millisecond
 	// stopMargin is kept at the end of the grace period.
 	stopMargin = 300 * time.Millisecond
+	// idleSession is how long a connection to another node is kept unused, and sessionCheck
+	// how often this is looked at.
+	idleSession  = 20 * time.Second
+	sessionCheck = 5 * time.Second
 	// budgetShare is the part of the retry budget that is used.
 	budgetShare = 0.8
 )
@@ -135,7 +140,7 @@
 	clock := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
 	r.syncer = antientropy.New(antientropy.Options{
-		Replica: r.copy, Peers: r.peers, Client: r.client, Logger: options.Logger,
+		Replica: r.copy, Peers: r.peers, Sources: r.sources, Client: r.client, Logger: options.Logger,
 		Whole: r.backends.Synced, BecameWhole: r.backends.SetSynced,
 	})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Nodes: r.responsiveCount, Now: r.now})
@@ -245,6 +250,9 @@
 		func() { r.followReports(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
 		func() { r.removeLost(untilStop) },
+		func() {
+			periodic.Run(untilDrained, sessionCheck, func(context.Context) { r.client.CloseIdle(idleSession) })
+		},
 	}
 	if !r.options.KeepRoles {
 		tasks = append(tasks, func() { r.roles.Run(untilStop) })
