--- a/antientropy/partners_test.go
+++ b/antientropy/partners_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/reelrun/reelrun/peer"
@@ -14,6 +15,8 @@
 	"github.com/reelrun/reelrun/timeline"
 )
 
+var errNoAnswer = errors.New("no answer")
+
 // newDrawing returns the syncer of one node of a fleet; nothing is called.
 func newDrawing(peers, sources []string) *Syncer {
 	return New(Options{
@@ -108,12 +111,12 @@
 				other = address
 			}
 		}
-		s.Silent(other, fmt.Errorf("no answer"))
+		s.Silent(other, errNoAnswer)
 		g.Expect(drawn(s, 200, true)).NotTo(HaveKey(other))
 		time.Sleep(defaultAvoidance)
 		g.Expect(drawn(s, 200, true)).To(HaveKey(other))
 		for address := range partners {
-			s.Silent(address, fmt.Errorf("no answer"))
+			s.Silent(address, errNoAnswer)
 		}
 		g.Expect(len(drawn(s, 200, true))).To(BeNumerically(">=", partnerCount), "others take their place")
 	})
