Let the first watcher look at all nodes

Cause: the node that removes lost ones from the store found them by drawing any node; with twelve partners it might not meet one for minutes.

Change: in its turns for the watchers the first of them draws from all nodes.

--- a/antientropy/partners.go
+++ b/antientropy/partners.go
@@ -26,22 +26,27 @@
 // known to live or not wherever they are.
 func (s *Syncer) draw(count int, isNews bool) []string {
 	now := time.Now()
-	s.mu.Lock()
-	s.rounds++
-	useSources := !isNews && s.rounds%2 == 0
-	s.mu.Unlock()
-	addresses := s.options.Peers()
-	if useSources {
-		if sources := s.options.Sources(); len(sources) > 0 {
-			addresses = sources
-		}
+	var candidates, silent []string
+	if !isNews && s.isSourceRound() {
+		candidates, silent = s.available(s.options.Sources(), now)
 	}
-	answering, silent := s.available(addresses, now)
-	candidates := append(s.partners(answering, now), silent...)
+	if len(candidates) == 0 {
+		candidates, silent = s.available(s.options.Peers(), now)
+		candidates = s.partners(candidates, now)
+	}
+	candidates = append(candidates, silent...)
 	shuffle(candidates)
 	return candidates[:min(count, len(candidates))]
 }
 
+// isSourceRound reports whether it is the turn of the nodes that hear first from the store.
+func (s *Syncer) isSourceRound() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rounds++
+	return s.rounds%2 == 0
+}
+
 // available returns the nodes that answered when they were last called, and a few of those
 // that did not and are not left alone at present: these are tried again.
 func (s *Syncer) available(addresses []string, now time.Time) (answering, silent []string) {
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -27,8 +27,8 @@
 	Replica *replica.Replica
 	// Peers returns the addresses of the other nodes.
 	Peers func() []string
-	// Sources returns the addresses of the other nodes that hear first from the store. Default:
-	// none.
+	// Sources returns the addresses of other nodes that this one looks at besides: those that
+	// hear first from the store. Default: none.
 	Sources func() []string
 	// Whole reports whether the copy of this node is whole: it has listed all kinds. Default:
 	// it never is.
@@ -58,7 +58,7 @@
 	salt uint64
 
 	mu sync.Mutex
-	// rounds counts the draws.
+	// rounds counts the draws that brought no news.
 	rounds int
 	// silent holds the nodes that did not answer.
 	silent map[string]silence
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -218,8 +218,12 @@
 	return max(watchInterval*time.Duration(turns), shortestWatch), pause
 }
 
-// sources returns the other nodes that follow the store, as far as this one knows.
+// sources returns the other nodes that follow the store, as far as this one knows. The first
+// of them looks at all nodes, because it removes the lost ones.
 func (r *Router) sources() []string {
+	if _, position := r.place(); position == 0 {
+		return r.peers()
+	}
 	others := r.otherNodes()
 	slices.SortFunc(others, func(a, b knownNode) int {
 		return cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address))
