Look at those that wait once an interval

Cause: each request that waited for engines had the coordinator look at all that waited, each 40 ms, and so did each arrival: the square of their number.

Change: those that wait are looked at when a run ends and once an interval; an arrival is tried alone.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -56,6 +56,8 @@
 	decode  *ledger.Ledger
 	prefill *prefillQueue
 	waiting []*waiter
+	// servedAt is when those that wait were last looked at.
+	servedAt time.Duration
 	// output learns how long answers become.
 	output estimate.Output
 	// returns spreads the callers that come back.
@@ -111,8 +113,11 @@
 	defer c.mu.Unlock()
 	current := c.state(request.Service)
 	queued := &waiter{request: request, since: c.options.Now(), assigned: make(chan Assignment, 1)}
-	current.waiting = append(current.waiting, queued)
+	others := current.waiting
+	// Those that wait did not fit a moment ago: an arrival alone does not make room for them.
+	current.waiting = []*waiter{queued}
 	c.serve(request.Service, current)
+	current.waiting = append(others, current.waiting...)
 	return queued
 }
 
@@ -181,10 +186,16 @@
 	}
 }
 
+// serveWaiting serves those that wait, unless that was done just now: each of them asks for
+// it at intervals.
 func (c *Coordinator) serveWaiting(service string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serve(service, c.state(service))
+	current := c.state(service)
+	if now := c.options.Now(); now-current.servedAt >= retryInterval {
+		current.servedAt = now
+		c.serve(service, current)
+	}
 }
 
 // serve gives engines to those that wait, returning callers first, then in the
--- /dev/null
+++ b/coordinator/waiting_test.go
@@ -0,0 +1,88 @@
+package coordinator
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/ledger"
+)
+
+// newFull returns a coordinator whose only engine is full, and a count of how often it has
+// looked at its engines.
+func newFull(looks *int) *Coordinator {
+	began := time.Now()
+	full := New(Options{
+		Engines: func(string) Engines {
+			*looks++
+			return Engines{Decode: []ledger.Engine{{ID: "d", Memory: 10_000, Slots: 8}}, Prefill: []string{"p"}}
+		},
+		Nodes: func() int { return 1 },
+		Now:   func() time.Duration { return time.Since(began) },
+	})
+	return full
+}
+
+func requestOf(id string, wait time.Duration) *Request {
+	return &Request{
+		Service: "s", Wait: wait, Within: time.Second,
+		Run: ledger.Run{ID: id, Prompt: 8000, Output: 500, Most: 1000, Holder: "node"},
+	}
+}
+
+// TestWaitingCostsDoNotMultiply lets many requests wait for room at once. How often they are
+// looked at may grow with their number, not with its square: a coordinator that is busy with
+// that misses the calls of all nodes.
+func TestWaitingCostsDoNotMultiply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			waiting = 200
+			wait    = 600 * time.Millisecond
+		)
+		g := NewWithT(t)
+		looks := 0
+		full := newFull(&looks)
+		g.Expect(full.Assign(t.Context(), requestOf("first", 0)).Decode).To(Equal("d"))
+		var waiters sync.WaitGroup
+		for i := range waiting {
+			waiters.Go(func() {
+				if got := full.Assign(t.Context(), requestOf(fmt.Sprint(i), wait)); got.Decode != "" {
+					t.Errorf("request %d was given %s", i, got.Decode)
+				}
+			})
+		}
+		waiters.Wait()
+		g.Expect(looks).To(BeNumerically("<", 2*waiting))
+	})
+}
+
+// TestRoomGoesToThoseThatWait gives room to the earliest of those that wait as soon as a run
+// ends, also while others arrive.
+func TestRoomGoesToThoseThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		looks := 0
+		full := newFull(&looks)
+		full.Assign(t.Context(), requestOf("first", 0))
+		given := make(chan string, 3)
+		for _, id := range []string{"early", "middle", "late"} {
+			go func() {
+				if full.Assign(t.Context(), requestOf(id, time.Second)).Decode != "" {
+					given <- id
+				}
+			}()
+			time.Sleep(15 * time.Millisecond)
+		}
+		full.End(Ended{Service: "s", ID: "first"})
+		synctest.Wait()
+		g.Expect(given).To(Receive(Equal("early")))
+		full.End(Ended{Service: "s", ID: "early"})
+		synctest.Wait()
+		g.Expect(given).To(Receive(Equal("middle")))
+		time.Sleep(2 * time.Second)
+	})
+}
