Tell where a node chooses engines by itself; take hangups from the start

Cause: that a coordinator was missed, and that an assigned engine had no room, were counted only; both decide a request, and finding the last fault needed lines that were not there. Found by reading: SIGHUP was taken only once the router was built, so that one while a process starts ended it.

Change: lines `coordinator missed` (with the node and the cause) and `assigned engine full`, with the request's id; hangups are taken before the settings are read. No test of the latter: a signal before main cannot be taken at all, and the moment after it is too short to hit.

--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -44,6 +44,10 @@
 func run(arguments []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	// Taken before anything else and until the process ends: a hangup while it starts or
+	// stops must not end it.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	given, err := parseFlags(arguments)
 	if errors.Is(err, flag.ErrHelp) {
 		return 0
@@ -68,7 +72,7 @@
 	// answers that nobody asked for.
 	slog.SetDefault(logger)
 	daemon := newRouter(parsed, given, logger)
-	go followSettings(ctx, path, daemon, logger)
+	go followSettings(ctx, path, hangups, daemon, logger)
 	if err := daemon.Run(ctx); err != nil {
 		logger.Error("node failed", "error", err)
 		return exitFailure
--- a/cmd/reelrun-router/reload.go
+++ b/cmd/reelrun-router/reload.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,12 +15,8 @@
 // settingsInterval is how often the settings file is read again without a signal.
 const settingsInterval = 5 * time.Second
 
-// followSettings reads the settings file again at SIGHUP and at intervals.
-func followSettings(ctx context.Context, path string, daemon *router.Router, logger *slog.Logger) {
-	// The signal stays taken until the process ends: a hangup during a planned stop
-	// must not end it.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// followSettings reads the settings file again at each hangup and at intervals.
+func followSettings(ctx context.Context, path string, hangups <-chan os.Signal, daemon *router.Router, logger *slog.Logger) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -77,10 +77,11 @@
 
 // Assign asks for engines.
 func (c *Client) Assign(ctx context.Context, request Request) (Assignment, error) {
+	failure := ErrNoCoordinator
 	for range maxCoordinators {
 		node, found := c.coordinator(request.Service)
 		if !found {
-			return Assignment{}, ErrNoCoordinator
+			return Assignment{}, failure
 		}
 		assignment, err := c.ask(ctx, node, request)
 		if err == nil {
@@ -93,11 +94,12 @@
 		if ctx.Err() != nil {
 			return Assignment{}, ctx.Err()
 		}
+		failure = errors.Wrapf(ErrNoCoordinator, "%s: %v", node.Address, err)
 		if c.missed(node.Address, err) {
-			return Assignment{}, ErrNoCoordinator
+			return Assignment{}, failure
 		}
 	}
-	return Assignment{}, ErrNoCoordinator
+	return Assignment{}, failure
 }
 
 // missed takes note of a coordinator that gave no answer, and reports whether it
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -59,6 +59,18 @@
 		"cause", err.Error(), "budget_left", int(h.options.Budget.Left(x.service)))...)
 }
 
+// logUncoordinated tells of a request for which this node chooses engines by itself.
+func (h *Handler) logUncoordinated(x *exchange, err error) {
+	h.options.Metrics.Add("coordinator_missed", 1)
+	h.options.Logger.Info("coordinator missed", append(x.attributes(x.since()), "cause", err.Error())...)
+}
+
+// logAssignedFull tells of an engine that had no room although the coordinator assigned it.
+func (h *Handler) logAssignedFull(x *exchange, engine string) {
+	h.options.Metrics.Add("assigned_engines_full", 1)
+	h.options.Logger.Info("assigned engine full", append(x.attributes(x.since()), "engine", engine)...)
+}
+
 // logAnswered tells of an answer that is late or a failure of its back end. Other
 // answers cost no line.
 func (h *Handler) logAnswered(x *exchange, took time.Duration) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -68,7 +68,7 @@
 	for {
 		taken, err := x.reserveAssigned(ctx, profile, avoid)
 		if errors.Is(err, coordinator.ErrNoCoordinator) {
-			x.handler.options.Metrics.Add("coordinator_missed", 1)
+			x.handler.logUncoordinated(x, err)
 			return x.reserveAlone(ctx, profile, avoid)
 		}
 		if taken != nil || err != nil {
@@ -120,6 +120,7 @@
 		return nil, err
 	}
 	if reservation == nil {
+		x.handler.logAssignedFull(x, assigned.Decode)
 		x.endUnused(request.Run.ID, coordinator.RefusalFull)
 		return nil, nil
 	}
--- a/gateway/runname_test.go
+++ b/gateway/runname_test.go
@@ -47,13 +47,18 @@
 
 // newEngineHandler returns a handler of one route of streams, with one decode engine.
 func newEngineHandler(dialect gateway.Dialect, assigned gateway.Coordinator) *gateway.Handler {
+	return newLoggingHandler(dialect, assigned, slog.New(slog.DiscardHandler))
+}
+
+// newLoggingHandler is newEngineHandler with a log.
+func newLoggingHandler(dialect gateway.Dialect, assigned gateway.Coordinator, logger *slog.Logger) *gateway.Handler {
 	backends := backend.NewRegistry(time.Now)
 	backends.Update(backend.Backend{ID: "engine", Service: "s", Role: backend.RoleDecode, State: backend.StateReady})
 	backends.SetSynced()
 	handler := gateway.New(gateway.Options{
 		Dialect: dialect, Backends: backends, Coordinator: assigned,
 		Budget:  retrybudget.New(retrybudget.Options{Window: time.Second, Now: time.Now}),
-		Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
+		Metrics: metrics.NewSet(), Logger: logger,
 	})
 	route := &routing.Route{
 		Name: "r", Host: "h", PathPrefix: "/", Kind: routing.KindStream, Timeout: time.Second, Objective: time.Second,
