--- a/coordinator/waiting_test.go
+++ b/coordinator/waiting_test.go
@@ -1,7 +1,7 @@
 package coordinator
 
 import (
-	"fmt"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,7 +50,7 @@
 		var waiters sync.WaitGroup
 		for i := range waiting {
 			waiters.Go(func() {
-				if got := full.Assign(t.Context(), requestOf(fmt.Sprint(i), wait)); got.Decode != "" {
+				if got := full.Assign(t.Context(), requestOf(strconv.Itoa(i), wait)); got.Decode != "" {
 					t.Errorf("request %d was given %s", i, got.Decode)
 				}
 			})
