--- /dev/null
+++ b/antientropy/handler.go
@@ -0,0 +1,43 @@
+package antientropy
+
+import (
+	"context"
+
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
+
+// Handle answers another node.
+func (s *Syncer) Handle(_ context.Context, request *peerpb.Request) (*peerpb.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_CompareReplicas:
+		return s.handleCompare(body.CompareReplicas), nil
+	case *peerpb.Request_ExchangeObjects:
+		return s.handleExchange(body.ExchangeObjects), nil
+	default:
+		return nil, peer.ErrUnknownCall
+	}
+}
+
+func (s *Syncer) handleCompare(request *peerpb.CompareReplicas) *peerpb.Response {
+	// Asked before the digest is taken: what is whole then stays so.
+	whole := s.options.Whole()
+	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest(), Whole: whole}
+	if !compared.GetSame() {
+		compared.Buckets = s.options.Replica.Buckets()
+	}
+	return &peerpb.Response{Body: &peerpb.Response_ReplicaVersions{ReplicaVersions: compared}}
+}
+
+func (s *Syncer) handleExchange(request *peerpb.ExchangeObjects) *peerpb.Response {
+	s.take(request.GetObjects())
+	buckets := make([]int, len(request.GetBuckets()))
+	for i, bucket := range request.GetBuckets() {
+		buckets[i] = int(bucket)
+	}
+	newerHere, newerThere := s.options.Replica.Compare(buckets, recordsOf(request.GetVersions()))
+	stored, truncated := storedObjects(s.options.Replica.Records(newerHere))
+	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: &peerpb.StoredObjects{
+		Objects: stored, Wanted: wantedVersions(newerThere), Truncated: truncated,
+	}}}
+}
--- /dev/null
+++ b/router/watchers.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/reelrun/reelrun/objectapi"
+)
+
+const (
+	// watchInterval is how often, over the whole fleet, a watch of a kind begins
+	// anew. A watch that the store has silently forgotten is noticed then, and the
+	// other nodes are told.
+	watchInterval = 800 * time.Millisecond
+	// shortestWatch bounds the wait of one watch from below.
+	shortestWatch = 800 * time.Millisecond
+	// longestWatch bounds it from above.
+	longestWatch = 20 * time.Second
+)
+
+// maxWatchers is how many nodes follow the store. The others hear from them: the
+// calls of the fleet do not grow with it. It is above what an outage for a part of
+// the nodes, or the loss of a zone, takes away.
+const maxWatchers = 12
+
+const (
+	// nodePause is how long the watch of the nodes rests after a change. A node that starts
+	// tells the others itself, so that the store's word is only for those that hear nobody.
+	nodePause = 2 * time.Second
+	// backendPause is the same for the back ends: a rack that is lost, or a release, changes
+	// many entries within milliseconds.
+	backendPause = 60 * time.Millisecond
+)
+
+// WatchPace returns how long the next watch of a kind waits, and how long it rests after a
+// change. Watchers begin their watches anew one after the other. After a change, which ends
+// the watches of all of them, the order begins anew.
+func (r *Router) WatchPace(kind objectapi.Kind, afterChange bool) (wait, pause time.Duration) {
+	if kind == kindNode {
+		return longestWatch, nodePause
+	}
+	if kind == r.options.Backplane.BackendKind {
+		pause = backendPause
+	}
+	count, position := r.place()
+	turns := min(count, maxWatchers)
+	if afterChange {
+		turns = position%maxWatchers + 1
+	}
+	return max(watchInterval*time.Duration(turns), shortestWatch), pause
+}
+
+// sources returns the other nodes that follow the store, as far as this one knows. The first
+// of them looks at all nodes, because it removes the lost ones.
+func (r *Router) sources() []string {
+	if _, position := r.place(); position == 0 {
+		return r.peers()
+	}
+	others := r.otherNodes()
+	slices.SortFunc(others, func(a, b knownNode) int {
+		return cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address))
+	})
+	var addresses []string
+	for _, node := range others {
+		if len(addresses) == maxWatchers {
+			break
+		}
+		if r.syncer.Responsive(node.Address) {
+			addresses = append(addresses, node.Address)
+		}
+	}
+	return addresses
+}
+
+// isWatcher reports whether this node follows the store: it is among the first of
+// those that answer.
+func (r *Router) isWatcher() bool {
+	_, position := r.place()
+	return position < maxWatchers
+}
+
+// responsiveCount returns how many nodes answer, this one included.
+func (r *Router) responsiveCount() int {
+	count, _ := r.place()
+	return count
+}
+
+// place returns the number of nodes that answer and the position of this one among
+// them, in the order of a hash of their addresses: the zones mix in it.
+func (r *Router) place() (count, position int) {
+	own := xxhash.Sum64String(r.Own())
+	for _, node := range r.otherNodes() {
+		if !r.syncer.Responsive(node.Address) {
+			continue
+		}
+		count++
+		if xxhash.Sum64String(node.Address) < own {
+			position++
+		}
+	}
+	return count + 1, position
+}
