--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/reelrun/reelrun/peer"
@@ -202,7 +203,7 @@
 		CompareReplicas: &peerpb.CompareReplicas{Digest: s.options.Replica.Digest()},
 	}})
 	if err != nil {
-		return err
+		return errors.Wrap(err, "compare copies")
 	}
 	compared := response.GetReplicaVersions()
 	var differing []int
@@ -280,7 +281,7 @@
 	}
 	response, err := s.call(ctx, address, s.options.ExchangeTimeout, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{ExchangeObjects: request}})
 	if err != nil {
-		return false, err
+		return false, errors.Wrap(err, "take objects over")
 	}
 	received := response.GetStoredObjects()
 	s.take(received.GetObjects())
@@ -293,7 +294,7 @@
 	_, err = s.call(ctx, address, s.options.ExchangeTimeout, &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{
 		ExchangeObjects: &peerpb.ExchangeObjects{Objects: brought},
 	}})
-	return complete, err
+	return complete, errors.Wrap(err, "bring objects")
 }
 
 // take takes over objects of another node. News are passed on.
--- a/router/view.go
+++ b/router/view.go
@@ -1,6 +1,10 @@
 package router
 
-import "github.com/reelrun/reelrun/replica"
+import (
+	"time"
+
+	"github.com/reelrun/reelrun/replica"
+)
 
 // changed puts a newer version of an object into force. It is called by the copy,
 // one change at a time.
@@ -30,6 +34,7 @@
 		return
 	}
 	object := change.Record.Object
+	began := time.Now()
 	decoded, err := r.options.Backplane.DecodeConfiguration(object)
 	if err != nil {
 		r.options.Logger.Error("configuration refused", "revision", object.Version, "error", err.Error())
@@ -37,7 +42,8 @@
 	}
 	if r.gateway.Configure(decoded) {
 		r.options.Logger.Info("configuration in force", "version", decoded.Version, "revision", object.Version,
-			"routes", decoded.RouteCount(), "source", string(change.Source))
+			"routes", decoded.RouteCount(), "bytes", len(object.Spec), "decode_ms", time.Since(began).Milliseconds(),
+			"source", string(change.Source))
 	}
 }
 
