--- a/sim/memnet/bandwidth.go
+++ b/sim/memnet/bandwidth.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,6 +11,11 @@
 // host take turns by segments, as those of TCP share a link.
 const segmentBytes = 4 << 10
 
+// largestFrame is how much of one write passes as a whole: the largest frame of yamux, its window
+// and a header. Peers read the body of a frame under a lock, on which virtual time does not
+// advance. What is longer, as a large body of HTTP, arrives in several pieces.
+const largestFrame = 256<<10 + 12
+
 // limitedLinks are the hosts whose links carry a bounded number of bytes a second.
 type limitedLinks struct {
 	mu    sync.Mutex
@@ -137,11 +143,17 @@
 				return
 			}
 		}
-		if c.network.limited.transmit(c.link, len(data), c.closed) != nil {
-			return
-		}
-		if _, err := c.Conn.Write(data); err != nil {
-			return
+		for piece := range slices.Chunk(data, largestFrame) {
+			if c.network.limited.transmit(c.link, len(piece), c.closed) != nil {
+				return
+			}
+			// The link may have been blocked meanwhile.
+			if c.network.gate.wait(c.link, c.closed) != nil {
+				return
+			}
+			if _, err := c.Conn.Write(piece); err != nil {
+				return
+			}
 		}
 	}
 }
