Put changes into force without the lock that comparisons need

Cause: a copy reported its changes while it was locked.

Change: changes are queued under the lock and reported after it, one at a time and in order. Apply returns once its changes are in force, as before.

--- a/replica/replica.go
+++ b/replica/replica.go
@@ -65,9 +65,15 @@
 	// urgent is the kind of the objects in UrgentBucket.
 	urgent objectapi.Kind
 
+	// notifying is held by the goroutine that reports changes. mu may be locked while it is held,
+	// but not the other way round.
+	notifying sync.Mutex
+
 	mu         sync.Mutex
 	buckets    [BucketCount]bucket
 	tombstones int
+	// pending holds the changes that were taken over and not reported yet, in their order.
+	pending []Change
 }
 
 // bucket holds a part of the objects.
@@ -116,9 +122,15 @@
 	return UrgentBucket + 1 + int(digest.Sum64()%(BucketCount-1))
 }
 
-// Apply takes over the records that are newer than the copy's. It returns how
-// many were.
+// Apply takes over the records that are newer than the copy's, and returns once they are reported.
+// It returns how many were newer.
 func (r *Replica) Apply(source Source, records ...Record) int {
+	taken := r.applyAll(source, records)
+	r.notify()
+	return taken
+}
+
+func (r *Replica) applyAll(source Source, records []Record) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	taken := 0
@@ -131,9 +143,33 @@
 	return taken
 }
 
+// notify reports all pending changes. The copy is not locked meanwhile: to put a large
+// configuration into force takes a weak processor longer than another node waits for a
+// comparison.
+func (r *Replica) notify() {
+	r.notifying.Lock()
+	defer r.notifying.Unlock()
+	for _, change := range r.takePending() {
+		r.changed(change)
+	}
+}
+
+func (r *Replica) takePending() []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pending := r.pending
+	r.pending = nil
+	return pending
+}
+
 // Replace takes over a whole list of a kind as of a revision: objects that it
 // does not name are deleted.
 func (r *Replica) Replace(kind objectapi.Kind, objects []objectapi.Object, revision int64) {
+	r.replace(kind, objects, revision)
+	r.notify()
+}
+
+func (r *Replica) replace(kind objectapi.Kind, objects []objectapi.Object, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	listed := make(map[string]bool, len(objects))
@@ -179,7 +215,7 @@
 	}
 	bucket.mix(record)
 	bucket.records[record.Key()] = record
-	r.changed(Change{Record: record, Source: source, New: !exists || known.Deleted})
+	r.pending = append(r.pending, Change{Record: record, Source: source, New: !exists || known.Deleted})
 	return true
 }
 
