Find the route of a request by its path, not by a search of all routes

Cause: the cost of each request grew with the configuration: 42 µs at 14,048 routes of one host (benchmark), five times that on 0.192 of a core.

Change: the routes of a host are in a table by prefix; each part of the path that ends with a slash is looked up, the longest first.

The property against a search over all routes holds.

--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"sort"
 	"strings"
 	"time"
 )
@@ -43,8 +42,8 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	// routes holds the routes of each host, the longest prefix first.
-	routes map[string][]*Route
+	// routes holds the routes of each host by their prefixes.
+	routes map[string]map[string]*Route
 	count  int
 }
 
@@ -54,26 +53,35 @@
 		Version:  version,
 		Services: make(map[string]*Service, len(services)),
 		Limits:   limits,
-		routes:   map[string][]*Route{},
+		routes:   map[string]map[string]*Route{},
 		count:    len(routes),
 	}
 	for _, service := range services {
 		c.Services[service.Name] = service
 	}
 	for _, route := range routes {
-		c.routes[route.Host] = append(c.routes[route.Host], route)
-	}
-	for _, ofHost := range c.routes {
-		sort.SliceStable(ofHost, func(i, j int) bool { return len(ofHost[i].PathPrefix) > len(ofHost[j].PathPrefix) })
+		c.add(route)
 	}
 	return c
 }
 
+// add puts a route in. Of two with the same prefix the first one counts.
+func (c *Configuration) add(route *Route) {
+	if c.routes[route.Host] == nil {
+		c.routes[route.Host] = map[string]*Route{}
+	}
+	if c.routes[route.Host][route.PathPrefix] == nil {
+		c.routes[route.Host][route.PathPrefix] = route
+	}
+}
+
 // Match returns the route of a host whose prefix begins the path and is the
-// longest, or nil.
+// longest, or nil. Prefixes end with a slash, so that it looks each part of the path that does
+// up, and the cost goes by the path and not by the number of routes.
 func (c *Configuration) Match(host, path string) *Route {
-	for _, route := range c.routes[host] {
-		if strings.HasPrefix(path, route.PathPrefix) {
+	ofHost := c.routes[host]
+	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		if route := ofHost[path[:end+1]]; route != nil {
 			return route
 		}
 	}
