--- a/antientropy/syncer_test.go
+++ b/antientropy/syncer_test.go
@@ -38,6 +38,8 @@
 	mu sync.Mutex
 	// largestCall is the size of the largest request or response of a call to it.
 	largestCall int
+	// answered is how many bytes it has sent in responses.
+	answered int
 }
 
 // handle answers a call and notes its size.
@@ -48,11 +50,12 @@
 	response, err := n.syncer.Handle(ctx, request)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.answered += proto.Size(response)
 	n.largestCall = max(n.largestCall, proto.Size(request), proto.Size(response))
 	return response, err
 }
 
-func newTestNode(t *testing.T) *testNode {
+func newTestNode(t testing.TB) *testNode {
 	t.Helper()
 	clock := timeline.NewClock(time.Now)
 	n := &testNode{copied: replica.New(urgentKind, func(replica.Change) {})}
