Let the nodes with the widest links follow the store first

Cause: the store sends an object whole, whatever changed in it: 3.3 s for 4.1 MB over a link of 10 Mbit/s. The twelve nodes that follow it were chosen by a hash, so that a site's strong nodes were among them by chance.

Ruled out: fewer watchers (an outage for a third of the nodes must leave some); the exchange between nodes (one changed route is 9 KB).

Change: watchers are ordered by the rate of their link, as the settings tell it, then by the hash. Sites with equal links keep their order.

--- a/router/fleet.go
+++ b/router/fleet.go
@@ -27,6 +27,8 @@
 	Started int64 `json:"started"`
 	// Capacity is the node's share of a core.
 	Capacity float64 `json:"capacity"`
+	// LinkBytes is what the node's link carries, in bytes a second; zero if it is not known.
+	LinkBytes float64 `json:"linkBytes"`
 }
 
 // otherNodes returns the other nodes that are known: those with an object in the
@@ -129,7 +131,7 @@
 func (r *Router) register(ctx context.Context) {
 	spec, err := json.Marshal(nodeSpec{
 		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: r.started.UnixNano(),
-		Capacity: r.options.Settings.Capacity,
+		Capacity: r.options.Settings.Capacity, LinkBytes: r.options.Settings.LinkBytes,
 	})
 	if err != nil {
 		r.options.Logger.Error("node not registered", "error", err.Error())
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -13,6 +13,8 @@
 type knownNode struct {
 	coordinator.Node
 	capacity float64
+	// linkBytes is what its link carries, in bytes a second; zero if it is not known.
+	linkBytes float64
 }
 
 // nodeList holds the nodes that have an object, decoded once. It is safe for
@@ -39,7 +41,7 @@
 	}
 	l.byName[record.Object.Name] = knownNode{
 		Node:     coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
-		capacity: spec.Capacity,
+		capacity: spec.Capacity, linkBytes: spec.LinkBytes,
 	}
 	return nil
 }
--- a/router/watchers.go
+++ b/router/watchers.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
 )
 
@@ -70,9 +71,7 @@
 		return r.peers()
 	}
 	others := r.otherNodes()
-	slices.SortFunc(others, func(a, b knownNode) int {
-		return cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address))
-	})
+	slices.SortFunc(others, compareWatchers)
 	var addresses []string
 	for _, node := range others {
 		if len(addresses) == maxWatchers {
@@ -98,18 +97,28 @@
 	return count
 }
 
-// place returns the number of nodes that answer and the position of this one among
-// them, in the order of a hash of their addresses: the zones mix in it.
+// place returns the number of nodes that answer and the position of this one among them, in the
+// order in which they follow the store.
 func (r *Router) place() (count, position int) {
-	own := xxhash.Sum64String(r.Own())
+	own := knownNode{Node: coordinator.Node{Address: r.Own()}, linkBytes: r.options.Settings.LinkBytes}
 	for _, node := range r.otherNodes() {
 		if !r.syncer.Responsive(node.Address) {
 			continue
 		}
 		count++
-		if xxhash.Sum64String(node.Address) < own {
+		if compareWatchers(node, own) < 0 {
 			position++
 		}
 	}
 	return count + 1, position
 }
+
+// compareWatchers orders nodes: those with the widest links follow the store first, because it
+// sends objects whole, whatever changed in them. Among equals a hash of their addresses decides,
+// so that the zones mix.
+func compareWatchers(a, b knownNode) int {
+	return cmp.Or(
+		cmp.Compare(b.linkBytes, a.linkBytes),
+		cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)),
+	)
+}
