Notice connections that fall silent, and look again by a new one

A comparison that missed its time made a node count as lost, though a new connection would have worked; after a request on a silent connection to a plain server the other kept ones were still used.

Ruled out: watches at the store, which are begun anew in turn (tests passed on the code before); streams, which have a time of their own.

Change: a comparison that fails is made again on a new connection before the node counts as lost, and so is one where another call was not answered; connections that others have opened meanwhile stay. Where a call misses its time on a kept connection, the unused ones to the store or to back ends are closed. The in-memory network has the fault.

A test of the draw takes an error by which a node counts as lost at once, as before.

--- a/antientropy/partners_test.go
+++ b/antientropy/partners_test.go
@@ -7,7 +7,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/reelrun/reelrun/peer"
@@ -15,8 +14,6 @@
 	"github.com/reelrun/reelrun/timeline"
 )
 
-var errNoAnswer = errors.New("no answer")
-
 // newDrawing returns the syncer of one node of a fleet; nothing is called.
 func newDrawing(peers, sources []string) *Syncer {
 	return New(Options{
@@ -111,12 +108,12 @@
 				other = address
 			}
 		}
-		s.Silent(other, errNoAnswer)
+		s.Silent(other, peer.ErrNotSent)
 		g.Expect(drawn(s, 200, true)).NotTo(HaveKey(other))
 		time.Sleep(defaultAvoidance)
 		g.Expect(drawn(s, 200, true)).To(HaveKey(other))
 		for address := range partners {
-			s.Silent(address, errNoAnswer)
+			s.Silent(address, peer.ErrNotSent)
 		}
 		g.Expect(len(drawn(s, 200, true))).To(BeNumerically(">=", partnerCount), "others take their place")
 	})
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/time/rate"
 
 	"github.com/reelrun/reelrun/chunk"
@@ -81,6 +82,8 @@
 	started time.Time
 	// salt makes this node's order of the others its own.
 	salt string
+	// verifying holds the nodes that are compared with because they did not answer a call.
+	verifying singleflight.Group
 	// transfers fetches long objects.
 	transfers *transfers
 	// uploads bounds the chunks that this node sends, in bytes.
@@ -223,12 +226,27 @@
 	return time.Since(current.since)
 }
 
-// Silent notes that a node did not answer a call. It counts as silent until a
-// comparison with it succeeds.
+// Silent notes that a node did not answer a call. It counts as silent until a comparison with it
+// succeeds; where a connection to it could be opened, one is made first.
 func (s *Syncer) Silent(address string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.noteSilent(address, err)
+	if errors.Is(err, peer.ErrNotSent) {
+		s.noteContact(address, err)
+		return
+	}
+	now := time.Now()
+	s.inBackground(func(ctx context.Context) { s.verify(ctx, address, now) })
+}
+
+// verify compares the copy with that of a node that did not answer a call, once for all who ask
+// at the same time.
+func (s *Syncer) verify(ctx context.Context, address string, failedAt time.Time) {
+	_, _, _ = s.verifying.Do(address, func() (any, error) {
+		_, err := s.compareAnew(ctx, address, failedAt)
+		if ctx.Err() == nil {
+			s.noteContact(address, err)
+		}
+		return nil, nil
+	})
 }
 
 // noteSilent leaves a node alone for a while; the lock is held.
@@ -246,7 +264,11 @@
 
 // syncWith compares the copies of this node and another one, and begins to make them alike.
 func (s *Syncer) syncWith(ctx context.Context, address string) {
+	began := time.Now()
 	compared, err := s.compare(ctx, address)
+	if err != nil && !errors.Is(err, peer.ErrNotSent) {
+		compared, err = s.compareAnew(ctx, address, began)
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -268,14 +290,12 @@
 	})
 }
 
-// bulkFailed notes that a call with long contents failed, and has the next one dial anew. The
-// node may live all the same: that is for comparisons to tell.
+// bulkFailed logs a call with long contents that failed. The other node may live all the same:
+// that is for comparisons to tell.
 func (s *Syncer) bulkFailed(ctx context.Context, what, address string, err error) {
-	if ctx.Err() != nil {
-		return
+	if ctx.Err() == nil {
+		s.options.Logger.Warn(what, "address", address, "error", err.Error())
 	}
-	s.options.Logger.Warn(what, "address", address, "error", err.Error())
-	s.options.Client.ResetLane(peer.LaneBulk, address)
 }
 
 // noteContact notes whether a node has answered a comparison.
@@ -321,6 +341,13 @@
 	return compared, nil
 }
 
+// compareAnew is compare on a connection that was opened after a moment. Established ones may fall silent for good, without
+// a reset, while new ones work; yamux has no keep-alive here, since comparisons take its place.
+func (s *Syncer) compareAnew(ctx context.Context, address string, openedAfter time.Time) (comparison, error) {
+	s.options.Client.ResetLane(peer.LaneControl, address, openedAfter)
+	return s.compare(ctx, address)
+}
+
 // exchangeAll makes the buckets that differ alike, as far as one comparison goes.
 func (s *Syncer) exchangeAll(ctx context.Context, address string, compared comparison) error {
 	differing := compared.differing[:min(len(compared.differing), bucketsPerComparison)]
@@ -436,5 +463,11 @@
 ) (*peerpb.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return s.options.Client.CallOn(ctx, lane, address, request)
+	began := time.Now()
+	response, err := s.options.Client.CallOn(ctx, lane, address, request)
+	if err != nil && lane == peer.LaneBulk {
+		// The next call opens a new connection. Comparisons do so by themselves.
+		s.options.Client.ResetLane(lane, address, began)
+	}
+	return response, err
 }
--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -98,9 +98,11 @@
 	var mu sync.Mutex
 	var used *Conn
 	var before int64
+	reused := false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		mu.Lock()
 		defer mu.Unlock()
+		reused = info.Reused
 		used, _ = info.Conn.(*Conn)
 		if used != nil {
 			before = used.written.Load()
@@ -113,6 +115,10 @@
 	if err == nil {
 		return response, used, nil
 	}
+	if reused && errors.Is(err, context.DeadlineExceeded) {
+		// Where one kept connection has fallen silent, others may have as well. New ones work.
+		t.CloseIdle()
+	}
 	if used == nil || used.written.Load() == before {
 		err = errors.CombineErrors(gateway.ErrNotSent, err)
 	}
--- a/peer/client.go
+++ b/peer/client.go
@@ -160,16 +160,23 @@
 // is used when a node stops answering: a connection cut without a reset would
 // otherwise swallow calls.
 func (c *Client) Reset(address string) {
-	c.ResetLane(LaneControl, address)
-	c.ResetLane(LaneBulk, address)
+	now := time.Now()
+	c.ResetLane(LaneControl, address, now)
+	c.ResetLane(LaneBulk, address, now)
 }
 
-// ResetLane closes the session of one lane to an address.
-func (c *Client) ResetLane(lane Lane, address string) {
+// ResetLane closes the session of one lane to an address, if it was opened before a moment: when
+// a call that began then has failed, a newer session is another one's and may be sound.
+func (c *Client) ResetLane(lane Lane, address string, openedBefore time.Time) {
 	key := sessionKey{address, lane}
 	c.mu.Lock()
 	session := c.sessions[key]
-	delete(c.sessions, key)
+	if session != nil && !session.openedAt.Before(openedBefore) {
+		session = nil
+	}
+	if session != nil {
+		delete(c.sessions, key)
+	}
 	c.mu.Unlock()
 	if session != nil {
 		_ = session.mux.Close()
--- a/peer/session.go
+++ b/peer/session.go
@@ -46,7 +46,8 @@
 
 // clientSession is a connection to another node.
 type clientSession struct {
-	mux *yamux.Session
+	mux      *yamux.Session
+	openedAt time.Time
 
 	mu   sync.Mutex
 	idle []*stream
@@ -60,7 +61,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "open session")
 	}
-	return &clientSession{mux: mux, usedAt: time.Now()}, nil
+	now := time.Now()
+	return &clientSession{mux: mux, openedAt: now, usedAt: now}, nil
 }
 
 func (s *clientSession) take() (*stream, error) {
--- a/sim/memnet/bandwidth.go
+++ b/sim/memnet/bandwidth.go
@@ -151,6 +151,9 @@
 			if c.network.gate.wait(c.link, c.closed) != nil {
 				return
 			}
+			if c.silent.Load() {
+				continue
+			}
 			if _, err := c.Conn.Write(piece); err != nil {
 				return
 			}
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -96,6 +96,21 @@
 	return wrapped
 }
 
+// Silence lets the established connections whose links are selected carry no bytes any more, in the
+// selected direction and without a reset: writes succeed, and nothing arrives. Connections that
+// are opened later work. It returns how many directions fell silent.
+func (n *Network) Silence(selected func(Link) bool) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for open := range n.conns {
+		if selected(open.link) && !open.silent.Swap(true) {
+			count++
+		}
+	}
+	return count
+}
+
 // Kill closes a host's listener and every connection from or to it, as the end
 // of its process does.
 func (n *Network) Kill(host string) {
@@ -161,6 +176,8 @@
 	closed  chan struct{}
 	once    sync.Once
 	sent    *traffic
+	// silent is set once nothing that is written arrives any more.
+	silent atomic.Bool
 	// buffer holds what a limited link has not passed yet.
 	buffer sendBuffer
 }
@@ -174,6 +191,9 @@
 	}
 	c.sent.bytes.Add(int64(len(data)))
 	c.sent.frames.Add(1)
+	if c.silent.Load() {
+		return len(data), nil
+	}
 	if c.network.limited.bounds(c.link) {
 		return c.sendLater(data)
 	}
