Soak: connections that fall silent, large configurations, callers that leave

The newer faults draw from numbers of their own, beside the old ones, so that seeds which failed before still play what they played: open connections to the store or to back ends fall silent for good, one way or both, for one or for all at once; configurations grow by 1,000 to 5,000 routes.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -23,6 +23,55 @@
 	w.heal()
 }
 
+// newerFaults injects the faults that came later, beside the others and from numbers of their own:
+// seeds that failed before still draw what they drew.
+func (w *world) newerFaults(random *rand.Rand, duration time.Duration) {
+	until := time.Now().Add(duration)
+	for time.Now().Before(until) {
+		towardsTarget, towardsCaller := random.IntN(3) > 0, random.IntN(3) > 0
+		n := w.nodes[random.IntN(len(w.nodes))]
+		w.mu.Lock()
+		b := w.backEnds[random.IntN(len(w.backEnds))]
+		w.mu.Unlock()
+		switch random.IntN(4) {
+		case 0:
+			n.store.silence(towardsTarget, towardsCaller)
+		case 1:
+			w.silenceBackEnds(b.proxy)
+		case 2:
+			w.silenceAll()
+		default:
+			w.configureWith(1000 + random.IntN(4000))
+		}
+		time.Sleep(time.Duration(300+random.IntN(1200)) * time.Millisecond)
+	}
+}
+
+// silenceBackEnds has the open connections to some back ends fall silent.
+func (w *world) silenceBackEnds(proxies ...*proxy) {
+	w.troubled(time.Now(), time.Now().Add(silenceFelt))
+	for _, p := range proxies {
+		p.silence(true, true)
+	}
+}
+
+// silenceAll has the open connections of all nodes to the store and to back ends fall silent.
+func (w *world) silenceAll() {
+	for _, n := range w.nodes {
+		n.store.silence(true, true)
+	}
+	w.mu.Lock()
+	var proxies []*proxy
+	for _, b := range w.backEnds {
+		proxies = append(proxies, b.proxy)
+	}
+	w.mu.Unlock()
+	w.silenceBackEnds(proxies...)
+}
+
+// silenceFelt is how long requests may be under way on a connection that fell silent.
+const silenceFelt = 6 * time.Second
+
 // draw returns a fault with all its chances taken.
 func (w *world) draw(random *rand.Rand) func() {
 	n := w.nodes[random.IntN(len(w.nodes))]
@@ -110,6 +159,7 @@
 }
 
 func (w *world) hold(p *proxy, mode proxyMode, lasting time.Duration) {
+	w.troubled(time.Now(), time.Now().Add(lasting))
 	p.set(mode)
 	time.Sleep(lasting)
 	p.set(modePass)
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -70,10 +70,15 @@
 
 // ask sends one request and returns what its caller sees.
 func ask(transport http.RoundTripper, n *node, k kind, id string, lastOnConnection bool) observation {
-	o := observation{id: id, kind: k, node: n.index, began: time.Now()}
-	defer func() { o.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
+	return askUntil(ctx, transport, n, k, id, lastOnConnection)
+}
+
+// askUntil is ask by a caller that leaves when the context ends.
+func askUntil(ctx context.Context, transport http.RoundTripper, n *node, k kind, id string, lastOnConnection bool) observation {
+	o := observation{id: id, kind: k, node: n.index, began: time.Now()}
+	defer func() { o.ended = time.Now() }()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) }})
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://127.0.0.1:%d/%s/x", n.ports[0], k), strings.NewReader("body of "+id))
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,10 +32,15 @@
 	mode    proxyMode
 	changed chan struct{}
 	open    map[net.Conn]struct{}
-	closed  bool
-	done    sync.WaitGroup
+	// muted holds what is silent of each connection that is open.
+	muted  map[*mute]struct{}
+	closed bool
+	done   sync.WaitGroup
 }
 
+// mute tells which directions of one connection carry nothing any more.
+type mute struct{ towardsTarget, towardsCaller atomic.Bool }
+
 const proxyDelay = 150 * time.Millisecond
 
 func newProxy(target string) (*proxy, error) {
@@ -42,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]struct{}{}}
+	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[net.Conn]struct{}{}, muted: map[*mute]struct{}{}}
 	p.done.Go(p.accept)
 	return p, nil
 }
@@ -69,19 +75,37 @@
 		return
 	}
 	defer func() { _ = far.Close() }()
-	if !p.track(near, far) {
+	silent := &mute{}
+	if !p.track(silent, near, far) {
 		return
 	}
-	defer p.untrack(near, far)
+	defer p.untrack(silent, near, far)
 	var both sync.WaitGroup
-	both.Go(func() { p.pass(far, near, false) })
-	both.Go(func() { p.pass(near, far, true) })
+	both.Go(func() { p.pass(far, near, &silent.towardsTarget, false) })
+	both.Go(func() { p.pass(near, far, &silent.towardsCaller, true) })
 	both.Wait()
 }
 
-// pass copies bytes in one direction, and closes both ends when one does.
-func (p *proxy) pass(to, from net.Conn, towardsCaller bool) {
-	defer func() { _, _ = to.Close(), from.Close() }()
+// silence lets the connections that are open now carry nothing any more, neither bytes nor their
+// end. New ones work.
+func (p *proxy) silence(towardsTarget, towardsCaller bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for silent := range p.muted {
+		silent.towardsTarget.Store(silent.towardsTarget.Load() || towardsTarget)
+		silent.towardsCaller.Store(silent.towardsCaller.Load() || towardsCaller)
+	}
+}
+
+// pass copies bytes in one direction, and closes both ends when one does. Of a silent direction
+// the other end hears nothing.
+func (p *proxy) pass(to, from net.Conn, silent *atomic.Bool, towardsCaller bool) {
+	defer func() {
+		_ = from.Close()
+		if !silent.Load() {
+			_ = to.Close()
+		}
+	}()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -89,6 +113,9 @@
 			if !p.hold(towardsCaller) {
 				return
 			}
+			if silent.Load() {
+				continue
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -146,18 +173,20 @@
 	}
 }
 
-func (p *proxy) track(conns ...net.Conn) bool {
+func (p *proxy) track(silent *mute, conns ...net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.muted[silent] = struct{}{}
 	for _, conn := range conns {
 		p.open[conn] = struct{}{}
 	}
 	return !p.closed
 }
 
-func (p *proxy) untrack(conns ...net.Conn) {
+func (p *proxy) untrack(silent *mute, conns ...net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.muted, silent)
 	for _, conn := range conns {
 		delete(p.open, conn)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,6 +25,8 @@
 	// again.
 	recoveryTime = 8 * time.Second
 	callers      = 12
+	// newerStream numbers the random stream of the newer faults.
+	newerStream = 2
 )
 
 // regressionSeeds once failed; each stands with a line on its cause.
@@ -93,16 +96,24 @@
 	defer w.keepLogs(seed)
 	w.awaitReady()
 	load := startLoad(w, seed)
+	leavers := startLeavers(w, seed)
+	var newer sync.WaitGroup
+	newer.Go(func() { w.newerFaults(rand.New(rand.NewPCG(seed, newerStream)), duration) })
 	w.faults(random, duration)
+	newer.Wait()
 	time.Sleep(recoveryTime)
+	leavers.stop()
 	load.stop()
 	violations := judge(load.observations(), w.runs(), w.disturbances)
+	late, counted := outlived(leavers.departures(), w.endings(), w.disturbances, w.troubles)
+	violations = append(violations, judgeDepartures(late, counted)...)
 	violations = append(violations, w.recovered()...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances", seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances))
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived",
+		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -67,9 +67,11 @@
 	backEnds     []*backEnd
 	nodes        []*node
 	disturbances []disturbance
-	version      int
-	made         int
-	serving      sync.WaitGroup
+	// troubles are the times in which connections to back ends were in trouble.
+	troubles []disturbance
+	version  int
+	made     int
+	serving  sync.WaitGroup
 }
 
 // node is one daemon, over all its processes.
@@ -171,8 +173,11 @@
 	return ports, true
 }
 
-// configure writes the next version; routes of the soak are in each.
-func (w *world) configure() {
+// configure writes the next version.
+func (w *world) configure() { w.configureWith(0) }
+
+// configureWith writes the next version; routes of the soak are in each, and so many others.
+func (w *world) configureWith(others int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
@@ -189,6 +194,9 @@
 	for i := range w.version % 5 {
 		routes = append(routes, route(fmt.Sprintf("more%d", i), "safe", "app", 2, false))
 	}
+	for i := range others {
+		routes = append(routes, route(fmt.Sprintf("other%x", (i+1)*w.version*0x9e3779b1), "safe", "app", 2, false))
+	}
 	w.store.Put("config", "main", map[string]any{
 		"version": w.version, "routes": routes,
 		"services": []map[string]any{
@@ -290,19 +298,48 @@
 	defer w.mu.Unlock()
 	counts := map[string]int{}
 	for _, b := range w.backEnds {
-		var runs []standin.Run
-		if b.engine != nil {
-			runs = b.engine.Runs()
-		} else {
-			runs = b.server.Runs()
-		}
-		for _, run := range runs {
+		for _, run := range b.runs() {
 			counts[run.ID]++
 		}
 	}
 	return counts
 }
 
+// troubled notes a time in which connections to back ends or to the store are in trouble.
+func (w *world) troubled(from, to time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.troubles = append(w.troubles, disturbance{from: from, to: to})
+}
+
+// endings returns when the back ends ended their work on each request; a run that goes on ends
+// now.
+func (w *world) endings() map[string]time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	endings := map[string]time.Time{}
+	for _, b := range w.backEnds {
+		for _, run := range b.runs() {
+			ended := run.EndedAt
+			if !run.Ended {
+				ended = time.Now()
+			}
+			if ended.After(endings[run.ID]) {
+				endings[run.ID] = ended
+			}
+		}
+	}
+	return endings
+}
+
+// runs returns what a back end has run.
+func (b *backEnd) runs() []standin.Run {
+	if b.engine != nil {
+		return b.engine.Runs()
+	}
+	return b.server.Runs()
+}
+
 // close ends the processes that this world started, and its stand-ins.
 func (w *world) close() {
 	for _, n := range w.nodes {
