--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -128,7 +129,7 @@
 	var left []departure
 	endings := map[string]time.Time{}
 	for i := range 12 {
-		id := fmt.Sprint(i)
+		id := strconv.Itoa(i)
 		left = append(left, departure{id: id, node: i % 2, at: at})
 		endings[id] = at.Add(100 * time.Millisecond)
 	}
