--- a/backend/entry.go
+++ b/backend/entry.go
@@ -129,7 +129,7 @@
 	return value * math.Exp2(-age.Seconds()/failureHalfLife.Seconds())
 }
 
-// Full notes that the back end has no room until the given time has passed.
+// Full notes that the back end has no capacity until the given time has passed.
 func (e *Entry) Full(lasting time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/coordinator/assign.go
+++ b/coordinator/assign.go
@@ -73,7 +73,7 @@
 func (c *Coordinator) isTimely(now time.Duration, current *serviceState, queued *waiter, reader string, ready time.Duration) bool {
 	within := queued.request.Within - c.options.FirstToken
 	idle := current.prefill.backlog(now, reader) == 0
-	if queued.request.Returning {
+	if queued.request.Late {
 		return idle || ready <= within/2
 	}
 	if ready <= within-(now-queued.since) {
--- a/coordinator/assign_test.go
+++ b/coordinator/assign_test.go
@@ -32,7 +32,7 @@
 			}
 			ask := func(id string) Assignment {
 				request := requestOf(id, 0)
-				request.Returning = returning
+				request.Late = returning
 				return slow.Assign(t.Context(), request)
 			}
 			// The decode engine reads the first of what has no time; it takes one at a time.
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -20,9 +20,9 @@
 	// lookInterval is how often a node looks whether a service has another
 	// coordinator.
 	lookInterval = 100 * time.Millisecond
-	// syncInterval is how often a coordinator is told of all runs of a node.
+	// syncInterval is how often a coordinator gets all runs of a node.
 	syncInterval = time.Second
-	// endTimeout bounds the call that tells of a run's end.
+	// endTimeout bounds the call that reports a run's end.
 	endTimeout = 300 * time.Millisecond
 	// missLimit is how many calls in a row a coordinator may miss.
 	missLimit = 3
@@ -33,7 +33,7 @@
 // ErrNoCoordinator is returned where no coordinator answered in time.
 var ErrNoCoordinator = errors.New("coordinator: none answers")
 
-// Fleet tells which nodes live.
+// Fleet knows which nodes live.
 type Fleet interface {
 	// Candidates returns the nodes that may coordinate.
 	Candidates() []Node
@@ -65,14 +65,14 @@
 	// misses counts the calls that a coordinator has not answered since its last
 	// answer.
 	misses map[string]int
-	// told is what the coordinator of each service was last told.
-	told map[string]synced
+	// lastSync is the last sync with the coordinator of each service.
+	lastSync map[string]synced
 }
 
 // NewClient returns a client that asks the local coordinator where this node
 // coordinates itself.
 func NewClient(fleet Fleet, peers *peer.Client, local *Coordinator, now func() time.Duration) *Client {
-	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, told: map[string]synced{}, misses: map[string]int{}}
+	return &Client{fleet: fleet, peers: peers, local: local, now: now, runs: map[string]map[string]ledger.Run{}, lastSync: map[string]synced{}, misses: map[string]int{}}
 }
 
 // Assign asks for engines.
@@ -90,7 +90,7 @@
 			return assignment, nil
 		}
 		// It may have been assigned all the same.
-		c.tellEnd(node.Address, Ended{Service: request.Service, ID: request.Run.ID})
+		c.notifyEnd(node.Address, Ended{Service: request.Service, ID: request.Run.ID})
 		if ctx.Err() != nil {
 			return Assignment{}, ctx.Err()
 		}
@@ -187,7 +187,7 @@
 	c.runs[request.Service][run.ID] = run
 }
 
-// Run tells the coordinators of this node's runs, at once where there is a new one
+// Run notifies the coordinators of this node's runs, at once where there is a new one
 // and at intervals, until the context ends. What got lost on the way, an end or an
 // assignment, is mended by that.
 func (c *Client) Run(ctx context.Context) {
@@ -198,23 +198,23 @@
 	})
 }
 
-// synced is what a coordinator was last told.
+// synced is a sync of this node's runs with a coordinator.
 type synced struct {
 	node Node
 	at   time.Duration
 }
 
-// due returns this node's runs of a service if its coordinator is to be told.
+// due returns this node's runs of a service if a sync with its coordinator is due.
 func (c *Client) due(service string, node Node) ([]ledger.Run, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	last, now := c.told[service], c.now()
+	last, now := c.lastSync[service], c.now()
 	runs := c.runs[service]
 	isNew := last.node != node
 	if !isNew && now-last.at < syncInterval {
 		return nil, false
 	}
-	c.told[service] = synced{node: node, at: now}
+	c.lastSync[service] = synced{node: node, at: now}
 	listed := make([]ledger.Run, 0, len(runs))
 	for _, run := range runs {
 		listed = append(listed, run)
@@ -222,7 +222,7 @@
 	return listed, true
 }
 
-// syncService tells the coordinator of a service of this node's runs, if that is
+// syncService notifies the coordinator of a service of this node's runs, if that is
 // due.
 func (c *Client) syncService(ctx context.Context, service string) {
 	node, found := c.coordinator(service)
@@ -247,26 +247,26 @@
 	}
 }
 
-// End tells the coordinator that a run is over. It does not wait for the answer.
+// End notifies the coordinator that a run is over. It does not wait for the answer.
 func (c *Client) End(ended Ended) {
 	c.mu.Lock()
 	delete(c.runs[ended.Service], ended.ID)
 	c.mu.Unlock()
 	if node, found := c.coordinator(ended.Service); found {
-		c.tellEnd(node.Address, ended)
+		c.notifyEnd(node.Address, ended)
 	}
 }
 
-func (c *Client) tellEnd(address string, ended Ended) {
+func (c *Client) notifyEnd(address string, ended Ended) {
 	if address == c.fleet.Own() {
 		c.local.End(ended)
 		return
 	}
 	// A coordinator that does not hear of it hears it at the next sync.
-	c.tell(address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: encodeEnded(ended)}})
+	c.notify(address, &peerpb.Request{Body: &peerpb.Request_EndRun{EndRun: encodeEnded(ended)}})
 }
 
-// PromptRead tells the coordinator that an engine has read a run's prompt. It does not
+// PromptRead notifies the coordinator that an engine has read a run's prompt. It does not
 // wait for the answer.
 func (c *Client) PromptRead(service, id, engine string) {
 	node, found := c.coordinator(service)
@@ -275,13 +275,13 @@
 	case node.Address == c.fleet.Own():
 		c.local.PromptRead(service, id, engine)
 	default:
-		c.tell(node.Address, &peerpb.Request{Body: &peerpb.Request_PromptRead{PromptRead: &peerpb.PromptRead{
+		c.notify(node.Address, &peerpb.Request{Body: &peerpb.Request_PromptRead{PromptRead: &peerpb.PromptRead{
 			Service: service, Id: id, Engine: engine,
 		}}})
 	}
 }
 
-// EngineFailed tells the coordinator of an engine that did not do what it was asked, where
+// EngineFailed notifies the coordinator of an engine that did not do what it was asked, where
 // that ended no run. It does not wait for the answer.
 func (c *Client) EngineFailed(failure Failure) {
 	node, found := c.coordinator(failure.Service)
@@ -290,14 +290,14 @@
 	case node.Address == c.fleet.Own():
 		c.local.EngineFailed(failure)
 	default:
-		c.tell(node.Address, &peerpb.Request{Body: &peerpb.Request_EngineFailed{EngineFailed: &peerpb.EngineFailed{
+		c.notify(node.Address, &peerpb.Request{Body: &peerpb.Request_EngineFailed{EngineFailed: &peerpb.EngineFailed{
 			Service: failure.Service, Engine: failure.Engine, Id: failure.ID, Silent: failure.Silent,
 		}}})
 	}
 }
 
-// tell calls a node without waiting for its answer.
-func (c *Client) tell(address string, request *peerpb.Request) {
+// notify calls a node without waiting for its answer.
+func (c *Client) notify(address string, request *peerpb.Request) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
 		defer cancel()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -32,8 +32,8 @@
 
 const (
 	defaultFirstToken = 80 * time.Millisecond
-	// coverageTime is how long a coordinator goes by what a node has told. Nodes
-	// tell each second.
+	// coverageTime is how long a coordinator relies on the last sync of a node. Nodes
+	// sync each second.
 	coverageTime = 2500 * time.Millisecond
 	// leastCoverage bounds the share of them that it is taken to know.
 	leastCoverage = 0.3
@@ -80,7 +80,7 @@
 	// output learns how long answers become.
 	output estimate.Output
 	// returns spreads the callers that come back.
-	returns returnSchedule
+	retries retrySchedule
 	// demand measures how many engines of each role the requests of late keep busy.
 	demand demandMeter
 	// short is the role of which there were too few engines for the last request
@@ -103,7 +103,7 @@
 	return &Coordinator{options: options, services: map[string]*serviceState{}}
 }
 
-// Assign gives engines to a request, or tells when room is expected.
+// Assign gives engines to a request, or returns when capacity is expected.
 func (c *Coordinator) Assign(ctx context.Context, request *Request) Assignment {
 	queued := c.enqueue(request)
 	until := time.NewTimer(c.longestWait(request))
@@ -132,7 +132,7 @@
 // longestWait returns how long a request may wait: a first attempt until its first token could
 // not be in time any more, given what reading its prompt takes.
 func (c *Coordinator) longestWait(request *Request) time.Duration {
-	if request.Returning {
+	if request.Late {
 		return request.Wait
 	}
 	c.mu.Lock()
@@ -147,7 +147,7 @@
 	current := c.state(request.Service)
 	queued := &waiter{request: request, since: c.options.Now(), assigned: make(chan Assignment, 1)}
 	others := current.waiting
-	// Those that wait did not fit a moment ago: an arrival alone does not make room for them.
+	// Those that wait did not fit a moment ago: an arrival alone does not free capacity for them.
 	current.waiting = []*waiter{queued}
 	c.serve(request.Service, current, triesOfEvent)
 	current.waiting = append(others, current.waiting...)
@@ -175,8 +175,8 @@
 	}
 	now := c.options.Now()
 	c.countDemand(now, current, left.request)
-	room := current.decode.RoomAfter(now, left.request.Run)
-	return Assignment{RetryAfter: current.returns.next(now, room), Short: string(current.short)}
+	wait := current.decode.CapacityAfter(now, left.request.Run)
+	return Assignment{RetryAfter: current.retries.next(now, wait), Short: string(current.short)}
 }
 
 // End takes a run out of the ledger and serves those that wait.
@@ -193,7 +193,7 @@
 		current.output.Observe(run.Expected, ended.Output)
 		c.observe(current, run.Engine, ended)
 	}
-	current.returns.ended(c.options.Now())
+	current.retries.ended(c.options.Now())
 	c.serve(ended.Service, current, triesOfEvent)
 }
 
@@ -251,7 +251,7 @@
 }
 
 // coverage returns which share of a service's runs its ledger is taken to know: that
-// of the nodes which have told of theirs lately. While nodes differ on who
+// of the nodes which have synced theirs lately. While nodes differ on who
 // coordinates, each of two coordinators knows a part.
 func (c *Coordinator) coverage(now time.Duration, current *serviceState) float64 {
 	nodes := c.options.Nodes()
--- a/coordinator/demand.go
+++ b/coordinator/demand.go
@@ -44,7 +44,7 @@
 // countDemand counts a request that was given engines, or finally refused. One that was
 // refused before is not counted again.
 func (c *Coordinator) countDemand(now time.Duration, current *serviceState, request *Request) {
-	if request.Returning {
+	if request.Late {
 		return
 	}
 	run := request.Run
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// pauseFull is how long an engine that had no room is given no run.
+	// pauseFull is how long an engine that had no capacity is given no run.
 	pauseFull = 120 * time.Millisecond
-	// pauseClosed is the same after an engine had room and did not take the run.
+	// pauseClosed is the same after an engine had capacity and did not take the run.
 	pauseClosed = 2 * time.Second
 )
 
@@ -23,11 +23,11 @@
 	// Within is the time in which the first token is to come. A prompt that would
 	// wait too long for it is not accepted.
 	Within time.Duration
-	// Probe is set where the sender asks again, with a wait, if there is no room now.
+	// Probe is set where the sender asks again, with a wait, if no capacity is free now.
 	Probe bool
-	// Returning is set for a request that is late whatever becomes of it: that of a caller that
+	// Late is set for a request that is late whatever becomes of it: that of a caller that
 	// was refused before, or the rest of a stream that broke off.
-	Returning bool
+	Late bool
 	// Priority is the rank of its route; 0 is the highest.
 	Priority int
 	// Avoid names engines that must not be given.
@@ -36,22 +36,22 @@
 
 // Assignment answers a Request.
 type Assignment struct {
-	// Decode and Prefill name engines; they are empty where there is no room.
+	// Decode and Prefill name engines; they are empty where no capacity is free.
 	Decode  string
 	Prefill string
 	// ReadsItself is set where the decode engine reads the prompt; Prefill is empty then.
 	ReadsItself bool
-	// RetryAfter is when room is expected, where there is none.
+	// RetryAfter is when capacity is expected, where there is none.
 	RetryAfter time.Duration
 	// PromptReady is how long it is expected to take until the prompt has been read.
 	PromptReady time.Duration
 	// Output is how many tokens the run is expected to make.
 	Output int
-	// Short is the role of which there were too few engines, where there is no room.
+	// Short is the role of which there were too few engines, where no capacity is free.
 	Short string
 }
 
-// Ended tells of a run that is over.
+// Ended reports a run that is over.
 type Ended struct {
 	Service string
 	ID      string
@@ -67,7 +67,7 @@
 	Refusal Refusal
 }
 
-// Failure tells of an engine that did not do what it was asked.
+// Failure reports an engine that did not do what it was asked.
 type Failure struct {
 	Service string
 	Engine  string
@@ -84,9 +84,9 @@
 const (
 	// RefusalNone is that of a run that was taken.
 	RefusalNone Refusal = iota
-	// RefusalFull is that of an engine without room.
+	// RefusalFull is that of an engine without capacity.
 	RefusalFull
-	// RefusalClosed is that of an engine that had room and took the run all the same
+	// RefusalClosed is that of an engine that had capacity and took the run all the same
 	// not: it is changing its role, say, which nobody who lives knows of.
 	RefusalClosed
 	// RefusalFailed is that of an engine that gave no answer, or broke it off.
--- a/coordinator/overflow_test.go
+++ b/coordinator/overflow_test.go
@@ -79,7 +79,7 @@
 		id := strconv.Itoa(i)
 		request := requestOf(id, 0)
 		returning := requestOf(id+"-again", 0)
-		returning.Returning = true
+		returning.Late = true
 		measured.Assign(t.Context(), request)
 		measured.PromptRead("s", id, "")
 		measured.End(Ended{Service: "s", ID: id})
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -58,8 +58,8 @@
 // byRank is the order in which those that wait are served: first attempts, more urgent routes,
 // earlier arrivals.
 func byRank(a, b *waiter) int {
-	if a.request.Returning != b.request.Returning {
-		if b.request.Returning {
+	if a.request.Late != b.request.Late {
+		if b.request.Late {
 			return -1
 		}
 		return 1
--- a/coordinator/waiting_test.go
+++ b/coordinator/waiting_test.go
@@ -98,7 +98,7 @@
 		given := make(chan string, 2)
 		for _, id := range []string{"refused before", "new"} {
 			request := requestOf(id, 3*time.Second)
-			request.Returning = id == "refused before"
+			request.Late = id == "refused before"
 			go func() {
 				if full.Assign(t.Context(), request).Decode != "" {
 					given <- id
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -43,7 +43,7 @@
 func encodeRequest(request *Request, now time.Duration) *peerpb.AssignEngines {
 	return &peerpb.AssignEngines{
 		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
-		Avoid: request.Avoid, Returning: request.Returning, WithinMs: request.Within.Milliseconds(), Probe: request.Probe,
+		Avoid: request.Avoid, Returning: request.Late, WithinMs: request.Within.Milliseconds(), Probe: request.Probe,
 		Priority: int32(request.Priority),
 	}
 }
@@ -51,7 +51,7 @@
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
 	return &Request{
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs()),
-		Avoid: encoded.GetAvoid(), Returning: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
+		Avoid: encoded.GetAvoid(), Late: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
 		Priority: int(encoded.GetPriority()),
 	}
 }
--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -39,7 +39,7 @@
 		counts = &RouteCounts{Route: x.route.Name}
 		c.byRoute[x.route.Name] = counts
 	}
-	if !x.returning() {
+	if !x.isRetry() {
 		counts.First++
 	}
 	change(counts)
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -69,7 +69,7 @@
 	// passed on.
 	Send(ctx context.Context, target backend.Backend, request *Request, left time.Duration) (*Answer, error)
 	// Reserve sets memory aside at a decode engine. The result is nil if the
-	// engine has no room.
+	// engine has no capacity.
 	Reserve(ctx context.Context, target backend.Backend, tokens int, lasting time.Duration) (*Reservation, error)
 	// Release gives a reservation back.
 	Release(ctx context.Context, target backend.Backend, reservation Reservation) error
--- a/gateway/enginewaits.go
+++ b/gateway/enginewaits.go
@@ -8,7 +8,7 @@
 // isLate reports whether the request is late whatever becomes of it: a retry, a stream that has
 // broken off, or one whose objective has passed.
 func (x *exchange) isLate() bool {
-	return x.returning() || x.answered || time.Since(x.arrived) >= x.route.Objective
+	return x.isRetry() || x.answered || time.Since(x.arrived) >= x.route.Objective
 }
 
 // coordinatedWait returns how long the request may wait for engines from now on. A first
@@ -18,7 +18,7 @@
 		return x.route.Objective - time.Since(x.arrived)
 	}
 	patience := cmp.Or(x.route.Patience, x.route.Objective)
-	wait := time.Duration(x.handler.options.Policy.ReturnWait * float64(patience))
+	wait := time.Duration(x.handler.options.Policy.RetryWait * float64(patience))
 	if !x.answered {
 		// The caller of a broken stream has heard of it until now.
 		wait -= time.Since(x.arrived)
@@ -47,8 +47,8 @@
 	}
 }
 
-// returning reports whether the caller was refused before.
-func (x *exchange) returning() bool { return x.age > returningAge }
+// isRetry reports whether the caller was refused before.
+func (x *exchange) isRetry() bool { return x.age > retryAge }
 
-// returningAge is the age from which a caller counts as refused before.
-const returningAge = 100 * time.Millisecond
+// retryAge is the age from which a caller counts as refused before.
+const retryAge = 100 * time.Millisecond
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -77,7 +77,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		x.timings.room = x.since()
+		x.timings.reserved = x.since()
 		answer, err := x.startAt(ctx, taken, lastID)
 		if err == nil {
 			return answer, taken, nil
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -43,12 +43,12 @@
 type Coordinator interface {
 	// Assign asks for engines. An error means that no coordinator answers.
 	Assign(ctx context.Context, request coordinator.Request) (coordinator.Assignment, error)
-	// PromptRead tells that an engine has read the prompt of a run.
+	// PromptRead reports that an engine has read the prompt of a run.
 	PromptRead(service, id, engine string)
-	// EngineFailed tells of an engine that did not do what it was asked, where that ended
+	// EngineFailed reports an engine that did not do what it was asked, where that ended
 	// no run.
 	EngineFailed(failure coordinator.Failure)
-	// End tells of a run that is over.
+	// End reports a run that is over.
 	End(ended coordinator.Ended)
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -7,9 +7,9 @@
 
 // timings are the parts of a request's time, each counted from its arrival.
 type timings struct {
-	// room is when memory was reserved, prefill when the prompt had been read and
+	// reserved is when memory was reserved, prefill when the prompt had been read and
 	// first when the first event was passed on.
-	room, prefill, first time.Duration
+	reserved, prefill, first time.Duration
 	// pause is the longest time between two events.
 	pause time.Duration
 }
@@ -32,14 +32,14 @@
 	if x.configuration != nil {
 		attributes = append(attributes, "configuration", x.configuration.Version)
 	}
-	if x.timings.room > 0 {
-		attributes = append(attributes, "room_ms", x.timings.room.Milliseconds(), "prefill_ms", x.timings.prefill.Milliseconds(),
+	if x.timings.reserved > 0 {
+		attributes = append(attributes, "room_ms", x.timings.reserved.Milliseconds(), "prefill_ms", x.timings.prefill.Milliseconds(),
 			"first_ms", x.timings.first.Milliseconds(), "longest_pause_ms", x.timings.pause.Milliseconds())
 	}
 	return attributes
 }
 
-// logFailure tells of a request that got the gateway's own answer.
+// logFailure logs a request that got the gateway's own answer.
 func (h *Handler) logFailure(x *exchange, final *failure, took time.Duration) {
 	attributes := append(x.attributes(took),
 		"reason", string(final.reason), "status", final.status, "retry_after_ms", final.retryAfter.Milliseconds())
@@ -52,26 +52,26 @@
 	h.options.Logger.Info("request not answered", attributes...)
 }
 
-// logRetry tells of a request that is sent once more.
+// logRetry logs a request that is sent once more.
 func (h *Handler) logRetry(x *exchange, err error) {
 	h.options.Metrics.Add("repeats", 1)
 	h.options.Logger.Info("request sent again", append(x.attributes(x.since()),
 		"cause", err.Error(), "budget_left", int(h.options.Budget.Left(x.service)))...)
 }
 
-// logUncoordinated tells of a request for which this node chooses engines by itself.
+// logUncoordinated logs a request for which this node chooses engines by itself.
 func (h *Handler) logUncoordinated(x *exchange, err error) {
 	h.options.Metrics.Add("coordinator_missed", 1)
 	h.options.Logger.Info("coordinator missed", append(x.attributes(x.since()), "cause", err.Error())...)
 }
 
-// logAssignedFull tells of an engine that had no room although the coordinator assigned it.
+// logAssignedFull logs an engine that had no capacity although the coordinator assigned it.
 func (h *Handler) logAssignedFull(x *exchange, engine string) {
 	h.options.Metrics.Add("assigned_engines_full", 1)
 	h.options.Logger.Info("assigned engine full", append(x.attributes(x.since()), "engine", engine)...)
 }
 
-// logAnswered tells of an answer that is late or a failure of its back end. Other
+// logAnswered logs an answer that is late or a failure of its back end. Other
 // answers cost no line.
 func (h *Handler) logAnswered(x *exchange, took time.Duration) {
 	if x.status >= http.StatusInternalServerError {
@@ -98,7 +98,7 @@
 	}
 }
 
-// logWasted tells of a prompt that an engine has read, or has begun to read, for nothing.
+// logWasted logs a prompt that an engine has read, or has begun to read, for nothing.
 func (h *Handler) logWasted(x *exchange, engine string, cause wasteCause) {
 	h.options.Metrics.Add("prompts_wasted", 1)
 	h.options.Logger.Info("prompt wasted", "request", x.request.ID, "service", x.service, "engine", engine,
--- a/gateway/log_test.go
+++ b/gateway/log_test.go
@@ -31,7 +31,7 @@
 	return nil, nil
 }
 
-// assigningOnce assigns an engine once, and then has no room.
+// assigningOnce assigns an engine once, and then has no capacity.
 type assigningOnce struct {
 	fullCoordinator
 	assigned bool
@@ -46,7 +46,7 @@
 }
 
 // TestDecisionsOnEnginesHaveALine wants a line with the request's id and the cause where a
-// node chooses by itself, and where an assigned engine had no room.
+// node chooses by itself, and where an assigned engine had no capacity.
 func TestDecisionsOnEnginesHaveALine(t *testing.T) {
 	for name, test := range map[string]struct {
 		assigned gateway.Coordinator
--- a/gateway/policy.go
+++ b/gateway/policy.go
@@ -12,46 +12,46 @@
 	// OutputMargin is how much of the output that the caller expects is reserved at
 	// an engine that the coordinator assigned. Default 0.1: an engine sets a
 	// reservation aside as a whole until its run has ended, and the coordinator's
-	// book already sees to the room that runs grow into.
+	// ledger already accounts for the growth of runs.
 	OutputMargin float64
 	// OutputMarginAlone is the same without a coordinator. Default 1.3: only the
 	// reservations at the engine guard its memory then.
 	OutputMarginAlone float64
-	// ReturnWait is how long a caller that was refused before waits for engines, as a share of
+	// RetryWait is how long a caller that was refused before waits for engines, as a share of
 	// the time after which it leaves a silent stream. It is late whenever it is served, so that
 	// it may wait while others go first; a second refusal helps it no more. Default 0.75: the
 	// rest is for reading its prompt.
-	ReturnWait float64
+	RetryWait float64
 	// AloneWait is how long a first attempt waits for memory without a coordinator, as a share
 	// of the objective. Default 0.2: nobody knows then whether there will be any.
 	AloneWait float64
 	// ReservationLifetime is how long memory stays reserved until the answer
 	// begins. Default 1.5s.
 	ReservationLifetime time.Duration
-	// ShortestReturn and LongestReturn bound when a refused caller is told to come
+	// ShortestRetryAfter and LongestRetryAfter bound when a refused caller is asked to come
 	// back. Defaults 0.2s and 4.5s.
-	ShortestReturn time.Duration
-	LongestReturn  time.Duration
+	ShortestRetryAfter time.Duration
+	LongestRetryAfter  time.Duration
 }
 
 const (
 	defaultOutputMargin        = 0.1
 	defaultOutputMarginAlone   = 1.3
-	defaultReturnWait          = 0.75
+	defaultRetryWait           = 0.75
 	defaultAloneWait           = 0.2
 	defaultReservationLifetime = 1500 * time.Millisecond
-	defaultShortestReturn      = 200 * time.Millisecond
-	defaultLongestReturn       = 4500 * time.Millisecond
+	defaultShortestRetryAfter  = 200 * time.Millisecond
+	defaultLongestRetryAfter   = 4500 * time.Millisecond
 )
 
 func (p *Policy) setDefaults() {
 	p.OutputMargin = cmp.Or(p.OutputMargin, defaultOutputMargin)
 	p.OutputMarginAlone = cmp.Or(p.OutputMarginAlone, defaultOutputMarginAlone)
-	p.ReturnWait = cmp.Or(p.ReturnWait, defaultReturnWait)
+	p.RetryWait = cmp.Or(p.RetryWait, defaultRetryWait)
 	p.AloneWait = cmp.Or(p.AloneWait, defaultAloneWait)
 	p.ReservationLifetime = cmp.Or(p.ReservationLifetime, defaultReservationLifetime)
-	p.ShortestReturn = cmp.Or(p.ShortestReturn, defaultShortestReturn)
-	p.LongestReturn = cmp.Or(p.LongestReturn, defaultLongestReturn)
+	p.ShortestRetryAfter = cmp.Or(p.ShortestRetryAfter, defaultShortestRetryAfter)
+	p.LongestRetryAfter = cmp.Or(p.LongestRetryAfter, defaultLongestRetryAfter)
 }
 
 // expectedOutput returns how many tokens a request is expected to make.
@@ -74,10 +74,10 @@
 	return generation.PromptTokens + min(output, generation.MaxOutputTokens)
 }
 
-// retryAfter returns when a refused caller is to come back, given when room is
+// retryAfter returns when a refused caller is to come back, given when capacity is
 // expected. Callers that are refused together come back spread out.
-func (p *Policy) retryAfter(room time.Duration) time.Duration {
+func (p *Policy) retryAfter(wait time.Duration) time.Duration {
 	const spread = 0.1
-	after := time.Duration(float64(room) * (1 + spread*rand.Float64()))
-	return min(max(after, p.ShortestReturn), p.LongestReturn)
+	after := time.Duration(float64(wait) * (1 + spread*rand.Float64()))
+	return min(max(after, p.ShortestRetryAfter), p.LongestRetryAfter)
 }
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -67,14 +67,14 @@
 	s.exchange.handler.options.Coordinator.End(ended)
 }
 
-// promptRead tells the coordinator which engine has read the prompt.
+// promptRead notifies the coordinator which engine has read the prompt.
 func (s *reservedEngine) promptRead(engine string) {
 	if s.run != "" {
 		s.exchange.handler.options.Coordinator.PromptRead(s.exchange.service, s.run, engine)
 	}
 }
 
-// prefillFailed tells the coordinator of an engine that has not read the prompt.
+// prefillFailed notifies the coordinator of an engine that has not read the prompt.
 func (s *reservedEngine) prefillFailed(engine string, silent bool) {
 	if s.run != "" {
 		s.exchange.handler.options.Coordinator.EngineFailed(coordinator.Failure{
@@ -101,14 +101,14 @@
 }
 
 // reserveAssigned takes memory at the engine that the coordinator assigns. The
-// result is nil if that engine has no room all the same; the coordinator is told.
+// result is nil if that engine has no capacity all the same; the coordinator is notified.
 func (x *exchange) reserveAssigned(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	request := coordinator.Request{
-		Service:   x.service,
-		Wait:      x.coordinatedWait(),
-		Within:    x.within(),
-		Returning: x.isLate(),
-		Priority:  x.route.Priority,
+		Service:  x.service,
+		Wait:     x.coordinatedWait(),
+		Within:   x.within(),
+		Late:     x.isLate(),
+		Priority: x.route.Priority,
 		Run: ledger.Run{
 			ID:     x.handler.runNames.next(),
 			Prompt: x.request.Generation.PromptTokens,
@@ -155,12 +155,12 @@
 	}, nil
 }
 
-// endUnused tells the coordinator that no run uses what it assigned.
+// endUnused notifies the coordinator that no run uses what it assigned.
 func (x *exchange) endUnused(run string, refusal coordinator.Refusal) {
 	x.handler.options.Coordinator.End(coordinator.Ended{Service: x.service, ID: run, Refusal: refusal})
 }
 
-// noRoom is the refusal of a request for which there is no room.
+// noRoom is the refusal of a request for which no capacity is free.
 func (x *exchange) noRoom(expected time.Duration) error {
 	return notRun(ReasonNoRoom, x.handler.options.Policy.retryAfter(expected), nil)
 }
--- a/gateway/runname_test.go
+++ b/gateway/runname_test.go
@@ -19,7 +19,7 @@
 	"github.com/reelrun/reelrun/routing"
 )
 
-// fullCoordinator has no room and keeps the names of the runs it was asked for.
+// fullCoordinator has no capacity and keeps the names of the runs it was asked for.
 type fullCoordinator struct {
 	mu    sync.Mutex
 	names []string
--- a/ledger/benchmark_test.go
+++ b/ledger/benchmark_test.go
@@ -20,13 +20,13 @@
 	}
 }
 
-// BenchmarkRoomAfter asks when a run that does not fit will.
-func BenchmarkRoomAfter(b *testing.B) {
+// BenchmarkCapacityAfter asks when a run that does not fit will.
+func BenchmarkCapacityAfter(b *testing.B) {
 	book := newLedger(24)
 	for i := range 240 {
 		book.Assign(0, ledger.Run{ID: strconv.Itoa(i), Prompt: 5000, Output: 2000}, nil)
 	}
 	for range b.N {
-		book.RoomAfter(time.Millisecond, ledger.Run{ID: "next", Prompt: 50_000, Output: 9000})
+		book.CapacityAfter(time.Millisecond, ledger.Run{ID: "next", Prompt: 50_000, Output: 9000})
 	}
 }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -220,9 +220,9 @@
 	}
 }
 
-// RoomAfter returns how long it will take until a run fits somewhere, if every
+// CapacityAfter returns how long it will take until a run fits somewhere, if every
 // run ends as expected and no other comes.
-func (l *Ledger) RoomAfter(now time.Duration, run Run) time.Duration {
+func (l *Ledger) CapacityAfter(now time.Duration, run Run) time.Duration {
 	soonest := time.Duration(0)
 	for id, engine := range l.engines {
 		after, found := l.roomAt(now, engine, run, l.byEngine[id])
