End a transfer whose object the store has brought

Cause: a transfer of chunks went on for as long as it lacked some, also when the node had got the version from the store meanwhile; with a source that had none it never ended, and asked the store each two seconds. Found by the new test of a node that cannot follow, which hung.

Change: each step looks whether the node has the version.

Before, after (test): did not end; ends, with 'caught up'. A second test has another source step in.

--- /dev/null
+++ b/antientropy/behind_test.go
@@ -0,0 +1,81 @@
+package antientropy
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/chunk"
+	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/replica"
+)
+
+// messages collects the messages of a log.
+type messages chan string
+
+// Enabled implements slog.Handler.
+func (m messages) Enabled(context.Context, slog.Level) bool { return true }
+
+// Handle implements slog.Handler.
+func (m messages) Handle(_ context.Context, record slog.Record) error {
+	select {
+	case m <- record.Message:
+	default:
+	}
+	return nil
+}
+
+// WithAttrs implements slog.Handler.
+func (m messages) WithAttrs([]slog.Attr) slog.Handler { return m }
+
+// WithGroup implements slog.Handler.
+func (m messages) WithGroup(string) slog.Handler { return m }
+
+// TestANodeThatCannotFollowAsksTheStore offers a node a version whose chunks nobody has. It says
+// that it is behind, and has the store asked; what comes from there ends it.
+func TestANodeThatCannotFollowAsksTheStore(t *testing.T) {
+	// patience is far above the time after which a node says that it is behind.
+	const patience = 10 * behindAfter
+	g := NewWithT(t)
+	empty, behind := newTestNode(t), newTestNode(t)
+	logged := make(messages, 100)
+	behind.syncer.options.Logger = slog.New(logged)
+	object := objectapi.Object{Kind: urgentKind, Name: "main", Version: 5, Spec: largeConfiguration(5000)}
+	asked := make(chan replica.Key, 1)
+	behind.syncer.options.Refetch = func(_ context.Context, key replica.Key) {
+		behind.copied.Apply(replica.SourceStore, replica.Record{Object: object})
+		asked <- key
+	}
+	offered := replica.Record{Object: objectapi.Object{Kind: object.Kind, Name: object.Name, Version: object.Version}}
+	behind.syncer.transfers.offer(offered, chunk.Split(object.Spec), empty.address)
+	g.Eventually(asked).WithTimeout(patience).Should(Receive(Equal(offered.Key())))
+	g.Expect(logged).To(Receive(Equal("behind")))
+	g.Expect(behind.copied.Live(urgentKind)).To(HaveLen(1))
+	g.Eventually(logged).WithTimeout(patience).Should(Receive(Equal("caught up")))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		behind.syncer.background.Wait()
+	}()
+	g.Eventually(done).WithTimeout(patience).Should(BeClosed(), "nothing is fetched any more")
+}
+
+// TestAnotherSourceStepsIn has the only node that has an object go while it is fetched; the offer
+// of another one brings the rest.
+func TestAnotherSourceStepsIn(t *testing.T) {
+	g := NewWithT(t)
+	second, behind := newTestNode(t), newTestNode(t)
+	object := objectapi.Object{Kind: urgentKind, Name: "main", Version: 5, Spec: largeConfiguration(5000)}
+	second.copied.Apply(replica.SourceStore, replica.Record{Object: object})
+	offered := replica.Record{Object: objectapi.Object{Kind: object.Kind, Name: object.Name, Version: object.Version}}
+	// The first node has named the chunks and does not answer any more.
+	behind.syncer.transfers.offer(offered, chunk.Split(object.Spec), "127.0.0.1:1")
+	behind.syncer.background.Wait()
+	g.Expect(behind.copied.Live(urgentKind)).To(BeEmpty())
+	g.Expect(behind.compare(t.Context(), second.address)).To(Succeed())
+	live := behind.copied.Live(urgentKind)
+	g.Expect(live).To(HaveLen(1))
+	g.Expect([]byte(live[0].Spec)).To(Equal([]byte(object.Spec)))
+}
--- a/antientropy/transfers.go
+++ b/antientropy/transfers.go
@@ -43,14 +43,10 @@
 // offer notes that another node has a version of an object, or a part of it, and fetches it
 // unless this node has it.
 func (ts *transfers) offer(record replica.Record, manifest chunk.Manifest, address string) {
-	own := ts.syncer.options.Replica.Records([]replica.Key{record.Key()})
-	if len(own) > 0 && own[0].Object.Version >= record.Object.Version {
+	if ts.has(record) {
 		return
 	}
-	if len(own) > 0 && len(own[0].Object.Spec) >= chunkedFrom {
-		// What the version here has in common with the offered one is not fetched.
-		ts.index.manifest(own[0])
-	}
+	ts.indexOwn(record.Key())
 	ts.mu.Lock()
 	defer ts.mu.Unlock()
 	current := ts.byKey[record.Key()]
@@ -69,6 +65,22 @@
 	}
 }
 
+// has reports whether this node has a version of an object, or a newer one.
+func (ts *transfers) has(record replica.Record) bool {
+	own := ts.syncer.options.Replica.Records([]replica.Key{record.Key()})
+	return len(own) > 0 && own[0].Object.Version >= record.Object.Version
+}
+
+// indexOwn has the chunks of the version that this node has found, so that what it has in common
+// with another one is not fetched.
+func (ts *transfers) indexOwn(key replica.Key) {
+	for _, own := range ts.syncer.options.Replica.Records([]replica.Key{key}) {
+		if len(own.Object.Spec) >= chunkedFrom {
+			ts.index.manifest(own)
+		}
+	}
+}
+
 // findWith returns a chunk that this node has or that another transfer has fetched; the lock is
 // held.
 func (ts *transfers) findWith(other *transfer, id chunk.ID) ([]byte, bool) {
@@ -102,6 +114,10 @@
 	for ctx.Err() == nil {
 		next := ts.next(t)
 		switch {
+		case ts.has(t.record):
+			// The store has brought it meanwhile, or a newer version.
+			ts.forget(t)
+			return
 		case next.complete:
 			ts.finish(t)
 			return
