Exchange with one node once at a time; part contact and exchange

Cause: since exchanges run beside comparisons, several with the same node could carry the same objects, and bytes between zones are dear.

Change: one exchange a node at a time; a difference that is found meanwhile is looked at again at its end. Mechanical: contact.go (who lives) and exchange.go come out of syncer.go.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -88,8 +87,6 @@
 	transfers *transfers
 	// uploads bounds the chunks that this node sends, in bytes.
 	uploads *rate.Limiter
-	// exchanges has a place for each exchange under way.
-	exchanges chan struct{}
 	// background counts what runs beside the comparisons; ctx ends it.
 	background sync.WaitGroup
 	ctx        context.Context
@@ -100,17 +97,13 @@
 	rounds int
 	// silent holds the nodes that did not answer.
 	silent map[string]silence
+	// exchanging holds the nodes with which objects are exchanged at present, and whether a
+	// comparison has found a difference meanwhile.
+	exchanging map[string]bool
 	// covered marks the buckets that this node has taken over from whole copies.
 	covered [replica.BucketCount]bool
 }
 
-// silence is a time in which a node has not answered.
-type silence struct {
-	since time.Time
-	// until is when it is asked again.
-	until time.Time
-}
-
 // New returns a syncer that does nothing until Run.
 func New(options Options) *Syncer {
 	if options.Interval == 0 {
@@ -143,7 +136,8 @@
 	s := &Syncer{
 		options: options, news: make(chan struct{}, 1), silent: map[string]silence{},
 		started: time.Now(), salt: uuid.NewString(),
-		uploads: newUploadLimiter(options.LinkBytes), exchanges: make(chan struct{}, maxExchanges),
+		uploads:    newUploadLimiter(options.LinkBytes),
+		exchanging: map[string]bool{},
 	}
 	s.transfers = newTransfers(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -207,61 +201,6 @@
 	}
 }
 
-// Responsive reports whether a node answered when it was last called.
-func (s *Syncer) Responsive(address string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, silent := s.silent[address]
-	return !silent
-}
-
-// SilentFor returns how long a node has not answered; zero if it does.
-func (s *Syncer) SilentFor(address string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	current, silent := s.silent[address]
-	if !silent {
-		return 0
-	}
-	return time.Since(current.since)
-}
-
-// Silent notes that a node did not answer a call. It counts as silent until a comparison with it
-// succeeds; where a connection to it could be opened, one is made first.
-func (s *Syncer) Silent(address string, err error) {
-	if errors.Is(err, peer.ErrNotSent) {
-		s.noteContact(address, err)
-		return
-	}
-	now := time.Now()
-	s.inBackground(func(ctx context.Context) { s.verify(ctx, address, now) })
-}
-
-// verify compares the copy with that of a node that did not answer a call, once for all who ask
-// at the same time.
-func (s *Syncer) verify(ctx context.Context, address string, failedAt time.Time) {
-	_, _, _ = s.verifying.Do(address, func() (any, error) {
-		_, err := s.compareAnew(ctx, address, failedAt)
-		if ctx.Err() == nil {
-			s.noteContact(address, err)
-		}
-		return nil, nil
-	})
-}
-
-// noteSilent leaves a node alone for a while; the lock is held.
-func (s *Syncer) noteSilent(address string, err error) {
-	now := time.Now()
-	current, known := s.silent[address]
-	if !known {
-		current.since = now
-		s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
-	}
-	current.until = now.Add(s.options.Avoidance)
-	s.silent[address] = current
-	s.options.Client.Reset(address)
-}
-
 // syncWith compares the copies of this node and another one, and begins to make them alike.
 func (s *Syncer) syncWith(ctx context.Context, address string) {
 	began := time.Now()
@@ -276,42 +215,18 @@
 	if err != nil || len(compared.differing) == 0 {
 		return
 	}
-	select {
-	case s.exchanges <- struct{}{}:
-	default:
+	if !s.beginExchange(address) {
 		// The next comparison goes on.
 		return
 	}
 	s.inBackground(func(ctx context.Context) {
-		defer func() { <-s.exchanges }()
+		defer s.endExchange(address)
 		if err := s.exchangeAll(ctx, address, compared); err != nil {
 			s.bulkFailed(ctx, "exchange failed", address, err)
 		}
 	})
 }
 
-// bulkFailed logs a call with long contents that failed. The other node may live all the same:
-// that is for comparisons to tell.
-func (s *Syncer) bulkFailed(ctx context.Context, what, address string, err error) {
-	if ctx.Err() == nil {
-		s.options.Logger.Warn(what, "address", address, "error", err.Error())
-	}
-}
-
-// noteContact notes whether a node has answered a comparison.
-func (s *Syncer) noteContact(address string, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, wasSilent := s.silent[address]
-	switch {
-	case err != nil:
-		s.noteSilent(address, err)
-	case wasSilent:
-		delete(s.silent, address)
-		s.options.Logger.Info("node back", "address", address)
-	}
-}
-
 // comparison is what a node knows of another one's copy.
 type comparison struct {
 	// differing are the buckets that differ, in the order in which they are exchanged.
@@ -341,28 +256,14 @@
 	return compared, nil
 }
 
-// compareAnew is compare on a connection that was opened after a moment. Established ones may fall silent for good, without
-// a reset, while new ones work; yamux has no keep-alive here, since comparisons take its place.
+// compareAnew is compare on a connection that was opened after a moment. Established ones may
+// fall silent for good, without a reset, while new ones work; yamux has no keep-alive here, since
+// comparisons take its place.
 func (s *Syncer) compareAnew(ctx context.Context, address string, openedAfter time.Time) (comparison, error) {
 	s.options.Client.ResetLane(peer.LaneControl, address, openedAfter)
 	return s.compare(ctx, address)
 }
 
-// exchangeAll makes the buckets that differ alike, as far as one comparison goes.
-func (s *Syncer) exchangeAll(ctx context.Context, address string, compared comparison) error {
-	differing := compared.differing[:min(len(compared.differing), bucketsPerComparison)]
-	for buckets := range slices.Chunk(differing, bucketsPerExchange) {
-		complete, err := s.exchange(ctx, address, buckets)
-		if err != nil {
-			return err
-		}
-		if complete && compared.covers {
-			s.cover(buckets)
-		}
-	}
-	return nil
-}
-
 // othersThan returns all buckets but the given ones.
 func othersThan(buckets []int) []int {
 	others := make([]int, 0, replica.BucketCount-len(buckets))
@@ -388,76 +289,6 @@
 	}
 }
 
-const (
-	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
-	// slow link too.
-	bucketsPerExchange = 4
-	// bucketsPerComparison bounds the buckets of one comparison, so that news do not
-	// wait for the rest of a large difference. The rest comes with the next comparisons.
-	bucketsPerComparison = 12
-)
-
-// shuffled returns buckets in the order in which they are exchanged: the urgent one,
-// and then the others by chance, so that a node far behind gets different ones from
-// different nodes.
-func shuffled(buckets []int) []int {
-	rand.Shuffle(len(buckets), func(i, j int) { buckets[i], buckets[j] = buckets[j], buckets[i] })
-	if i := slices.Index(buckets, replica.UrgentBucket); i > 0 {
-		buckets[0], buckets[i] = buckets[i], buckets[0]
-	}
-	return buckets
-}
-
-// exchange takes over what another node has newer in some buckets, and brings it what it
-// lacks. It reports whether nothing newer is left there.
-func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) (complete bool, err error) {
-	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
-	for _, bucket := range buckets {
-		request.Buckets = append(request.Buckets, uint32(bucket))
-	}
-	received, err := s.callExchange(ctx, address, request)
-	if err != nil {
-		return false, errors.Wrap(err, "take objects over")
-	}
-	offered := s.take(received.GetObjects(), address)
-	complete = !received.GetTruncated() && offered == 0
-	wanted := s.options.Replica.Records(keysOf(received.GetWanted()))
-	if len(wanted) == 0 {
-		return complete, nil
-	}
-	brought, _ := s.storedObjects(wanted)
-	_, err = s.callExchange(ctx, address, &peerpb.ExchangeObjects{Objects: brought, Address: s.options.Address})
-	return complete, errors.Wrap(err, "bring objects")
-}
-
-func (s *Syncer) callExchange(ctx context.Context, address string, request *peerpb.ExchangeObjects) (*peerpb.StoredObjects, error) {
-	response, err := s.call(ctx, peer.LaneBulk, address, s.options.ExchangeTimeout, &peerpb.Request{
-		Body: &peerpb.Request_ExchangeObjects{ExchangeObjects: request},
-	})
-	return response.GetStoredObjects(), err
-}
-
-// take takes over objects of another node, and begins to fetch the long ones. It returns how
-// many of these it was offered. News are passed on.
-func (s *Syncer) take(objects []*peerpb.StoredObject, address string) (offered int) {
-	records, longObjects, err := recordsOfObjects(objects)
-	if err != nil {
-		s.options.Logger.Error("objects of another node refused", "error", err.Error())
-	}
-	s.apply(records...)
-	for _, long := range longObjects {
-		s.transfers.offer(long.record, long.manifest, address)
-	}
-	return len(longObjects)
-}
-
-// apply takes over records of other nodes and passes news on.
-func (s *Syncer) apply(records ...replica.Record) {
-	if s.options.Replica.Apply(replica.SourcePeer, records...) > 0 {
-		s.News()
-	}
-}
-
 func (s *Syncer) call(
 	ctx context.Context, lane peer.Lane, address string, timeout time.Duration, request *peerpb.Request,
 ) (*peerpb.Response, error) {
