Property of long objects between nodes

Versions of a long object come to any of three nodes, which compare in any order; no node may have other bytes for a version than the store's, and all end with the newest.

--- /dev/null
+++ b/antientropy/property_test.go
@@ -0,0 +1,95 @@
+package antientropy
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/replica"
+)
+
+// reset empties a node.
+func (n *testNode) reset() {
+	n.copied = replica.New(urgentKind, func(replica.Change) {})
+	n.syncer.options.Replica = n.copied
+	n.syncer.transfers.index = newChunkIndex()
+	n.syncer.transfers.byKey = map[replica.Key]*transfer{}
+}
+
+// edited returns a content with a part inserted, removed or replaced.
+func edited(t *rapid.T, content []byte) []byte {
+	chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "edit"), 1))
+	at := chance.IntN(len(content))
+	length := chance.IntN(50_000)
+	part := make([]byte, length)
+	for i := range part {
+		part[i] = byte(chance.IntN(256))
+	}
+	end := min(len(content), at+length)
+	switch chance.IntN(3) {
+	case 0:
+		return append(append(bytes.Clone(content[:at]), part...), content[at:]...)
+	case 1:
+		return append(bytes.Clone(content[:max(1, at)]), content[end:]...)
+	default:
+		return append(append(bytes.Clone(content[:at]), part...), content[end:]...)
+	}
+}
+
+// TestLongObjectsBecomeAlike has the store bring versions of a long object and of a short one to
+// any node, and nodes compare their copies in any order. The oracle is the newest version: no node
+// may ever have other bytes for a version than the store's, and in the end all have the newest.
+func TestLongObjectsBecomeAlike(t *testing.T) {
+	const nodeCount = 3
+	nodes := make([]*testNode, nodeCount)
+	for i := range nodes {
+		nodes[i] = newTestNode(t)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		for _, node := range nodes {
+			node.reset()
+		}
+		index := rapid.IntRange(0, nodeCount-1)
+		versions := map[int64][]byte{}
+		content := largeConfiguration(rapid.IntRange(100, 2000).Draw(t, "routes"))
+		var newest int64
+		compare := func(from, to int) {
+			if from == to {
+				return
+			}
+			if err := nodes[from].compare(t.Context(), nodes[to].address); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "store") || newest == 0 {
+				newest++
+				content = edited(t, content)
+				versions[newest] = content
+				nodes[index.Draw(t, "node")].copied.Apply(replica.SourceStore, replica.Record{Object: objectapi.Object{
+					Kind: urgentKind, Name: "main", Version: newest, Spec: content,
+				}})
+				continue
+			}
+			compare(index.Draw(t, "from"), index.Draw(t, "to"))
+		}
+		for range nodeCount {
+			for from := range nodeCount {
+				compare(from, (from+1)%nodeCount)
+			}
+		}
+		for _, node := range nodes {
+			for _, object := range node.copied.Live(urgentKind) {
+				if !bytes.Equal(object.Spec, versions[object.Version]) {
+					t.Fatalf("version %d has other bytes", object.Version)
+				}
+				if object.Version != newest {
+					t.Fatalf("version %d, the newest is %d", object.Version, newest)
+				}
+			}
+		}
+	})
+}
