--- a/account/account.go
+++ b/account/account.go
@@ -125,6 +125,8 @@
 	Windows  []Window
 	Routes   map[string]Counts
 	Unserved []Unserved
+	// Answers are those that nodes gave by themselves.
+	Answers []OwnAnswer
 	Wasted   []Wasted
 	Events   []Event
 }
@@ -145,6 +147,7 @@
 	windows  map[time.Time]*Window
 	routes   map[string]Counts
 	unserved map[string]*Unserved
+	answers  map[answerKey]OwnAnswer
 	wasted   map[string]*Wasted
 	events   map[string]time.Time
 }
@@ -152,6 +155,7 @@
 func newBuilder() *builder {
 	return &builder{
 		windows: map[time.Time]*Window{}, routes: map[string]Counts{}, unserved: map[string]*Unserved{},
+		answers: map[answerKey]OwnAnswer{},
 		wasted: map[string]*Wasted{}, events: map[string]time.Time{},
 	}
 }
@@ -206,6 +210,7 @@
 	}
 	known := b.unserved[reason]
 	known.Held = append(known.Held, time.Duration(read.TookMs)*time.Millisecond)
+	b.takeAnswer(read)
 	b.window(read.Time).Reasons[reason]++
 }
 
@@ -217,13 +222,19 @@
 	b.wasted[read.Cause].Tokens += read.Tokens
 }
 
+// Reasons for which a request was given no engines.
+const (
+	reasonDecodeMemory = "no decode memory"
+	reasonPrefillTime  = "no prefill in time"
+)
+
 // reasonOf names why a request was not served.
 func reasonOf(read line) string {
 	switch {
 	case read.Reason == "no_room" && read.Short == "decode":
-		return "no decode memory"
+		return reasonDecodeMemory
 	case read.Reason == "no_room" && read.Short == "prefill":
-		return "no prefill in time"
+		return reasonPrefillTime
 	case read.Reason == "no_room":
 		return "no engine, no coordinator"
 	default:
@@ -259,7 +270,7 @@
 
 // account returns what was gathered, in order.
 func (b *builder) account() *Account {
-	made := &Account{Routes: b.routes}
+	made := &Account{Routes: b.routes, Answers: b.ownAnswers()}
 	for _, window := range b.windows {
 		made.Windows = append(made.Windows, *window)
 	}
--- a/account/line.go
+++ b/account/line.go
@@ -22,6 +22,9 @@
 	Cause   string `json:"cause"`
 	TookMs  int64  `json:"took_ms"`
 	Tokens  int64  `json:"tokens"`
+	Status  int    `json:"status"`
+	Sends   int    `json:"sends"`
+	Runs    int    `json:"runs"`
 
 	// Of the summaries of a node.
 	Route   string `json:"route"`
--- a/account/write.go
+++ b/account/write.go
@@ -23,6 +23,7 @@
 	table := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
 	a.writeRoutes(table)
 	a.writeUnserved(table)
+	a.writeAnswers(table)
 	a.writeWasted(table)
 	a.writeWindows(table)
 	for _, event := range a.Events {
