--- a/account/account.go
+++ b/account/account.go
@@ -127,8 +127,8 @@
 	Unserved []Unserved
 	// Answers are those that nodes gave by themselves.
 	Answers []OwnAnswer
-	Wasted   []Wasted
-	Events   []Event
+	Wasted  []Wasted
+	Events  []Event
 }
 
 // Read makes the account of all logs.
@@ -156,7 +156,7 @@
 	return &builder{
 		windows: map[time.Time]*Window{}, routes: map[string]Counts{}, unserved: map[string]*Unserved{},
 		answers: map[answerKey]OwnAnswer{},
-		wasted: map[string]*Wasted{}, events: map[string]time.Time{},
+		wasted:  map[string]*Wasted{}, events: map[string]time.Time{},
 	}
 }
 
