--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -28,7 +28,7 @@
   check go test "${property%%:*}" -run "^${property##*:}\$" -v -timeout 60m -rapid.checks="$cases" -rapid.seed="$seed" -rapid.nofailfile
 done
 targets=(./sim/rehearsal:FuzzPromises ./claim:FuzzKeyIsGrantedAtMostOnce ./lease:FuzzOneHolderActsAtATime ./configuration:FuzzOneWinnerAVersion
-  ./peer:FuzzReadMessage ./engine:FuzzStream ./api:FuzzValidate ./gateway:FuzzEvents ./platform:FuzzSettings ./platform:FuzzConfiguration
+  ./peer:FuzzReadMessage ./antientropy:FuzzObjectsOfAnotherNode ./engine:FuzzStream ./api:FuzzValidate ./gateway:FuzzEvents ./platform:FuzzSettings ./platform:FuzzConfiguration
   ./platform:FuzzBackend ./platform:FuzzRequestHead ./platform:FuzzServerAnswers ./platform:FuzzStoreAnswers)
 for target in "${targets[@]}"; do
   check go test "${target%%:*}" -run '^$' -fuzz "^${target##*:}\$" -fuzztime "$fuzz" -parallel 4
