--- a/account/answers.go
+++ b/account/answers.go
@@ -18,7 +18,7 @@
 }
 
 // Untrue returns how many of the answers said that a request had not run although it had, or may
-// have. It is to be none.
+// have. Any is a defect.
 func (a OwnAnswer) Untrue() int {
 	switch a.Status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/antientropy/behind_test.go
+++ b/antientropy/behind_test.go
@@ -63,7 +63,7 @@
 }
 
 // TestAnotherSourceStepsIn has the only node that has an object go while it is fetched; the offer
-// of another one brings the rest.
+// of another one delivers the rest.
 func TestAnotherSourceStepsIn(t *testing.T) {
 	g := NewWithT(t)
 	second, behind := newTestNode(t), newTestNode(t)
--- a/antientropy/benchmark_test.go
+++ b/antientropy/benchmark_test.go
@@ -8,7 +8,7 @@
 	"github.com/reelrun/reelrun/replica"
 )
 
-// BenchmarkConfigurationChange tells what a node receives and how long it takes on loopback, by
+// BenchmarkConfigurationChange measures what a node receives and how long it takes on loopback, by
 // the number of routes: for a configuration that it has nothing of, and for one route changed.
 func BenchmarkConfigurationChange(b *testing.B) {
 	for _, routes := range []int{48, 1_400, 5_000, 14_000, 20_000} {
--- a/antientropy/doc.go
+++ b/antientropy/doc.go
@@ -1,10 +1,15 @@
 // Package antientropy keeps the nodes' copies of the store's objects alike. At each interval
-// a node compares its copy with that of another one, and both take over what the other has
-// newer. A node with news from the store does so at once with a few nodes, which do the same
-// in turn.
+// a node compares its copy with that of another one, and both apply what the other has newer.
+// A node with news from the store does so at once with a few nodes, which do the same in turn.
 //
-// Each node has a few partners of its own, which change with time, and looks besides at the
+// Each node has a few partners of its own, which change with time, and compares besides with the
 // nodes that hear first from the store. So neither the connections nor the cost of a node
 // depend on the size of the fleet while nothing changes, and news reach all nodes in a number
 // of rounds that grows with the logarithm of their number.
+//
+// A comparison is a short call on a connection of its own, and the only call by which a node counts
+// as lost (contact.go). Objects are exchanged beside comparisons over another connection
+// (exchange.go). An object from 32 KiB on is exchanged by the names of its chunks; a node fetches
+// those that it lacks from all nodes that have some (transfers.go), and a node limits what it sends
+// of them to a part of its link.
 package antientropy
--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -40,7 +40,7 @@
 }
 
 // bulkFailed logs a call with long contents that failed. The other node may live all the same:
-// that is for comparisons to tell.
+// comparisons decide that.
 func (s *Syncer) bulkFailed(ctx context.Context, what, address string, err error) {
 	if ctx.Err() == nil {
 		s.options.Logger.Warn(what, "address", address, "error", err.Error())
@@ -82,7 +82,7 @@
 	return buckets
 }
 
-// exchange takes over what another node has newer in some buckets, and brings it what it
+// exchange takes over what another node has newer in some buckets, and sends it what it
 // lacks. It reports whether nothing newer is left there.
 func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) (complete bool, err error) {
 	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
@@ -91,7 +91,7 @@
 	}
 	received, err := s.callExchange(ctx, address, request)
 	if err != nil {
-		return false, errors.Wrap(err, "take objects over")
+		return false, errors.Wrap(err, "receive objects")
 	}
 	offered := s.take(received.GetObjects(), address)
 	complete = !received.GetTruncated() && offered == 0
@@ -99,9 +99,9 @@
 	if len(wanted) == 0 {
 		return complete, nil
 	}
-	brought, _ := s.storedObjects(wanted)
-	_, err = s.callExchange(ctx, address, &peerpb.ExchangeObjects{Objects: brought, Address: s.options.Address})
-	return complete, errors.Wrap(err, "bring objects")
+	sent, _ := s.storedObjects(wanted)
+	_, err = s.callExchange(ctx, address, &peerpb.ExchangeObjects{Objects: sent, Address: s.options.Address})
+	return complete, errors.Wrap(err, "send objects")
 }
 
 func (s *Syncer) callExchange(ctx context.Context, address string, request *peerpb.ExchangeObjects) (*peerpb.StoredObjects, error) {
@@ -111,7 +111,7 @@
 	return response.GetStoredObjects(), err
 }
 
-// take takes over objects of another node, and begins to fetch the long ones. It returns how
+// take applies objects of another node, and begins to fetch the long ones. It returns how
 // many of these it was offered. News are passed on.
 func (s *Syncer) take(objects []*peerpb.StoredObject, address string) (offered int) {
 	records, longObjects, err := recordsOfObjects(objects)
@@ -125,7 +125,7 @@
 	return len(longObjects)
 }
 
-// apply takes over records of other nodes and passes news on.
+// apply applies records of other nodes and passes news on.
 func (s *Syncer) apply(records ...replica.Record) {
 	if s.options.Replica.Apply(replica.SourcePeer, records...) > 0 {
 		s.News()
--- a/antientropy/property_test.go
+++ b/antientropy/property_test.go
@@ -39,8 +39,7 @@
 	}
 }
 
-// TestLongObjectsBecomeAlike has the store bring versions of a long object and of a short one to
-// any node, and nodes compare their copies in any order. The oracle is the newest version: no node
+// TestLongObjectsBecomeAlike has the store deliver versions of a long object to any node, and nodes compare their copies in any order. The oracle is the newest version: no node
 // may ever have other bytes for a version than the store's, and in the end all have the newest.
 func TestLongObjectsBecomeAlike(t *testing.T) {
 	const nodeCount = 3
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -50,7 +50,7 @@
 	// may have listed nothing. It may be called again. Default: nothing.
 	BecameWhole func()
 	// Address is where other nodes find this one. Without it, nobody fetches chunks here that
-	// this node has announced or brought.
+	// this node has announced or sent.
 	Address string
 	// LinkBytes is what the link of this node carries, in bytes a second. Default: no bound.
 	LinkBytes float64
@@ -66,7 +66,7 @@
 	// Default 300ms.
 	CallTimeout time.Duration
 	// ExchangeTimeout bounds one exchange of objects, which has up to 128 KiB and its own
-	// connection. A node that misses it is not taken for lost. Default 2s.
+	// connection. A node that misses it does not count as lost. Default 2s.
 	ExchangeTimeout time.Duration
 	// Fanout is to how many nodes news are brought at once. Default 2.
 	Fanout int
--- a/antientropy/transfers.go
+++ b/antientropy/transfers.go
@@ -115,7 +115,7 @@
 		next := ts.next(t)
 		switch {
 		case ts.has(t.record):
-			// The store has brought it meanwhile, or a newer version.
+			// The store has delivered it meanwhile, or a newer version.
 			ts.forget(t)
 			return
 		case next.complete:
@@ -193,7 +193,7 @@
 	t.removeSource(address)
 }
 
-// finish takes the whole object over.
+// finish applies the whole object.
 func (ts *transfers) finish(t *transfer) {
 	content, err := t.manifest.Join(t.have)
 	if err != nil {
@@ -240,7 +240,7 @@
 	}
 }
 
-// announce tells a few nodes that chunks of an object are to be had here soon, so that they
+// announce notifies a few nodes that this one will soon have chunks of an object, so that they
 // begin to fetch before this node has all of it.
 func (ts *transfers) announce(t *transfer) {
 	announced := &peerpb.ExchangeObjects{
--- a/chunk/chunk_test.go
+++ b/chunk/chunk_test.go
@@ -82,7 +82,7 @@
 	g.Expect(err).To(MatchError(chunk.ErrIncomplete))
 }
 
-// BenchmarkSplit tells what the node that hears of a configuration first spends on it.
+// BenchmarkSplit measures what the node that receives a configuration first spends on it.
 func BenchmarkSplit(b *testing.B) {
 	const bytesPerRoute = 190
 	for _, routes := range []int{1_400, 5_000, 14_000, 20_000} {
--- a/peer/client.go
+++ b/peer/client.go
@@ -38,7 +38,7 @@
 	closed   bool
 }
 
-// Lane tells calls that must not wait for each other apart. Each lane to a node has a connection
+// Lane separates calls that must not wait for each other. Each lane to a node has a connection
 // of its own.
 type Lane string
 
--- a/router/follow.go
+++ b/router/follow.go
@@ -102,7 +102,7 @@
 	objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
 }
 
-// refetch takes one object from the store, for a node that other nodes do not bring up to date.
+// refetch reads one object from the store, for a node that gets it from no other node.
 func (r *Router) refetch(ctx context.Context, key replica.Key) {
 	object, err := r.options.Backplane.Store.Get(ctx, key.Kind, key.Name)
 	if err != nil {
--- a/routing/match_bench_test.go
+++ b/routing/match_bench_test.go
@@ -7,7 +7,7 @@
 	"github.com/reelrun/reelrun/routing"
 )
 
-// BenchmarkMatch tells what finding the route of a request costs, by the number of routes of its
+// BenchmarkMatch measures what finding the route of a request costs, by the number of routes of its
 // host.
 func BenchmarkMatch(b *testing.B) {
 	for _, count := range []int{48, 1_448, 14_048, 20_048} {
--- a/sim/memnet/bandwidth.go
+++ b/sim/memnet/bandwidth.go
@@ -107,7 +107,7 @@
 // which virtual time does not advance.
 type sendBuffer struct {
 	once sync.Once
-	// added tells the sender of new writes.
+	// added signals new writes to the sender.
 	added chan struct{}
 
 	mu     sync.Mutex
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -38,7 +38,7 @@
 	done   sync.WaitGroup
 }
 
-// mute tells which directions of one connection carry nothing any more.
+// mute records which directions of one connection carry nothing any more.
 type mute struct{ towardsTarget, towardsCaller atomic.Bool }
 
 const proxyDelay = 150 * time.Millisecond
