--- a/antientropy/behind_test.go
+++ b/antientropy/behind_test.go
@@ -49,9 +49,14 @@
 		asked <- key
 	}
 	offered := replica.Record{Object: objectapi.Object{Kind: object.Kind, Name: object.Name, Version: object.Version}}
-	behind.syncer.transfers.offer(offered, chunk.Split(object.Spec), empty.address)
-	g.Eventually(asked).WithTimeout(patience).Should(Receive(Equal(offered.Key())))
-	g.Expect(logged).To(Receive(Equal("behind")))
+	manifest := chunk.Split(object.Spec)
+	// Comparisons offer it again and again, also after a source has missed its time.
+	offer := func() chan replica.Key {
+		behind.syncer.transfers.offer(offered, manifest, empty.address)
+		return asked
+	}
+	g.Eventually(offer).WithTimeout(patience).Should(Receive(Equal(offered.Key())))
+	g.Eventually(logged).WithTimeout(patience).Should(Receive(Equal("behind")))
 	g.Expect(behind.copied.Live(urgentKind)).To(HaveLen(1))
 	g.Eventually(logged).WithTimeout(patience).Should(Receive(Equal("caught up")))
 	done := make(chan struct{})
--- a/antientropy/property_test.go
+++ b/antientropy/property_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -39,16 +40,32 @@
 	}
 }
 
+// alike reports whether all nodes have the same versions.
+func alike(nodes []*testNode) bool {
+	for _, node := range nodes {
+		if node.copied.Digest() != nodes[0].copied.Digest() {
+			return false
+		}
+	}
+	return true
+}
+
 // TestLongObjectsBecomeAlike has the store deliver versions of a long object to any node, and nodes compare their copies in any order. The oracle is the newest version: no node
 // may ever have other bytes for a version than the store's, and in the end all have the newest.
 func TestLongObjectsBecomeAlike(t *testing.T) {
-	const nodeCount = 3
+	const (
+		nodeCount = 3
+		// patience is far above what the nodes need, also on a busy machine.
+		patience = time.Minute
+	)
 	nodes := make([]*testNode, nodeCount)
 	for i := range nodes {
 		nodes[i] = newTestNode(t)
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		for _, node := range nodes {
+			// All had the newest version at the end of the case before, so that nothing is fetched.
+			node.syncer.background.Wait()
 			node.reset()
 		}
 		index := rapid.IntRange(0, nodeCount-1)
@@ -59,7 +76,13 @@
 			if from == to {
 				return
 			}
-			if err := nodes[from].compare(t.Context(), nodes[to].address); err != nil {
+			syncer := nodes[from].syncer
+			compared, err := syncer.compare(t.Context(), nodes[to].address)
+			if err == nil {
+				// Long objects are fetched meanwhile, also while the next nodes compare.
+				err = syncer.exchangeAll(t.Context(), nodes[to].address, compared)
+			}
+			if err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -75,13 +98,17 @@
 			}
 			compare(index.Draw(t, "from"), index.Draw(t, "to"))
 		}
-		for range nodeCount {
+		for until := time.Now().Add(patience); !alike(nodes) && time.Now().Before(until); {
 			for from := range nodeCount {
 				compare(from, (from+1)%nodeCount)
 			}
 		}
 		for _, node := range nodes {
-			for _, object := range node.copied.Live(urgentKind) {
+			live := node.copied.Live(urgentKind)
+			if len(live) != 1 {
+				t.Fatalf("%d objects", len(live))
+			}
+			for _, object := range live {
 				if !bytes.Equal(object.Spec, versions[object.Version]) {
 					t.Fatalf("version %d has other bytes", object.Version)
 				}
--- a/antientropy/syncer_test.go
+++ b/antientropy/syncer_test.go
@@ -75,6 +75,7 @@
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
 	n.address = listener.Addr().String()
+	n.syncer.options.Address = n.address
 	t.Cleanup(func() {
 		n.syncer.Close()
 		client.Close()
@@ -117,6 +118,7 @@
 	rounds := 0
 	for first.copied.Digest() != second.copied.Digest() {
 		g.Expect(first.compare(context.Background(), second.address)).To(Succeed())
+		second.syncer.background.Wait()
 		rounds++
 		g.Expect(rounds).To(BeNumerically("<=", 20))
 	}
