--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # The fault soak by hand: SOAK_SEEDS seeds from SOAK_FIRST on (drawn if unset), each
-# for SOAK_DURATION of faults, SOAK_JOBS at a time. A seed that fails keeps the logs of
+# for SOAK_DURATION of faults, SOAK_JOBS at a time, with SOAK_NODES nodes if that is set. A seed that fails keeps the logs of
 # its nodes in the folder for temporary files; repeat it by SOAK_SEED=<seed> go test ./soak
 set -uo pipefail
 cd "$(dirname "$0")/.."
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,10 +88,24 @@
 	return duration
 }
 
+// environmentNodes returns how many nodes the environment asks for, or the given number. Seeds draw
+// the same with any number.
+func environmentNodes(t *testing.T, drawn int) int {
+	text := os.Getenv("SOAK_NODES")
+	if text == "" {
+		return drawn
+	}
+	nodes, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return nodes
+}
+
 // soak runs one seed.
 func soak(t *testing.T, seed uint64, duration time.Duration) {
 	random := rand.New(rand.NewPCG(seed, seed))
-	w := newWorld(t, seed, 3+random.IntN(4))
+	w := newWorld(t, seed, environmentNodes(t, 3+random.IntN(4)))
 	defer w.close()
 	defer w.keepLogs(seed)
 	w.awaitReady()
