--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -181,20 +181,33 @@
 
 // recovered asks each node for each kind, once the faults are over.
 func (w *world) recovered() []string {
+	var asking sync.WaitGroup
+	served := make([]int, len(w.nodes))
+	for i, n := range w.nodes {
+		asking.Go(func() { served[i] = servedAfter(n) })
+	}
+	asking.Wait()
 	var violations []string
-	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	for _, n := range w.nodes {
-		served := 0
-		const tries = 12
-		for i := range tries {
-			k := []kind{kindOnce, kindAgain, kindStream, kindResume}[i%4]
-			if o := ask(transport, n, k, fmt.Sprintf("after-%d-%d", n.index, i), true); o.status == http.StatusOK && o.complete {
-				served++
-			}
-		}
-		if served < tries*3/4 {
-			violations = append(violations, fmt.Sprintf("node %d serves %d of %d after the faults", n.index, served, tries))
+	for i, n := range w.nodes {
+		if served[i] < recoveryTries*3/4 {
+			violations = append(violations, fmt.Sprintf("node %d serves %d of %d after the faults", n.index, served[i], recoveryTries))
 		}
 	}
 	return violations
 }
+
+// recoveryTries is how many requests each node is sent after the faults.
+const recoveryTries = 12
+
+// servedAfter returns how many requests a node serves after the faults.
+func servedAfter(n *node) int {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
+	served := 0
+	for i := range recoveryTries {
+		k := []kind{kindOnce, kindAgain, kindStream, kindResume}[i%4]
+		if o := ask(transport, n, k, fmt.Sprintf("after-%d-%d", n.index, i), true); o.status == http.StatusOK && o.complete {
+			served++
+		}
+	}
+	return served
+}
