Sight: tell whether the back end of a broken request has ended, and which requests ask the same

Cause: the record could not tell a crash from a broken connection, nor two attempts at the same request, since each has an identifier of its own. Ruled out: reading it from discovery; an entry lapses three heartbeats after the crash. No decision rests on it.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -67,6 +68,17 @@
 	}}
 }
 
+// Refuses reports whether nothing listens at an address. It is false where the connection comes up,
+// or where nothing is heard in time.
+func (t *Transport) Refuses(ctx context.Context, address string) bool {
+	conn, err := t.http.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // CloseIdle closes the connections that are not in use.
 func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
 
--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -177,3 +177,8 @@
 func (d *Dialect) attempt(number uint32) engine.Attempt {
 	return engine.Attempt{RequestID: d.name, Number: number}
 }
+
+// Ended implements gateway.Dialect.
+func (d *Dialect) Ended(ctx context.Context, target backend.Backend) bool {
+	return d.options.Services.Refuses(ctx, target.Address)
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -68,6 +68,9 @@
 	// Send sends a request to a back end of a plain service. The time left is
 	// passed on.
 	Send(ctx context.Context, target backend.Backend, request *Request, left time.Duration) (*Answer, error)
+	// Ended reports whether the process of a back end is known to have ended: nothing listens at
+	// its address any more. It is false where that cannot be found out in time.
+	Ended(ctx context.Context, target backend.Backend) bool
 	// Reserve sets memory aside at a decode engine. The result is nil if the
 	// engine has no capacity.
 	Reserve(ctx context.Context, target backend.Backend, tokens int, lasting time.Duration) (*Reservation, error)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -127,6 +127,7 @@
 		defer cancel()
 		sendContext = limited
 	}
+	sent := time.Now()
 	answer, err := x.handler.options.Dialect.Send(sendContext, target, x.request, left)
 	if errors.Is(err, ErrNotSent) {
 		outcome = admission.OutcomeFailed
@@ -141,7 +142,7 @@
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			outcome = admission.OutcomeFailed
 		}
-		return nil, x.tryFailed(ctx, entry, err)
+		return nil, x.tryFailed(ctx, entry, time.Since(sent), err)
 	}
 	switch {
 	case answer.Misdirected:
@@ -187,8 +188,8 @@
 	}
 }
 
-// tryFailed is the error of a try without a whole answer.
-func (x *exchange) tryFailed(ctx context.Context, entry *backend.Entry, err error) error {
+// tryFailed is the error of a try without a whole answer, so long after it was sent.
+func (x *exchange) tryFailed(ctx context.Context, entry *backend.Entry, age time.Duration, err error) error {
 	x.runs++
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		// A back end that says nothing until the time is over has failed as well.
@@ -197,6 +198,7 @@
 	if failure := ended(ctx); failure != nil {
 		return failure
 	}
+	x.brokeOff(ctx, entry, age)
 	return &tryError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -47,6 +47,7 @@
 		if err != nil && ended(ctx) == nil && !isReason(err, ReasonCallerLeft) {
 			taken.refusal = coordinator.RefusalFailed
 			x.handler.logWasted(x, taken.entry.Backend().ID, wasteStreamBroken)
+			x.brokeOff(ctx, taken.entry, time.Since(taken.sent))
 		}
 		taken.close(err == nil, relayed.events, profile.EventTokens)
 		if err == nil || ended(ctx) != nil || isReason(err, ReasonCallerLeft) {
@@ -164,6 +165,7 @@
 	if errors.Is(err, ErrNotSent) {
 		return &tryError{failure: notRun(ReasonBackendFailed, retryShed, err)}
 	}
+	x.brokeOff(ctx, taken.entry, time.Since(taken.sent))
 	return &tryError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
@@ -225,6 +227,7 @@
 	defer end()
 	limited, cancel := context.WithTimeout(ctx, x.prefillTimeout(entry, taken))
 	defer cancel()
+	sent := time.Now()
 	result, answer, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
 	switch {
 	case err != nil && ctx.Err() != nil:
@@ -235,6 +238,9 @@
 		if limited.Err() != nil {
 			x.handler.logWasted(x, entry.Backend().ID, wasteReadingGivenUp)
 		}
+		if !errors.Is(err, ErrNotSent) {
+			x.brokeOff(ctx, entry, time.Since(sent))
+		}
 		return nil, err
 	case result == nil && answer.Misdirected:
 		x.misdirected(entry, answer)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -15,6 +15,7 @@
 	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/quota"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
@@ -178,6 +179,8 @@
 	timings timings
 	// status is that of the back end's answer that was passed on.
 	status int
+	// content is the fingerprint of the request once it has been worked out.
+	content *quarantine.Fingerprint
 	// retry tells whether the caller seems to have been refused before.
 	retry retryEvidence
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/reelrun/reelrun/backend"
 )
 
 // timings are the parts of a request's time, each counted from its arrival.
@@ -69,6 +71,13 @@
 		"cause", err.Error(), "budget_left", int(h.options.Budget.Left(x.service)))...)
 }
 
+// logBrokeOff logs a back end that broke the request off, and whether it has ended.
+func (h *Handler) logBrokeOff(x *exchange, entry *backend.Entry, age time.Duration, crashed bool) {
+	h.options.Metrics.Add("requests_broken_off", 1)
+	h.options.Logger.Info("back end broke request off", "request", x.request.ID, "content", x.fingerprint().String(),
+		"service", x.service, "backend", entry.Backend().ID, "crashed", crashed, "age_ms", age.Milliseconds())
+}
+
 // logUncoordinated logs a request for which this node chooses engines by itself.
 func (h *Handler) logUncoordinated(x *exchange, err error) {
 	h.options.Metrics.Add("coordinator_missed", 1)
--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+)
+
+// fingerprintBytes is the length of a Fingerprint. Nobody finds two contents with the same 128 bits
+// of SHA-256, so that no caller can have another one's request taken for its own.
+const fingerprintBytes = 16
+
+// Fingerprint names the content of a request: two attempts at the same request have the same one.
+// It is a digest, so that logs and nodes can name a request without its content.
+type Fingerprint [fingerprintBytes]byte
+
+// Content is what attempts at the same request have in common.
+type Content struct {
+	// Tenant is the caller's tenant. Callers of other tenants that send the same have another
+	// fingerprint: no tenant can have another one's requests refused.
+	Tenant string
+	Method string
+	Host   string
+	// URI is the path with its query.
+	URI  string
+	Body []byte
+}
+
+// Of returns the fingerprint of a content.
+func Of(content Content) Fingerprint {
+	digest := sha256.New()
+	for _, part := range []string{content.Tenant, content.Method, content.Host, content.URI} {
+		writePart(digest, []byte(part))
+	}
+	writePart(digest, content.Body)
+	var fingerprint Fingerprint
+	copy(fingerprint[:], digest.Sum(nil))
+	return fingerprint
+}
+
+// writePart writes a part behind its length, so that no two contents are written alike.
+func writePart(digest hash.Hash, part []byte) {
+	var length [8]byte
+	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+	_, _ = digest.Write(length[:]) // A hash never fails.
+	_, _ = digest.Write(part)
+}
+
+// String returns the fingerprint in hexadecimal digits.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,27 @@
+package quarantine
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestFingerprintsTellContentsApart draws two contents: their fingerprints are equal only if all
+// their parts are.
+func TestFingerprintsTellContentsApart(t *testing.T) {
+	part := rapid.StringMatching(`[a/]{0,3}`)
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func() Content {
+			return Content{
+				Tenant: part.Draw(t, "tenant"), Method: part.Draw(t, "method"), Host: part.Draw(t, "host"),
+				URI: part.Draw(t, "uri"), Body: []byte(part.Draw(t, "body")),
+			}
+		}
+		first, second := draw(), draw()
+		same := first.Tenant == second.Tenant && first.Method == second.Method && first.Host == second.Host &&
+			first.URI == second.URI && string(first.Body) == string(second.Body)
+		if (Of(first) == Of(second)) != same {
+			t.Fatalf("%+v and %+v: same %t", first, second, same)
+		}
+	})
+}
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -5,12 +5,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-
-	"github.com/cockroachdb/errors"
+	"syscall"
 )
 
 // ErrRefused is returned when nobody listens at an address.
-var ErrRefused = errors.New("memnet: connection refused")
+var ErrRefused error = &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 
 // Network connects peers. Hosts are named by their addresses.
 type Network struct {
