Keep a request from the back ends once it has ended three of them

Each return of a request has an identifier of its own, so that each node decides on it as on a new one; nothing held by any node, or agreed between them, tells what a request did to its back ends. Class: memory by attempt where the harm is by content. Change: package quarantine. One node, chosen as for quotas, brings together what all saw; at the third crash without an answer in between the request is refused at every node for an hour, before each send, by 503 with the time. The keeper announces that as a record that travels between nodes, and keeps it in the platform's store, from which a new keeper reads it. What has an answer is forgotten. Nodes tell a new keeper all that they saw.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,11 +24,38 @@
 	return *x.content
 }
 
-// brokeOff takes note of a back end that broke the request off, so long after it was sent there. It
-// looks whether the back end has ended, so that the log tells a crash from a broken connection.
+// admissible returns the refusal of a request that has crashed too many back ends. It is asked before
+// each send: another node may have seen the last crash while the request waited.
+func (x *exchange) admissible() error {
+	known := x.handler.options.Quarantine
+	if known == nil || known.Empty() {
+		return nil
+	}
+	if left := known.Standing(x.fingerprint()).Quarantined; left > 0 {
+		return notRun(ReasonQuarantined, left, nil)
+	}
+	return nil
+}
+
+// brokeOff takes note of a back end that broke the request off, so long after it was sent there. One
+// that has ended counts against the request; a broken connection does not, nor does the end of a
+// back end that was leaving.
 func (x *exchange) brokeOff(ctx context.Context, entry *backend.Entry, age time.Duration) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedTimeout)
 	defer cancel()
+	var standing quarantine.Standing
 	crashed := entry.LeavingFor() == 0 && x.handler.options.Dialect.Ended(ctx, entry.Backend())
-	x.handler.logBrokeOff(x, entry, age, crashed)
+	if known := x.handler.options.Quarantine; crashed && known != nil {
+		standing = known.Crashed(ctx, x.fingerprint(), entry.Backend().ID)
+	}
+	x.handler.logBrokeOff(x, entry, age, crashed, standing)
+}
+
+// ranToEnd takes note of a back end that has answered the request to its end.
+func (x *exchange) ranToEnd() {
+	known := x.handler.options.Quarantine
+	if known == nil || known.Empty() {
+		return
+	}
+	known.Answered(x.fingerprint())
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -40,6 +40,9 @@
 		if err := ended(ctx); err != nil {
 			return err
 		}
+		if err := x.admissible(); err != nil {
+			return err
+		}
 		entry := x.handler.pick(x.service, backend.RoleNone, tried)
 		if entry == nil {
 			if last == nil {
@@ -155,6 +158,7 @@
 	}
 	outcome = admission.OutcomeFailed
 	x.runs++
+	x.ranToEnd()
 	if isPromise(answer.Status) {
 		// To the caller this status says that nothing has run; the back end did not.
 		_ = answer.Body.Close()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -49,6 +49,9 @@
 			x.handler.logWasted(x, taken.entry.Backend().ID, wasteStreamBroken)
 			x.brokeOff(ctx, taken.entry, time.Since(taken.sent))
 		}
+		if err == nil {
+			x.ranToEnd()
+		}
 		taken.close(err == nil, relayed.events, profile.EventTokens)
 		if err == nil || ended(ctx) != nil || isReason(err, ReasonCallerLeft) {
 			return err
@@ -109,6 +112,9 @@
 
 // startAt reads the prompt and begins the answer at the engine of a reservation.
 func (x *exchange) startAt(ctx context.Context, taken *reservedEngine, lastID string) (*Answer, error) {
+	if err := x.admissible(); err != nil {
+		return nil, err
+	}
 	options := DecodeOptions{Reservation: &taken.reservation, LastEventID: lastID}
 	discard := func(wasteCause) {}
 	if !taken.readsItself {
@@ -130,6 +136,10 @@
 		discard(wasteEngineLeft)
 		return nil, &tryError{failure: notRun(ReasonBackendLeft, retryShed, nil)}
 	}
+	if err := x.admissible(); err != nil {
+		discard(wasteQuarantined)
+		return nil, err
+	}
 	watched := x.watchDecode(ctx, taken)
 	taken.sent = time.Now()
 	answer, err := x.handler.options.Dialect.Decode(watched, taken.entry.Backend(), x.request, x.left(), options)
@@ -188,6 +198,9 @@
 		if failure := ended(ctx); failure != nil {
 			return nil, nil, failure
 		}
+		if refused := x.admissible(); refused != nil {
+			return nil, nil, refused
+		}
 		if len(tried) >= maxPrefills || !x.handler.options.Budget.TryRepeat(x.service, 1) {
 			return nil, nil, notRun(ReasonPrefillFailed, retryShed, err)
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -39,6 +39,8 @@
 	Assignable func(entry *backend.Entry) bool
 	// Quotas charges requests to the limits of their tenants. Without it no limit is kept.
 	Quotas Quotas
+	// Quarantine knows which requests crash back ends. Without it, nothing is remembered.
+	Quarantine Quarantine
 	// Admission decides which requests to plain services are admitted, and where they go.
 	// Default: all are, by what this node has seen alone.
 	Admission *admission.Node
@@ -67,6 +69,19 @@
 	GiveBack(charged *tenant.Tenant, units float64)
 }
 
+// Quarantine keeps requests that crash back ends away from them, over all nodes.
+type Quarantine interface {
+	// Empty reports that nothing is known of any request.
+	Empty() bool
+	// Standing returns what is known of a request.
+	Standing(request quarantine.Fingerprint) quarantine.Standing
+	// Crashed notes that a life of a back end ended with a request under way, and returns what is
+	// known of the request since.
+	Crashed(ctx context.Context, request quarantine.Fingerprint, backend string) quarantine.Standing
+	// Answered notes that a back end has answered a request to its end.
+	Answered(request quarantine.Fingerprint)
+}
+
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	options       Options
@@ -203,6 +218,9 @@
 	if err := x.read(r); err != nil {
 		return err
 	}
+	if err := x.admissible(); err != nil {
+		return err
+	}
 	timeout := x.route.Timeout
 	if x.request.Wait > 0 && x.request.Wait < timeout {
 		timeout = x.request.Wait
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/quarantine"
 )
 
 // timings are the parts of a request's time, each counted from its arrival.
@@ -51,6 +52,9 @@
 	if x.short != "" {
 		attributes = append(attributes, "short", x.short)
 	}
+	if final.reason == ReasonQuarantined {
+		attributes = append(attributes, "content", x.fingerprint().String())
+	}
 	if final.reason == ReasonOverloaded {
 		attributes = append(attributes, "admitted_share", x.admission.Share, "plan_age_ms", x.admission.PlanAge.Milliseconds())
 	}
@@ -72,10 +76,11 @@
 }
 
 // logBrokeOff logs a back end that broke the request off, and whether it has ended.
-func (h *Handler) logBrokeOff(x *exchange, entry *backend.Entry, age time.Duration, crashed bool) {
+func (h *Handler) logBrokeOff(x *exchange, entry *backend.Entry, age time.Duration, crashed bool, standing quarantine.Standing) {
 	h.options.Metrics.Add("requests_broken_off", 1)
 	h.options.Logger.Info("back end broke request off", "request", x.request.ID, "content", x.fingerprint().String(),
-		"service", x.service, "backend", entry.Backend().ID, "crashed", crashed, "age_ms", age.Milliseconds())
+		"service", x.service, "backend", entry.Backend().ID, "crashed", crashed, "age_ms", age.Milliseconds(),
+		"crashes", standing.Crashes, "quarantined", standing.Quarantined > 0)
 }
 
 // logUncoordinated logs a request for which this node chooses engines by itself.
@@ -136,5 +141,6 @@
 	wasteDecodeRefused  wasteCause = "decode refused"
 	wasteDecodeFailed   wasteCause = "decode failed"
 	wasteEngineLeft     wasteCause = "engine left"
+	wasteQuarantined    wasteCause = "request quarantined"
 	wasteStreamBroken   wasteCause = "stream broken"
 )
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -22,6 +22,8 @@
 	ReasonUnknownKey   Reason = "unknown_key"
 	ReasonBodyTooLarge Reason = "body_too_large"
 	ReasonNoBackend    Reason = "no_backend"
+	// ReasonQuarantined is that of a request that has crashed the back ends which ran it.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverloaded is that of a request beyond what the back ends of its service can do.
 	ReasonOverloaded     Reason = "overloaded"
 	ReasonNoRoom         Reason = "no_room"
--- /dev/null
+++ b/quarantine/client.go
@@ -0,0 +1,298 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/peer"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/periodic"
+)
+
+const (
+	// answerTimeout is how long the keeper may take for an answer. A request that has broken off
+	// waits for it before it is sent anywhere else.
+	answerTimeout = 60 * time.Millisecond
+	// lookInterval is how often a node looks whether there is another keeper, and tells it what it
+	// does not know.
+	lookInterval = 250 * time.Millisecond
+	// noticeTimeout bounds a call that no request waits for.
+	noticeTimeout = 300 * time.Millisecond
+	// scope is what the keeper is chosen for.
+	scope = "quarantines"
+)
+
+// Coordinators knows which node coordinates what.
+type Coordinators interface {
+	// Coordinator returns the address of the node that coordinates a scope, if there is one.
+	Coordinator(scope string) (address string, found bool)
+	// Own returns the address of this node.
+	Own() string
+	// Missed notes that a coordinator has not answered.
+	Missed(address string, err error)
+}
+
+// ClientOptions are the parts of a Client.
+type ClientOptions struct {
+	Coordinators Coordinators
+	Peers        *peer.Client
+	// Local is the keeper where this node is chosen for it.
+	Local *Keeper
+	// BecameKeeper is called when this node has been chosen. Default: nothing.
+	BecameKeeper func(ctx context.Context)
+	// Now reads a clock that counts on while the machine is suspended.
+	Now func() time.Duration
+}
+
+// Client is one node's part: what it saw, and what it knows of requests. It is safe for concurrent
+// use.
+type Client struct {
+	options ClientOptions
+	// any is set while anything is known of any request.
+	any atomic.Bool
+
+	mu sync.Mutex
+	// own counts what this node saw, and decides where no keeper answers.
+	own *Table
+	// evidence is what this node saw, by request; a keeper that is chosen later is told all of it.
+	evidence map[Fingerprint][]*ownEvidence
+	// answered are the requests whose answer the keeper has not heard of.
+	answered []Fingerprint
+	// heard is what the keeper said of requests.
+	heard map[Fingerprint]heardStanding
+	// keeper is the address of the node that was told last.
+	keeper string
+}
+
+// ownEvidence is evidence of this node, and whether the keeper knows of it.
+type ownEvidence struct {
+	Evidence
+	told bool
+}
+
+// heardStanding is a standing as the keeper told it.
+type heardStanding struct {
+	crashes          int
+	quarantinedUntil time.Duration
+}
+
+// NewClient returns a client that knows of nothing.
+func NewClient(options ClientOptions) *Client {
+	if options.BecameKeeper == nil {
+		options.BecameKeeper = func(context.Context) {}
+	}
+	return &Client{options: options, own: NewTable(), evidence: map[Fingerprint][]*ownEvidence{}, heard: map[Fingerprint]heardStanding{}}
+}
+
+// Empty reports that nothing is known of any request, so that no fingerprint need be worked out.
+func (c *Client) Empty() bool { return !c.any.Load() }
+
+// Standing returns what is known of a request: by this node, or by what it was told.
+func (c *Client) Standing(request Fingerprint) Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.standing(request)
+}
+
+// standing is Standing with the lock held.
+func (c *Client) standing(request Fingerprint) Standing {
+	now := c.options.Now()
+	known, heard := c.own.Standing(now, request), c.heard[request]
+	return Standing{
+		Crashes:     max(known.Crashes, heard.crashes),
+		Quarantined: max(known.Quarantined, heard.quarantinedUntil-now, 0),
+	}
+}
+
+// Crashed notes that a life of a back end ended with a request under way, tells the keeper, and
+// returns what is known of the request since.
+func (c *Client) Crashed(ctx context.Context, request Fingerprint, backend string) Standing {
+	c.mu.Lock()
+	now := c.options.Now()
+	added := &ownEvidence{Evidence: Evidence{Request: request, Backend: backend, At: now}}
+	c.own.Add(now, request, backend)
+	c.evidence[request] = append(c.evidence[request], added)
+	c.any.Store(true)
+	c.mu.Unlock()
+	c.tell(ctx, []*ownEvidence{added}, nil, answerTimeout)
+	return c.Standing(request)
+}
+
+// Answered notes that a back end has answered a request to its end: it does not end what runs it.
+func (c *Client) Answered(request Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.standing(request).Crashes == 0 {
+		return
+	}
+	c.own.Answered(c.options.Now(), request)
+	delete(c.evidence, request)
+	delete(c.heard, request)
+	c.answered = append(c.answered, request)
+}
+
+// Announced takes note of what the keeper has told all nodes of a request.
+func (c *Client) Announced(told Announcement) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !told.Standing().Suspect() {
+		c.own.Forget(told.Request)
+		delete(c.heard, told.Request)
+		delete(c.evidence, told.Request)
+		return
+	}
+	c.hear(told.Request, told.Standing())
+}
+
+// hear takes note of a standing; the lock is held.
+func (c *Client) hear(request Fingerprint, standing Standing) {
+	c.heard[request] = heardStanding{crashes: standing.Crashes, quarantinedUntil: c.options.Now() + standing.Quarantined}
+	c.any.Store(true)
+}
+
+// Run tells the keeper what it does not know, and all that this node saw where there is another
+// one, until the context ends.
+func (c *Client) Run(ctx context.Context) {
+	periodic.Run(ctx, lookInterval, func(ctx context.Context) {
+		address, _ := c.options.Coordinators.Coordinator(scope)
+		c.expire()
+		changed := c.follow(address)
+		if address == "" {
+			return
+		}
+		if address == c.options.Coordinators.Own() {
+			if changed {
+				c.options.BecameKeeper(ctx)
+			}
+			c.options.Local.Expire()
+		}
+		if untold, answered := c.untold(); len(untold)+len(answered) > 0 {
+			c.tell(ctx, untold, answered, noticeTimeout)
+		}
+	})
+}
+
+// follow notes who is the keeper. Another one than before has been told nothing.
+func (c *Client) follow(address string) (changed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.keeper {
+		return false
+	}
+	c.keeper = address
+	for _, seen := range c.evidence {
+		for _, one := range seen {
+			one.told = false
+		}
+	}
+	return true
+}
+
+// IsKeeper reports whether this node is the keeper.
+func (c *Client) IsKeeper() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keeper != "" && c.keeper == c.options.Coordinators.Own()
+}
+
+// untold returns what the keeper does not know.
+func (c *Client) untold() (evidence []*ownEvidence, answered []Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, seen := range c.evidence {
+		for _, one := range seen {
+			if !one.told {
+				evidence = append(evidence, one)
+			}
+		}
+	}
+	answered, c.answered = c.answered, nil
+	return evidence, answered
+}
+
+// expire forgets what no longer counts.
+func (c *Client) expire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	for _, request := range c.own.Expire(now) {
+		delete(c.evidence, request)
+	}
+	for request, heard := range c.heard {
+		// The keeper takes it back; this is for the case that nobody could.
+		if now >= heard.quarantinedUntil+evidenceLifetime {
+			delete(c.heard, request)
+		}
+	}
+	c.any.Store(!c.own.Empty() || len(c.heard) > 0)
+}
+
+// tell tells the keeper, this node perhaps, and takes note of what it says. What it does not hear is
+// told again.
+func (c *Client) tell(ctx context.Context, evidence []*ownEvidence, answered []Fingerprint, timeout time.Duration) {
+	address, found := c.options.Coordinators.Coordinator(scope)
+	if !found {
+		c.putBack(answered)
+		return
+	}
+	told := report{answered: answered}
+	for _, one := range evidence {
+		told.evidence = append(told.evidence, one.Evidence)
+	}
+	standings, err := c.send(ctx, address, told, timeout)
+	if err != nil {
+		c.putBack(answered)
+		if ctx.Err() == nil {
+			c.options.Coordinators.Missed(address, err)
+		}
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, one := range evidence {
+		one.told = true
+		if i < len(standings) && standings[i].Suspect() {
+			c.hear(one.Request, standings[i])
+		}
+	}
+}
+
+// putBack keeps answered requests of which no keeper has heard.
+func (c *Client) putBack(answered []Fingerprint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = append(c.answered, answered...)
+}
+
+// send sends a report to a keeper, this node perhaps.
+func (c *Client) send(ctx context.Context, address string, told report, timeout time.Duration) ([]Standing, error) {
+	if address == c.options.Coordinators.Own() {
+		return c.options.Local.take(told), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := c.options.Peers.Call(ctx, address, &peerpb.Request{Body: &peerpb.Request_ReportCrashes{
+		ReportCrashes: encodeReport(c.options.Now(), told),
+	}})
+	if err != nil {
+		return nil, err
+	}
+	return decodeStandings(response.GetCrashStandings()), nil
+}
+
+// ErrNoReport is returned for a call that is not a report.
+var ErrNoReport = errors.New("quarantine: not a report")
+
+// Handle answers the report of another node.
+func (c *Client) Handle(request *peerpb.Request) (*peerpb.Response, error) {
+	body, isReport := request.GetBody().(*peerpb.Request_ReportCrashes)
+	if !isReport {
+		return nil, ErrNoReport
+	}
+	standings := c.options.Local.take(decodeReport(c.options.Now(), body.ReportCrashes))
+	return &peerpb.Response{Body: &peerpb.Response_CrashStandings{CrashStandings: encodeStandings(standings)}}, nil
+}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -49,3 +49,22 @@
 
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Parse reads what String wrote.
+func Parse(text string) (Fingerprint, bool) {
+	decoded, err := hex.DecodeString(text)
+	if err != nil {
+		return Fingerprint{}, false
+	}
+	return fromBytes(decoded)
+}
+
+// fromBytes returns the fingerprint of so many bytes, if they are one.
+func fromBytes(encoded []byte) (Fingerprint, bool) {
+	var fingerprint Fingerprint
+	if len(encoded) != fingerprintBytes {
+		return fingerprint, false
+	}
+	copy(fingerprint[:], encoded)
+	return fingerprint, true
+}
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -25,3 +26,15 @@
 		}
 	})
 }
+
+// FuzzDecodeRecord reads objects of other writers.
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add(Of(Content{}).String(), []byte(`{"backends":["a"],"untilMillis":1}`))
+	f.Add("", []byte(`[]`))
+	f.Fuzz(func(t *testing.T, name string, spec []byte) {
+		told, err := DecodeRecord(time.Unix(0, 0), name, spec)
+		if err == nil && (told.Quarantined < 0 || told.Quarantined > quarantineLifetime) {
+			t.Fatalf("quarantined for %v", told.Quarantined)
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/keeper.go
@@ -0,0 +1,134 @@
+package quarantine
+
+import (
+	"sync"
+	"time"
+)
+
+// KeeperOptions are the parts of a Keeper.
+type KeeperOptions struct {
+	// Announce tells all nodes of a request. It must not call the keeper.
+	Announce func(announcement Announcement)
+	// Now reads a clock that counts on while the machine is suspended.
+	Now func() time.Duration
+}
+
+// Announcement is what all nodes are told of a request.
+type Announcement struct {
+	Request Fingerprint
+	// Backends are the lives of the back ends that ended under it. Without any, and where it is not
+	// kept away, nothing is held against it any more.
+	Backends []string
+	// Quarantined is how long it is kept from back ends; zero if it is not.
+	Quarantined time.Duration
+}
+
+// Standing returns the standing that the announcement tells.
+func (a Announcement) Standing() Standing {
+	return Standing{Crashes: len(a.Backends), Quarantined: a.Quarantined}
+}
+
+// Keeper brings together what all nodes saw of back ends that ended, on the node that coordinates
+// this. It answers requests that return to one node after the other: each of them sees less than
+// the crashes that make a quarantine. It is safe for concurrent use.
+type Keeper struct {
+	options KeeperOptions
+
+	mu    sync.Mutex
+	table *Table
+	// announced is what all nodes have been told of each request that they were told of.
+	announced map[Fingerprint]Standing
+}
+
+// NewKeeper returns a keeper that knows of nothing.
+func NewKeeper(options KeeperOptions) *Keeper {
+	return &Keeper{options: options, table: NewTable(), announced: map[Fingerprint]Standing{}}
+}
+
+// take takes over what a node tells, and returns the standings of the requests of its evidence.
+func (k *Keeper) take(told report) []Standing {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	for _, request := range told.answered {
+		k.table.Answered(now, request)
+		k.announce(now, request)
+	}
+	standings := make([]Standing, len(told.evidence))
+	for i, evidence := range told.evidence {
+		if now-evidence.At < evidenceLifetime {
+			k.table.Add(evidence.At, evidence.Request, evidence.Backend)
+		}
+		k.announce(now, evidence.Request)
+		standings[i] = k.table.Standing(now, evidence.Request)
+	}
+	return standings
+}
+
+// Adopt takes over what an earlier keeper has announced, without telling it once more. The nodes
+// whose evidence it was may be gone.
+func (k *Keeper) Adopt(earlier Announcement) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	for _, backend := range earlier.Backends {
+		k.table.Add(now, earlier.Request, backend)
+	}
+	if earlier.Quarantined > 0 {
+		k.table.Restore(now, earlier.Request, earlier.Quarantined)
+	}
+	k.announced[earlier.Request] = k.table.Standing(now, earlier.Request)
+}
+
+// Restore takes over a quarantine of which the nodes may not know any more.
+func (k *Keeper) Restore(earlier Announcement) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	k.table.Restore(now, earlier.Request, earlier.Quarantined)
+	k.announce(now, earlier.Request)
+}
+
+// Expire forgets what no longer counts, and takes back what was announced of it.
+func (k *Keeper) Expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	k.table.Expire(now)
+	for request := range k.announced {
+		k.announce(now, request)
+	}
+}
+
+// Quarantined returns the requests that are kept away.
+func (k *Keeper) Quarantined() []Announcement {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.options.Now()
+	var kept []Announcement
+	for _, request := range k.table.Quarantined(now) {
+		kept = append(kept, k.announcement(now, request))
+	}
+	return kept
+}
+
+// announcement is what there is to tell of a request; the lock is held.
+func (k *Keeper) announcement(now time.Duration, request Fingerprint) Announcement {
+	return Announcement{
+		Request: request, Backends: k.table.Backends(request), Quarantined: k.table.Standing(now, request).Quarantined,
+	}
+}
+
+// announce tells all nodes of a request, where its standing has changed for them; the lock is held.
+func (k *Keeper) announce(now time.Duration, request Fingerprint) {
+	standing := k.table.Standing(now, request)
+	told, known := k.announced[request]
+	switch {
+	case !standing.Suspect() && known:
+		delete(k.announced, request)
+		k.options.Announce(Announcement{Request: request})
+	case standing.Suspect() && (!known || (told.Quarantined > 0) != (standing.Quarantined > 0)):
+		k.announced[request] = standing
+		k.options.Announce(k.announcement(now, request))
+	}
+}
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,109 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func requestNumber(number int) Fingerprint {
+	return Of(Content{URI: fmt.Sprintf("/%d", number)})
+}
+
+func TestThreeBackEndsMayEndUnderARequest(t *testing.T) {
+	g := NewWithT(t)
+	table, request := NewTable(), requestNumber(1)
+	for crash := 1; crash < crashesAllowed; crash++ {
+		standing := table.Add(time.Duration(crash)*time.Second, request, fmt.Sprint(crash))
+		g.Expect(standing).To(Equal(Standing{Crashes: crash}))
+	}
+	g.Expect(table.Add(3*time.Second, request, "2").Quarantined).To(BeZero(), "the same crash, told again")
+	g.Expect(table.Add(4*time.Second, request, "3")).To(Equal(Standing{Crashes: 3, Quarantined: quarantineLifetime}))
+}
+
+// TestAnAnswerSpeaksForARequest: a request that many send is under way at each ordinary crash, and is
+// answered in between.
+func TestAnAnswerSpeaksForARequest(t *testing.T) {
+	g := NewWithT(t)
+	table, request := NewTable(), requestNumber(1)
+	for crash := range 20 {
+		now := time.Duration(crash) * time.Second
+		g.Expect(table.Add(now, request, fmt.Sprint(crash)).Quarantined).To(BeZero())
+		table.Answered(now+time.Millisecond, request)
+	}
+	g.Expect(table.Empty()).To(BeTrue())
+}
+
+// TestAQuarantineBeginsAnewWithTheNextCrash: what crashed three back ends and was kept away for an
+// hour ends at most one more.
+func TestAQuarantineBeginsAnewWithTheNextCrash(t *testing.T) {
+	g := NewWithT(t)
+	table, request := NewTable(), requestNumber(1)
+	for crash := range crashesAllowed {
+		table.Add(0, request, fmt.Sprint(crash))
+	}
+	over := quarantineLifetime + time.Second
+	g.Expect(table.Expire(over)).To(BeEmpty())
+	g.Expect(table.Standing(over, request).Quarantined).To(BeZero())
+	g.Expect(table.Add(over, request, "later").Quarantined).To(Equal(quarantineLifetime))
+	g.Expect(table.Expire(over + quarantineLifetime + evidenceLifetime)).To(Equal([]Fingerprint{request}))
+}
+
+// TestTheTableAgreesWithAListOfWhatHappened draws crashes, answers and times, and compares the table
+// with a plain list of them.
+func TestTheTableAgreesWithAListOfWhatHappened(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, request := NewTable(), requestNumber(1)
+		crashes := map[string]time.Duration{}
+		var now, until time.Duration
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, int(evidenceLifetime)).Draw(t, "pause"))
+			table.Expire(now)
+			if now >= until+evidenceLifetime || until == 0 {
+				for backend, at := range crashes {
+					if now-at >= evidenceLifetime {
+						delete(crashes, backend)
+					}
+				}
+			}
+			if rapid.Bool().Draw(t, "answered") {
+				table.Answered(now, request)
+				if now >= until {
+					crashes, until = map[string]time.Duration{}, 0
+				}
+			} else {
+				backend := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "backend"))
+				table.Add(now, request, backend)
+				if _, counted := crashes[backend]; !counted {
+					crashes[backend] = now
+					if len(crashes) >= crashesAllowed {
+						until = now + quarantineLifetime
+					}
+				}
+			}
+			want := Standing{Crashes: len(crashes), Quarantined: max(0, until-now)}
+			if got := table.Standing(now, request); got != want {
+				t.Fatalf("at %v: %+v, want %+v", now, got, want)
+			}
+		}
+	})
+}
+
+// TestTheTableIsBounded: callers that crash back ends under ever new requests take no more memory, and
+// requests that are kept away are forgotten last.
+func TestTheTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	table := NewTable()
+	for crash := range crashesAllowed {
+		table.Add(0, requestNumber(-1), fmt.Sprint(crash))
+	}
+	for number := range maxRequests + 10 {
+		table.Add(time.Duration(number)*time.Millisecond, requestNumber(number), "b")
+	}
+	g.Expect(table.requests).To(HaveLen(maxRequests))
+	g.Expect(table.Standing(time.Minute, requestNumber(-1)).Quarantined).To(BeNumerically(">", 0))
+	g.Expect(table.Standing(time.Minute, requestNumber(0)).Crashes).To(BeZero())
+}
--- a/router/engines.go
+++ b/router/engines.go
@@ -25,6 +25,8 @@
 		return r.coordinator.Handle(ctx, request)
 	case *peerpb.Request_ChargeQuota:
 		return r.quotas.Handle(request)
+	case *peerpb.Request_ReportCrashes:
+		return r.quarantines.Handle(request)
 	case *peerpb.Request_ReportLoad:
 		return r.admissions.Handle(request)
 	default:
--- a/router/router.go
+++ b/router/router.go
@@ -22,6 +22,7 @@
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/periodic"
+	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/quota"
 	"github.com/reelrun/reelrun/replica"
 	"github.com/reelrun/reelrun/retrybudget"
@@ -103,8 +104,13 @@
 	// coordinates.
 	quotas      *quota.Client
 	quotaKeeper *quota.Coordinator
-	roles       *roles.Controller
-	started     time.Time
+	// quarantines knows which requests crash back ends; quarantineKeeper brings together what all
+	// nodes saw, where this one is chosen for it, and quarantineArchive keeps that in the store.
+	quarantines       *quarantine.Client
+	quarantineKeeper  *quarantine.Keeper
+	quarantineArchive *quarantine.Archive
+	roles             *roles.Controller
+	started           time.Time
 	// storeCalls are those since the last summary.
 	storeCalls callCounts
 	// traffic counts the bytes of calls to other nodes.
@@ -178,6 +184,7 @@
 		Coordinators: r.assigner, Peers: r.client, Local: r.quotaKeeper, Alone: quota.NewAlone(r.nodeCount, rand.Float64),
 		Limited: r.anyTenantLimited, Now: r.now,
 	})
+	r.newQuarantines()
 	r.server = peer.NewServer(r.handlePeer, clock)
 	r.roles = r.newRoleController()
 	r.publishGauges()
@@ -194,6 +201,7 @@
 		Coordinator: r.gatewayCoordinator(),
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
 		Quotas:      r.quotas,
+		Quarantine:  r.quarantines,
 		Admission:   r.admission,
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
@@ -283,6 +291,8 @@
 		func() { r.assigner.Run(untilDrained) },
 		func() { r.admissions.Run(untilDrained) },
 		func() { r.quotas.Run(untilDrained) },
+		func() { r.quarantines.Run(untilDrained) },
+		func() { r.keepArchive(untilStop) },
 		func() { r.followReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
--- a/router/view.go
+++ b/router/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/replica"
 )
 
@@ -22,6 +23,8 @@
 			r.metrics.Add("nodes_refused", 1)
 			r.options.Logger.Error("node refused", "name", change.Record.Object.Name, "error", err.Error())
 		}
+	case quarantine.Kind:
+		r.quarantineAnnounced(change)
 	case kindRoleChange:
 		r.roleAnnounced(change)
 	}
