Ask the retry budget before a prompt is read once more

Where the decode engine could not be reached, nothing of the answer had arrived anywhere, and the request started again without asking the budget; but its prompt had been read, and the second reading arrives at the service as well. 25 of 53 second sends in the ten seconds of the finding (80 came, 78 were allowed). Ruled out: a budget that is too wide (budgetShare leaves a fifth; the other second sends stay below it). Change: such a start takes one from the budget, if an engine was sent the prompt before.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -105,6 +105,10 @@
 		return x.mayResume()
 	case failed.arrived:
 		return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
+	case x.prompts > 0:
+		// Only the prompt arrived anywhere, and is to be read once more. Where engines end while
+		// prompts are being read, these readings alone went beyond the budget of a service: 25 in 10 s.
+		return x.handler.options.Budget.TryRepeat(x.service, 1)
 	default:
 		return true
 	}
@@ -242,6 +246,9 @@
 	defer cancel()
 	sent := time.Now()
 	result, answer, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
+	if !errors.Is(err, ErrNotSent) {
+		x.prompts++
+	}
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return nil, err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -181,6 +181,8 @@
 	answered bool
 	// sends counts arrivals at back ends, runs those that may have run.
 	sends, runs int
+	// prompts counts the arrivals at engines that were to read the prompt.
+	prompts int
 	// admission is the decision on a request to a plain service.
 	admission admission.Decision
 	// charged is how many units the request was charged, and quota the decision on that.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 	g := NewWithT(t)
 	table, request := NewTable(), requestNumber(1)
 	for crash := 1; crash < crashesAllowed; crash++ {
-		standing := table.Add(time.Duration(crash)*time.Second, request, fmt.Sprint(crash))
+		standing := table.Add(time.Duration(crash)*time.Second, request, strconv.Itoa(crash))
 		g.Expect(standing).To(Equal(Standing{Crashes: crash}))
 	}
 	g.Expect(table.Add(3*time.Second, request, "2").Quarantined).To(BeZero(), "the same crash, told again")
@@ -31,7 +32,7 @@
 	table, request := NewTable(), requestNumber(1)
 	for crash := range 20 {
 		now := time.Duration(crash) * time.Second
-		g.Expect(table.Add(now, request, fmt.Sprint(crash)).Quarantined).To(BeZero())
+		g.Expect(table.Add(now, request, strconv.Itoa(crash)).Quarantined).To(BeZero())
 		table.Answered(now+time.Millisecond, request)
 	}
 	g.Expect(table.Empty()).To(BeTrue())
@@ -43,7 +44,7 @@
 	g := NewWithT(t)
 	table, request := NewTable(), requestNumber(1)
 	for crash := range crashesAllowed {
-		table.Add(0, request, fmt.Sprint(crash))
+		table.Add(0, request, strconv.Itoa(crash))
 	}
 	over := quarantineLifetime + time.Second
 	g.Expect(table.Expire(over)).To(BeEmpty())
@@ -75,7 +76,7 @@
 					crashes, until = map[string]time.Duration{}, 0
 				}
 			} else {
-				backend := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "backend"))
+				backend := strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "backend"))
 				table.Add(now, request, backend)
 				if _, counted := crashes[backend]; !counted {
 					crashes[backend] = now
@@ -98,7 +99,7 @@
 	g := NewWithT(t)
 	table := NewTable()
 	for crash := range crashesAllowed {
-		table.Add(0, requestNumber(-1), fmt.Sprint(crash))
+		table.Add(0, requestNumber(-1), strconv.Itoa(crash))
 	}
 	for number := range maxRequests + 10 {
 		table.Add(time.Duration(number)*time.Millisecond, requestNumber(number), "b")
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -57,7 +57,7 @@
 	encoded := &peerpb.CrashStandings{}
 	for _, standing := range standings {
 		encoded.Standings = append(encoded.Standings, &peerpb.CrashStanding{
-			Crashes: int32(standing.Crashes), QuarantinedMs: standing.Quarantined.Milliseconds(), //nolint:gosec // a few
+			Crashes: int32(standing.Crashes), QuarantinedMs: standing.Quarantined.Milliseconds(),
 		})
 	}
 	return encoded
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -52,7 +52,7 @@
 	for _, earlier := range r.copy.Records([]replica.Key{{Kind: quarantine.Kind, Name: name}}) {
 		object.Version = earlier.Object.Version
 	}
-	object.Version += int64(stateCount - object.Version%stateCount + int64(state))
+	object.Version += stateCount - object.Version%stateCount + int64(state)
 	r.copy.Apply(replica.SourceStore, replica.Record{Object: object, Deleted: cleared})
 }
 
