--- a/gateway/log.go
+++ b/gateway/log.go
@@ -140,7 +140,6 @@
 	wasteReadingGivenUp wasteCause = "reading given up"
 	wasteDecodeRefused  wasteCause = "decode refused"
 	wasteDecodeFailed   wasteCause = "decode failed"
-	wasteEngineLeft     wasteCause = "engine left"
-	wasteQuarantined    wasteCause = "request quarantined"
+	wasteNotTaken       wasteCause = "no engine to take it"
 	wasteStreamBroken   wasteCause = "stream broken"
 )
