--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -79,7 +79,6 @@
 	for prefills := 1; ; prefills++ {
 		taken, err := x.reserve(ctx, profile, avoid)
 		if err != nil {
-			x.dropPrompt(ctx, wasteNotTaken)
 			return nil, nil, err
 		}
 		x.timings.reserved = x.since()
@@ -90,7 +89,6 @@
 		x.release(ctx, taken)
 		var failed *tryError
 		if !errors.As(err, &failed) || prefills >= maxPrefills || !x.mayStartAgain(failed) {
-			x.dropPrompt(ctx, wasteNotTaken)
 			return nil, nil, err
 		}
 		if failed.ran {
@@ -107,7 +105,7 @@
 		return x.mayResume()
 	case failed.arrived:
 		return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
-	case x.prompts > 0 && x.prompt == nil:
+	case x.prompts > 0:
 		// Only the prompt arrived anywhere, and is to be read once more. Where engines end while
 		// prompts are being read, these readings alone went beyond the budget of a service: 25 in 10 s.
 		return x.handler.options.Budget.TryRepeat(x.service, 1)
@@ -121,27 +119,36 @@
 	if err := x.admissible(); err != nil {
 		return nil, err
 	}
-	if err := x.ensurePrompt(ctx, taken); err != nil {
-		return nil, err
-	}
 	options := DecodeOptions{Reservation: &taken.reservation, LastEventID: lastID}
-	if x.prompt != nil {
-		options.Prefill = &x.prompt.result
+	discard := func(wasteCause) {}
+	if !taken.readsItself {
+		result, source, err := x.prefill(ctx, taken)
+		switch {
+		case err == nil:
+			options.Prefill = result
+			discard = func(cause wasteCause) { x.discard(ctx, source, *result, cause) }
+		case isReason(err, ReasonPrefillFailed):
+			// The decode engine has memory for the request, and reads more slowly, but now.
+			taken.readsItself = true
+			x.handler.logRetry(x, err)
+		default:
+			return nil, err
+		}
 	}
 	x.target = taken.entry.Backend().ID
 	if taken.entry.LeavingFor() > leavingLimit {
+		discard(wasteEngineLeft)
 		return nil, &tryError{failure: notRun(ReasonBackendLeft, retryShed, nil)}
 	}
 	if err := x.admissible(); err != nil {
+		discard(wasteQuarantined)
 		return nil, err
 	}
 	watched := x.watchDecode(ctx, taken)
 	taken.sent = time.Now()
 	answer, err := x.handler.options.Dialect.Decode(watched, taken.entry.Backend(), x.request, x.left(), options)
 	if err != nil {
-		if !errors.Is(err, ErrNotSent) {
-			x.dropPrompt(ctx, wasteDecodeFailed)
-		}
+		discard(wasteDecodeFailed)
 		return nil, x.decodeFailed(ctx, taken, err)
 	}
 	x.sends++
@@ -151,10 +158,9 @@
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
 		taken.refusal = coordinator.RefusalClosed
-		x.dropPrompt(ctx, wasteDecodeRefused)
+		discard(wasteDecodeRefused)
 		return nil, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	}
-	x.prompt = nil
 	x.runs++
 	return answer, nil
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -183,8 +183,6 @@
 	sends, runs int
 	// prompts counts the arrivals at engines that were to read the prompt.
 	prompts int
-	// prompt is the one that was read last, while no decode engine has taken it.
-	prompt *readPrompt
 	// admission is the decision on a request to a plain service.
 	admission admission.Decision
 	// charged is how many units the request was charged, and quota the decision on that.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -140,6 +140,7 @@
 	wasteReadingGivenUp wasteCause = "reading given up"
 	wasteDecodeRefused  wasteCause = "decode refused"
 	wasteDecodeFailed   wasteCause = "decode failed"
-	wasteNotTaken       wasteCause = "no engine to take it"
+	wasteEngineLeft     wasteCause = "engine left"
+	wasteQuarantined    wasteCause = "request quarantined"
 	wasteStreamBroken   wasteCause = "stream broken"
 )
