Look at a broken request's back end beside the request, unless a crash is known of it

Cause: to find out whether a back end has ended takes up to 100 ms where it is silent, and a stream that may go on elsewhere waited for it; its pauses are to stay below 300 ms. Change: the request goes on at once where no crash is known of it yet: this one cannot be the third. Ruled out: never waiting; a request with two crashes would be sent on before its third is known.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -39,16 +39,43 @@
 
 // brokeOff takes note of a back end that broke the request off, so long after it was sent there. One
 // that has ended counts against the request; a broken connection does not, nor does the end of a
-// back end that was leaving.
+// back end that was leaving. A request that is held responsible for no crash yet goes on at once
+// meanwhile: this one cannot be the last that it may have.
 func (x *exchange) brokeOff(ctx context.Context, entry *backend.Entry, age time.Duration) {
+	if entry.LeavingFor() > 0 {
+		return
+	}
+	fingerprint := x.fingerprint()
+	if known := x.handler.options.Quarantine; known != nil && known.Standing(fingerprint).Crashes > 0 {
+		x.handler.noteBreak(ctx, x.brokenSend(entry, age))
+		return
+	}
+	go x.handler.noteBreak(ctx, x.brokenSend(entry, age))
+}
+
+// brokenSend is a request that a back end broke off.
+type brokenSend struct {
+	request, service string
+	content          quarantine.Fingerprint
+	backend          backend.Backend
+	// age is how long after it was sent there.
+	age time.Duration
+}
+
+func (x *exchange) brokenSend(entry *backend.Entry, age time.Duration) brokenSend {
+	return brokenSend{request: x.request.ID, service: x.service, content: x.fingerprint(), backend: entry.Backend(), age: age}
+}
+
+// noteBreak looks whether the back end has ended, and reports that.
+func (h *Handler) noteBreak(ctx context.Context, broken brokenSend) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endedTimeout)
 	defer cancel()
 	var standing quarantine.Standing
-	crashed := entry.LeavingFor() == 0 && x.handler.options.Dialect.Ended(ctx, entry.Backend())
-	if known := x.handler.options.Quarantine; crashed && known != nil {
-		standing = known.Crashed(ctx, x.fingerprint(), entry.Backend().ID)
+	crashed := h.options.Dialect.Ended(ctx, broken.backend)
+	if known := h.options.Quarantine; crashed && known != nil {
+		standing = known.Crashed(ctx, broken.content, broken.backend.ID)
 	}
-	x.handler.logBrokeOff(x, entry, age, crashed, standing)
+	h.logBrokeOff(broken, crashed, standing)
 }
 
 // ranToEnd takes note of a back end that has answered the request to its end.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/quarantine"
 )
 
@@ -75,11 +74,12 @@
 		"cause", err.Error(), "budget_left", int(h.options.Budget.Left(x.service)))...)
 }
 
-// logBrokeOff logs a back end that broke the request off, and whether it has ended.
-func (h *Handler) logBrokeOff(x *exchange, entry *backend.Entry, age time.Duration, crashed bool, standing quarantine.Standing) {
+// logBrokeOff logs a back end that broke a request off, whether it has ended, and what is known of
+// the request since.
+func (h *Handler) logBrokeOff(broken brokenSend, crashed bool, standing quarantine.Standing) {
 	h.options.Metrics.Add("requests_broken_off", 1)
-	h.options.Logger.Info("back end broke request off", "request", x.request.ID, "content", x.fingerprint().String(),
-		"service", x.service, "backend", entry.Backend().ID, "crashed", crashed, "age_ms", age.Milliseconds(),
+	h.options.Logger.Info("back end broke request off", "request", broken.request, "content", broken.content.String(),
+		"service", broken.service, "backend", broken.backend.ID, "crashed", crashed, "age_ms", broken.age.Milliseconds(),
 		"crashes", standing.Crashes, "quarantined", standing.Quarantined > 0)
 }
 
