--- a/coordinator/assign.go
+++ b/coordinator/assign.go
@@ -1,7 +1,6 @@
 package coordinator
 
 import (
-	"maps"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -25,13 +24,7 @@
 		}
 		return c.assignOverflow(now, current, engines, queued, run, avoid)
 	}
-	decoder, ok := "", false
-	if request.Apart {
-		decoder, ok = current.decode.Assign(now, run, crowded(current.decode.Counts(), engines.Decode, avoid))
-	}
-	if !ok {
-		decoder, ok = current.decode.AssignNear(now, run, avoid, c.nearTo(run.Holder, engines))
-	}
+	decoder, ok := current.decode.AssignNear(now, run, avoid, c.nearTo(run.Holder, engines))
 	if !ok {
 		current.short = backend.RoleDecode
 		if current.fill.due(now) {
@@ -44,25 +37,6 @@
 	return Assignment{Decode: decoder, Prefill: reader, PromptReady: ready, Output: run.Output}, true
 }
 
-// crowded returns the engines to avoid, and besides all decode engines that have more runs than the
-// one with the fewest of the rest. The load that it answers is a request that ends the engines it
-// runs at, before that is certain: whatever runs beside it breaks off.
-func crowded(runs map[string]int, engines []ledger.Engine, avoid map[string]bool) map[string]bool {
-	fewest := -1
-	for _, engine := range engines {
-		if !avoid[engine.ID] && (fewest < 0 || runs[engine.ID] < fewest) {
-			fewest = runs[engine.ID]
-		}
-	}
-	crowded := maps.Clone(avoid)
-	for _, engine := range engines {
-		if runs[engine.ID] > fewest {
-			crowded[engine.ID] = true
-		}
-	}
-	return crowded
-}
-
 // nearTo returns which engines are in the zone of a node.
 func (c *Coordinator) nearTo(holder string, engines Engines) func(engine string) bool {
 	zone := c.options.ZoneOf(holder)
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -34,8 +34,6 @@
 	TenantPriority, Priority int
 	// AboveUsual is set where its tenant has nearly used up its limit.
 	AboveUsual bool
-	// Apart is set where engines have ended under the request: it is given one with few others.
-	Apart bool
 	// Avoid names engines that must not be given.
 	Avoid []string
 }
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -49,7 +49,7 @@
 		Service: request.Service, Run: encodeRun(request.Run, now), WaitMs: request.Wait.Milliseconds(),
 		Avoid: request.Avoid, Returning: request.Late, WithinMs: request.Within.Milliseconds(), Probe: request.Probe,
 		Priority: int32(request.Priority), Again: request.Again,
-		TenantPriority: int32(request.TenantPriority), AboveUsual: request.AboveUsual, Apart: request.Apart,
+		TenantPriority: int32(request.TenantPriority), AboveUsual: request.AboveUsual,
 	}
 	if request.Probe {
 		// Coordinators that know no later wait must not wait now.
@@ -63,7 +63,7 @@
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs() + encoded.GetLaterWaitMs()),
 		Avoid: encoded.GetAvoid(), Late: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
 		Priority: int(encoded.GetPriority()), Again: encoded.GetAgain(),
-		TenantPriority: int(encoded.GetTenantPriority()), AboveUsual: encoded.GetAboveUsual(), Apart: encoded.GetApart(),
+		TenantPriority: int(encoded.GetTenantPriority()), AboveUsual: encoded.GetAboveUsual(),
 	}
 }
 
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -37,16 +37,6 @@
 	return nil
 }
 
-// isSuspect reports whether the request may be what ends back ends.
-func (x *exchange) isSuspect() bool {
-	known := x.handler.options.Quarantine
-	return known != nil && !known.Empty() && known.Standing(x.fingerprint()).Crashes >= suspectFrom
-}
-
-// suspectFrom is from how many crashes on a request is run apart from others. After one, all that ran
-// beside it are as suspect, and would be together again.
-const suspectFrom = 2
-
 // brokeOff takes note of a back end that broke the request off, so long after it was sent there. One
 // that has ended counts against the request; a broken connection does not, nor does the end of a
 // back end that was leaving. A request that is held responsible for no crash yet goes on at once
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -120,7 +120,6 @@
 	if x.tenant != nil {
 		request.TenantPriority = x.tenant.Priority
 	}
-	request.Apart = x.isSuspect()
 	for id := range avoid {
 		request.Avoid = append(request.Avoid, id)
 	}
