Decide by a clock that counts on while the machine is suspended

Found by reading each use of it: a lease for orders was its holder's still as it woke; back ends were given time that their caller had no more; a coordinator of quotas gave out the whole of each limit beside the next one; unused connections that back ends had closed counted as fresh; limits, runs, retry budgets, crashes and the leaving of back ends were as old as before. Ruled out: the time of day (it jumps); looking for suspensions at intervals (what is sent before the next look rests on the old time); a system call for each reading (295 ns; a coordinator of 1,800 requests a second reads the clock some ten times for each). Change: package clock reads CLOCK_BOOTTIME, at most every 20 ms, and for a lease each time. The gateway, the registry of back ends, budgets, quotas, coordinators, roles, quarantines and contact with the store go by it; nothing is sent once the caller's time is over; connections from before are closed. The product's own daemon uses it for its leases. Timers of single calls stay with the runtime: their answers wait in the kernel.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/gateway"
 )
 
@@ -47,11 +48,16 @@
 }
 
 // Transport sends requests. It is safe for concurrent use.
-type Transport struct{ http *http.Transport }
+type Transport struct {
+	http  *http.Transport
+	clock *clock.Clock
+	// usedAt is when a request was last sent, by the clock, in nanoseconds.
+	usedAt atomic.Int64
+}
 
 // NewTransport returns a transport that opens connections by a function.
-func NewTransport(dial DialFunc) *Transport {
-	return &Transport{&http.Transport{
+func NewTransport(dial DialFunc, counting *clock.Clock) *Transport {
+	return &Transport{clock: counting, http: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -104,9 +110,20 @@
 	return request.WithContext(ctx), nil
 }
 
+// closeOutdated closes the unused connections if none has been used for longer than they are kept. The
+// timers by which they are closed stand still while the machine is suspended; back ends close them
+// meanwhile, and a request that may run only once would be lost on one.
+func (t *Transport) closeOutdated() {
+	now := t.clock.Now().UnixNano()
+	if before := t.usedAt.Swap(now); now-before > int64(idleTimeout) {
+		t.CloseIdle()
+	}
+}
+
 // Exchange sends a request and returns the response with the connection used. The error is
 // marked by gateway.ErrNotSent where no byte was written.
 func (t *Transport) Exchange(request *http.Request) (*http.Response, *Conn, error) {
+	t.closeOutdated()
 	var mu sync.Mutex
 	var used *Conn
 	var before int64
--- a/backendhttp/exchange_test.go
+++ b/backendhttp/exchange_test.go
@@ -4,12 +4,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/reelrun/reelrun/backendhttp"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/gateway"
 )
 
@@ -26,7 +30,7 @@
 // exchange sends one request to an address and returns the error.
 func exchange(t *testing.T, address string) error {
 	t.Helper()
-	transport := backendhttp.NewTransport(new(net.Dialer).DialContext)
+	transport := backendhttp.NewTransport(new(net.Dialer).DialContext, clock.Steady())
 	t.Cleanup(transport.CloseIdle)
 	request, err := backendhttp.NewRequest(t.Context(), http.MethodPut, address, "/x?y=1", []byte("body"))
 	if err != nil {
@@ -64,3 +68,38 @@
 	g.Expect(errors.Is(err, gateway.ErrNotSent)).To(BeFalse())
 	g.Expect(string(<-received)).To(Equal("PUT /x?y=1"))
 }
+
+// TestConnectionsFromBeforeASuspensionAreNotUsed: a back end closes an unused connection after some
+// seconds, which the timers of a suspended machine do not count. A request on it would be lost.
+func TestConnectionsFromBeforeASuspensionAreNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	var opened atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	var suspended atomic.Int64
+	started := time.Now()
+	counting := clock.New(func() time.Duration { return time.Since(started) + time.Duration(suspended.Load()) })
+	transport := backendhttp.NewTransport(new(net.Dialer).DialContext, counting)
+	t.Cleanup(transport.CloseIdle)
+	send := func() {
+		request, err := backendhttp.NewRequest(t.Context(), http.MethodPut, server.Listener.Addr().String(), "/x", []byte("body"))
+		g.Expect(err).NotTo(HaveOccurred())
+		response, _, err := transport.Exchange(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	send()
+	send()
+	g.Expect(opened.Load()).To(BeEquivalentTo(1))
+	suspended.Add(int64(10 * time.Second))
+	counting.Exact()
+	send()
+	g.Expect(opened.Load()).To(BeEquivalentTo(2))
+}
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,51 @@
+package clock
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestBootCountsAsTheSteadyClockDoesWhileNothingIsSuspended compares differences of both clocks.
+func TestBootCountsAsTheSteadyClockDoesWhileNothingIsSuspended(t *testing.T) {
+	g := NewWithT(t)
+	boot, err := Boot()
+	g.Expect(err).NotTo(HaveOccurred())
+	steadyBefore, bootBefore := time.Now(), boot.Exact()
+	g.Eventually(func() time.Duration { return time.Since(steadyBefore) }).Should(BeNumerically(">", 20*time.Millisecond))
+	g.Expect(boot.Since(bootBefore)).To(BeNumerically("~", time.Since(steadyBefore), 10*time.Millisecond))
+}
+
+// TestSuspendedTimeCounts has the machine suspended for five seconds, in which the runtime's clock
+// stands still. The time never goes back.
+func TestSuspendedTimeCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		started, suspended := time.Now(), time.Duration(0)
+		clock := New(func() time.Duration { return time.Since(started) + suspended })
+		before, last := clock.Now(), clock.Now()
+		for range 100 {
+			time.Sleep(time.Millisecond)
+			suspended += 50 * time.Millisecond
+			next := clock.Now()
+			g.Expect(next).To(BeTemporally(">=", last))
+			last = next
+		}
+		g.Expect(clock.Exact().Sub(before)).To(Equal(5*time.Second + 100*time.Millisecond))
+		time.Sleep(refreshInterval)
+		g.Expect(clock.Since(before)).To(Equal(5*time.Second + 100*time.Millisecond + refreshInterval))
+	})
+}
+
+// BenchmarkNow reads the clock: 295 ns by a system call each time, 80 with the time remembered.
+func BenchmarkNow(b *testing.B) {
+	boot, err := Boot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		boot.Now()
+	}
+}
--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -22,6 +22,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/platform"
@@ -71,7 +72,12 @@
 	// Libraries that write to the log of the process write to this one: net/http does so of
 	// answers that nobody asked for.
 	slog.SetDefault(logger)
-	daemon := newRouter(parsed, given, logger)
+	counting, err := clock.Boot()
+	if err != nil {
+		logger.Error("node failed", "error", err)
+		return exitFailure
+	}
+	daemon := newRouter(parsed, given, counting, logger)
 	go followSettings(ctx, path, hangups, daemon, logger)
 	if err := daemon.Run(ctx); err != nil {
 		logger.Error("node failed", "error", err)
@@ -129,7 +135,7 @@
 }
 
 // newRouter connects the daemon to the platform.
-func newRouter(parsed *settings.Router, given flagValues, logger *slog.Logger) *router.Router {
+func newRouter(parsed *settings.Router, given flagValues, counting *clock.Clock, logger *slog.Logger) *router.Router {
 	dialer := &net.Dialer{}
 	var daemon *router.Router
 	pacer := func(kind objectapi.Kind) platform.WatchPace {
@@ -145,9 +151,10 @@
 		Placement: given.placement,
 		KeepRoles: given.keepRoles,
 		Logger:    logger,
+		Clock:     counting,
 		Backplane: router.Backplane{
 			Store:               store,
-			Dialect:             platform.NewDialect(dialer.DialContext),
+			Dialect:             platform.NewDialect(dialer.DialContext, counting),
 			ConfigurationKind:   platform.KindConfiguration,
 			BackendKind:         platform.KindServer,
 			DecodeConfiguration: platform.DecodeConfiguration,
--- a/engine/dialect/dialect_test.go
+++ b/engine/dialect/dialect_test.go
@@ -19,6 +19,7 @@
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/backendhttp"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/engine/dialect"
 	"github.com/reelrun/reelrun/gateway"
@@ -57,7 +58,7 @@
 	t.Cleanup(plain.Close)
 	f.backends.Update(backend.Backend{ID: "app", Service: "plain", Address: plain.Listener.Addr().String(), State: backend.StateReady})
 	f.backends.SetSynced()
-	services := backendhttp.NewTransport(new(net.Dialer).DialContext)
+	services := backendhttp.NewTransport(new(net.Dialer).DialContext, clock.Steady())
 	calls := &http.Transport{}
 	t.Cleanup(func() { services.CloseIdle(); calls.CloseIdleConnections() })
 	handler := gateway.New(gateway.Options{
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,9 +24,19 @@
 	return *x.content
 }
 
-// admissible returns the refusal of a request that has crashed too many back ends. It is asked before
-// each send: another node may have seen the last crash while the request waited.
+// admissible returns why a request may not be sent any more: its time is over, or it has crashed too
+// many back ends. It is asked before each send. Another node may have seen the last crash while the
+// request waited; and the timer of its context stands still while the machine is suspended, so that a
+// back end would be given more time than is left.
 func (x *exchange) admissible() error {
+	if x.left() <= 0 {
+		return expired(context.DeadlineExceeded)
+	}
+	return x.keptAway()
+}
+
+// keptAway returns the refusal of a request that has crashed too many back ends.
+func (x *exchange) keptAway() error {
 	known := x.handler.options.Quarantine
 	if known == nil || known.Empty() {
 		return nil
--- a/gateway/enginewaits.go
+++ b/gateway/enginewaits.go
@@ -8,20 +8,20 @@
 // isLate reports whether the request is late whatever becomes of it: a retry, a stream that has
 // broken off, or one whose objective has passed.
 func (x *exchange) isLate() bool {
-	return x.isRetry() || x.answered || time.Since(x.arrived) >= x.route.Objective
+	return x.isRetry() || x.answered || x.since() >= x.route.Objective
 }
 
 // coordinatedWait returns how long the request may wait for engines from now on. A first
 // attempt waits as long as it can be in time; the coordinator knows what that is.
 func (x *exchange) coordinatedWait() time.Duration {
 	if !x.isLate() {
-		return x.route.Objective - time.Since(x.arrived)
+		return x.route.Objective - x.since()
 	}
 	patience := cmp.Or(x.route.Patience, x.route.Objective)
 	wait := time.Duration(x.handler.options.Policy.RetryWait * float64(patience))
 	if !x.answered {
 		// The caller of a broken stream has heard of it until now.
-		wait -= time.Since(x.arrived)
+		wait -= x.since()
 	}
 	return min(wait, x.left())
 }
@@ -32,7 +32,7 @@
 	if x.isLate() {
 		return x.route.Objective
 	}
-	return x.route.Objective - time.Since(x.arrived)
+	return x.route.Objective - x.since()
 }
 
 // aloneWait returns how long the request may wait from now on without a coordinator.
@@ -41,9 +41,9 @@
 	case x.answered:
 		return x.route.Objective
 	case x.isLate():
-		return x.route.Objective - time.Since(x.arrived)
+		return x.route.Objective - x.since()
 	default:
-		return time.Duration(x.handler.options.Policy.AloneWait*float64(x.route.Objective)) - time.Since(x.arrived)
+		return time.Duration(x.handler.options.Policy.AloneWait*float64(x.route.Objective)) - x.since()
 	}
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/quarantine"
@@ -24,6 +25,8 @@
 
 // Options are the parts of a Handler.
 type Options struct {
+	// Clock is what deadlines and waits go by. Default: the runtime's.
+	Clock *clock.Clock
 	// Zone is the zone of this node; back ends there are preferred.
 	Zone     string
 	Dialect  Dialect
@@ -103,9 +106,9 @@
 	if options.Assignable == nil {
 		options.Assignable = func(*backend.Entry) bool { return true }
 	}
-	started := time.Now()
+	started := options.Clock.Now()
 	if options.Admission == nil {
-		options.Admission = admission.NewNode("", func() time.Duration { return time.Since(started) })
+		options.Admission = admission.NewNode("", func() time.Duration { return options.Clock.Since(started) })
 	}
 	return &Handler{options: options, started: started, runNames: newRunNames()}
 }
@@ -147,7 +150,7 @@
 
 // retryNotReady returns when a caller comes back to a node that is not ready.
 func (h *Handler) retryNotReady() time.Duration {
-	if time.Since(h.started) < startTime {
+	if h.options.Clock.Since(h.started) < startTime {
 		return retryStarting
 	}
 	return retryStoreAway
@@ -155,13 +158,13 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := time.Now()
+	arrived := h.options.Clock.Now()
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	served := &exchange{handler: h, writer: w, arrived: arrived}
 	err := served.serve(r)
-	h.finish(served, err, time.Since(arrived))
+	h.finish(served, err, h.options.Clock.Since(arrived))
 }
 
 // exchange is one request and what has become of it so far.
@@ -220,7 +223,7 @@
 	if err := x.read(r); err != nil {
 		return err
 	}
-	if err := x.admissible(); err != nil {
+	if err := x.keptAway(); err != nil {
 		return err
 	}
 	timeout := x.route.Timeout
@@ -229,7 +232,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.retry = h.waits.observe(x.route, x.request.Wait)
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), x.left())
 	defer cancel()
 	x.service = x.route.Target(rand.Float64())
 	service := x.configuration.Services[x.service]
@@ -266,7 +269,7 @@
 }
 
 // left returns how long the caller still waits.
-func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+func (x *exchange) left() time.Duration { return -x.handler.options.Clock.Since(x.deadline) }
 
 // ended returns the failure of a context that has ended, or nil.
 func ended(ctx context.Context) error {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -17,7 +17,7 @@
 }
 
 // since returns how long ago the request arrived.
-func (x *exchange) since() time.Duration { return time.Since(x.arrived) }
+func (x *exchange) since() time.Duration { return x.handler.options.Clock.Since(x.arrived) }
 
 // attributes are what each line on a request says.
 func (x *exchange) attributes(took time.Duration) []any {
--- a/node/core.go
+++ b/node/core.go
@@ -52,6 +52,9 @@
 	EventCapacity int
 	// Now reads the clock. Default time.Now.
 	Now func() time.Time
+	// LeaseNow reads the clock by which a lease for orders lasts: one that counts on while the
+	// machine is suspended. Default Now.
+	LeaseNow func() time.Time
 }
 
 // Core is a node without its listeners for callers and operators.
@@ -90,6 +93,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.LeaseNow == nil {
+		options.LeaseNow = options.Now
+	}
 	if options.EventCapacity == 0 {
 		options.EventCapacity = timeline.DefaultCapacity
 	}
@@ -155,7 +161,7 @@
 	})
 	orders := engineorder.New(engineorder.Options{
 		Configuration: c.Configuration, Store: c.options.Store, Engines: c.options.Engines, Owner: c.Cluster,
-		Metrics: c.Metrics, Events: c.Events, Holder: holderName(self), Now: c.options.Now,
+		Metrics: c.Metrics, Events: c.Events, Holder: holderName(self), Now: c.options.LeaseNow,
 	})
 	c.roleChanges = rolechange.New(rolechange.Options{
 		Configuration: c.Configuration, Pools: c.Owner, Metrics: c.Metrics, Events: c.Events, Now: c.options.Now,
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/filter"
 	"github.com/reelrun/reelrun/membership"
@@ -49,6 +50,10 @@
 
 // New assembles a node from checked settings.
 func New(from *settings.Settings, logger *slog.Logger) (*Node, error) {
+	counting, err := clock.Boot()
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{settings: from, logger: logger}
 	if err := n.loadTLS(); err != nil {
 		return nil, err
@@ -57,7 +62,8 @@
 	store := objectapi.NewClient(from.PlatformAddress, transport)
 	n.core = NewCore(CoreOptions{
 		Name: from.Name, Zone: from.Zone, PeerAddress: from.PeerAddress, Seeds: from.Seeds,
-		Dial: n.dialPeer, Store: store, Engines: engine.NewClient(transport),
+		LeaseNow: counting.Exact,
+		Dial:     n.dialPeer, Store: store, Engines: engine.NewClient(transport),
 		Membership:   membership.Options{Interval: from.HeartbeatInterval},
 		ResumeWindow: from.ResumeWindow,
 	})
--- a/roles/controller.go
+++ b/roles/controller.go
@@ -60,6 +60,8 @@
 	// Demand returns the demand on a service, nil while it is not known, and how many runs its
 	// engines have. Default: nothing is known.
 	Demand func(service string) (*Demand, map[string]int)
+	// Now reads a clock that counts on while the machine is suspended. Default time.Now.
+	Now    func() time.Time
 	Logger *slog.Logger
 	// Interval is the time between two looks. Default 1s.
 	Interval time.Duration
@@ -122,6 +124,9 @@
 
 // New returns a controller that does nothing until Run.
 func New(options Options) *Controller {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	if options.Interval == 0 {
 		options.Interval = defaultInterval
 	}
@@ -159,7 +164,7 @@
 		return false
 	}
 	entry := c.options.Backends.Lookup(id)
-	if time.Now().After(ordered.until) || entry == nil || entry.Backend().Role == ordered.role {
+	if c.options.Now().After(ordered.until) || entry == nil || entry.Backend().Role == ordered.role {
 		delete(c.changing, id)
 		return false
 	}
@@ -182,7 +187,7 @@
 		return
 	}
 	// What is still wanted after these must be wanted for as long again.
-	c.seen[service] = wanted{planned[0].Role, time.Now()}
+	c.seen[service] = wanted{planned[0].Role, c.options.Now()}
 	if err := c.order(ctx, planned); err != nil {
 		c.options.Logger.Warn("roles not changed", "service", service, "engines", len(planned),
 			"role", string(planned[0].Role), "error", err.Error())
@@ -240,10 +245,10 @@
 	known, seen := c.seen[service]
 	if !seen || known.role != planned[0].Role {
 		// Which engines change may differ from one look to the next.
-		c.seen[service] = wanted{planned[0].Role, time.Now()}
+		c.seen[service] = wanted{planned[0].Role, c.options.Now()}
 		return false
 	}
-	return time.Since(known.since) >= c.settle(planned[0])
+	return c.options.Now().Sub(known.since) >= c.settle(planned[0])
 }
 
 // settle returns how long a change must be wanted.
@@ -269,5 +274,5 @@
 func (c *Controller) Note(planned Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.changing[planned.Engine] = change{planned.Role, time.Now().Add(c.options.ChangeTimeout)}
+	c.changing[planned.Engine] = change{planned.Role, c.options.Now().Add(c.options.ChangeTimeout)}
 }
--- a/router/engines.go
+++ b/router/engines.go
@@ -12,8 +12,8 @@
 	"github.com/reelrun/reelrun/placement"
 )
 
-// now reads the clock by which runs are counted.
-func (r *Router) now() time.Duration { return time.Since(r.started) }
+// now reads the clock by which runs, limits and crashes are counted.
+func (r *Router) now() time.Duration { return r.options.Clock.Since(r.origin) }
 
 // handlePeer answers another node.
 func (r *Router) handlePeer(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
--- a/router/follow.go
+++ b/router/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/replica"
@@ -133,6 +134,7 @@
 // is back.
 type contact struct {
 	logger *slog.Logger
+	clock  *clock.Clock
 
 	mu   sync.Mutex
 	lost map[objectapi.Kind]bool
@@ -142,8 +144,8 @@
 	answeredAt time.Time
 }
 
-func newContact(logger *slog.Logger) *contact {
-	return &contact{logger: logger, lost: map[objectapi.Kind]bool{}}
+func newContact(logger *slog.Logger, counting *clock.Clock) *contact {
+	return &contact{logger: logger, clock: counting, lost: map[objectapi.Kind]bool{}}
 }
 
 func (c *contact) observe(kind objectapi.Kind, err error) {
@@ -157,10 +159,10 @@
 	}
 	c.lost[kind] = err != nil
 	if err == nil {
-		c.answeredAt = time.Now()
+		c.answeredAt = c.clock.Now()
 	}
 	if err != nil {
-		c.disturbedAt = time.Now()
+		c.disturbedAt = c.clock.Now()
 	}
 }
 
@@ -168,7 +170,7 @@
 func (c *contact) disturbed(lately time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.disturbedAt.IsZero() && time.Since(c.disturbedAt) < lately
+	return !c.disturbedAt.IsZero() && c.clock.Since(c.disturbedAt) < lately
 }
 
 // age returns how long ago the store answered; zero if it never has.
@@ -178,5 +180,5 @@
 	if c.answeredAt.IsZero() {
 		return 0
 	}
-	return time.Since(c.answeredAt)
+	return c.clock.Since(c.answeredAt)
 }
--- a/router/rolechange.go
+++ b/router/rolechange.go
@@ -28,12 +28,16 @@
 			Store: r.options.Backplane.Store, Name: leaseRoles,
 			Holder:   r.options.Settings.Name + "/" + strconv.FormatInt(r.started.UnixNano(), 10),
 			Duration: leaseFactor * r.options.Settings.LeaseDuration,
+			// A holder that was suspended finds its lease lapsed as it wakes, and sends no order
+			// beside the next holder's.
+			Now: r.options.Clock.Exact,
 		}),
 		Holder:   r.options.Settings.Name,
 		Services: r.coordinatedServices,
 		Demand:   r.demand,
 		Announce: r.announceRole,
 		Withdraw: r.withdrawRole,
+		Now:      r.options.Clock.Now,
 		Logger:   r.options.Logger,
 	})
 }
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/metrics"
@@ -60,6 +61,9 @@
 	Listen func(address string) (net.Listener, error)
 	// Dial opens connections to other nodes. Default net.Dialer.
 	Dial peer.DialFunc
+	// Clock is what this node decides by. Default: the runtime's, which stands still while the
+	// machine is suspended.
+	Clock *clock.Clock
 	// Placement is how engines are chosen. Default PlacementCoordinator.
 	Placement Placement
 	// KeepRoles leaves the roles of engines as they are.
@@ -110,7 +114,9 @@
 	quarantineKeeper  *quarantine.Keeper
 	quarantineArchive *quarantine.Archive
 	roles             *roles.Controller
-	started           time.Time
+	// started names this start of the node, and origin is the time from which now counts.
+	started time.Time
+	origin  time.Time
 	// storeCalls are those since the last summary.
 	storeCalls callCounts
 	// traffic counts the bytes of calls to other nodes.
@@ -159,15 +165,15 @@
 		}
 	}
 	r := &Router{
-		options: options, metrics: metrics.NewSet(), started: time.Now(), removed: make(chan struct{}, 1),
-		backends: backend.NewRegistry(time.Now), contact: newContact(options.Logger),
+		options: options, metrics: metrics.NewSet(), started: time.Now(), origin: options.Clock.Now(), removed: make(chan struct{}, 1),
+		backends: backend.NewRegistry(options.Clock.Now), contact: newContact(options.Logger, options.Clock),
 	}
 	r.nodesListed = make(chan struct{})
 	r.closeNodesListed = sync.OnceFunc(func() { close(r.nodesListed) })
 	r.settings.Store(options.Settings)
 	r.copy = replica.New(options.Backplane.ConfigurationKind, r.changed)
-	clock := timeline.NewClock(time.Now)
-	r.client = peer.NewClient(options.Settings.Name, options.Dial, clock)
+	stamps := timeline.NewClock(time.Now)
+	r.client = peer.NewClient(options.Settings.Name, options.Dial, stamps)
 	r.client.Observe(r.countCall)
 	r.syncer = antientropy.New(antientropy.Options{
 		Replica: r.copy, Peers: r.peers, Sources: r.sources, Near: r.isNear, Relays: r.relays, Client: r.client, Logger: options.Logger,
@@ -185,10 +191,11 @@
 		Limited: r.anyTenantLimited, Now: r.now,
 	})
 	r.newQuarantines()
-	r.server = peer.NewServer(r.handlePeer, clock)
+	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.roles = r.newRoleController()
 	r.publishGauges()
 	r.gateway = gateway.New(gateway.Options{
+		Clock:    options.Clock,
 		Zone:     options.Settings.Zone,
 		Dialect:  options.Backplane.Dialect,
 		Backends: r.backends,
@@ -196,7 +203,7 @@
 			Ratio:  options.Settings.RetryRatio * budgetShare,
 			Burst:  func() float64 { return r.settings.Load().RetryBurst * budgetShare / float64(r.nodeCount()) },
 			Window: options.Settings.RetryWindow,
-			Now:    time.Now,
+			Now:    options.Clock.Now,
 		}),
 		Coordinator: r.gatewayCoordinator(),
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
