Soak: a request that ends the back ends it runs at, and comes again at any node

Cause: the soak's faults struck back ends whatever they ran, so that no promise on a request's returns was ever looked at. Change: a caller sends one such request of a drawn kind; back ends that run it end, and others start a second later.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -121,6 +121,7 @@
 	w.awaitReady()
 	load := startLoad(w, seed)
 	leavers := startLeavers(w, seed)
+	crashCaller := startCrashCaller(w, seed)
 	var newer sync.WaitGroup
 	newer.Go(func() { w.newerFaults(rand.New(rand.NewPCG(seed, newerStream)), duration) })
 	newer.Go(func() { w.newestFaults(rand.New(rand.NewPCG(seed, newestStream)), duration) })
@@ -129,17 +130,20 @@
 	time.Sleep(recoveryTime)
 	leavers.stop()
 	load.stop()
+	returns := crashCaller.stop()
+	w.restarting.Wait()
 	violations := judge(load.observations(), w.runs(), w.disturbances)
 	late, counted := outlived(leavers.departures(), w.endings(), w.disturbances, w.troubles)
 	violations = append(violations, judgeDepartures(late, counted)...)
 	violations = append(violations, judgeTenants(load.observations(), w.received())...)
+	violations = append(violations, judgeCrashes(returns, w.crashes, w.received(), w.disturbances)...)
 	violations = append(violations, w.recovered()...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived",
-		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted)
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends",
+		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes))
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -57,6 +57,8 @@
 	engine *standin.Engine
 	server *standin.Server
 	web    *http.Server
+	// crashed runs what ends it, once.
+	crashed sync.Once
 }
 
 // world is everything around the nodes, and the nodes.
@@ -72,9 +74,13 @@
 	disturbances []disturbance
 	// troubles are the times in which connections to back ends were in trouble.
 	troubles []disturbance
-	version  int
-	made     int
-	serving  sync.WaitGroup
+	// crashes are the times at which a request ended a back end.
+	crashes []time.Time
+	// restarting counts the back ends that are about to start again.
+	restarting sync.WaitGroup
+	version    int
+	made       int
+	serving    sync.WaitGroup
 }
 
 // node is one daemon, over all its processes.
@@ -220,14 +226,17 @@
 	b := &backEnd{id: fmt.Sprintf("i-%d", w.made), service: service, stage: stage}
 	b.born.Store(time.Now().UnixMilli())
 	var handler http.Handler
+	crashing := &standin.Crashing{Body: crashText, After: crashAfter, End: func() { w.crash(b) }}
 	if service == "llm" {
 		b.engine = standin.NewEngine(b.id, stage)
 		b.engine.Events, b.engine.Event, b.engine.Switch = events, eventTime, time.Second
 		b.engine.Staged = func(stage string) { w.announce(b, "ready", stage) }
+		b.engine.Crashing = crashing
 		handler = b.engine
 	} else {
 		b.server = standin.NewServer(b.id)
 		b.server.Work = 20 * time.Millisecond
+		b.server.Crashing = crashing
 		handler = b.server
 	}
 	address := w.serve(handler, &b.web)
@@ -368,6 +377,7 @@
 
 // close ends the processes that this world started, and its stand-ins.
 func (w *world) close() {
+	w.restarting.Wait()
 	for _, n := range w.nodes {
 		w.signal(n, syscall.SIGCONT)
 		w.signal(n, syscall.SIGKILL)
