--- a/soak/crashes_test.go
+++ b/soak/crashes_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -153,7 +154,7 @@
 	received := map[string][]standin.Run{}
 	var returns []crashReturn
 	for second := range 10 {
-		id := fmt.Sprint(second)
+		id := strconv.Itoa(second)
 		returns = append(returns, crashReturn{id: id, sent: at(second)})
 		received[id] = []standin.Run{{ID: id}}
 	}
