Let an operator end a quarantine by removing its object from the store

Change: the keeper reads the store's objects once a minute as well, and ends a quarantine whose object is gone. One call a minute over the fleet. A test with a store that is read, emptied and read again.

--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -13,8 +13,13 @@
 // Kind is the kind of the objects that hold one quarantine each.
 const Kind objectapi.Kind = "quarantines"
 
-// storeTimeout bounds one call to the store.
-const storeTimeout = 2 * time.Second
+const (
+	// storeTimeout bounds one call to the store.
+	storeTimeout = 2 * time.Second
+	// reloadInterval is how often the store's objects are read: an operator ends a quarantine by
+	// removing its object. One call a minute over the whole fleet.
+	reloadInterval = time.Minute
+)
 
 // Archive keeps the quarantines of a keeper in the platform's store, so that they outlive all nodes:
 // without it, a request that has ended three back ends may end three more after each loss of all.
@@ -27,6 +32,8 @@
 	wall func() time.Time
 	// loaded is set once the store's objects have been read since this node became the keeper.
 	loaded bool
+	// loadedAt is when that was, by the keeper's clock.
+	loadedAt time.Duration
 	// versions are those of the store's objects by their names.
 	versions map[string]int64
 }
@@ -42,7 +49,7 @@
 // Reconcile brings the store's objects to what the keeper keeps away. It costs no call where nothing
 // has changed.
 func (a *Archive) Reconcile(ctx context.Context) {
-	if !a.loaded {
+	if !a.loaded || a.keeper.options.Now()-a.loadedAt >= reloadInterval {
 		if err := a.load(ctx); err != nil {
 			a.logger.Warn("quarantines not read", "error", err.Error())
 			return
@@ -77,6 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, "list quarantines")
 	}
+	before := a.versions
 	a.versions = map[string]int64{}
 	for _, object := range objects {
 		earlier, err := DecodeRecord(a.wall(), object.Name, object.Spec)
@@ -89,10 +97,23 @@
 			a.keeper.Restore(earlier)
 		}
 	}
-	a.loaded = true
+	if a.loaded {
+		a.endRemoved(before)
+	}
+	a.loaded, a.loadedAt = true, a.keeper.options.Now()
 	return nil
 }
 
+// endRemoved ends the quarantines whose objects somebody else has removed.
+func (a *Archive) endRemoved(before map[string]int64) {
+	for name := range before {
+		request, valid := Parse(name)
+		if _, stored := a.versions[name]; valid && !stored {
+			a.keeper.End(request)
+		}
+	}
+}
+
 // write writes a quarantine, unless the store has it.
 func (a *Archive) write(ctx context.Context, kept Announcement) error {
 	name, spec, err := EncodeRecord(a.wall(), kept)
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -151,3 +151,24 @@
 	second.take(report{answered: []Fingerprint{request}})
 	g.Expect(second.announced[request].Standing()).To(Equal(Standing{}))
 }
+
+// TestAnOperatorEndsAQuarantineByRemovingItsObject: the keeper looks once a minute, and also one that
+// was restored from the store ends.
+func TestAnOperatorEndsAQuarantineByRemovingItsObject(t *testing.T) {
+	g := NewWithT(t)
+	store := &memoryStore{objects: map[string]objectapi.Object{}}
+	keeper, request := newKeeperAt(store, time.Hour), requestNumber(1)
+	for _, backend := range []string{"a", "b", "c"} {
+		keeper.crash(request, backend)
+	}
+	keeper.archive.Reconcile(t.Context())
+	g.Expect(store.objects).To(HaveLen(1))
+	clear(store.objects)
+	keeper.now += reloadInterval - time.Second
+	keeper.archive.Reconcile(t.Context())
+	g.Expect(keeper.announced[request].Quarantined).To(BeNumerically(">", 0), "not looked yet")
+	keeper.now += time.Second
+	keeper.archive.Reconcile(t.Context())
+	g.Expect(keeper.announced[request].Standing()).To(Equal(Standing{}))
+	g.Expect(store.objects).To(BeEmpty(), "not written again")
+}
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -84,6 +84,14 @@
 	k.announce(now, earlier.Request)
 }
 
+// End holds nothing against a request any more.
+func (k *Keeper) End(request Fingerprint) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.table.Answered(request)
+	k.announce(k.options.Now(), request)
+}
+
 // Expire forgets what no longer counts, and takes back what was announced of it.
 func (k *Keeper) Expire() {
 	k.mu.Lock()
