--- a/admission/client.go
+++ b/admission/client.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/periodic"
@@ -18,28 +19,17 @@
 	reportTimeout = 300 * time.Millisecond
 )
 
-// Coordinators knows which node coordinates a service.
-type Coordinators interface {
-	// Coordinator returns the address of the node that coordinates a service, if there is one.
-	Coordinator(service string) (address string, found bool)
-	// Own returns the address of this node.
-	Own() string
-	// Answered notes that a coordinator has answered, Missed that it has not.
-	Answered(address string)
-	Missed(address string, err error)
-}
-
 // Client reports what a node saw to the coordinators of the services, and puts their plans in
 // force.
 type Client struct {
 	node         *Node
 	controller   *Controller
 	peers        *peer.Client
-	coordinators Coordinators
+	coordinators coordinator.Choice
 }
 
 // NewClient returns a client that asks the local controller where this node coordinates itself.
-func NewClient(node *Node, controller *Controller, peers *peer.Client, coordinators Coordinators) *Client {
+func NewClient(node *Node, controller *Controller, peers *peer.Client, coordinators coordinator.Choice) *Client {
 	return &Client{node: node, controller: controller, peers: peers, coordinators: coordinators}
 }
 
--- a/admission/wire.go
+++ b/admission/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
 
@@ -23,8 +24,8 @@
 
 func decodeReport(encoded *peerpb.ReportLoad) Report {
 	report := Report{
-		Service: encoded.GetService(), Holder: encoded.GetHolder(), Interval: millis(encoded.GetIntervalMs()),
-		Objective: millis(encoded.GetObjectiveMs()), FirstTries: int(encoded.GetFirstTries()), Retries: int(encoded.GetRetries()),
+		Service: encoded.GetService(), Holder: encoded.GetHolder(), Interval: peer.Millis(encoded.GetIntervalMs()),
+		Objective: peer.Millis(encoded.GetObjectiveMs()), FirstTries: int(encoded.GetFirstTries()), Retries: int(encoded.GetRetries()),
 		Admitted: int(encoded.GetAdmitted()),
 	}
 	for _, counts := range encoded.GetBackends() {
@@ -52,7 +53,7 @@
 func decodePlan(encoded *peerpb.LoadPlan) Plan {
 	plan := Plan{
 		FirstTries: float64(encoded.GetFirstTries()), Retries: float64(encoded.GetRetries()),
-		RetryAfter: millis(encoded.GetRetryAfterMs()), Interval: millis(encoded.GetIntervalMs()),
+		RetryAfter: peer.Millis(encoded.GetRetryAfterMs()), Interval: peer.Millis(encoded.GetIntervalMs()),
 	}
 	for _, described := range encoded.GetBackends() {
 		plan.Backends = append(plan.Backends, BackendPlan{
@@ -61,5 +62,3 @@
 	}
 	return plan
 }
-
-func millis(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -45,6 +45,20 @@
 	Silent(address string, err error)
 }
 
+// Choice knows which node coordinates what, for those that keep something for all nodes. Client
+// implements it.
+type Choice interface {
+	// Coordinator returns the address of the node that coordinates a scope, if there is one.
+	Coordinator(scope string) (address string, found bool)
+	// Own returns the address of this node.
+	Own() string
+	// Answered notes that a coordinator has answered, Missed that it has not.
+	Answered(address string)
+	Missed(address string, err error)
+}
+
+var _ Choice = (*Client)(nil)
+
 // Node is one start of a node.
 type Node struct {
 	Address string
@@ -185,8 +199,8 @@
 	answer := response.GetAssignment()
 	return Assignment{
 		Decode: answer.GetDecodeEngine(), Prefill: answer.GetPrefillEngine(),
-		RetryAfter: millis(answer.GetRetryAfterMs()), Short: answer.GetShort(),
-		Output: int(answer.GetOutputTokens()), PromptReady: millis(answer.GetPromptReadyMs()),
+		RetryAfter: peer.Millis(answer.GetRetryAfterMs()), Short: answer.GetShort(),
+		Output: int(answer.GetOutputTokens()), PromptReady: peer.Millis(answer.GetPromptReadyMs()),
 		ReadsItself: answer.GetReadsItself(),
 	}, nil
 }
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -60,8 +60,8 @@
 
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
 	return &Request{
-		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: millis(encoded.GetWaitMs() + encoded.GetLaterWaitMs()),
-		Avoid: encoded.GetAvoid(), Late: encoded.GetReturning(), Within: millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
+		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: peer.Millis(encoded.GetWaitMs() + encoded.GetLaterWaitMs()),
+		Avoid: encoded.GetAvoid(), Late: encoded.GetReturning(), Within: peer.Millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
 		Priority: int(encoded.GetPriority()), Again: encoded.GetAgain(),
 		TenantPriority: int(encoded.GetTenantPriority()), AboveUsual: encoded.GetAboveUsual(),
 	}
@@ -77,9 +77,9 @@
 
 func decodeEnded(encoded *peerpb.EndRun) Ended {
 	return Ended{
-		Service: encoded.GetService(), ID: encoded.GetId(), Duration: millis(encoded.GetDurationMs()),
+		Service: encoded.GetService(), ID: encoded.GetId(), Duration: peer.Millis(encoded.GetDurationMs()),
 		Refusal: Refusal(encoded.GetRefusal()), Output: int(encoded.GetOutputTokens()),
-		First: millis(encoded.GetFirstMs()), Rest: int(encoded.GetRestTokens()),
+		First: peer.Millis(encoded.GetFirstMs()), Rest: int(encoded.GetRestTokens()),
 	}
 }
 
@@ -109,8 +109,6 @@
 func decodeRun(encoded *peerpb.Run, now time.Duration) ledger.Run {
 	return ledger.Run{
 		ID: encoded.GetId(), Prompt: int(encoded.GetPromptTokens()), Output: int(encoded.GetOutputTokens()), Most: int(encoded.GetMostTokens()),
-		Engine: encoded.GetEngine(), Holder: encoded.GetHolder(), Started: now - millis(encoded.GetAgeMs()),
+		Engine: encoded.GetEngine(), Holder: encoded.GetHolder(), Started: now - peer.Millis(encoded.GetAgeMs()),
 	}
 }
-
-func millis(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/encoding/protodelim"
@@ -37,3 +38,6 @@
 	}
 	return err
 }
+
+// Millis decodes a duration that a message tells in milliseconds.
+func Millis(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
 
@@ -42,7 +43,7 @@
 		if !valid {
 			continue
 		}
-		age := time.Duration(max(0, evidence.GetAgeMs())) * time.Millisecond
+		age := peer.Millis(max(0, evidence.GetAgeMs()))
 		told.evidence = append(told.evidence, Evidence{Request: request, Backend: evidence.GetBackend(), At: now - age})
 	}
 	for _, name := range encoded.GetAnswered() {
@@ -67,7 +68,7 @@
 	var standings []Standing
 	for _, standing := range encoded.GetStandings() {
 		standings = append(standings, Standing{
-			Crashes: int(standing.GetCrashes()), Quarantined: time.Duration(standing.GetQuarantinedMs()) * time.Millisecond,
+			Crashes: int(standing.GetCrashes()), Quarantined: peer.Millis(standing.GetQuarantinedMs()),
 		})
 	}
 	return standings
--- a/quota/client.go
+++ b/quota/client.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/periodic"
@@ -27,19 +28,9 @@
 	scope = "quotas"
 )
 
-// Coordinators knows which node coordinates what.
-type Coordinators interface {
-	// Coordinator returns the address of the node that coordinates a scope, if there is one.
-	Coordinator(scope string) (address string, found bool)
-	// Own returns the address of this node.
-	Own() string
-	// Missed notes that a coordinator has not answered.
-	Missed(address string, err error)
-}
-
 // ClientOptions are the parts of a Client.
 type ClientOptions struct {
-	Coordinators Coordinators
+	Coordinators coordinator.Choice
 	Peers        *peer.Client
 	// Local decides where this node is the coordinator.
 	Local *Coordinator
--- a/quota/wire.go
+++ b/quota/wire.go
@@ -1,8 +1,7 @@
 package quota
 
 import (
-	"time"
-
+	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
 )
 
@@ -31,6 +30,6 @@
 func decodeGrant(encoded *peerpb.QuotaGrant) Grant {
 	return Grant{
 		Granted: encoded.GetGranted(), Known: encoded.GetKnown(), Level: encoded.GetLevel(), AboveUsual: encoded.GetAboveUsual(),
-		RetryAfter: time.Duration(encoded.GetRetryAfterMs()) * time.Millisecond,
+		RetryAfter: peer.Millis(encoded.GetRetryAfterMs()),
 	}
 }
--- a/roles/order.go
+++ b/roles/order.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/logging"
 )
 
 // prepared is a change whose engine is ready to take its order.
@@ -108,7 +109,7 @@
 			Role: one.change.Role, Holder: c.options.Holder, Fence: fence, Expected: one.sequence,
 		})
 		c.options.Logger.Info("role ordered", "engine", one.change.Engine, "role", string(one.change.Role),
-			"fence", fence, "expected", one.sequence, "error", errorText(failures[i]))
+			"fence", fence, "expected", one.sequence, "error", logging.ErrorText(failures[i]))
 	})
 	for _, failure := range failures {
 		if failure != nil && !errors.Is(failure, ErrOrderRefused) {
@@ -152,10 +153,3 @@
 		c.options.Withdraw(one.change, fence)
 	}
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/periodic"
 	"github.com/reelrun/reelrun/replica"
@@ -134,14 +135,7 @@
 		return
 	}
 	err := r.options.Backplane.Store.Delete(ctx, kindNode, object.Name, object.Version)
-	r.options.Logger.Info("lost node removed", "name", object.Name, "address", node.Address, "error", errorText(err))
-}
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
+	r.options.Logger.Info("lost node removed", "name", object.Name, "address", node.Address, "error", logging.ErrorText(err))
 }
 
 // register writes the node's object.
