Keep completions that crash their engines away at the product's own interface

Ruled out: a second mechanism; the decisions are those of package quarantine. Counting an engine that could not be reached: TestEngineFailureKeepsTheAnswerWhole failed in the first try, since each attempt at a dead engine counted against a request that had not crashed it; only attempts that may have run count. Change: completion asks before each attempt and notes engines that have ended; the owner of the name quarantines is the keeper and tells live members by calls; a node asks a keeper that is new to it for all. Plain services of this interface stream bodies, whose content nobody knows: left.

--- a/completion/run.go
+++ b/completion/run.go
@@ -82,6 +82,9 @@
 // has, when an engine fails.
 func (r *run) execute(ctx context.Context) error {
 	for tries := 1; ; tries++ {
+		if err := r.keptAway(); err != nil {
+			return err
+		}
 		err := r.try(ctx)
 		if err == nil || !r.canRetry(ctx, err) || tries >= maxAttempts {
 			return err
@@ -153,6 +156,9 @@
 	if api.IsCode(err, api.CodeNoCapacity) || api.IsCode(err, api.CodeCancelled) {
 		return ""
 	}
+	if api.AsError(err, api.OutcomeUnknown).Outcome != api.OutcomeNotRun {
+		r.engineFailed(ctx, name)
+	}
 	return name
 }
 
@@ -337,5 +343,6 @@
 	if met {
 		set.Add("targets_met/"+class.Name, 1)
 	}
+	r.answered()
 	return r.sink.finish(r.offset)
 }
--- a/completion/service.go
+++ b/completion/service.go
@@ -11,6 +11,7 @@
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/filter"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -20,6 +21,8 @@
 	Engines *engine.Client
 	Metrics *metrics.Set
 	Events  *timeline.Ring
+	// Quarantine knows which requests crash engines. Without it, nothing is remembered.
+	Quarantine quarantine.Judge
 	// Now reads the clock. Default time.Now.
 	Now func() time.Time
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -76,6 +77,21 @@
 	return streams, err
 }
 
+// Ended reports whether the engine's process is known to have ended: nothing listens at its address
+// any more. It is false where that cannot be found out before the context ends.
+func (c *Client) Ended(ctx context.Context, address string) bool {
+	target := url.URL{Scheme: "http", Host: address, Path: PathLoad}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := c.http.Do(request)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Load returns the engine's lagging load report.
 func (c *Client) Load(ctx context.Context, address string) (Load, error) {
 	var load Load
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -43,7 +43,7 @@
 	// Quotas charges requests to the limits of their tenants. Without it no limit is kept.
 	Quotas Quotas
 	// Quarantine knows which requests crash back ends. Without it, nothing is remembered.
-	Quarantine Quarantine
+	Quarantine quarantine.Judge
 	// Admission decides which requests to plain services are admitted, and where they go.
 	// Default: all are, by what this node has seen alone.
 	Admission *admission.Node
@@ -72,19 +72,6 @@
 	GiveBack(charged *tenant.Tenant, units float64)
 }
 
-// Quarantine keeps requests that crash back ends away from them, over all nodes.
-type Quarantine interface {
-	// Empty reports that nothing is known of any request.
-	Empty() bool
-	// Standing returns what is known of a request.
-	Standing(request quarantine.Fingerprint) quarantine.Standing
-	// Crashed notes that a life of a back end ended with a request under way, and returns what is
-	// known of the request since.
-	Crashed(ctx context.Context, request quarantine.Fingerprint, backend string) quarantine.Standing
-	// Answered notes that a back end has answered a request to its end.
-	Answered(request quarantine.Fingerprint)
-}
-
 // Handler serves callers. It is safe for concurrent use.
 type Handler struct {
 	options       Options
--- a/node/core.go
+++ b/node/core.go
@@ -25,6 +25,7 @@
 	"github.com/reelrun/reelrun/owner"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/scheduler"
 	"github.com/reelrun/reelrun/timeline"
 )
@@ -81,6 +82,10 @@
 	directory   *directory.Directory
 	manager     *controller.Manager
 	roleChanges *rolechange.Reconciler
+	// quarantines knows which requests crash engines, and quarantineArchive keeps that in the
+	// platform where this node is the keeper.
+	quarantines       *quarantine.Client
+	quarantineArchive *quarantine.Archive
 	// confirmedAt is when the platform last answered, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	draining    atomic.Bool
@@ -117,6 +122,7 @@
 	c.server = peer.NewServer(c.handle, clock)
 	c.Cluster = cluster.New(c.Table, c.client, c.handle, options.Now)
 	c.assembleSync()
+	c.assembleQuarantine()
 	c.assembleWork(self)
 	c.assembleControllers(self)
 	return c
@@ -151,6 +157,7 @@
 	})
 	c.Completions = completion.NewService(completion.Options{
 		Cluster: c.Cluster, Engines: c.options.Engines, Metrics: c.Metrics, Events: c.Events, Now: c.options.Now,
+		Quarantine: c.quarantines,
 	})
 }
 
@@ -174,6 +181,7 @@
 	c.manager.Add(controller.Controller{Name: "completions", Reconciler: once(c.Completions.Reconcile), Interval: c.options.Membership.Interval})
 	c.manager.Add(controller.Controller{Name: "machines", Reconciler: once(c.machineSync.EnsureFresh)})
 	c.manager.Add(controller.Controller{Name: "readiness", Reconciler: once(c.reconcileReadiness), Interval: c.options.Membership.Interval / 2})
+	c.manager.Add(controller.Controller{Name: "quarantines", Reconciler: once(c.keepArchive), Interval: archiveInterval})
 	const sweepInterval = time.Minute
 	c.manager.Add(controller.Controller{Name: "claims", Reconciler: once(c.sweepClaims), Interval: sweepInterval})
 }
@@ -198,7 +206,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var running sync.WaitGroup
-	for _, run := range []func(context.Context){c.members.Run, c.syncer.Run, c.machineSync.Run, c.manager.Run} {
+	for _, run := range []func(context.Context){c.members.Run, c.syncer.Run, c.machineSync.Run, c.manager.Run, c.quarantines.Run} {
 		running.Add(1)
 		go func() {
 			defer running.Done()
--- a/node/handle.go
+++ b/node/handle.go
@@ -60,6 +60,8 @@
 		return registered(c.Completions.HandleYield(ctx, body.Yield))
 	case *peerpb.Request_Claim:
 		return c.handleClaim(ctx, body.Claim)
+	case *peerpb.Request_ReportCrashes, *peerpb.Request_AnnounceCrashes:
+		return c.quarantines.Handle(request)
 	case *peerpb.Request_ReleaseClaim:
 		return c.handleReleaseClaim(ctx, body.ReleaseClaim)
 	default:
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -57,6 +57,8 @@
 	heard map[Fingerprint]heardStanding
 	// keeper is the address of the node that was told last.
 	keeper string
+	// missing is set while this node has not heard all announcements of that keeper.
+	missing bool
 }
 
 // ownEvidence is evidence of this node, and whether the keeper knows of it.
@@ -109,7 +111,7 @@
 	c.evidence[request] = append(c.evidence[request], added)
 	c.any.Store(true)
 	c.mu.Unlock()
-	c.tell(ctx, []*ownEvidence{added}, nil, answerTimeout)
+	c.tell(ctx, notice{evidence: []*ownEvidence{added}}, answerTimeout)
 	return c.Standing(request)
 }
 
@@ -161,8 +163,8 @@
 			}
 			c.options.Local.Expire()
 		}
-		if untold, answered := c.untold(); len(untold)+len(answered) > 0 {
-			c.tell(ctx, untold, answered, noticeTimeout)
+		if untold, due := c.untold(); due {
+			c.tell(ctx, untold, noticeTimeout)
 		}
 	})
 }
@@ -174,7 +176,7 @@
 	if address == c.keeper {
 		return false
 	}
-	c.keeper = address
+	c.keeper, c.missing = address, true
 	for _, seen := range c.evidence {
 		for _, one := range seen {
 			one.told = false
@@ -190,19 +192,36 @@
 	return c.keeper != "" && c.keeper == c.options.Coordinators.Own()
 }
 
-// untold returns what the keeper does not know.
-func (c *Client) untold() (evidence []*ownEvidence, answered []Fingerprint) {
+// notice is what a node is about to tell the keeper.
+type notice struct {
+	evidence []*ownEvidence
+	answered []Fingerprint
+	all      bool
+}
+
+// report returns the notice as it is sent.
+func (n notice) report() report {
+	told := report{answered: n.answered, all: n.all}
+	for _, one := range n.evidence {
+		told.evidence = append(told.evidence, one.Evidence)
+	}
+	return told
+}
+
+// untold returns what the keeper does not know, and whether there is anything to say.
+func (c *Client) untold() (untold notice, due bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, seen := range c.evidence {
 		for _, one := range seen {
 			if !one.told {
-				evidence = append(evidence, one)
+				untold.evidence = append(untold.evidence, one)
 			}
 		}
 	}
-	answered, c.answered = c.answered, nil
-	return evidence, answered
+	untold.all = c.missing
+	untold.answered, c.answered = c.answered, nil
+	return untold, untold.all || len(untold.evidence)+len(untold.answered) > 0
 }
 
 // expire forgets what no longer counts.
@@ -224,19 +243,15 @@
 
 // tell tells the keeper, this node perhaps, and takes note of what it says. What it does not hear is
 // told again.
-func (c *Client) tell(ctx context.Context, evidence []*ownEvidence, answered []Fingerprint, timeout time.Duration) {
+func (c *Client) tell(ctx context.Context, untold notice, timeout time.Duration) {
 	address, found := c.options.Coordinators.Coordinator(scope)
 	if !found {
-		c.putBack(answered)
+		c.putBack(untold.answered)
 		return
 	}
-	told := report{answered: answered}
-	for _, one := range evidence {
-		told.evidence = append(told.evidence, one.Evidence)
-	}
-	standings, err := c.send(ctx, address, told, timeout)
+	answer, err := c.send(ctx, address, untold.report(), timeout)
 	if err != nil {
-		c.putBack(answered)
+		c.putBack(untold.answered)
 		if ctx.Err() == nil {
 			c.options.Coordinators.Missed(address, err)
 		}
@@ -244,12 +259,18 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for i, one := range evidence {
+	if untold.all && address == c.keeper {
+		c.missing = false
+	}
+	for i, one := range untold.evidence {
 		one.told = true
-		if i < len(standings) && standings[i].Suspect() {
-			c.hear(one.Request, standings[i])
+		if i < len(answer.standings) && answer.standings[i].Suspect() {
+			c.hear(one.Request, answer.standings[i])
 		}
 	}
+	for _, announcement := range answer.announced {
+		c.hear(announcement.Request, announcement.Standing())
+	}
 }
 
 // putBack keeps answered requests of which no keeper has heard.
@@ -260,7 +281,7 @@
 }
 
 // send sends a report to a keeper, this node perhaps.
-func (c *Client) send(ctx context.Context, address string, told report, timeout time.Duration) ([]Standing, error) {
+func (c *Client) send(ctx context.Context, address string, told report, timeout time.Duration) (reply, error) {
 	if address == c.options.Coordinators.Own() {
 		return c.options.Local.take(told), nil
 	}
@@ -270,20 +291,28 @@
 		ReportCrashes: encodeReport(c.options.Now(), told),
 	}})
 	if err != nil {
-		return nil, err
+		return reply{}, err
 	}
-	return decodeStandings(response.GetCrashStandings()), nil
+	return decodeReply(response.GetCrashStandings()), nil
 }
 
-// ErrNoReport is returned for a call that is not a report.
+// ErrNoReport is returned for a call that is neither a report nor an announcement.
 var ErrNoReport = errors.New("quarantine: not a report")
 
-// Handle answers the report of another node.
+// Handle answers the report of another node, or takes note of an announcement.
 func (c *Client) Handle(request *peerpb.Request) (*peerpb.Response, error) {
-	body, isReport := request.GetBody().(*peerpb.Request_ReportCrashes)
-	if !isReport {
+	switch body := request.GetBody().(type) {
+	case *peerpb.Request_ReportCrashes:
+		answer := c.options.Local.take(decodeReport(c.options.Now(), body.ReportCrashes))
+		return &peerpb.Response{Body: &peerpb.Response_CrashStandings{CrashStandings: encodeReply(answer)}}, nil
+	case *peerpb.Request_AnnounceCrashes:
+		told, valid := decodeAnnouncement(body.AnnounceCrashes)
+		if !valid {
+			return nil, ErrNoReport
+		}
+		c.Announced(told)
+		return &peerpb.Response{Body: &peerpb.Response_Done{Done: &peerpb.Done{}}}, nil
+	default:
 		return nil, ErrNoReport
 	}
-	standings := c.options.Local.take(decodeReport(c.options.Now(), body.ReportCrashes))
-	return &peerpb.Response{Body: &peerpb.Response_CrashStandings{CrashStandings: encodeStandings(standings)}}, nil
 }
--- /dev/null
+++ b/quarantine/judge.go
@@ -0,0 +1,18 @@
+package quarantine
+
+import "context"
+
+// Judge keeps requests that crash back ends away from them, over all nodes. Client implements it.
+type Judge interface {
+	// Empty reports that nothing is known of any request.
+	Empty() bool
+	// Standing returns what is known of a request.
+	Standing(request Fingerprint) Standing
+	// Crashed notes that a life of a back end ended with a request under way, and returns what is
+	// known of the request since.
+	Crashed(ctx context.Context, request Fingerprint, backend string) Standing
+	// Answered notes that a back end has answered a request to its end.
+	Answered(request Fingerprint)
+}
+
+var _ Judge = (*Client)(nil)
--- a/quarantine/keeper.go
+++ b/quarantine/keeper.go
@@ -45,8 +45,8 @@
 	return &Keeper{options: options, table: NewTable(), announced: map[Fingerprint]heardStanding{}}
 }
 
-// take takes over what a node tells, and returns the standings of the requests of its evidence.
-func (k *Keeper) take(told report) []Standing {
+// take takes over what a node tells, and answers it.
+func (k *Keeper) take(told report) reply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.options.Now()
@@ -54,15 +54,20 @@
 		k.table.Answered(request)
 		k.announce(now, request)
 	}
-	standings := make([]Standing, len(told.evidence))
+	answer := reply{standings: make([]Standing, len(told.evidence))}
 	for i, evidence := range told.evidence {
 		if now-evidence.At < evidenceLifetime {
 			k.table.Add(evidence.At, evidence.Request, evidence.Backend)
 		}
 		k.announce(now, evidence.Request)
-		standings[i] = k.table.Standing(now, evidence.Request)
+		answer.standings[i] = k.table.Standing(now, evidence.Request)
 	}
-	return standings
+	if told.all {
+		for request := range k.announced {
+			answer.announced = append(answer.announced, k.announcement(now, request))
+		}
+	}
+	return answer
 }
 
 // Adopt takes over what an earlier keeper has announced, without telling it once more. The nodes
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -20,10 +20,20 @@
 type report struct {
 	evidence []Evidence
 	answered []Fingerprint
+	// all is set by a node that wants to hear all announcements.
+	all bool
+}
+
+// reply is what the keeper answers.
+type reply struct {
+	// standings are those of the requests of the evidence, in its order.
+	standings []Standing
+	// announced are all announcements, for a node that asked for them.
+	announced []Announcement
 }
 
 func encodeReport(now time.Duration, told report) *peerpb.ReportCrashes {
-	encoded := &peerpb.ReportCrashes{}
+	encoded := &peerpb.ReportCrashes{All: told.all}
 	for _, evidence := range told.evidence {
 		encoded.Evidence = append(encoded.Evidence, &peerpb.CrashEvidence{
 			Request: evidence.Request[:], Backend: evidence.Backend, AgeMs: (now - evidence.At).Milliseconds(),
@@ -37,7 +47,7 @@
 
 // decodeReport passes over names of requests that are none: another version may have sent them.
 func decodeReport(now time.Duration, encoded *peerpb.ReportCrashes) report {
-	var told report
+	told := report{all: encoded.GetAll()}
 	for _, evidence := range encoded.GetEvidence() {
 		request, valid := fromBytes(evidence.GetRequest())
 		if !valid {
@@ -54,22 +64,42 @@
 	return told
 }
 
-func encodeStandings(standings []Standing) *peerpb.CrashStandings {
+func encodeReply(answer reply) *peerpb.CrashStandings {
 	encoded := &peerpb.CrashStandings{}
-	for _, standing := range standings {
+	for _, standing := range answer.standings {
 		encoded.Standings = append(encoded.Standings, &peerpb.CrashStanding{
 			Crashes: int32(standing.Crashes), QuarantinedMs: standing.Quarantined.Milliseconds(),
 		})
 	}
+	for _, announcement := range answer.announced {
+		encoded.Announced = append(encoded.Announced, EncodeAnnouncement(announcement))
+	}
 	return encoded
 }
 
-func decodeStandings(encoded *peerpb.CrashStandings) []Standing {
-	var standings []Standing
+func decodeReply(encoded *peerpb.CrashStandings) reply {
+	var answer reply
 	for _, standing := range encoded.GetStandings() {
-		standings = append(standings, Standing{
+		answer.standings = append(answer.standings, Standing{
 			Crashes: int(standing.GetCrashes()), Quarantined: peer.Millis(standing.GetQuarantinedMs()),
 		})
 	}
-	return standings
+	for _, announcement := range encoded.GetAnnounced() {
+		if decoded, valid := decodeAnnouncement(announcement); valid {
+			answer.announced = append(answer.announced, decoded)
+		}
+	}
+	return answer
+}
+
+// EncodeAnnouncement returns an announcement as a message between nodes.
+func EncodeAnnouncement(told Announcement) *peerpb.CrashAnnouncement {
+	return &peerpb.CrashAnnouncement{Request: told.Request[:], Backends: told.Backends, QuarantinedMs: told.Quarantined.Milliseconds()}
+}
+
+func decodeAnnouncement(encoded *peerpb.CrashAnnouncement) (Announcement, bool) {
+	request, valid := fromBytes(encoded.GetRequest())
+	return Announcement{
+		Request: request, Backends: encoded.GetBackends(), Quarantined: min(max(0, peer.Millis(encoded.GetQuarantinedMs())), quarantineLifetime),
+	}, valid
 }
--- a/router/engines.go
+++ b/router/engines.go
@@ -25,7 +25,7 @@
 		return r.coordinator.Handle(ctx, request)
 	case *peerpb.Request_ChargeQuota:
 		return r.quotas.Handle(request)
-	case *peerpb.Request_ReportCrashes:
+	case *peerpb.Request_ReportCrashes, *peerpb.Request_AnnounceCrashes:
 		return r.quarantines.Handle(request)
 	case *peerpb.Request_ReportLoad:
 		return r.admissions.Handle(request)
