Choose ports for processes of a test below those of connections

The port was free when it was chosen, within the range that the system gives to connections (32768 to 60999), and another process had taken it when the node started. Change: ports from 30,000 on, as the soak takes its own from 10,000 on; each process of a test begins elsewhere.

--- a/processtest/fleet_test.go
+++ b/processtest/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,15 +109,29 @@
 	<-p.ended
 }
 
+// Ports of the processes lie below those that the system gives to connections, so that no connection
+// of another process takes one between its choice and the start of the process.
+const (
+	firstPort = 30_000
+	portCount = 2_500
+)
+
+// portsTaken counts the ports that were chosen; processes of this test begin at different ones.
+var portsTaken atomic.Int64
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*31+portsTaken.Add(1))%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return listener.Addr().String()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no ports are free")
+	return ""
 }
 
 // node is one router process.
