--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/objectapi"
 )
 
@@ -34,6 +35,8 @@
 	loaded bool
 	// loadedAt is when that was, by the keeper's clock.
 	loadedAt time.Duration
+	// unread is set while the store's objects cannot be read.
+	unread bool
 	// versions are those of the store's objects by their names.
 	versions map[string]int64
 }
@@ -50,8 +53,9 @@
 // has changed.
 func (a *Archive) Reconcile(ctx context.Context) {
 	if !a.loaded || a.keeper.options.Now()-a.loadedAt >= reloadInterval {
-		if err := a.load(ctx); err != nil {
-			a.logger.Warn("quarantines not read", "error", err.Error())
+		err := a.load(ctx)
+		a.noteRead(err)
+		if err != nil {
 			return
 		}
 	}
@@ -76,6 +80,14 @@
 	}
 }
 
+// noteRead logs where the store's objects cannot be read any more, and where they can again.
+func (a *Archive) noteRead(err error) {
+	if failed := err != nil; failed != a.unread {
+		a.unread = failed
+		a.logger.Info("quarantines read", "error", logging.ErrorText(err))
+	}
+}
+
 // load reads the store's objects, and restores the quarantines that last.
 func (a *Archive) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/sim/rehearsal/crash_test.go
+++ b/sim/rehearsal/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -103,7 +104,7 @@
 			defer cancel()
 			return load.Send(ctx, load.Call{
 				Client: client, Nodes: []string{nodes[number%len(nodes)].CallerAddress()},
-				Kind: longKind(0), Key: newKey(), Prompt: prompt, Tokens: 20,
+				Kind: longKind(0), Key: fmt.Sprint(prompt, number), Prompt: prompt, Tokens: 20,
 			})
 		}
 		for began, number := time.Now(), 0; time.Since(began) < 70*time.Second; number++ {
