Sight: hear in every answer whether a back end leaves or asks for rest, log and count it

Cause looked for: logs could not tell whether an answer said that its back end leaves or asked for rest, nor what was sent there afterwards. Change: all calls to servers pass one place that decodes both from the answer; the router logs each once and counts what is heard again, that is, what was sent in spite of it. No decision goes by it yet.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -35,6 +35,10 @@
 	failureAt time.Time
 	// fullUntil is when a back end that refused for want of room is asked again.
 	fullUntil time.Time
+	// saidLeavingAt is when the back end itself first said that it leaves; zero if it has not.
+	saidLeavingAt time.Time
+	// restUntil is until when the back end wants no request from this node.
+	restUntil time.Time
 }
 
 func newEntry(described Backend, now func() time.Time) *Entry {
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -148,6 +148,16 @@
 	return r.byID[id]
 }
 
+// Heard notes what a back end has said of itself in an answer. It reports what of that was not known;
+// a life that is not known any more has nothing new to say.
+func (r *Registry) Heard(id string, said Notice) Notice {
+	entry := r.Lookup(id)
+	if entry == nil {
+		return Notice{}
+	}
+	return entry.Heard(said)
+}
+
 // CountReady returns how many back ends of all services take new work in a role.
 func (r *Registry) CountReady(role Role) int {
 	r.mu.RLock()
--- /dev/null
+++ b/backendhttp/retryafter_test.go
@@ -0,0 +1,35 @@
+package backendhttp_test
+
+import (
+	"math"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/backendhttp"
+)
+
+func TestRetryAfter(t *testing.T) {
+	for text, wanted := range map[string]time.Duration{
+		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "": 0, "0": 0, "-1": 0, "soon": 0, "NaN": 0,
+		"Wed, 21 Oct 2015 07:28:00 GMT": 0, "1e300": 10 * time.Minute, "Inf": 10 * time.Minute,
+	} {
+		NewWithT(t).Expect(backendhttp.RetryAfter(http.Header{"Retry-After": {text}})).To(Equal(wanted), text)
+	}
+	NewWithT(t).Expect(backendhttp.RetryAfter(nil)).To(BeZero())
+}
+
+// FuzzRetryAfter wants a bounded time from any text.
+func FuzzRetryAfter(f *testing.F) {
+	for _, text := range []string{"3", "0.5", "-0", "1e-320", "0x1p4", "9223372036854775807"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		after := backendhttp.RetryAfter(http.Header{"Retry-After": {text}})
+		if after < 0 || after > 10*time.Minute || math.IsNaN(after.Seconds()) {
+			t.Fatalf("%q gives %v", text, after)
+		}
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -50,6 +50,9 @@
 type Dialect interface {
 	gateway.Dialect
 	roles.Dialect
+	// Observe has a function called with what back ends say of themselves in any of their answers.
+	// It is called once, before all other calls.
+	Observe(observer backend.Observer)
 }
 
 // Options are the parts of a Router.
@@ -119,6 +122,8 @@
 	origin  time.Time
 	// storeCalls are those since the last summary.
 	storeCalls callCounts
+	// heardAgain counts by back end what was said again since the last summary.
+	heardAgain callCounts
 	// traffic counts the bytes of calls to other nodes.
 	traffic nodeTraffic
 	refused refusedEntries
@@ -171,6 +176,7 @@
 	r.nodesListed = make(chan struct{})
 	r.closeNodesListed = sync.OnceFunc(func() { close(r.nodesListed) })
 	r.settings.Store(options.Settings)
+	options.Backplane.Dialect.Observe(r.heardBackend)
 	r.copy = replica.New(options.Backplane.ConfigurationKind, r.changed)
 	stamps := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, stamps)
--- a/router/storecalls.go
+++ b/router/storecalls.go
@@ -6,8 +6,8 @@
 	"github.com/reelrun/reelrun/objectapi"
 )
 
-// callCounts are the calls to the store since the last summary, by operation and kind. It is
-// safe for concurrent use.
+// callCounts are counts since the last summary, by a name: of calls to the store by operation and kind,
+// of answers by back end. It is safe for concurrent use.
 type callCounts struct {
 	mu     sync.Mutex
 	counts map[string]int
--- a/router/summary.go
+++ b/router/summary.go
@@ -30,6 +30,7 @@
 		}
 		r.logLoads()
 		r.logStoreCalls()
+		r.logHeardAgain()
 	})
 }
 
