Go by a back end's own word that it leaves before its entry in the store

Cause (hypothesis 1): what back ends say of themselves in answers was dropped; nodes went by the entry, which says 'ready' as long as the store is away. Ruled out: that nodes knew and only preferred others (the rate did not fall), or knew and forgot (nothing had read it). Change: a life that has said so gets no new requests from this node until it ends, whatever entry or copy of it comes by, also for a minute after its entry has lapsed; engines are avoided at the coordinator, reports are read for it too; its next life is used. For plain servers, engines that read prompts and engines that make answers.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -23,6 +23,9 @@
 	now     func() time.Time
 	backend atomic.Pointer[Backend]
 	pending atomic.Int64
+	// saidLeaving is set once the back end itself has said that it leaves. Its word is newer than
+	// what discovery tells, and lasts for this life.
+	saidLeaving atomic.Bool
 
 	mu sync.Mutex
 	// leavingAt is when it stopped taking new work, or was removed; zero while it takes work.
@@ -35,8 +38,6 @@
 	failureAt time.Time
 	// fullUntil is when a back end that refused for want of room is asked again.
 	fullUntil time.Time
-	// saidLeavingAt is when the back end itself first said that it leaves; zero if it has not.
-	saidLeavingAt time.Time
 	// restUntil is until when the back end wants no request from this node.
 	restUntil time.Time
 }
@@ -59,11 +60,18 @@
 	return true
 }
 
-// noteLeaving notes whether the back end still takes new work.
+// TakesWork reports whether the back end takes new work, by its own word and by what discovery tells.
+func (e *Entry) TakesWork() bool {
+	return e.Backend().State == StateReady && !e.saidLeaving.Load()
+}
+
+// noteLeaving notes whether discovery tells that the back end still takes new work.
 func (e *Entry) noteLeaving(leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
+	case e.saidLeaving.Load():
+		// What discovery tells may be older.
 	case !leaving:
 		e.leavingAt = time.Time{}
 	case e.leavingAt.IsZero():
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -18,31 +18,39 @@
 
 // Heard notes what a back end has said of itself. It reports what of that was not known.
 func (e *Entry) Heard(said Notice) Notice {
+	return Notice{Leaving: said.Leaving && e.heardLeaving(), Rest: e.heardRest(said.Rest)}
+}
+
+// heardLeaving notes that the back end has said that it leaves. It reports whether that is news.
+func (e *Entry) heardLeaving() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	var news Notice
-	if said.Leaving && e.saidLeavingAt.IsZero() {
-		e.saidLeavingAt = now
-		news.Leaving = true
+	if !e.saidLeaving.CompareAndSwap(false, true) {
+		return false
 	}
-	if until := now.Add(said.Rest); said.Rest > 0 && until.After(e.restUntil) {
-		if !now.Before(e.restUntil) {
-			news.Rest = said.Rest
-		}
-		e.restUntil = until
+	if e.leavingAt.IsZero() {
+		e.leavingAt = e.now()
 	}
-	return news
+	return true
 }
 
-// SaidLeaving reports whether the back end itself has said that it leaves, and how long ago.
-func (e *Entry) SaidLeaving() (ago time.Duration, said bool) {
+// heardRest notes for how long the back end wants no request. It returns that time where it begins a
+// rest, and zero where the back end is at rest already or wants none.
+func (e *Entry) heardRest(rest time.Duration) time.Duration {
+	if rest == 0 {
+		return 0
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.saidLeavingAt.IsZero() {
-		return 0, false
+	now := e.now()
+	begins := !now.Before(e.restUntil)
+	if until := now.Add(rest); until.After(e.restUntil) {
+		e.restUntil = until
+	}
+	if !begins {
+		return 0
 	}
-	return e.now().Sub(e.saidLeavingAt), true
+	return rest
 }
 
 // RestLeft returns for how much longer the back end wants no request from this node.
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -18,12 +19,25 @@
 	lives map[string]string
 	// services holds the entries of each service in the order of their identifiers.
 	services map[string][]*Entry
+	// notices are the entries of back ends that have said something of themselves.
+	notices map[string]*Entry
+	// departed are the lives that said that they leave and were removed, and when that was.
+	departed map[string]time.Time
 	synced   bool
 }
 
+// departedMemory is how long a life that said that it leaves is remembered once it has been removed. An
+// entry lapses while the store is away, and is written once more within seconds of its return, for a
+// moment also as it was before. A back end without a time of birth that starts again under its
+// identifier is used after this time.
+const departedMemory = time.Minute
+
 // NewRegistry returns an empty registry. The clock must be monotonic.
 func NewRegistry(now func() time.Time) *Registry {
-	return &Registry{now: now, byID: map[string]*Entry{}, lives: map[string]string{}, services: map[string][]*Entry{}}
+	return &Registry{
+		now: now, byID: map[string]*Entry{}, lives: map[string]string{}, services: map[string][]*Entry{},
+		notices: map[string]*Entry{}, departed: map[string]time.Time{},
+	}
 }
 
 // Synced reports whether a whole list of back ends has been seen.
@@ -53,6 +67,7 @@
 	if entry == nil {
 		entry = newEntry(updated, r.now)
 		r.byID[updated.ID] = entry
+		r.recall(entry)
 		r.insert(updated.Service, entry)
 		return true
 	}
@@ -90,6 +105,7 @@
 	}
 	entry.noteLeaving(true)
 	delete(r.byID, id)
+	r.depart(entry)
 	if name := entry.Backend().name(); r.lives[name] == id {
 		delete(r.lives, name)
 	}
@@ -97,6 +113,26 @@
 	return true
 }
 
+// depart remembers a removed life that has said that it leaves; the lock is held.
+func (r *Registry) depart(entry *Entry) {
+	id := entry.Backend().ID
+	delete(r.notices, id)
+	now := r.now()
+	maps.DeleteFunc(r.departed, func(_ string, at time.Time) bool { return now.Sub(at) > departedMemory })
+	if entry.saidLeaving.Load() {
+		r.departed[id] = now
+	}
+}
+
+// recall has a life that is told of once more leave, if it has said so before; the lock is held.
+func (r *Registry) recall(entry *Entry) {
+	id := entry.Backend().ID
+	if at, known := r.departed[id]; known && r.now().Sub(at) <= departedMemory {
+		entry.heardLeaving()
+		r.notices[id] = entry
+	}
+}
+
 // insert puts an entry into the list of a service; the lock is held. A node that starts
 // takes over thousands of entries one by one, so that a list is never built anew.
 func (r *Registry) insert(service string, entry *Entry) {
@@ -133,8 +169,7 @@
 	defer r.mu.RUnlock()
 	var ready []*Entry
 	for _, entry := range r.services[service] {
-		current := entry.Backend()
-		if current.State == StateReady && current.Role == role {
+		if entry.Backend().Role == role && entry.TakesWork() {
 			ready = append(ready, entry)
 		}
 	}
@@ -151,21 +186,37 @@
 // Heard notes what a back end has said of itself in an answer. It reports what of that was not known;
 // a life that is not known any more has nothing new to say.
 func (r *Registry) Heard(id string, said Notice) Notice {
-	entry := r.Lookup(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	entry := r.byID[id]
 	if entry == nil {
 		return Notice{}
 	}
+	r.notices[id] = entry
 	return entry.Heard(said)
 }
 
+// Withheld returns the back ends of a service that this node gives no work because of their own word,
+// whatever other nodes know of them.
+func (r *Registry) Withheld(service string) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var withheld []string
+	for id, entry := range r.notices {
+		if entry.Backend().Service == service && entry.saidLeaving.Load() {
+			withheld = append(withheld, id)
+		}
+	}
+	return withheld
+}
+
 // CountReady returns how many back ends of all services take new work in a role.
 func (r *Registry) CountReady(role Role) int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	count := 0
 	for _, entry := range r.byID {
-		current := entry.Backend()
-		if current.State == StateReady && current.Role == role {
+		if entry.Backend().Role == role && entry.TakesWork() {
 			count++
 		}
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -214,7 +214,7 @@
 func (x *exchange) prefillEngine(taken *reservedEngine, tried map[string]bool) *backend.Entry {
 	if len(tried) == 0 && taken.prefillEngine != "" {
 		entry := x.handler.options.Backends.Lookup(taken.prefillEngine)
-		if entry != nil && entry.Backend().State == backend.StateReady {
+		if entry != nil && entry.TakesWork() {
 			return entry
 		}
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -120,6 +120,8 @@
 	if x.tenant != nil {
 		request.TenantPriority = x.tenant.Priority
 	}
+	// A coordinator that has not heard the word of a back end assigns it again and again.
+	request.Avoid = x.handler.options.Backends.Withheld(x.service)
 	for id := range avoid {
 		request.Avoid = append(request.Avoid, id)
 	}
@@ -140,7 +142,7 @@
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
 	var reservation *Reservation
 	refusal := coordinator.RefusalFull
-	if entry != nil && entry.Backend().State == backend.StateReady {
+	if entry != nil && entry.TakesWork() {
 		reservation, refusal, err = x.reserveAt(ctx, entry, profile, reservationSize{assigned: true, promptReady: assigned.PromptReady})
 	}
 	if err != nil {
