Give back ends the rest that they ask for

Ruled out: that the memory was lost with the entry. Change: each life of a back end has a time until which this node sends it nothing: requests, prompts, reservations, reports, orders; what frees memory waits for the end. Where all rest, the caller is refused at once and told when the first is back. Whether there is another back end is looked at before a repeat is taken from the budget, so that the last one's own answer is no longer dropped (502 in place of its 500, by the test).

--- a/backend/notice.go
+++ b/backend/notice.go
@@ -44,6 +44,9 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	begins := !now.Before(e.restUntil)
+	if begins {
+		e.restFrom = now
+	}
 	if until := now.Add(rest); until.After(e.restUntil) {
 		e.restUntil = until
 	}
@@ -53,7 +56,8 @@
 	return rest
 }
 
-// RestLeft returns for how much longer the back end wants no request from this node.
+// RestLeft returns for how much longer the back end wants no request from this node; zero where it is
+// not at rest.
 func (e *Entry) RestLeft() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -62,3 +66,30 @@
 	}
 	return max(0, e.restUntil.Sub(e.now()))
 }
+
+// RestingFor returns how long ago the rest began that the back end has now; zero where it has none.
+func (e *Entry) RestingFor() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if !now.Before(e.restUntil) {
+		return 0
+	}
+	return now.Sub(e.restFrom)
+}
+
+// isWithheld reports whether the back end has said something for which this node gives it no work now.
+func (e *Entry) isWithheld() bool { return e.saidLeaving.Load() || e.RestLeft() > 0 }
+
+// adopt takes over what the same life said before its entry was removed for a while.
+func (e *Entry) adopt(before *Entry) {
+	if before.saidLeaving.Load() {
+		e.heardLeaving()
+	}
+	before.mu.Lock()
+	from, until := before.restFrom, before.restUntil
+	before.mu.Unlock()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restFrom, e.restUntil = from, until
+}
--- a/backend/notice_test.go
+++ b/backend/notice_test.go
@@ -115,3 +115,28 @@
 		}
 	})
 }
+
+// TestARestIsKeptToItsEnd asks for rest again before the end, and has the entry lapse meanwhile.
+func TestARestIsKeptToItsEnd(t *testing.T) {
+	g := NewWithT(t)
+	clock := newHandClock()
+	registry := backend.NewRegistry(clock.read)
+	registry.Update(lifeOf(1, backend.StateReady))
+	g.Expect(registry.Heard("a@1", backend.Notice{Rest: 3 * time.Second}).Rest).To(Equal(3 * time.Second))
+	clock.pass(time.Second)
+	g.Expect(registry.Heard("a@1", backend.Notice{Rest: time.Second}).IsEmpty()).To(BeTrue(), "it rests already")
+	g.Expect(registry.Lookup("a@1").RestLeft()).To(Equal(2 * time.Second))
+	g.Expect(registry.Lookup("a@1").RestingFor()).To(Equal(time.Second))
+	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(Equal(2 * time.Second))
+	g.Expect(registry.AllRestFor("second", backend.RoleNone)).To(BeZero())
+	g.Expect(registry.Withheld("first")).To(ConsistOf("a@1"))
+	registry.RemoveRegistered("a")
+	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(BeZero(), "there is none")
+	registry.Update(lifeOf(1, backend.StateReady))
+	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(Equal(2 * time.Second))
+	clock.pass(2 * time.Second)
+	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(BeZero())
+	g.Expect(registry.Withheld("first")).To(BeEmpty())
+	g.Expect(registry.Lookup("a@1").RestingFor()).To(BeZero())
+	g.Expect(registry.Ready("first", backend.RoleNone)).To(HaveLen(1))
+}
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -21,22 +21,28 @@
 	services map[string][]*Entry
 	// notices are the entries of back ends that have said something of themselves.
 	notices map[string]*Entry
-	// departed are the lives that said that they leave and were removed, and when that was.
-	departed map[string]time.Time
+	// departed are removed lives that had said something of themselves.
+	departed map[string]departedLife
 	synced   bool
 }
 
-// departedMemory is how long a life that said that it leaves is remembered once it has been removed. An
-// entry lapses while the store is away, and is written once more within seconds of its return, for a
-// moment also as it was before. A back end without a time of birth that starts again under its
-// identifier is used after this time.
+// departedLife is a removed life and when it was removed.
+type departedLife struct {
+	entry *Entry
+	at    time.Time
+}
+
+// departedMemory is how long the word of a life is remembered once that has been removed. An entry lapses
+// while the store is away, and is written once more within seconds of its return, for a moment also as
+// it was before. A back end without a time of birth that leaves and starts again under its identifier
+// is used after this time.
 const departedMemory = time.Minute
 
 // NewRegistry returns an empty registry. The clock must be monotonic.
 func NewRegistry(now func() time.Time) *Registry {
 	return &Registry{
 		now: now, byID: map[string]*Entry{}, lives: map[string]string{}, services: map[string][]*Entry{},
-		notices: map[string]*Entry{}, departed: map[string]time.Time{},
+		notices: map[string]*Entry{}, departed: map[string]departedLife{},
 	}
 }
 
@@ -113,22 +119,22 @@
 	return true
 }
 
-// depart remembers a removed life that has said that it leaves; the lock is held.
+// depart remembers a removed life that has said something of itself; the lock is held.
 func (r *Registry) depart(entry *Entry) {
 	id := entry.Backend().ID
 	delete(r.notices, id)
 	now := r.now()
-	maps.DeleteFunc(r.departed, func(_ string, at time.Time) bool { return now.Sub(at) > departedMemory })
-	if entry.saidLeaving.Load() {
-		r.departed[id] = now
+	maps.DeleteFunc(r.departed, func(_ string, life departedLife) bool { return now.Sub(life.at) > departedMemory })
+	if entry.isWithheld() {
+		r.departed[id] = departedLife{entry, now}
 	}
 }
 
-// recall has a life that is told of once more leave, if it has said so before; the lock is held.
+// recall has a life that discovery tells of once more keep to what it has said; the lock is held.
 func (r *Registry) recall(entry *Entry) {
 	id := entry.Backend().ID
-	if at, known := r.departed[id]; known && r.now().Sub(at) <= departedMemory {
-		entry.heardLeaving()
+	if life, known := r.departed[id]; known && r.now().Sub(life.at) <= departedMemory {
+		entry.adopt(life.entry)
 		r.notices[id] = entry
 	}
 }
@@ -192,6 +198,7 @@
 	if entry == nil {
 		return Notice{}
 	}
+	maps.DeleteFunc(r.notices, func(_ string, known *Entry) bool { return !known.isWithheld() })
 	r.notices[id] = entry
 	return entry.Heard(said)
 }
@@ -203,13 +210,37 @@
 	defer r.mu.RUnlock()
 	var withheld []string
 	for id, entry := range r.notices {
-		if entry.Backend().Service == service && entry.saidLeaving.Load() {
+		if entry.Backend().Service == service && entry.isWithheld() {
 			withheld = append(withheld, id)
 		}
 	}
 	return withheld
 }
 
+// AllRestFor returns how long it is until the first back end of a service and role wants requests from
+// this node again, where all that take work are at rest; zero where one is not, or there is none.
+func (r *Registry) AllRestFor(service string, role Role) time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if len(r.notices) == 0 {
+		return 0
+	}
+	var shortest time.Duration
+	for _, entry := range r.services[service] {
+		if entry.Backend().Role != role || !entry.TakesWork() {
+			continue
+		}
+		left := entry.RestLeft()
+		if left == 0 {
+			return 0
+		}
+		if shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // CountReady returns how many back ends of all services take new work in a role.
 func (r *Registry) CountReady(role Role) int {
 	r.mu.RLock()
--- a/gateway/admission_test.go
+++ b/gateway/admission_test.go
@@ -31,16 +31,44 @@
 	return &gateway.Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}, nil
 }
 
-// newPlainHandler returns a handler of one plain service with two back ends.
-func newPlainHandler(dialect gateway.Dialect, decisions *admission.Node) *gateway.Handler {
+// repeatsAtOnce is how many second sends a service may have beside the ratio once its budget has grown.
+const repeatsAtOnce = 100
+
+// grownBudgetClock returns a clock by which a window has passed since its first reading, so that a budget
+// has all repeats that it may have.
+func grownBudgetClock() func() time.Time {
+	read := false
+	return func() time.Time {
+		if read {
+			return time.Unix(1, 0)
+		}
+		read = true
+		return time.Unix(0, 0)
+	}
+}
+
+// twoBackends returns a registry with the back ends a and b of one plain service.
+func twoBackends() *backend.Registry {
 	backends := backend.NewRegistry(time.Now)
 	for _, id := range []string{"a", "b"} {
 		backends.Update(backend.Backend{ID: id, Service: "s", State: backend.StateReady, Slots: 6})
 	}
 	backends.SetSynced()
+	return backends
+}
+
+// newPlainHandler returns a handler of one plain service with two back ends.
+func newPlainHandler(dialect gateway.Dialect, decisions *admission.Node) *gateway.Handler {
+	return newPlainHandlerOf(twoBackends(), dialect, decisions)
+}
+
+// newPlainHandlerOf returns a handler of the plain service of a registry.
+func newPlainHandlerOf(backends *backend.Registry, dialect gateway.Dialect, decisions *admission.Node) *gateway.Handler {
 	handler := gateway.New(gateway.Options{
 		Dialect: dialect, Backends: backends, Admission: decisions,
-		Budget:  retrybudget.New(retrybudget.Options{Window: time.Second, Now: time.Now}),
+		Budget: retrybudget.New(retrybudget.Options{
+			Window: time.Second, Now: grownBudgetClock(), Burst: func() float64 { return repeatsAtOnce },
+		}),
 		Metrics: metrics.NewSet(), Logger: slog.New(slog.DiscardHandler),
 	})
 	route := &routing.Route{
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -35,7 +35,10 @@
 		return notRun(ReasonOverloaded, x.admission.RetryAfter, nil)
 	}
 	tried := map[string]bool{}
-	var last error
+	entry := x.handler.pick(x.service, backend.RoleNone, tried)
+	if entry == nil {
+		return x.allRest(backend.RoleNone, notRun(ReasonNoBackend, retryNoBackend, nil))
+	}
 	for {
 		if err := ended(ctx); err != nil {
 			return err
@@ -43,26 +46,22 @@
 		if err := x.admissible(); err != nil {
 			return err
 		}
-		entry := x.handler.pick(x.service, backend.RoleNone, tried)
-		if entry == nil {
-			if last == nil {
-				last = notRun(ReasonNoBackend, retryNoBackend, nil)
-			}
-			return last
-		}
 		tried[entry.Backend().ID] = true
 		answer, err := x.try(ctx, entry)
 		if err == nil {
 			return x.relay(answer)
 		}
-		last = err
-		if !x.mayRepeat(err) {
+		// Whether there is another back end comes first: otherwise the last one's own answer would be
+		// dropped, and a repeat taken from the budget, for nothing.
+		next := x.handler.pick(x.service, backend.RoleNone, tried)
+		if next == nil || !x.mayRepeat(err) {
 			return x.final(answer, err)
 		}
 		x.handler.logRetry(x, err)
 		if answer != nil {
 			_ = answer.Body.Close()
 		}
+		entry = next
 	}
 }
 
@@ -70,15 +69,26 @@
 // may have, or the error.
 func (x *exchange) final(answer *Answer, err error) error {
 	if answer == nil {
-		return err
+		return x.allRest(backend.RoleNone, err)
 	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
-		return err
+		return x.allRest(backend.RoleNone, err)
 	}
 	return x.relay(answer)
 }
 
+// allRest returns the refusal of a request that has not run, where all back ends of its service have
+// asked this node for rest, and otherwise the given error. The caller comes back when the first of them
+// wants requests again.
+func (x *exchange) allRest(role backend.Role, err error) error {
+	wait := x.handler.options.Backends.AllRestFor(x.service, role)
+	if wait == 0 || x.runs > 0 {
+		return err
+	}
+	return notRun(ReasonBackendsRest, x.handler.options.Policy.retryAfter(wait), err)
+}
+
 // tryError is why one try did not give an answer that ends the request.
 type tryError struct {
 	failure *failure
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -22,6 +22,9 @@
 	// begun there, because its prompt was being read. It is half of the shortest time that
 	// engines serve on (2 s on the sites' sheets).
 	leavingLimit = time.Second
+	// restingLimit is the same after a decode engine has asked for rest: it has set memory aside for
+	// this answer. It is half of the time in which engines still expect what is on its way (0.5 s).
+	restingLimit = 250 * time.Millisecond
 	// prefillTimeoutShare is the share of the objective after which a prefill engine that
 	// says nothing is given up, where nothing is known of the time that it needs.
 	prefillTimeoutShare = 0.7
@@ -137,6 +140,10 @@
 		discard(wasteEngineLeft)
 		return nil, &tryError{failure: notRun(ReasonBackendLeft, retryShed, nil)}
 	}
+	if taken.entry.RestingFor() > restingLimit {
+		discard(wasteEngineRests)
+		return nil, &tryError{failure: notRun(ReasonBackendsRest, retryShed, nil)}
+	}
 	if err := x.admissible(); err != nil {
 		discard(wasteNotSent)
 		return nil, err
@@ -214,7 +221,7 @@
 func (x *exchange) prefillEngine(taken *reservedEngine, tried map[string]bool) *backend.Entry {
 	if len(tried) == 0 && taken.prefillEngine != "" {
 		entry := x.handler.options.Backends.Lookup(taken.prefillEngine)
-		if entry != nil && entry.TakesWork() {
+		if entry != nil && entry.TakesWork() && entry.RestLeft() == 0 {
 			return entry
 		}
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -19,6 +19,9 @@
 	reserveTimeout = 100 * time.Millisecond
 	// releaseTimeout bounds the calls that free what is no longer needed.
 	releaseTimeout = 2 * time.Second
+	// longestFreeWait is how long such a call waits for the end of its engine's rest. What engines keep
+	// for a request lapses by itself, reservations after 2 s on the sites' sheets and prompts soon after.
+	longestFreeWait = 5 * time.Second
 	// reserveInterval is the pause between two rounds over all engines.
 	reserveInterval = 40 * time.Millisecond
 	// fullMemory is how long a back end counts as full after it said so.
@@ -86,6 +89,9 @@
 
 // reserve takes memory at a decode engine, waiting a bounded time for it.
 func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
+	if refused := x.allRest(backend.RoleDecode, nil); refused != nil {
+		return nil, refused
+	}
 	if x.handler.options.Coordinator == nil {
 		return x.reserveAlone(ctx, profile, avoid)
 	}
@@ -142,7 +148,7 @@
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
 	var reservation *Reservation
 	refusal := coordinator.RefusalFull
-	if entry != nil && entry.TakesWork() {
+	if entry != nil && entry.TakesWork() && entry.RestLeft() == 0 {
 		reservation, refusal, err = x.reserveAt(ctx, entry, profile, reservationSize{assigned: true, promptReady: assigned.PromptReady})
 	}
 	if err != nil {
@@ -230,7 +236,7 @@
 func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
 	for _, entry := range h.options.Backends.Ready(service, backend.RoleDecode) {
-		if !avoid[entry.Backend().ID] && entry.Sound() && h.options.Assignable(entry) {
+		if !avoid[entry.Backend().ID] && entry.Sound() && entry.RestLeft() == 0 && h.options.Assignable(entry) {
 			candidates = append(candidates, entry)
 		}
 	}
@@ -241,11 +247,24 @@
 // release gives a reservation back that no run has used.
 func (x *exchange) release(ctx context.Context, taken *reservedEngine) {
 	taken.close(false, 0, 0)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	x.giveUp(ctx, taken.entry, "release_errors", func(ctx context.Context) error {
+		return x.handler.options.Dialect.Release(ctx, taken.entry.Backend(), taken.reservation)
+	})
+}
+
+// giveUp has an engine free something, without waiting for it. An engine at rest is called once that is
+// over, because it wants no call at all meanwhile.
+func (x *exchange) giveUp(ctx context.Context, engine *backend.Entry, errorsMetric string, free func(context.Context) error) {
+	rest := engine.RestLeft()
+	if rest > longestFreeWait {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rest+releaseTimeout)
 	go func() {
 		defer cancel()
-		if err := x.handler.options.Dialect.Release(ctx, taken.entry.Backend(), taken.reservation); err != nil {
-			x.handler.options.Metrics.Add("release_errors", 1)
+		time.Sleep(rest)
+		if err := free(ctx); err != nil {
+			x.handler.options.Metrics.Add(errorsMetric, 1)
 		}
 	}()
 }
@@ -253,11 +272,7 @@
 // discard frees a prompt that was read and is not used.
 func (x *exchange) discard(ctx context.Context, source *backend.Entry, result PrefillResult, cause wasteCause) {
 	x.handler.logWasted(x, source.Backend().ID, cause)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
-	go func() {
-		defer cancel()
-		if err := x.handler.options.Dialect.Discard(ctx, source.Backend(), result); err != nil {
-			x.handler.options.Metrics.Add("discard_errors", 1)
-		}
-	}()
+	x.giveUp(ctx, source, "discard_errors", func(ctx context.Context) error {
+		return x.handler.options.Dialect.Discard(ctx, source.Backend(), result)
+	})
 }
--- /dev/null
+++ b/gateway/rest_test.go
@@ -0,0 +1,62 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/admission"
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/gateway"
+)
+
+// failingDialect answers each request with a failure of the back end's own.
+type failingDialect struct{ parser }
+
+func (failingDialect) Send(context.Context, backend.Backend, *gateway.Request, time.Duration) (*gateway.Answer, error) {
+	return &gateway.Answer{Status: http.StatusInternalServerError, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("own words"))}, nil
+}
+
+func askOnce(handler http.Handler) *httptest.ResponseRecorder {
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/x", nil))
+	return answer
+}
+
+// TestTheLastAnswerIsPassedOnWhereTheOthersRest has one back end fail while the other one is at rest. Its
+// answer was dropped in favour of a second try for which there was no back end.
+func TestTheLastAnswerIsPassedOnWhereTheOthersRest(t *testing.T) {
+	g := NewWithT(t)
+	backends := twoBackends()
+	decisions := admission.NewNode("n", func() time.Duration { return 0 })
+	handler := newPlainHandlerOf(backends, failingDialect{}, decisions)
+	backends.Heard("b", backend.Notice{Rest: time.Minute})
+	got := askOnce(handler)
+	g.Expect(got.Code).To(Equal(http.StatusInternalServerError))
+	g.Expect(got.Body.String()).To(Equal("own words"))
+}
+
+// TestABackEndAtRestGetsNothing sends all requests to the other one, and refuses them while both rest.
+func TestABackEndAtRestGetsNothing(t *testing.T) {
+	g := NewWithT(t)
+	backends := twoBackends()
+	dialect := countingDialect{sent: map[string]int{}}
+	handler := newPlainHandlerOf(backends, dialect, admission.NewNode("n", func() time.Duration { return 0 }))
+	backends.Heard("b", backend.Notice{Rest: time.Minute})
+	for range 50 {
+		g.Expect(askOnce(handler).Code).To(Equal(http.StatusOK))
+	}
+	g.Expect(dialect.sent).To(Equal(map[string]int{"a": 50}))
+	backends.Heard("a", backend.Notice{Rest: time.Second})
+	refused := askOnce(handler)
+	g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(refused.Body.String()).To(HavePrefix(string(gateway.ReasonBackendsRest)))
+	g.Expect(refused.Header().Get("Retry-After")).To(Or(HavePrefix("0.9"), HavePrefix("1.")), "when the first of them is back")
+	g.Expect(dialect.sent).To(Equal(map[string]int{"a": 50}))
+}
