Soak: back ends that leave by their answers or ask for rest

Change: back ends leave by their answers 2.5 s and more before their entries say so, ask for rest one by one, for a share of their requests, or all of a service at once, beside all other faults; the judge looks at what each node sent after the word that it had passed on, and in each rest.

--- a/soak/departures_test.go
+++ b/soak/departures_test.go
@@ -29,7 +29,8 @@
 type departure struct {
 	id   string
 	node int
-	at   time.Time
+	// sent is when its request began, and at when it left.
+	sent, at time.Time
 }
 
 // leavers are callers that leave early.
@@ -70,7 +71,7 @@
 			continue
 		}
 		l.mu.Lock()
-		l.left = append(l.left, departure{id: id, node: n.index, at: o.ended})
+		l.left = append(l.left, departure{id: id, node: n.index, sent: o.began, at: o.ended})
 		l.mu.Unlock()
 	}
 }
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -40,8 +40,10 @@
 	body      string
 	signature string
 	requestID string
-	began     time.Time
-	ended     time.Time
+	// leaving is set where the back end said in the answer that it leaves.
+	leaving bool
+	began   time.Time
+	ended   time.Time
 }
 
 // disturbance is a time in which a node was killed or stood still.
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -101,6 +101,7 @@
 	body, err := io.ReadAll(response.Body)
 	o.sent, o.status, o.complete, o.body = true, response.StatusCode, err == nil, string(body)
 	o.requestID, o.signature = standin.AnswerOf(response.Header)
+	o.leaving = standin.SaysLeaving(response.Header)
 	return finished(o)
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -33,9 +33,11 @@
 	changed chan struct{}
 	open    map[net.Conn]struct{}
 	// muted holds what is silent of each connection that is open.
-	muted  map[*mute]struct{}
-	closed bool
-	done   sync.WaitGroup
+	muted map[*mute]struct{}
+	// troubles are the times in which it held, cut or silenced connections.
+	troubles []disturbance
+	closed   bool
+	done     sync.WaitGroup
 }
 
 // mute records which directions of one connection carry nothing any more.
@@ -91,6 +93,7 @@
 func (p *proxy) silence(towardsTarget, towardsCaller bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteCut()
 	for silent := range p.muted {
 		silent.towardsTarget.Store(silent.towardsTarget.Load() || towardsTarget)
 		silent.towardsCaller.Store(silent.towardsCaller.Load() || towardsCaller)
@@ -156,15 +159,42 @@
 func (p *proxy) set(mode proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteMode(mode)
 	p.mode = mode
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// noteCut notes that connections are cut or silenced now; the lock is held.
+func (p *proxy) noteCut() {
+	now := time.Now()
+	p.troubles = append(p.troubles, disturbance{from: now, to: now})
+}
+
+// noteMode notes the beginning or the end of a time in which connections are held; the lock is held.
+// One that has not ended lasts for ever.
+func (p *proxy) noteMode(mode proxyMode) {
+	now := time.Now()
+	if p.mode != modePass {
+		p.troubles[len(p.troubles)-1].to = now
+	}
+	if mode != modePass {
+		p.troubles = append(p.troubles, disturbance{from: now, to: now.Add(time.Hour)})
+	}
+}
+
+// troubled returns the times in which it held, cut or silenced connections.
+func (p *proxy) troubled() []disturbance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]disturbance(nil), p.troubles...)
+}
+
 // reset closes all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteCut()
 	for conn := range p.open {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -125,6 +125,7 @@
 	var newer sync.WaitGroup
 	newer.Go(func() { w.newerFaults(rand.New(rand.NewPCG(seed, newerStream)), duration) })
 	newer.Go(func() { w.newestFaults(rand.New(rand.NewPCG(seed, newestStream)), duration) })
+	newer.Go(func() { w.noticeFaults(rand.New(rand.NewPCG(seed, noticeStream)), duration) })
 	w.faults(random, duration)
 	newer.Wait()
 	time.Sleep(recoveryTime)
@@ -137,13 +138,17 @@
 	violations = append(violations, judgeDepartures(late, counted)...)
 	violations = append(violations, judgeTenants(load.observations(), w.received())...)
 	violations = append(violations, judgeCrashes(returns, w.crashes, w.received(), w.disturbances)...)
+	record := w.noticeRecord(load.observations(), leavers.departures())
+	lateArrivals, words := judgeWords(load.observations(), record)
+	restless, rests := judgeRests(record)
+	violations = append(violations, append(lateArrivals, restless...)...)
 	violations = append(violations, w.recovered()...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends",
-		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes))
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends, %d words and %d rests judged",
+		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes), words, rests)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -82,7 +82,10 @@
 		b.engine.Forget()
 		stage = b.engine.Stage()
 	}
-	b.born.Store(time.Now().UnixMilli())
+	b.setCondition(standin.Condition{})
+	w.mu.Lock()
+	b.begin()
+	w.mu.Unlock()
 	if slices.Contains(w.store.Names("servers"), b.id) {
 		w.announce(b, "ready", stage)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -52,7 +52,9 @@
 	service string
 	stage   string
 	// born is when its current life began, as a Unix millisecond.
-	born   atomic.Int64
+	born atomic.Int64
+	// lives are when its lives began; guarded by the world.
+	lives  []time.Time
 	proxy  *proxy
 	engine *standin.Engine
 	server *standin.Server
@@ -72,6 +74,8 @@
 	backEnds     []*backEnd
 	nodes        []*node
 	disturbances []disturbance
+	// starts are the starts of nodes' processes.
+	starts []nodeMoment
 	// troubles are the times in which connections to back ends were in trouble.
 	troubles []disturbance
 	// crashes are the times at which a request ended a back end.
@@ -224,7 +228,7 @@
 	defer w.mu.Unlock()
 	w.made++
 	b := &backEnd{id: fmt.Sprintf("i-%d", w.made), service: service, stage: stage}
-	b.born.Store(time.Now().UnixMilli())
+	b.begin()
 	var handler http.Handler
 	crashing := &standin.Crashing{Body: crashText, After: crashAfter, End: func() { w.crash(b) }}
 	if service == "llm" {
@@ -248,6 +252,13 @@
 	w.announce(b, "ready", stage)
 }
 
+// begin notes that a life of the back end begins; the world is locked.
+func (b *backEnd) begin() {
+	now := time.Now()
+	b.born.Store(now.UnixMilli())
+	b.lives = append(b.lives, now)
+}
+
 func (w *world) announce(b *backEnd, state, stage string) {
 	w.store.Put("servers", b.id, map[string]any{
 		"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state, "stage": stage, "born": b.born.Load(),
@@ -290,6 +301,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n.process, n.started, n.ended = process, started, ended
+	w.starts = append(w.starts, nodeMoment{n.index, started})
 }
 
 // signal sends a signal to a node's process.
