--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -161,7 +161,9 @@
 	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
-		taken.refusal = coordinator.RefusalClosed
+		if taken.entry.RestLeft() == 0 {
+			taken.refusal = coordinator.RefusalClosed
+		}
 		discard(wasteDecodeRefused)
 		return nil, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -224,6 +224,12 @@
 		entry.Failed()
 		x.handler.options.Metrics.Add("reservation_errors", 1)
 		return nil, coordinator.RefusalFailed, nil
+	case reservation == nil && entry.RestLeft() > 0:
+		// It wants rest from this node, and may have capacity for others. With a pause for all nodes,
+		// where engines turn one call in twenty away, 0.44 of the streams were in time in place of 0.59
+		// (four nodes, six engines, 50 streams a second, means of six runs).
+		x.handler.options.Metrics.Add("reservation_refusals", 1)
+		return nil, coordinator.RefusalNone, nil
 	case reservation == nil:
 		entry.Full(fullMemory)
 		x.handler.options.Metrics.Add("reservation_refusals", 1)
@@ -259,14 +265,14 @@
 	if rest > longestFreeWait {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), rest+releaseTimeout)
-	go func() {
+	ctx = context.WithoutCancel(ctx)
+	time.AfterFunc(rest, func() {
+		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
-		time.Sleep(rest)
 		if err := free(ctx); err != nil {
 			x.handler.options.Metrics.Add(errorsMetric, 1)
 		}
-	}()
+	})
 }
 
 // discard frees a prompt that was read and is not used.
