Keep the rest that replicas ask for at the product's own interface too

Cause: the same as on the platform: a replica's 503 with a time was passed on, and the replica called again at once. Change: the balancer leaves it alone, a call is refused at once where all rest, with the time of the first; the gateway's dialect of that protocol passes the wish on as well. One decoder of the header for all (httpheader). Left: engines of the product's own protocol state neither that they leave nor a rest; that protocol has no word for it.

--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -40,6 +40,8 @@
 	Engines *engine.Client
 	// Services sends requests to plain services.
 	Services *backendhttp.Transport
+	// Observe is called with what plain services say of themselves. Default: nobody hears it.
+	Observe backend.Observer
 }
 
 // Dialect speaks the product's own engine protocol. It is safe for concurrent use.
@@ -54,7 +56,12 @@
 var _ gateway.Dialect = (*Dialect)(nil)
 
 // New returns a dialect with the given parts.
-func New(options Options) *Dialect { return &Dialect{options: options, name: uuid.NewString()} }
+func New(options Options) *Dialect {
+	if options.Observe == nil {
+		options.Observe = func(backend.Backend, backend.Notice) {}
+	}
+	return &Dialect{options: options, name: uuid.NewString()}
+}
 
 // generationBody is what the dialect reads of a request's body.
 type generationBody struct {
@@ -142,6 +149,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if rest := httpheader.RetryAfter(response.Header); rest > 0 && response.StatusCode == http.StatusServiceUnavailable {
+		d.options.Observe(target, backend.Notice{Rest: rest})
+	}
 	return &gateway.Answer{Status: response.StatusCode, Header: httpheader.EndToEnd(response.Header), Body: response.Body}, nil
 }
 
--- a/engine/dialect/dialect_test.go
+++ b/engine/dialect/dialect_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -62,7 +63,10 @@
 	calls := &http.Transport{}
 	t.Cleanup(func() { services.CloseIdle(); calls.CloseIdleConnections() })
 	handler := gateway.New(gateway.Options{
-		Dialect:  dialect.New(dialect.Options{Node: "node", Engines: engine.NewClient(calls), Services: services}),
+		Dialect: dialect.New(dialect.Options{
+			Node: "node", Engines: engine.NewClient(calls), Services: services,
+			Observe: func(target backend.Backend, said backend.Notice) { f.backends.Heard(target.ID, said) },
+		}),
 		Backends: f.backends,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio: 10, Burst: func() float64 { return 0 }, Window: time.Minute, Now: time.Now,
@@ -240,3 +244,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(bytes.Contains(body, []byte(`"/app/log"`))).To(BeTrue(), string(body))
 }
+
+// TestAPlainServiceGetsTheRestThatItAsksFor has the only back end of a service ask for rest.
+func TestAPlainServiceGetsTheRestThatItAsksFor(t *testing.T) {
+	g := NewWithT(t)
+	f := newFixture(t, time.Millisecond)
+	var received atomic.Int32
+	tired := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		received.Add(1)
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(tired.Close)
+	f.backends.Update(backend.Backend{ID: "app", Service: "plain", Address: tired.Listener.Addr().String(), State: backend.StateReady})
+	for range 5 {
+		f.ask(t.Context(), t, "/app/x", "b", "")
+	}
+	g.Expect(received.Load()).To(BeEquivalentTo(1))
+}
--- a/httpheader/endtoend.go
+++ b/httpheader/endtoend.go
@@ -1,5 +1,5 @@
-// Package httpheader parts the headers of HTTP messages that concern one connection from those
-// that are passed on.
+// Package httpheader reads headers of HTTP messages: it parts those that concern one connection from
+// those that are passed on, and decodes when a server wants to be called again.
 package httpheader
 
 import (
--- a/backendhttp/retryafter.go
+++ b/httpheader/retryafter.go
@@ -1,4 +1,4 @@
-package backendhttp
+package httpheader
 
 import (
 	"math"
--- a/backendhttp/retryafter_test.go
+++ b/httpheader/retryafter_test.go
@@ -1,4 +1,4 @@
-package backendhttp_test
+package httpheader_test
 
 import (
 	"math"
@@ -8,7 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/reelrun/reelrun/backendhttp"
+	"github.com/reelrun/reelrun/httpheader"
 )
 
 func TestRetryAfter(t *testing.T) {
@@ -16,9 +16,9 @@
 		"3": 3 * time.Second, " 0.25 ": 250 * time.Millisecond, "": 0, "0": 0, "-1": 0, "soon": 0, "NaN": 0,
 		"Wed, 21 Oct 2015 07:28:00 GMT": 0, "1e300": 10 * time.Minute, "Inf": 10 * time.Minute,
 	} {
-		NewWithT(t).Expect(backendhttp.RetryAfter(http.Header{"Retry-After": {text}})).To(Equal(wanted), text)
+		NewWithT(t).Expect(httpheader.RetryAfter(http.Header{"Retry-After": {text}})).To(Equal(wanted), text)
 	}
-	NewWithT(t).Expect(backendhttp.RetryAfter(nil)).To(BeZero())
+	NewWithT(t).Expect(httpheader.RetryAfter(nil)).To(BeZero())
 }
 
 // FuzzRetryAfter wants a bounded time from any text.
@@ -27,7 +27,7 @@
 		f.Add(text)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		after := backendhttp.RetryAfter(http.Header{"Retry-After": {text}})
+		after := httpheader.RetryAfter(http.Header{"Retry-After": {text}})
 		if after < 0 || after > 10*time.Minute || math.IsNaN(after.Seconds()) {
 			t.Fatalf("%q gives %v", text, after)
 		}
--- a/service/handler.go
+++ b/service/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -143,8 +144,12 @@
 
 // tryReplicas sends the call to replicas in turn while that is safe.
 func (h *Handler) tryReplicas(ctx context.Context, w http.ResponseWriter, started *call) error {
-	var last error = api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "no replica can take the call").WithRetryAfter(retryAfter)
-	for tries, replica := range h.balancer.order(started.service.Backends) {
+	replicas := h.balancer.order(started.service.Backends)
+	if len(replicas) == 0 {
+		return h.noReplica(started.service.Backends)
+	}
+	var last error
+	for tries, replica := range replicas {
 		if tries >= maxTries || (tries > 0 && !h.retries.Allow()) {
 			break
 		}
@@ -158,6 +163,13 @@
 	return last
 }
 
+// noReplica is the refusal of a call that no replica takes now. Where all are at rest, the caller comes back
+// when the first of them is called again.
+func (h *Handler) noReplica(backends []api.Backend) error {
+	refused := api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "no replica can take the call")
+	return refused.WithRetryAfter(cmp.Or(h.balancer.firstBack(backends), retryAfter))
+}
+
 // canRetry reports whether another replica may get the call. A body that is
 // streamed can be sent only once.
 func (c *call) canRetry(ctx context.Context, err error) bool {
@@ -184,6 +196,9 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if rest := httpheader.RetryAfter(response.Header); rest > 0 && response.StatusCode == http.StatusServiceUnavailable {
+		h.balancer.rest(replica.Name, rest)
+	}
 	maps.Copy(w.Header(), httpheader.EndToEnd(response.Header))
 	w.WriteHeader(response.StatusCode)
 	control := http.NewResponseController(w)
--- a/service/handler_test.go
+++ b/service/handler_test.go
@@ -55,6 +55,8 @@
 	ran atomic.Int64
 	// breaks closes the connection after the call has run.
 	breaks atomic.Bool
+	// rests has it turn calls away and ask for a minute of rest.
+	rests  atomic.Bool
 	header atomic.Value
 }
 
@@ -67,6 +69,11 @@
 		if created.breaks.Load() {
 			panic(http.ErrAbortHandler)
 		}
+		if created.rests.Load() {
+			w.Header().Set("Retry-After", "60")
+			api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "rests").WriteHTTP(w)
+			return
+		}
 		w.Header().Set("Connection", "X-Hop")
 		w.Header().Set("X-Hop", "1")
 		_, _ = io.WriteString(w, "done")
@@ -215,6 +222,37 @@
 		Expect(first.ran.Load()).To(BeZero())
 	})
 
+	It("leaves a replica alone that has asked for rest", func() {
+		first.rests.Store(true)
+		now := time.Now()
+		handler := newHandler()
+		handler.balancer.now = func() time.Time { return now }
+		for range 20 {
+			_, _, _ = send(handler, http.MethodGet, "", "")
+		}
+		Expect(first.ran.Load()).To(BeEquivalentTo(1), "calls after it asked for rest")
+		Expect(second.ran.Load()).To(BeEquivalentTo(19))
+		first.rests.Store(false)
+		now = now.Add(time.Minute)
+		for range 4 {
+			_, _, _ = send(handler, http.MethodGet, "", "")
+		}
+		Expect(first.ran.Load()).To(BeNumerically(">", 1))
+	})
+
+	It("is refused at once when every replica has asked for rest", func() {
+		first.rests.Store(true)
+		second.rests.Store(true)
+		handler := newHandler()
+		for range 10 {
+			_, _, _ = send(handler, http.MethodGet, "", "")
+		}
+		Expect(runs()).To(BeEquivalentTo(2))
+		_, failure, _ := send(handler, http.MethodGet, "", "")
+		Expect(failure.Outcome).To(Equal(api.OutcomeNotRun))
+		Expect(failure.RetryAfter).To(BeNumerically("~", time.Minute, 5*time.Second))
+	})
+
 	It("is refused when every replica is leaving", func() {
 		leaving["first"], leaving["second"] = true, true
 		_, failure, _ := send(newHandler(), http.MethodGet, "", "")
