Name what back ends ask for as the field does: backoff

Cause: the code spoke of rest, which is the users' word. Change: names, comments, log lines and the reason of the refusal say backoff; nothing else. Measured: the packages' tests pass, with their checks as they were.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -38,8 +38,8 @@
 	failureAt time.Time
 	// fullUntil is when a back end that refused for want of room is asked again.
 	fullUntil time.Time
-	// restFrom and restUntil are from when until when the back end wants no request from this node.
-	restFrom, restUntil time.Time
+	// backoffFrom and backoffUntil are from when until when the back end wants no request from this node.
+	backoffFrom, backoffUntil time.Time
 }
 
 func newEntry(described Backend, now func() time.Time) *Entry {
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -6,8 +6,8 @@
 type Notice struct {
 	// Leaving is set where it is about to end and wants no new requests.
 	Leaving bool
-	// Rest is how long it wants no request from this node; zero where it did not ask for rest.
-	Rest time.Duration
+	// Backoff is how long it wants no request from this node; zero where it did not ask for backoff.
+	Backoff time.Duration
 }
 
 // IsEmpty reports whether the back end has said nothing.
@@ -18,7 +18,7 @@
 
 // Heard notes what a back end has said of itself. It reports what of that was not known.
 func (e *Entry) Heard(said Notice) Notice {
-	return Notice{Leaving: said.Leaving && e.heardLeaving(), Rest: e.heardRest(said.Rest)}
+	return Notice{Leaving: said.Leaving && e.heardLeaving(), Backoff: e.heardBackoff(said.Backoff)}
 }
 
 // heardLeaving notes that the back end has said that it leaves. It reports whether that is news.
@@ -34,52 +34,52 @@
 	return true
 }
 
-// heardRest notes for how long the back end wants no request. It returns that time where it begins a
-// rest, and zero where the back end is at rest already or wants none.
-func (e *Entry) heardRest(rest time.Duration) time.Duration {
-	if rest == 0 {
+// heardBackoff notes for how long the back end wants no request. It returns that time where it begins a
+// backoff, and zero where the back end is in backoff already or wants none.
+func (e *Entry) heardBackoff(backoff time.Duration) time.Duration {
+	if backoff == 0 {
 		return 0
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	begins := !now.Before(e.restUntil)
+	begins := !now.Before(e.backoffUntil)
 	if begins {
-		e.restFrom = now
+		e.backoffFrom = now
 	}
-	if until := now.Add(rest); until.After(e.restUntil) {
-		e.restUntil = until
+	if until := now.Add(backoff); until.After(e.backoffUntil) {
+		e.backoffUntil = until
 	}
 	if !begins {
 		return 0
 	}
-	return rest
+	return backoff
 }
 
-// RestLeft returns for how much longer the back end wants no request from this node; zero where it is
-// not at rest.
-func (e *Entry) RestLeft() time.Duration {
+// BackoffLeft returns for how much longer the back end wants no request from this node; zero where it is
+// not in backoff.
+func (e *Entry) BackoffLeft() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.restUntil.IsZero() {
+	if e.backoffUntil.IsZero() {
 		return 0
 	}
-	return max(0, e.restUntil.Sub(e.now()))
+	return max(0, e.backoffUntil.Sub(e.now()))
 }
 
-// RestingFor returns how long ago the rest began that the back end has now; zero where it has none.
-func (e *Entry) RestingFor() time.Duration {
+// BackingOffFor returns how long ago the backoff began that the back end is in; zero where it has none.
+func (e *Entry) BackingOffFor() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	if !now.Before(e.restUntil) {
+	if !now.Before(e.backoffUntil) {
 		return 0
 	}
-	return now.Sub(e.restFrom)
+	return now.Sub(e.backoffFrom)
 }
 
 // isWithheld reports whether the back end has said something for which this node gives it no work now.
-func (e *Entry) isWithheld() bool { return e.saidLeaving.Load() || e.RestLeft() > 0 }
+func (e *Entry) isWithheld() bool { return e.saidLeaving.Load() || e.BackoffLeft() > 0 }
 
 // adopt takes over what the same life said before its entry was removed for a while.
 func (e *Entry) adopt(before *Entry) {
@@ -87,9 +87,9 @@
 		e.heardLeaving()
 	}
 	before.mu.Lock()
-	from, until := before.restFrom, before.restUntil
+	from, until := before.backoffFrom, before.backoffUntil
 	before.mu.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.restFrom, e.restUntil = from, until
+	e.backoffFrom, e.backoffUntil = from, until
 }
--- a/backend/notice_test.go
+++ b/backend/notice_test.go
@@ -62,11 +62,11 @@
 	clock := newHandClock()
 	registry := backend.NewRegistry(clock.read)
 	registry.Update(lifeOf(1, backend.StateReady))
-	registry.Heard("a@1", backend.Notice{Leaving: true, Rest: time.Hour})
+	registry.Heard("a@1", backend.Notice{Leaving: true, Backoff: time.Hour})
 	registry.Update(lifeOf(2, backend.StateReady))
 	g.Expect(registry.Ready("first", backend.RoleNone)).To(HaveLen(1))
 	g.Expect(registry.Withheld("first")).To(BeEmpty())
-	g.Expect(registry.Lookup("a@2").RestLeft()).To(BeZero())
+	g.Expect(registry.Lookup("a@2").BackoffLeft()).To(BeZero())
 }
 
 // TestALifeWithoutBirthIsUsedAfterAMinute has a back end start again whose lives cannot be told apart.
@@ -116,27 +116,27 @@
 	})
 }
 
-// TestARestIsKeptToItsEnd asks for rest again before the end, and has the entry lapse meanwhile.
-func TestARestIsKeptToItsEnd(t *testing.T) {
+// TestABackoffIsKeptToItsEnd asks for backoff again before the end, and has the entry lapse meanwhile.
+func TestABackoffIsKeptToItsEnd(t *testing.T) {
 	g := NewWithT(t)
 	clock := newHandClock()
 	registry := backend.NewRegistry(clock.read)
 	registry.Update(lifeOf(1, backend.StateReady))
-	g.Expect(registry.Heard("a@1", backend.Notice{Rest: 3 * time.Second}).Rest).To(Equal(3 * time.Second))
+	g.Expect(registry.Heard("a@1", backend.Notice{Backoff: 3 * time.Second}).Backoff).To(Equal(3 * time.Second))
 	clock.pass(time.Second)
-	g.Expect(registry.Heard("a@1", backend.Notice{Rest: time.Second}).IsEmpty()).To(BeTrue(), "it rests already")
-	g.Expect(registry.Lookup("a@1").RestLeft()).To(Equal(2 * time.Second))
-	g.Expect(registry.Lookup("a@1").RestingFor()).To(Equal(time.Second))
-	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(Equal(2 * time.Second))
-	g.Expect(registry.AllRestFor("second", backend.RoleNone)).To(BeZero())
+	g.Expect(registry.Heard("a@1", backend.Notice{Backoff: time.Second}).IsEmpty()).To(BeTrue(), "it is in backoff already")
+	g.Expect(registry.Lookup("a@1").BackoffLeft()).To(Equal(2 * time.Second))
+	g.Expect(registry.Lookup("a@1").BackingOffFor()).To(Equal(time.Second))
+	g.Expect(registry.AllBackingOff("first", backend.RoleNone)).To(Equal(2 * time.Second))
+	g.Expect(registry.AllBackingOff("second", backend.RoleNone)).To(BeZero())
 	g.Expect(registry.Withheld("first")).To(ConsistOf("a@1"))
 	registry.RemoveRegistered("a")
-	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(BeZero(), "there is none")
+	g.Expect(registry.AllBackingOff("first", backend.RoleNone)).To(BeZero(), "there is none")
 	registry.Update(lifeOf(1, backend.StateReady))
-	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(Equal(2 * time.Second))
+	g.Expect(registry.AllBackingOff("first", backend.RoleNone)).To(Equal(2 * time.Second))
 	clock.pass(2 * time.Second)
-	g.Expect(registry.AllRestFor("first", backend.RoleNone)).To(BeZero())
+	g.Expect(registry.AllBackingOff("first", backend.RoleNone)).To(BeZero())
 	g.Expect(registry.Withheld("first")).To(BeEmpty())
-	g.Expect(registry.Lookup("a@1").RestingFor()).To(BeZero())
+	g.Expect(registry.Lookup("a@1").BackingOffFor()).To(BeZero())
 	g.Expect(registry.Ready("first", backend.RoleNone)).To(HaveLen(1))
 }
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -217,9 +217,9 @@
 	return withheld
 }
 
-// AllRestFor returns how long it is until the first back end of a service and role wants requests from
-// this node again, where all that take work are at rest; zero where one is not, or there is none.
-func (r *Registry) AllRestFor(service string, role Role) time.Duration {
+// AllBackingOff returns how long it is until the first back end of a service and role wants requests from
+// this node again, where all that take work are in backoff; zero where one is not, or there is none.
+func (r *Registry) AllBackingOff(service string, role Role) time.Duration {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if len(r.notices) == 0 {
@@ -230,7 +230,7 @@
 		if entry.Backend().Role != role || !entry.TakesWork() {
 			continue
 		}
-		left := entry.RestLeft()
+		left := entry.BackoffLeft()
 		if left == 0 {
 			return 0
 		}
--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -149,8 +149,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if rest := httpheader.RetryAfter(response.Header); rest > 0 && response.StatusCode == http.StatusServiceUnavailable {
-		d.options.Observe(target, backend.Notice{Rest: rest})
+	if backoff := httpheader.RetryAfter(response.Header); backoff > 0 && response.StatusCode == http.StatusServiceUnavailable {
+		d.options.Observe(target, backend.Notice{Backoff: backoff})
 	}
 	return &gateway.Answer{Status: response.StatusCode, Header: httpheader.EndToEnd(response.Header), Body: response.Body}, nil
 }
--- a/engine/dialect/dialect_test.go
+++ b/engine/dialect/dialect_test.go
@@ -245,8 +245,8 @@
 	g.Expect(bytes.Contains(body, []byte(`"/app/log"`))).To(BeTrue(), string(body))
 }
 
-// TestAPlainServiceGetsTheRestThatItAsksFor has the only back end of a service ask for rest.
-func TestAPlainServiceGetsTheRestThatItAsksFor(t *testing.T) {
+// TestAPlainServiceGetsTheBackoffThatItAsksFor has the only back end of a service ask for backoff.
+func TestAPlainServiceGetsTheBackoffThatItAsksFor(t *testing.T) {
 	g := NewWithT(t)
 	f := newFixture(t, time.Millisecond)
 	var received atomic.Int32
--- a/gateway/rest_test.go
+++ b/gateway/backoff_test.go
@@ -29,34 +29,34 @@
 	return answer
 }
 
-// TestTheLastAnswerIsPassedOnWhereTheOthersRest has one back end fail while the other one is at rest. Its
+// TestTheLastAnswerIsPassedOnWhereTheOthersAskedForBackoff has one back end fail while the other one is in backoff. Its
 // answer was dropped in favour of a second try for which there was no back end.
-func TestTheLastAnswerIsPassedOnWhereTheOthersRest(t *testing.T) {
+func TestTheLastAnswerIsPassedOnWhereTheOthersAskedForBackoff(t *testing.T) {
 	g := NewWithT(t)
 	backends := twoBackends()
 	decisions := admission.NewNode("n", func() time.Duration { return 0 })
 	handler := newPlainHandlerOf(backends, failingDialect{}, decisions)
-	backends.Heard("b", backend.Notice{Rest: time.Minute})
+	backends.Heard("b", backend.Notice{Backoff: time.Minute})
 	got := askOnce(handler)
 	g.Expect(got.Code).To(Equal(http.StatusInternalServerError))
 	g.Expect(got.Body.String()).To(Equal("own words"))
 }
 
-// TestABackEndAtRestGetsNothing sends all requests to the other one, and refuses them while both rest.
-func TestABackEndAtRestGetsNothing(t *testing.T) {
+// TestABackEndThatAskedForBackoffGetsNothing sends all requests to the other one, and refuses them while both want backoff.
+func TestABackEndThatAskedForBackoffGetsNothing(t *testing.T) {
 	g := NewWithT(t)
 	backends := twoBackends()
 	dialect := countingDialect{sent: map[string]int{}}
 	handler := newPlainHandlerOf(backends, dialect, admission.NewNode("n", func() time.Duration { return 0 }))
-	backends.Heard("b", backend.Notice{Rest: time.Minute})
+	backends.Heard("b", backend.Notice{Backoff: time.Minute})
 	for range 50 {
 		g.Expect(askOnce(handler).Code).To(Equal(http.StatusOK))
 	}
 	g.Expect(dialect.sent).To(Equal(map[string]int{"a": 50}))
-	backends.Heard("a", backend.Notice{Rest: time.Second})
+	backends.Heard("a", backend.Notice{Backoff: time.Second})
 	refused := askOnce(handler)
 	g.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
-	g.Expect(refused.Body.String()).To(HavePrefix(string(gateway.ReasonBackendsRest)))
+	g.Expect(refused.Body.String()).To(HavePrefix(string(gateway.ReasonBackoff)))
 	g.Expect(refused.Header().Get("Retry-After")).To(Or(HavePrefix("0.9"), HavePrefix("1.")), "when the first of them is back")
 	g.Expect(dialect.sent).To(Equal(map[string]int{"a": 50}))
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -5,12 +5,12 @@
 	"github.com/reelrun/reelrun/backend"
 )
 
-// pick chooses a back end of a service among those that were not tried and are not at rest, or nil.
+// pick chooses a back end of a service among those that were not tried and are not in backoff, or nil.
 func (h *Handler) pick(service string, role backend.Role, tried map[string]bool) *backend.Entry {
 	var entries []*backend.Entry
 	var candidates []admission.Candidate
 	for _, entry := range h.options.Backends.Ready(service, role) {
-		if tried[entry.Backend().ID] || entry.RestLeft() > 0 || !h.options.Assignable(entry) {
+		if tried[entry.Backend().ID] || entry.BackoffLeft() > 0 || !h.options.Assignable(entry) {
 			continue
 		}
 		entries = append(entries, entry)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -37,7 +37,7 @@
 	tried := map[string]bool{}
 	entry := x.handler.pick(x.service, backend.RoleNone, tried)
 	if entry == nil {
-		return x.allRest(backend.RoleNone, notRun(ReasonNoBackend, retryNoBackend, nil))
+		return x.allBackingOff(backend.RoleNone, notRun(ReasonNoBackend, retryNoBackend, nil))
 	}
 	for {
 		if err := ended(ctx); err != nil {
@@ -69,24 +69,24 @@
 // may have, or the error.
 func (x *exchange) final(answer *Answer, err error) error {
 	if answer == nil {
-		return x.allRest(backend.RoleNone, err)
+		return x.allBackingOff(backend.RoleNone, err)
 	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
-		return x.allRest(backend.RoleNone, err)
+		return x.allBackingOff(backend.RoleNone, err)
 	}
 	return x.relay(answer)
 }
 
-// allRest returns the refusal of a request that has not run, where all back ends of its service have
-// asked this node for rest, and otherwise the given error. The caller comes back when the first of them
+// allBackingOff returns the refusal of a request that has not run, where all back ends of its service have
+// asked this node for backoff, and otherwise the given error. The caller comes back when the first of them
 // wants requests again.
-func (x *exchange) allRest(role backend.Role, err error) error {
-	wait := x.handler.options.Backends.AllRestFor(x.service, role)
+func (x *exchange) allBackingOff(role backend.Role, err error) error {
+	wait := x.handler.options.Backends.AllBackingOff(x.service, role)
 	if wait == 0 || x.runs > 0 {
 		return err
 	}
-	return notRun(ReasonBackendsRest, x.handler.options.Policy.retryAfter(wait), err)
+	return notRun(ReasonBackoff, x.handler.options.Policy.retryAfter(wait), err)
 }
 
 // tryError is why one try did not give an answer that ends the request.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -22,9 +22,9 @@
 	// begun there, because its prompt was being read. It is half of the shortest time that
 	// engines serve on (2 s on the sites' sheets).
 	leavingLimit = time.Second
-	// restingLimit is the same after a decode engine has asked for rest: it has set memory aside for
+	// backoffLimit is the same after a decode engine has asked for backoff: it has set memory aside for
 	// this answer. It is half of the time in which engines still expect what is on its way (0.5 s).
-	restingLimit = 250 * time.Millisecond
+	backoffLimit = 250 * time.Millisecond
 	// prefillTimeoutShare is the share of the objective after which a prefill engine that
 	// says nothing is given up, where nothing is known of the time that it needs.
 	prefillTimeoutShare = 0.7
@@ -140,9 +140,9 @@
 		discard(wasteEngineLeft)
 		return nil, &tryError{failure: notRun(ReasonBackendLeft, retryShed, nil)}
 	}
-	if taken.entry.RestingFor() > restingLimit {
-		discard(wasteEngineRests)
-		return nil, &tryError{failure: notRun(ReasonBackendsRest, retryShed, nil)}
+	if taken.entry.BackingOffFor() > backoffLimit {
+		discard(wasteEngineBackoff)
+		return nil, &tryError{failure: notRun(ReasonBackoff, retryShed, nil)}
 	}
 	if err := x.admissible(); err != nil {
 		discard(wasteNotSent)
@@ -161,7 +161,7 @@
 	}
 	if answer.NotRun || answer.Misdirected {
 		_ = answer.Body.Close()
-		if taken.entry.RestLeft() == 0 {
+		if taken.entry.BackoffLeft() == 0 {
 			taken.refusal = coordinator.RefusalClosed
 		}
 		discard(wasteDecodeRefused)
@@ -223,7 +223,7 @@
 func (x *exchange) prefillEngine(taken *reservedEngine, tried map[string]bool) *backend.Entry {
 	if len(tried) == 0 && taken.prefillEngine != "" {
 		entry := x.handler.options.Backends.Lookup(taken.prefillEngine)
-		if entry != nil && entry.TakesWork() && entry.RestLeft() == 0 {
+		if entry != nil && entry.TakesWork() && entry.BackoffLeft() == 0 {
 			return entry
 		}
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -141,7 +141,7 @@
 	wasteDecodeRefused  wasteCause = "decode refused"
 	wasteDecodeFailed   wasteCause = "decode failed"
 	wasteEngineLeft     wasteCause = "engine left"
-	wasteEngineRests    wasteCause = "engine rests"
+	wasteEngineBackoff  wasteCause = "engine asked for backoff"
 	wasteNotSent        wasteCause = "time over or request quarantined"
 	wasteStreamBroken   wasteCause = "stream broken"
 )
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -22,8 +22,8 @@
 	ReasonUnknownKey   Reason = "unknown_key"
 	ReasonBodyTooLarge Reason = "body_too_large"
 	ReasonNoBackend    Reason = "no_backend"
-	// ReasonBackendsRest is that of a request all of whose back ends have asked this node for rest.
-	ReasonBackendsRest Reason = "backends_rest"
+	// ReasonBackoff is that of a request all of whose back ends have asked this node for backoff.
+	ReasonBackoff Reason = "backoff"
 	// ReasonQuarantined is that of a request that has crashed the back ends which ran it.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverloaded is that of a request beyond what the back ends of its service can do.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -19,7 +19,7 @@
 	reserveTimeout = 100 * time.Millisecond
 	// releaseTimeout bounds the calls that free what is no longer needed.
 	releaseTimeout = 2 * time.Second
-	// longestFreeWait is how long such a call waits for the end of its engine's rest. What engines keep
+	// longestFreeWait is how long such a call waits for the end of its engine's backoff. What engines keep
 	// for a request lapses by itself, reservations after 2 s on the sites' sheets and prompts soon after.
 	longestFreeWait = 5 * time.Second
 	// reserveInterval is the pause between two rounds over all engines.
@@ -89,7 +89,7 @@
 
 // reserve takes memory at a decode engine, waiting a bounded time for it.
 func (x *exchange) reserve(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
-	if refused := x.allRest(backend.RoleDecode, nil); refused != nil {
+	if refused := x.allBackingOff(backend.RoleDecode, nil); refused != nil {
 		return nil, refused
 	}
 	if x.handler.options.Coordinator == nil {
@@ -148,7 +148,7 @@
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
 	var reservation *Reservation
 	refusal := coordinator.RefusalFull
-	if entry != nil && entry.TakesWork() && entry.RestLeft() == 0 {
+	if entry != nil && entry.TakesWork() && entry.BackoffLeft() == 0 {
 		reservation, refusal, err = x.reserveAt(ctx, entry, profile, reservationSize{assigned: true, promptReady: assigned.PromptReady})
 	}
 	if err != nil {
@@ -224,8 +224,8 @@
 		entry.Failed()
 		x.handler.options.Metrics.Add("reservation_errors", 1)
 		return nil, coordinator.RefusalFailed, nil
-	case reservation == nil && entry.RestLeft() > 0:
-		// It wants rest from this node, and may have capacity for others. With a pause for all nodes,
+	case reservation == nil && entry.BackoffLeft() > 0:
+		// It wants backoff from this node, and may have capacity for others. With a pause for all nodes,
 		// where engines turn one call in twenty away, 0.44 of the streams were in time in place of 0.59
 		// (four nodes, six engines, 50 streams a second, means of six runs).
 		x.handler.options.Metrics.Add("reservation_refusals", 1)
@@ -242,7 +242,7 @@
 func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
 	for _, entry := range h.options.Backends.Ready(service, backend.RoleDecode) {
-		if !avoid[entry.Backend().ID] && entry.Sound() && entry.RestLeft() == 0 && h.options.Assignable(entry) {
+		if !avoid[entry.Backend().ID] && entry.Sound() && entry.BackoffLeft() == 0 && h.options.Assignable(entry) {
 			candidates = append(candidates, entry)
 		}
 	}
@@ -258,15 +258,15 @@
 	})
 }
 
-// giveUp has an engine free something, without waiting for it. An engine at rest is called once that is
+// giveUp has an engine free something, without waiting for it. An engine in backoff is called once that is
 // over, because it wants no call at all meanwhile.
 func (x *exchange) giveUp(ctx context.Context, engine *backend.Entry, errorsMetric string, free func(context.Context) error) {
-	rest := engine.RestLeft()
-	if rest > longestFreeWait {
+	backoff := engine.BackoffLeft()
+	if backoff > longestFreeWait {
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
-	time.AfterFunc(rest, func() {
+	time.AfterFunc(backoff, func() {
 		ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 		defer cancel()
 		if err := free(ctx); err != nil {
--- a/service/balancer.go
+++ b/service/balancer.go
@@ -20,16 +20,16 @@
 	mu       sync.Mutex
 	inFlight map[string]int
 	failed   map[string]time.Time
-	// resting is until when replicas have asked to be left alone.
-	resting map[string]time.Time
-	turn    int
+	// backoffs is until when replicas have asked to be left alone.
+	backoffs map[string]time.Time
+	turn     int
 }
 
 func newBalancer(leaving func(string) bool, now func() time.Time) *balancer {
-	return &balancer{leaving: leaving, now: now, inFlight: map[string]int{}, failed: map[string]time.Time{}, resting: map[string]time.Time{}}
+	return &balancer{leaving: leaving, now: now, inFlight: map[string]int{}, failed: map[string]time.Time{}, backoffs: map[string]time.Time{}}
 }
 
-// order returns the replicas that may be called, the best first. Those that leave or rest
+// order returns the replicas that may be called, the best first. Those that leave or asked for backoff
 // are left out; those that failed a moment ago come last.
 func (b *balancer) order(backends []api.Backend) []api.Backend {
 	b.mu.Lock()
@@ -38,7 +38,7 @@
 	usable := make([]api.Backend, 0, len(backends))
 	for i := range backends {
 		candidate := backends[(i+b.turn)%len(backends)]
-		if !b.leaving(candidate.Name) && b.restLeft(candidate.Name) == 0 {
+		if !b.leaving(candidate.Name) && b.backoffLeft(candidate.Name) == 0 {
 			usable = append(usable, candidate)
 		}
 	}
@@ -54,35 +54,35 @@
 	return usable
 }
 
-// rest leaves a replica alone for as long as it has asked for.
-func (b *balancer) rest(name string, lasting time.Duration) {
+// backOff leaves a replica alone for as long as it has asked for.
+func (b *balancer) backOff(name string, lasting time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.resting[name] = b.now().Add(lasting)
+	b.backoffs[name] = b.now().Add(lasting)
 }
 
-// restLeft returns for how much longer a replica is left alone; the lock is held.
-func (b *balancer) restLeft(name string) time.Duration {
-	until, asked := b.resting[name]
+// backoffLeft returns for how much longer a replica is left alone; the lock is held.
+func (b *balancer) backoffLeft(name string) time.Duration {
+	until, asked := b.backoffs[name]
 	if !asked {
 		return 0
 	}
 	left := until.Sub(b.now())
 	if left <= 0 {
-		delete(b.resting, name)
+		delete(b.backoffs, name)
 		return 0
 	}
 	return left
 }
 
-// firstBack returns how long it is until the first of the replicas at rest is called again; zero where
-// none rests.
+// firstBack returns how long it is until the first of the replicas in backoff is called again; zero where
+// none does.
 func (b *balancer) firstBack(backends []api.Backend) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var shortest time.Duration
 	for _, candidate := range backends {
-		left := b.restLeft(candidate.Name)
+		left := b.backoffLeft(candidate.Name)
 		if left > 0 && !b.leaving(candidate.Name) && (shortest == 0 || left < shortest) {
 			shortest = left
 		}
--- a/service/handler.go
+++ b/service/handler.go
@@ -163,7 +163,7 @@
 	return last
 }
 
-// noReplica is the refusal of a call that no replica takes now. Where all are at rest, the caller comes back
+// noReplica is the refusal of a call that no replica takes now. Where all are in backoff, the caller comes back
 // when the first of them is called again.
 func (h *Handler) noReplica(backends []api.Backend) error {
 	refused := api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "no replica can take the call")
@@ -196,8 +196,8 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if rest := httpheader.RetryAfter(response.Header); rest > 0 && response.StatusCode == http.StatusServiceUnavailable {
-		h.balancer.rest(replica.Name, rest)
+	if backoff := httpheader.RetryAfter(response.Header); backoff > 0 && response.StatusCode == http.StatusServiceUnavailable {
+		h.balancer.backOff(replica.Name, backoff)
 	}
 	maps.Copy(w.Header(), httpheader.EndToEnd(response.Header))
 	w.WriteHeader(response.StatusCode)
--- a/service/handler_test.go
+++ b/service/handler_test.go
@@ -55,9 +55,9 @@
 	ran atomic.Int64
 	// breaks closes the connection after the call has run.
 	breaks atomic.Bool
-	// rests has it turn calls away and ask for a minute of rest.
-	rests  atomic.Bool
-	header atomic.Value
+	// backsOff has it turn calls away and ask for a minute of backoff.
+	backsOff atomic.Bool
+	header   atomic.Value
 }
 
 func newReplica() *replica {
@@ -69,9 +69,9 @@
 		if created.breaks.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if created.rests.Load() {
+		if created.backsOff.Load() {
 			w.Header().Set("Retry-After", "60")
-			api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "rests").WriteHTTP(w)
+			api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, api.OutcomeNotRun, "asks for backoff").WriteHTTP(w)
 			return
 		}
 		w.Header().Set("Connection", "X-Hop")
@@ -222,17 +222,17 @@
 		Expect(first.ran.Load()).To(BeZero())
 	})
 
-	It("leaves a replica alone that has asked for rest", func() {
-		first.rests.Store(true)
+	It("leaves a replica alone that has asked for backoff", func() {
+		first.backsOff.Store(true)
 		now := time.Now()
 		handler := newHandler()
 		handler.balancer.now = func() time.Time { return now }
 		for range 20 {
 			_, _, _ = send(handler, http.MethodGet, "", "")
 		}
-		Expect(first.ran.Load()).To(BeEquivalentTo(1), "calls after it asked for rest")
+		Expect(first.ran.Load()).To(BeEquivalentTo(1), "calls after it asked for backoff")
 		Expect(second.ran.Load()).To(BeEquivalentTo(19))
-		first.rests.Store(false)
+		first.backsOff.Store(false)
 		now = now.Add(time.Minute)
 		for range 4 {
 			_, _, _ = send(handler, http.MethodGet, "", "")
@@ -240,9 +240,9 @@
 		Expect(first.ran.Load()).To(BeNumerically(">", 1))
 	})
 
-	It("is refused at once when every replica has asked for rest", func() {
-		first.rests.Store(true)
-		second.rests.Store(true)
+	It("is refused at once when every replica has asked for backoff", func() {
+		first.backsOff.Store(true)
+		second.backsOff.Store(true)
 		handler := newHandler()
 		for range 10 {
 			_, _, _ = send(handler, http.MethodGet, "", "")
--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -19,13 +19,13 @@
 	// drainTime is how long after a node has passed on the word of a back end that leaves a caller's
 	// request may still be sent there.
 	drainTime = 2 * time.Second
-	// restTime is the rest that back ends ask for, as restText on the wire.
-	restTime = 1500 * time.Millisecond
-	restText = "1.5"
-	// restNoticed is how long after that requests may still arrive which were on their way, and maxInRest
+	// backoffTime is the backoff that back ends ask for, as backoffText on the wire.
+	backoffTime = 1500 * time.Millisecond
+	backoffText = "1.5"
+	// backoffNoticed is how long after that requests may still arrive which were on their way, and maxInBackoff
 	// how many of one node may arrive later.
-	restNoticed = 500 * time.Millisecond
-	maxInRest   = 2
+	backoffNoticed = 500 * time.Millisecond
+	maxInBackoff   = 2
 	// farewell is how long a back end that leaves serves on after its entry says so.
 	farewell = 2500 * time.Millisecond
 )
@@ -47,7 +47,7 @@
 	return b.server.Arrivals()
 }
 
-// noticeFaults has back ends leave by their own word, long before their entries say so, and ask for rest:
+// noticeFaults has back ends leave by their own word, long before their entries say so, and ask for backoff:
 // one, a share of what one is sent, or all of a service.
 func (w *world) noticeFaults(random *rand.Rand, duration time.Duration) {
 	until := time.Now().Add(duration)
@@ -63,11 +63,11 @@
 		case 0:
 			w.restarting.Go(func() { w.leaveByWord(b, drainTime+lasting) })
 		case 1:
-			w.restarting.Go(func() { w.askForRest([]*backEnd{b}, 0, lasting) })
+			w.restarting.Go(func() { w.askForBackoff([]*backEnd{b}, 0, lasting) })
 		case 2:
-			w.restarting.Go(func() { w.askForRest([]*backEnd{b}, 0.4, lasting) })
+			w.restarting.Go(func() { w.askForBackoff([]*backEnd{b}, 0.4, lasting) })
 		default:
-			w.restarting.Go(func() { w.askForRest(w.backEndsOf(b.service), 0, lasting/2) })
+			w.restarting.Go(func() { w.askForBackoff(w.backEndsOf(b.service), 0, lasting/2) })
 		}
 		time.Sleep(time.Duration(200+random.IntN(800)) * time.Millisecond)
 	}
@@ -121,13 +121,13 @@
 	}
 }
 
-// askForRest has back ends turn a share of their requests away for a time, zero for all, and ask for rest.
-func (w *world) askForRest(resting []*backEnd, share float64, lasting time.Duration) {
-	for _, b := range resting {
-		b.setCondition(standin.Condition{Rest: restText, Share: share})
+// askForBackoff has back ends turn a share of their requests away for a time, zero for all, and ask for backoff.
+func (w *world) askForBackoff(asking []*backEnd, share float64, lasting time.Duration) {
+	for _, b := range asking {
+		b.setCondition(standin.Condition{Backoff: backoffText, Share: share})
 	}
 	time.Sleep(lasting)
-	for _, b := range resting {
+	for _, b := range asking {
 		b.setCondition(standin.Condition{})
 	}
 }
@@ -225,34 +225,34 @@
 	return violations, len(heard)
 }
 
-// judgeRests returns what reached back ends in the rest that they had asked nodes for, and how many rests
+// judgeBackoffs returns what reached back ends in the backoff that they had asked nodes for, and how many backoffs
 // were looked at.
-func judgeRests(record noticeRecord) (violations []string, rests int) {
+func judgeBackoffs(record noticeRecord) (violations []string, backoffs int) {
 	for backEnd, arrivals := range record.arrivals {
 		for i, asked := range arrivals {
 			sender, known := record.senders[asked.Request]
-			ends := asked.At.Add(restTime)
+			ends := asked.At.Add(backoffTime)
 			// An answer that is held or lost is not heard, and a request that is held arrives late.
-			span := observation{began: asked.At.Add(-restNoticed), ended: ends}
+			span := observation{began: asked.At.Add(-backoffNoticed), ended: ends}
 			if !asked.TurnedAway || !known || !record.undisturbed(sender.node, span.began, ends) ||
 				!record.sameLife(backEnd, asked.At, ends) || touched(span, record.troubles[backEnd]) {
 				continue
 			}
-			rests++
+			backoffs++
 			within := 0
 			for _, later := range arrivals[i+1:] {
 				from, known := record.senders[later.Request]
-				if known && from.node == sender.node && later.At.After(asked.At.Add(restNoticed)) && later.At.Before(ends) {
+				if known && from.node == sender.node && later.At.After(asked.At.Add(backoffNoticed)) && later.At.Before(ends) {
 					within++
 				}
 			}
-			if within > maxInRest {
-				violations = append(violations, fmt.Sprintf("%s had asked node %d for rest at %s and got %d requests from it",
+			if within > maxInBackoff {
+				violations = append(violations, fmt.Sprintf("%s had asked node %d for backoff at %s and got %d requests from it",
 					backEnd, sender.node, asked.At.Format(time.TimeOnly), within))
 			}
 		}
 	}
-	return violations, rests
+	return violations, backoffs
 }
 
 // TestJudgeNoticesWords has a request reach a back end early and late after its word, and late where that
@@ -289,8 +289,8 @@
 	g.Expect(judged(excused)).To(BeEmpty(), "a node that stood still")
 }
 
-// TestJudgeNoticesRests has requests of one node reach a back end after it has asked that for rest.
-func TestJudgeNoticesRests(t *testing.T) {
+// TestJudgeNoticesBackoffs has requests of one node reach a back end after it has asked that for backoff.
+func TestJudgeNoticesBackoffs(t *testing.T) {
 	g := NewWithT(t)
 	began := time.Unix(100, 0)
 	record := noticeRecord{senders: map[string]nodeMoment{}, arrivals: map[string][]standin.Arrival{}}
@@ -299,19 +299,19 @@
 		record.arrivals["b"] = append(record.arrivals["b"], standin.Arrival{At: began.Add(after), Request: id, TurnedAway: turnedAway})
 	}
 	arrive("asked", 1, 0, true)
-	arrive("early", 1, restNoticed, false)
-	arrive("first", 1, restNoticed+time.Millisecond, false)
-	arrive("second", 1, restNoticed+2*time.Millisecond, false)
-	arrive("other", 2, restNoticed+3*time.Millisecond, false)
-	arrive("after", 1, restTime, false)
-	violations, rests := judgeRests(record)
+	arrive("early", 1, backoffNoticed, false)
+	arrive("first", 1, backoffNoticed+time.Millisecond, false)
+	arrive("second", 1, backoffNoticed+2*time.Millisecond, false)
+	arrive("other", 2, backoffNoticed+3*time.Millisecond, false)
+	arrive("after", 1, backoffTime, false)
+	violations, backoffs := judgeBackoffs(record)
 	g.Expect(violations).To(BeEmpty())
-	g.Expect(rests).To(Equal(1))
-	arrive("third", 1, restTime-time.Millisecond, false)
-	violations, _ = judgeRests(record)
+	g.Expect(backoffs).To(Equal(1))
+	arrive("third", 1, backoffTime-time.Millisecond, false)
+	violations, _ = judgeBackoffs(record)
 	g.Expect(violations).To(HaveLen(1))
 	record.troubles = map[string][]disturbance{"b": {{from: began, to: began.Add(time.Second)}}}
-	violations, rests = judgeRests(record)
+	violations, backoffs = judgeBackoffs(record)
 	g.Expect(violations).To(BeEmpty())
-	g.Expect(rests).To(BeZero())
+	g.Expect(backoffs).To(BeZero())
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -140,15 +140,15 @@
 	violations = append(violations, judgeCrashes(returns, w.crashes, w.received(), w.disturbances)...)
 	record := w.noticeRecord(load.observations(), leavers.departures())
 	lateArrivals, words := judgeWords(load.observations(), record)
-	restless, rests := judgeRests(record)
-	violations = append(violations, append(lateArrivals, restless...)...)
+	unheeded, backoffs := judgeBackoffs(record)
+	violations = append(violations, append(lateArrivals, unheeded...)...)
 	violations = append(violations, w.recovered()...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends, %d words and %d rests judged",
-		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes), words, rests)
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends, %d words and %d backoffs judged",
+		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes), words, backoffs)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
