Forget a node's evidence of crashes with its entry in the table

Cause: the table holds 8,192 requests, the evidence of those that it drops was kept for ever, and so were answers that no keeper had heard of. Change: evidence goes with the entry, and of the answers the latest 8,192 stay.

--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +79,11 @@
 	if options.BecameKeeper == nil {
 		options.BecameKeeper = func(context.Context) {}
 	}
-	return &Client{options: options, own: NewTable(), evidence: map[Fingerprint][]*ownEvidence{}, heard: map[Fingerprint]heardStanding{}}
+	client := &Client{options: options, own: NewTable(), evidence: map[Fingerprint][]*ownEvidence{}, heard: map[Fingerprint]heardStanding{}}
+	// Evidence goes with its entry in the table: callers with a new body each time would fill the
+	// memory otherwise while nobody is chosen to be told.
+	client.own.forgotten = func(request Fingerprint) { delete(client.evidence, request) }
+	return client
 }
 
 // Empty reports that nothing is known of any request, so that no fingerprint need be worked out.
@@ -125,7 +130,16 @@
 	c.own.Answered(request)
 	delete(c.evidence, request)
 	delete(c.heard, request)
-	c.answered = append(c.answered, request)
+	c.noteAnswered(request)
+}
+
+// noteAnswered keeps answered requests of which the keeper has not heard, the latest of them; the lock is
+// held. A keeper that does not hear of an answer holds the request responsible until its crashes lapse.
+func (c *Client) noteAnswered(requests ...Fingerprint) {
+	c.answered = append(c.answered, requests...)
+	if excess := len(c.answered) - maxRequests; excess > 0 {
+		c.answered = slices.Delete(c.answered, 0, excess)
+	}
 }
 
 // Announced takes note of what the keeper has told all nodes of a request.
@@ -229,9 +243,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
-	for _, request := range c.own.Expire(now) {
-		delete(c.evidence, request)
-	}
+	c.own.Expire(now)
 	for request, heard := range c.heard {
 		// The keeper takes it back; this is for the case that nobody could.
 		if now >= heard.quarantinedUntil+evidenceLifetime {
@@ -277,7 +289,7 @@
 func (c *Client) putBack(answered []Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = append(c.answered, answered...)
+	c.noteAnswered(answered...)
 }
 
 // send sends a report to a keeper, this node perhaps.
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -44,6 +44,8 @@
 // machine is suspended.
 type Table struct {
 	requests map[Fingerprint]*history
+	// forgotten is called with each request that is forgotten without an answer; nil for nobody.
+	forgotten func(request Fingerprint)
 }
 
 // history is what is known of one request.
@@ -145,7 +147,7 @@
 	for request, known := range t.requests {
 		known.expire(now)
 		if known.over(now) {
-			delete(t.requests, request)
+			t.forget(request)
 			forgotten = append(forgotten, request)
 		}
 	}
@@ -182,7 +184,15 @@
 			oldest, oldestAt, found = request, at, true
 		}
 	}
-	delete(t.requests, oldest)
+	t.forget(oldest)
+}
+
+// forget drops what is known of a request.
+func (t *Table) forget(request Fingerprint) {
+	delete(t.requests, request)
+	if t.forgotten != nil {
+		t.forgotten(request)
+	}
 }
 
 // standing returns what the history says now.
