--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,4 +6,5 @@
 //	make soak                      # SOAK_SEEDS=50 SOAK_DURATION=8s by default
 //	SOAK_SEED=7 go test ./soak     # one seed
 //	SOAK_NODES=40 ...              # as many nodes, instead of 3 to 6
+//	SOAK_OLD=PATH ...              # another build of the daemon, which nodes run by turns
 package soak
