--- a/coordinator/client.go
+++ b/coordinator/client.go
@@ -35,8 +35,9 @@
 
 // Fleet knows which nodes live.
 type Fleet interface {
-	// Candidates returns the nodes that may coordinate.
-	Candidates() []Node
+	// Candidates returns the nodes that may coordinate a scope: a service, or what else one node
+	// keeps for all.
+	Candidates(scope string) []Node
 	// Own returns the address of this node.
 	Own() string
 	// Services returns the services of engines.
@@ -157,7 +158,7 @@
 
 // coordinator returns the node that coordinates a service, if there is one.
 func (c *Client) coordinator(service string) (Node, bool) {
-	candidates := c.fleet.Candidates()
+	candidates := c.fleet.Candidates(service)
 	addresses := make([]string, len(candidates))
 	for i, candidate := range candidates {
 		addresses[i] = candidate.Address
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -24,10 +24,11 @@
 	lookInterval = 250 * time.Millisecond
 	// noticeTimeout bounds a call that no request waits for.
 	noticeTimeout = 300 * time.Millisecond
-	// scope is what the keeper is chosen for.
-	scope = "quarantines"
 )
 
+// Scope is what the keeper is chosen for.
+const Scope = "quarantines"
+
 // ClientOptions are the parts of a Client.
 type ClientOptions struct {
 	Coordinators coordinator.Choice
@@ -165,7 +166,7 @@
 // one, until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	periodic.Run(ctx, lookInterval, func(ctx context.Context) {
-		address, _ := c.options.Coordinators.Coordinator(scope)
+		address, _ := c.options.Coordinators.Coordinator(Scope)
 		c.expire()
 		changed := c.follow(address)
 		if address == "" {
@@ -256,7 +257,7 @@
 // tell tells the keeper, this node perhaps, and takes note of what it says. What it does not hear is
 // told again.
 func (c *Client) tell(ctx context.Context, untold notice, timeout time.Duration) {
-	address, found := c.options.Coordinators.Coordinator(scope)
+	address, found := c.options.Coordinators.Coordinator(Scope)
 	if !found {
 		c.putBack(untold.answered)
 		return
--- a/quota/client.go
+++ b/quota/client.go
@@ -24,10 +24,11 @@
 	lookInterval = 100 * time.Millisecond
 	// presenceInterval is how often a node calls its coordinator at least.
 	presenceInterval = 500 * time.Millisecond
-	// scope is what the coordinator is chosen for.
-	scope = "quotas"
 )
 
+// Scope is what the coordinator of quotas is chosen for.
+const Scope = "quotas"
+
 // ClientOptions are the parts of a Client.
 type ClientOptions struct {
 	Coordinators coordinator.Choice
@@ -121,7 +122,7 @@
 	periodic.Run(ctx, lookInterval, func(ctx context.Context) {
 		address := ""
 		if c.options.Limited() {
-			address, _ = c.options.Coordinators.Coordinator(scope)
+			address, _ = c.options.Coordinators.Coordinator(Scope)
 		}
 		changed := address != *c.coordinator.Load()
 		if changed {
--- /dev/null
+++ b/router/abilities.go
@@ -0,0 +1,85 @@
+package router
+
+import (
+	"runtime/debug"
+	"slices"
+	"sync"
+
+	"github.com/reelrun/reelrun/quarantine"
+	"github.com/reelrun/reelrun/quota"
+)
+
+// ability is a role that a build can take for all nodes. Nodes of two builds run side by side while a
+// fleet is upgraded: a role is only given to nodes whose build knows it, because one that does not
+// answers each call of the role by an error. Where no such node lives, each node decides by itself, with
+// the bound that it has for that.
+type ability string
+
+const (
+	// abilityServices is the coordination of engines and of plain services.
+	abilityServices ability = "services"
+	// abilityQuotas keeps the limits of tenants.
+	abilityQuotas ability = "quotas"
+	// abilityQuarantines keeps the requests that crash their back ends.
+	abilityQuarantines ability = "quarantines"
+)
+
+// ownAbilities returns the abilities of this build.
+func ownAbilities() []ability {
+	return []ability{abilityServices, abilityQuotas, abilityQuarantines}
+}
+
+// unlistedAbilities returns those of builds that do not list theirs: of the last one that did not.
+func unlistedAbilities() []ability {
+	return []ability{abilityServices, abilityQuotas, abilityQuarantines}
+}
+
+// abilityFor returns what a node must be able to do for what it is chosen for: a service, or one of the
+// scopes that are no service.
+func abilityFor(scope string) ability {
+	switch scope {
+	case quota.Scope:
+		return abilityQuotas
+	case quarantine.Scope:
+		return abilityQuarantines
+	default:
+		return abilityServices
+	}
+}
+
+// isAble reports whether the build of a node has an ability.
+func (n knownNode) isAble(wanted ability) bool {
+	abilities := n.abilities
+	if abilities == nil {
+		abilities = unlistedAbilities()
+	}
+	return slices.Contains(abilities, wanted)
+}
+
+// logOtherBuild writes that a node of another build has been heard of: once for each of its starts, as its
+// object changes then.
+func (r *Router) logOtherBuild(name string) {
+	node, known := r.nodes.named(name)
+	if own := buildName(); known && node.build != own {
+		r.options.Logger.Info("node of another build", "name", name, "address", node.Address, "build", node.build, "own_build", own)
+	}
+}
+
+// unknownBuild names a build that was not made from a commit.
+const unknownBuild = "unknown"
+
+// buildName returns the commit that this build was made from. It does not change while the node runs.
+var buildName = sync.OnceValue(readBuildName)
+
+func readBuildName() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return unknownBuild
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return unknownBuild
+}
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -50,8 +51,9 @@
 // Candidates implements coordinator.Fleet. A node coordinates as long as it has an
 // object in the store, as the others see it as well: not before it has registered,
 // and no longer once it has withdrawn. Weak nodes do not, and there is no candidate
-// where less than half of the fleet answers: the greater part has another one.
-func (r *Router) Candidates() []coordinator.Node {
+// where less than half of the fleet answers: the greater part has another one. Nor do nodes whose
+// build does not know the role.
+func (r *Router) Candidates(scope string) []coordinator.Node {
 	var heard []knownNode
 	if own, registered := r.ownNode(); registered {
 		heard = append(heard, own)
@@ -64,12 +66,13 @@
 	if 2*len(heard) < r.nodeCount() {
 		return nil
 	}
+	able := slices.DeleteFunc(heard, func(node knownNode) bool { return !node.isAble(abilityFor(scope)) })
 	strongest := 0.0
-	for _, node := range heard {
+	for _, node := range able {
 		strongest = max(strongest, node.capacity)
 	}
 	var candidates []coordinator.Node
-	for _, node := range heard {
+	for _, node := range able {
 		if node.capacity >= strongShare*strongest {
 			candidates = append(candidates, node.Node)
 		}
@@ -130,12 +133,12 @@
 
 // coordinatedServices returns the services of engines that this node coordinates.
 func (r *Router) coordinatedServices() []string {
-	var addresses []string
-	for _, candidate := range r.Candidates() {
-		addresses = append(addresses, candidate.Address)
-	}
 	var services []string
 	for _, name := range r.Services() {
+		var addresses []string
+		for _, candidate := range r.Candidates(name) {
+			addresses = append(addresses, candidate.Address)
+		}
 		if placement.Owner(name, addresses) == r.Own() {
 			services = append(services, name)
 		}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -30,6 +30,10 @@
 	Capacity float64 `json:"capacity"`
 	// LinkBytes is what the node's link carries, in bytes a second; zero if it is not known.
 	LinkBytes float64 `json:"linkBytes"`
+	// Abilities are the roles that the node's build can take; builds that list none are older.
+	Abilities []ability `json:"abilities,omitempty"`
+	// Build is the commit that the node's build was made from.
+	Build string `json:"build,omitempty"`
 }
 
 // otherNodes returns the other nodes that are known: those with an object in the
@@ -143,6 +147,7 @@
 	spec, err := json.Marshal(nodeSpec{
 		Address: r.options.Settings.PeerAddress, Zone: r.options.Settings.Zone, Started: r.started.UnixNano(),
 		Capacity: r.options.Settings.Capacity, LinkBytes: r.options.Settings.LinkBytes,
+		Abilities: ownAbilities(), Build: buildName(),
 	})
 	if err != nil {
 		r.options.Logger.Error("node not registered", "error", err.Error())
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -19,6 +19,10 @@
 	capacity float64
 	// linkBytes is what its link carries, in bytes a second; zero if it is not known.
 	linkBytes float64
+	// abilities are the roles that its build can take; nil where it does not list them.
+	abilities []ability
+	// build is the commit of its build; empty where it does not say.
+	build string
 }
 
 // nodeList holds the nodes that have an object, decoded once. It is safe for
@@ -49,7 +53,7 @@
 	}
 	l.byName[record.Object.Name] = knownNode{
 		Node: coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
-		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes,
+		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, abilities: spec.Abilities, build: spec.Build,
 	}
 	l.zones[spec.Address] = spec.Zone
 	return nil
@@ -100,6 +104,19 @@
 	return others
 }
 
+// countOtherBuilds returns how many nodes run another build than the given one.
+func (l *nodeList) countOtherBuilds(own string) int {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	others := 0
+	for _, node := range l.byName {
+		if node.build != own {
+			others++
+		}
+	}
+	return others
+}
+
 func (l *nodeList) count() int {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/router/router.go
+++ b/router/router.go
@@ -259,7 +259,7 @@
 // Run serves until the context ends, and then until the requests under way have
 // ended or the grace period is over.
 func (r *Router) Run(ctx context.Context) error {
-	r.options.Logger.Info("start", "zone", r.options.Settings.Zone, "metrics", r.options.Settings.MetricsAddress)
+	r.options.Logger.Info("start", "build", buildName(), "zone", r.options.Settings.Zone, "metrics", r.options.Settings.MetricsAddress)
 	ports, err := r.listen()
 	if err != nil {
 		return err
--- a/router/view.go
+++ b/router/view.go
@@ -23,6 +23,7 @@
 			r.metrics.Add("nodes_refused", 1)
 			r.options.Logger.Error("node refused", "name", change.Record.Object.Name, "error", err.Error())
 		}
+		r.logOtherBuild(change.Record.Object.Name)
 	case quarantine.Kind:
 		r.quarantineAnnounced(change)
 	case kindRoleChange:
