Choose among many back ends without a lock or a copy for each

Change: back ends that never asked for backoff are not locked, descriptions are not copied to filter by them, slices have their size.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -26,6 +26,9 @@
 	// saidLeaving is set once the back end itself has said that it leaves. Its word is newer than
 	// what discovery tells, and lasts for this life.
 	saidLeaving atomic.Bool
+	// askedForBackoff is set once the back end has asked for backoff in this life, so that choosing
+	// among thousands of back ends locks none of those that never did.
+	askedForBackoff atomic.Bool
 
 	mu sync.Mutex
 	// leavingAt is when it stopped taking new work, or was removed; zero while it takes work.
@@ -62,7 +65,7 @@
 
 // TakesWork reports whether the back end takes new work, by its own word and by what discovery tells.
 func (e *Entry) TakesWork() bool {
-	return e.Backend().State == StateReady && !e.saidLeaving.Load()
+	return e.backend.Load().State == StateReady && !e.saidLeaving.Load()
 }
 
 // noteLeaving notes whether discovery tells that the back end still takes new work.
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -40,6 +40,7 @@
 	if backoff == 0 {
 		return 0
 	}
+	e.askedForBackoff.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
@@ -59,11 +60,11 @@
 // BackoffLeft returns for how much longer the back end wants no request from this node; zero where it is
 // not in backoff.
 func (e *Entry) BackoffLeft() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.backoffUntil.IsZero() {
+	if !e.askedForBackoff.Load() {
 		return 0
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	return max(0, e.backoffUntil.Sub(e.now()))
 }
 
@@ -89,6 +90,7 @@
 	before.mu.Lock()
 	from, until := before.backoffFrom, before.backoffUntil
 	before.mu.Unlock()
+	e.askedForBackoff.Store(before.askedForBackoff.Load())
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.backoffFrom, e.backoffUntil = from, until
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -178,9 +178,9 @@
 func (r *Registry) Ready(service string, role Role) []*Entry {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	var ready []*Entry
+	ready := make([]*Entry, 0, len(r.services[service]))
 	for _, entry := range r.services[service] {
-		if entry.Backend().Role == role && entry.TakesWork() {
+		if entry.backend.Load().Role == role && entry.TakesWork() {
 			ready = append(ready, entry)
 		}
 	}
@@ -242,7 +242,7 @@
 	}
 	var shortest time.Duration
 	for _, entry := range r.services[service] {
-		if entry.Backend().Role != role || !entry.TakesWork() {
+		if entry.backend.Load().Role != role || !entry.TakesWork() {
 			continue
 		}
 		left := entry.BackoffLeft()
@@ -262,7 +262,7 @@
 	defer r.mu.RUnlock()
 	count := 0
 	for _, entry := range r.byID {
-		if entry.Backend().Role == role && entry.TakesWork() {
+		if entry.backend.Load().Role == role && entry.TakesWork() {
 			count++
 		}
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -7,9 +7,10 @@
 
 // pick chooses a back end of a service among those that were not tried and are not in backoff, or nil.
 func (h *Handler) pick(service string, role backend.Role, tried map[string]bool) *backend.Entry {
-	var entries []*backend.Entry
-	var candidates []admission.Candidate
-	for _, entry := range h.options.Backends.Ready(service, role) {
+	ready := h.options.Backends.Ready(service, role)
+	entries := make([]*backend.Entry, 0, len(ready))
+	candidates := make([]admission.Candidate, 0, len(ready))
+	for _, entry := range ready {
 		if tried[entry.Backend().ID] || entry.BackoffLeft() > 0 || !h.options.Assignable(entry) {
 			continue
 		}
