--- a/router/abilities.go
+++ b/router/abilities.go
@@ -25,9 +25,9 @@
 )
 
 // ownAbilities returns the abilities of this build.
-func ownAbilities() []ability {
-	return []ability{abilityServices, abilityQuotas, abilityQuarantines}
-}
+func ownAbilities() []ability { return knownAbilities[:] }
+
+var knownAbilities = [...]ability{abilityServices, abilityQuotas, abilityQuarantines}
 
 // unlistedAbilities returns those of builds that do not list theirs: of the last one that did not.
 func unlistedAbilities() []ability {
@@ -47,21 +47,36 @@
 	}
 }
 
-// isAble reports whether the build of a node has an ability.
-func (n knownNode) isAble(wanted ability) bool {
-	abilities := n.abilities
-	if abilities == nil {
-		abilities = unlistedAbilities()
+// abilitySet holds the abilities that this build knows, a bit each.
+type abilitySet uint8
+
+// abilitiesOf returns the set of a node's list, or that of builds without one.
+func abilitiesOf(listed []ability) abilitySet {
+	if listed == nil {
+		listed = unlistedAbilities()
 	}
-	return slices.Contains(abilities, wanted)
+	var set abilitySet
+	for bit, known := range ownAbilities() {
+		if slices.Contains(listed, known) {
+			set |= 1 << bit
+		}
+	}
+	return set
+}
+
+// isAble reports whether the build of a node has an ability. Nodes without an object, the seeds, are taken
+// to list nothing.
+func (n knownNode) isAble(wanted ability) bool {
+	bit := slices.Index(ownAbilities(), wanted)
+	return n.abilities&(1<<bit) != 0
 }
 
 // logOtherBuild writes that a node of another build has been heard of: once for each of its starts, as its
 // object changes then.
 func (r *Router) logOtherBuild(name string) {
 	node, known := r.nodes.named(name)
-	if own := buildName(); known && node.build != own {
-		r.options.Logger.Info("node of another build", "name", name, "address", node.Address, "build", node.build, "own_build", own)
+	if own, build := buildName(), r.nodes.buildOf(name); known && build != own {
+		r.options.Logger.Info("node of another build", "name", name, "address", node.Address, "build", build, "own_build", own)
 	}
 }
 
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -45,7 +45,7 @@
 	var seeds []knownNode
 	for _, seed := range r.settings.Load().Seeds {
 		if seed != r.Own() {
-			seeds = append(seeds, knownNode{Node: coordinator.Node{Address: seed}})
+			seeds = append(seeds, knownNode{Node: coordinator.Node{Address: seed}, abilities: abilitiesOf(nil)})
 		}
 	}
 	return seeds
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -19,10 +19,8 @@
 	capacity float64
 	// linkBytes is what its link carries, in bytes a second; zero if it is not known.
 	linkBytes float64
-	// abilities are the roles that its build can take; nil where it does not list them.
-	abilities []ability
-	// build is the commit of its build; empty where it does not say.
-	build string
+	// abilities are the roles that its build can take.
+	abilities abilitySet
 }
 
 // nodeList holds the nodes that have an object, decoded once. It is safe for
@@ -32,6 +30,9 @@
 	byName map[string]knownNode
 	// zones are those of the nodes by their addresses.
 	zones map[string]string
+	// builds are the commits of the nodes' builds by the names of their objects; empty where a node
+	// does not say. They are beside the nodes, whose descriptions are copied at each choice.
+	builds map[string]string
 }
 
 // take puts a newer version of a node's object into the list.
@@ -39,10 +40,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.byName == nil {
-		l.byName, l.zones = map[string]knownNode{}, map[string]string{}
+		l.byName, l.zones, l.builds = map[string]knownNode{}, map[string]string{}, map[string]string{}
 	}
 	if record.Deleted {
 		delete(l.byName, record.Object.Name)
+		delete(l.builds, record.Object.Name)
 		return nil
 	}
 	spec, err := decodeNode(record.Object.Spec)
@@ -53,8 +55,9 @@
 	}
 	l.byName[record.Object.Name] = knownNode{
 		Node: coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
-		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, abilities: spec.Abilities, build: spec.Build,
+		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, abilities: abilitiesOf(spec.Abilities),
 	}
+	l.builds[record.Object.Name] = spec.Build
 	l.zones[spec.Address] = spec.Zone
 	return nil
 }
@@ -104,13 +107,20 @@
 	return others
 }
 
+// buildOf returns the commit of a node's build.
+func (l *nodeList) buildOf(name string) string {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.builds[name]
+}
+
 // countOtherBuilds returns how many nodes run another build than the given one.
 func (l *nodeList) countOtherBuilds(own string) int {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	others := 0
-	for _, node := range l.byName {
-		if node.build != own {
+	for name := range l.byName {
+		if l.builds[name] != own {
 			others++
 		}
 	}
