Sight: what each request sends to back ends, and what the retry budget counts for it

Logs told how often a request was sent, not how often its prompt was, and nothing set what arrived beside what the budget had counted. Each line of a request now says its prompts and its arrivals beyond the first, as the rule counts them; a line a second for each service with repeats says the arrivals beyond the first, the repeats granted and refused, and how the window stands. No decision changes.

--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -73,9 +73,67 @@
 	})
 }
 
+// repeatCounts are the requests of one service that have ended since the last report.
+type repeatCounts struct {
+	requests int
+	// beyondFirst are their arrivals at back ends beyond the first of each.
+	beyondFirst int
+}
+
+// repeatCounters counts by service. It is safe for concurrent use.
+type repeatCounters struct {
+	mu        sync.Mutex
+	byService map[string]repeatCounts
+}
+
+// add counts a request with its arrivals beyond the first.
+func (c *repeatCounters) add(service string, beyondFirst int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byService == nil {
+		c.byService = map[string]repeatCounts{}
+	}
+	counts := c.byService[service]
+	counts.requests++
+	counts.beyondFirst += beyondFirst
+	c.byService[service] = counts
+}
+
+// take returns the counts since the last call.
+func (c *repeatCounters) take() map[string]repeatCounts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	taken := c.byService
+	c.byService = nil
+	return taken
+}
+
+// countArrivals counts what a request that has ended has sent to back ends.
+func (h *Handler) countArrivals(x *exchange) {
+	if x.service == "" {
+		return
+	}
+	beyond := x.arrivals.beyondFirst()
+	h.repeatCounters.add(x.service, beyond)
+	h.options.Metrics.Add("arrivals_beyond_first", int64(beyond))
+}
+
+// logRepeats writes a line for each service whose requests reached back ends more than once, or were not
+// allowed to, since the last call: what was sent and what the budget counted for it.
+func (h *Handler) logRepeats() {
+	sent := h.repeatCounters.take()
+	for _, spent := range h.options.Budget.Report() {
+		counts := sent[spent.Service]
+		h.options.Logger.Info("repeats", "service", spent.Service, "requests", counts.requests, "beyond_first", counts.beyondFirst,
+			"granted", spent.Granted, "refused", spent.Refused, "window_requests", spent.Requests, "window_repeats", spent.Repeats,
+			"window_allowed", spent.Allowed, "burst", spent.Burst)
+	}
+}
+
 // LogCounts writes a line for each route that had requests since the last call: what is
 // answered in time costs no line of its own.
 func (h *Handler) LogCounts() {
+	h.logRepeats()
 	for _, counts := range h.counters.take() {
 		h.options.Logger.Info("requests", "route", counts.Route, "first", counts.First, "in_time", counts.InTime,
 			"late", counts.Late, "refused", counts.Refused, "failed", counts.Failed, "left", counts.Left)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -116,7 +116,7 @@
 	if failed.ran && (!x.route.Idempotent() || x.runs >= x.route.MaxAttempts) {
 		return false
 	}
-	if x.sends >= maxSends || x.left() <= 0 {
+	if x.arrivals.runs >= maxSends || x.left() <= 0 {
 		return false
 	}
 	return x.handler.options.Budget.TryRepeat(x.service, 1)
@@ -147,7 +147,7 @@
 		entry.Failed()
 		return nil, &tryError{failure: notRun(ReasonBackendFailed, retryShed, err)}
 	}
-	x.sends++
+	x.arrivals.runs++
 	if err == nil {
 		err = buffer(answer)
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -105,7 +105,7 @@
 		return x.mayResume()
 	case failed.arrived:
 		return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
-	case x.prompts > 0:
+	case x.arrivals.prompts > 0:
 		// Only the prompt arrived anywhere, and is to be read once more. Where engines end while
 		// prompts are being read, these readings alone went beyond the budget of a service: 25 in 10 s.
 		return x.handler.options.Budget.TryRepeat(x.service, 1)
@@ -155,7 +155,7 @@
 		discard(wasteDecodeFailed)
 		return nil, x.decodeFailed(ctx, taken, err)
 	}
-	x.sends++
+	x.arrivals.runs++
 	if answer.Misdirected {
 		x.misdirected(taken.entry, answer)
 	}
@@ -174,7 +174,7 @@
 // decodeFailed is the error of a decode engine that gave no answer.
 func (x *exchange) decodeFailed(ctx context.Context, taken *reservedEngine, err error) error {
 	if !errors.Is(err, ErrNotSent) {
-		x.sends++
+		x.arrivals.runs++
 		x.runs++
 	}
 	if failure := ended(ctx); failure != nil {
@@ -201,6 +201,7 @@
 		tried[entry.Backend().ID] = true
 		result, err := x.prefillAt(ctx, entry, taken)
 		if err == nil {
+			x.arrivals.promptRead = true
 			taken.promptRead(entry.Backend().ID)
 			x.timings.prefill = x.since()
 			return result, entry, nil
@@ -253,7 +254,7 @@
 	sent := time.Now()
 	result, answer, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
 	if !errors.Is(err, ErrNotSent) {
-		x.prompts++
+		x.arrivals.prompts++
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -81,6 +81,8 @@
 	waits         waitHistory
 	runNames      *runNames
 	counters      routeCounters
+	// repeatCounters counts what reached back ends beyond the first arrival of each request.
+	repeatCounters repeatCounters
 	// tenantCounters counts by tenant, beside counters.
 	tenantCounters tenantCounters
 	firstEvents    firstEvents
@@ -169,10 +171,9 @@
 	deadline time.Time
 	// answered is set once the head of an answer has been written.
 	answered bool
-	// sends counts arrivals at back ends, runs those that may have run.
-	sends, runs int
-	// prompts counts the arrivals at engines that were to read the prompt.
-	prompts int
+	// arrivals counts what has reached back ends, runs what may have run there.
+	arrivals arrivals
+	runs     int
 	// admission is the decision on a request to a plain service.
 	admission admission.Decision
 	// charged is how many units the request was charged, and quota the decision on that.
@@ -274,6 +275,7 @@
 // the request.
 func (h *Handler) finish(x *exchange, err error, took time.Duration) {
 	x.giveBack()
+	h.countArrivals(x)
 	h.options.Metrics.Observe("request_duration", took)
 	if err == nil {
 		h.options.Metrics.Add("requests_answered", 1)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -22,7 +22,8 @@
 // attributes are what each line on a request says.
 func (x *exchange) attributes(took time.Duration) []any {
 	attributes := []any{
-		"service", x.service, "backend", x.target, "sends", x.sends, "runs", x.runs,
+		"service", x.service, "backend", x.target, "sends", x.arrivals.runs, "prompts", x.arrivals.prompts, "runs", x.runs,
+		"beyond_first", x.arrivals.beyondFirst(),
 		"age_ms", x.retry.age.Milliseconds(), "full_deadlines", x.retry.fullShare, "took_ms", took.Milliseconds(),
 	}
 	if x.request != nil {
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -4,6 +4,8 @@
 package retrybudget
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -37,9 +39,11 @@
 // account counts one service's requests and repeats in parts of a window, one
 // more than a window has, because the newest is not over yet.
 type account struct {
-	newest   int64
-	requests [bucketsPerWindow + 1]float64
-	repeats  [bucketsPerWindow + 1]float64
+	// granted and refused count repeats since the last report.
+	granted, refused int
+	newest           int64
+	requests         [bucketsPerWindow + 1]float64
+	repeats          [bucketsPerWindow + 1]float64
 }
 
 // New returns a budget.
@@ -62,8 +66,10 @@
 	defer b.mu.Unlock()
 	current := b.account(service)
 	if sum(current.repeats)+float64(count) > b.allowed(current) {
+		current.refused += count
 		return false
 	}
+	current.granted += count
 	current.repeats[current.position()] += float64(count)
 	return true
 }
@@ -112,3 +118,35 @@
 	}
 	return total
 }
+
+// Report is how the budget of one service stands.
+type Report struct {
+	Service string
+	// Granted and Refused are the repeats since the last report.
+	Granted, Refused int
+	// Requests and Repeats are those of the last window, Allowed how many repeats it may hold and Burst
+	// how many of these do not depend on the requests.
+	Requests, Repeats int
+	Allowed, Burst    float64
+}
+
+// Report tells of the services of which repeats were wanted since the last call, by name.
+func (b *Budget) Report() []Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var reports []Report
+	for service := range b.services {
+		current := b.account(service)
+		if current.granted+current.refused == 0 {
+			continue
+		}
+		reports = append(reports, Report{
+			Service: service, Granted: current.granted, Refused: current.refused,
+			Requests: int(sum(current.requests)), Repeats: int(sum(current.repeats)),
+			Allowed: b.allowed(current), Burst: b.options.Burst(),
+		})
+		current.granted, current.refused = 0, 0
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return strings.Compare(a.Service, b.Service) })
+	return reports
+}
