--- a/retrybudget/property_test.go
+++ b/retrybudget/property_test.go
@@ -68,3 +68,82 @@
 	g.Expect(budget.TryRepeat("s", 5)).To(BeTrue())
 	g.Expect(budget.TryRepeat("s", 1)).To(BeFalse())
 }
+
+// allowedInWindow is how the platform counts: the repeats of a window against the requests of that window, of the
+// one before it or of the one half a window before it, whichever holds the most.
+func allowedInWindow(requests []time.Time, from time.Time, slack float64) float64 {
+	most := 0
+	for _, earlier := range []time.Duration{0, window, window / 2} {
+		begins := from.Add(-earlier)
+		most = max(most, within(requests, begins.Add(-1), begins.Add(window-1)))
+	}
+	return slack + ratio*float64(most)
+}
+
+// expectNoWindowAbove looks at all windows that begin or end at a repeat.
+func expectNoWindowAbove(t interface{ Fatalf(string, ...any) }, requests, repeats []time.Time, slack float64) {
+	for _, at := range repeats {
+		for _, from := range []time.Time{at, at.Add(1 - window)} {
+			held := within(repeats, from.Add(-1), from.Add(window-1))
+			if allowed := allowedInWindow(requests, from, slack); float64(held) > allowed+1e-9 {
+				t.Fatalf("%d repeats in the window from %v, %.1f allowed", held, from.Sub(time.Unix(0, 0)), allowed)
+			}
+		}
+	}
+}
+
+// Requests came in two bursts, 10.9 s apart. The second one's repeats were measured against both, since
+// eleven parts of a window were added up, while no window of ten seconds holds both.
+func TestOneWindowsRequestsAllowItsRepeats(t *testing.T) {
+	const slack, margin, bursts = 5.0, 0.8, 500
+	now := time.Unix(0, 0)
+	budget := retrybudget.New(retrybudget.Options{
+		Ratio: ratio * margin, Burst: func() float64 { return slack * margin }, Window: window, Now: func() time.Time { return now },
+	})
+	var requests, repeats []time.Time
+	request := func() {
+		for range bursts {
+			budget.Request("s")
+			requests = append(requests, now)
+		}
+	}
+	request()
+	now = now.Add(window + 9*window/100)
+	request()
+	for range bursts {
+		if budget.TryRepeat("s", 1) {
+			repeats = append(repeats, now)
+		}
+	}
+	expectNoWindowAbove(t, requests, repeats, slack)
+}
+
+// The same for several nodes with a part of the burst each, and requests and repeats as they happen to come.
+// Callers move from one node to another, so that each counts a window of its own.
+func TestTheRepeatsOfAllNodesStayWithinEachWindow(t *testing.T) {
+	const slack, nodes = 8.0, 4
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		var budgets []*retrybudget.Budget
+		for range nodes {
+			budgets = append(budgets, retrybudget.New(retrybudget.Options{
+				Ratio: ratio, Burst: func() float64 { return slack / nodes }, Window: window, Now: func() time.Time { return now },
+			}))
+		}
+		var requests, repeats []time.Time
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond)
+			node := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			for range rapid.IntRange(0, 30).Draw(t, "requests") {
+				node.Request("s")
+				requests = append(requests, now)
+			}
+			for range rapid.IntRange(0, 30).Draw(t, "repeats") {
+				if node.TryRepeat("s", 1) {
+					repeats = append(repeats, now)
+				}
+			}
+		}
+		expectNoWindowAbove(t, requests, repeats, slack)
+	})
+}
