Ask the retry budget for runs after rejected prompts

Callers saw nothing; back ends got more repeats than the service allows. Cause: the budget was asked for each second prompt and for each second start, and not for a run whose prompts had all been rejected, where the run's engine reads the prompt itself. A rejected prompt counts as an arrival, so the run is a repeat: one a request, also with nothing left. Why this holds: what a request has sent is counted as the rule counts it (gateway/arrivals.go), and each call asks for the difference to what was asked for before. Ruled out: the second prompts themselves, which were charged.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -119,7 +119,7 @@
 	if x.arrivals.runs >= maxSends || x.left() <= 0 {
 		return false
 	}
-	return x.handler.options.Budget.TryRepeat(x.service, 1)
+	return x.maySendRun()
 }
 
 // try sends the request to one back end. The answer is whole, or its rest
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -15,9 +15,6 @@
 const (
 	// maxPrefills bounds how often the prompt of one request is read.
 	maxPrefills = 3
-	// arrivalsOfStart is how many requests reach engines when an answer is begun
-	// once more: one to read the prompt and one to decode.
-	arrivalsOfStart = 2
 	// leavingLimit is how long after a decode engine was reported to leave an answer is still
 	// begun there, because its prompt was being read. It is half of the shortest time that
 	// engines serve on (2 s on the sites' sheets).
@@ -70,7 +67,7 @@
 	if !x.route.Resumable || x.runs >= x.route.MaxAttempts {
 		return false
 	}
-	return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
+	return x.mayStartRun()
 }
 
 // start has an answer begin at a decode engine. Engines that refuse are replaced
@@ -100,18 +97,10 @@
 
 // mayStartAgain reports whether an answer that has not begun may begin at another engine.
 func (x *exchange) mayStartAgain(failed *tryError) bool {
-	switch {
-	case failed.ran:
+	if failed.ran {
 		return x.mayResume()
-	case failed.arrived:
-		return x.handler.options.Budget.TryRepeat(x.service, arrivalsOfStart)
-	case x.arrivals.prompts > 0:
-		// Only the prompt arrived anywhere, and is to be read once more. Where engines end while
-		// prompts are being read, these readings alone went beyond the budget of a service: 25 in 10 s.
-		return x.handler.options.Budget.TryRepeat(x.service, 1)
-	default:
-		return true
 	}
+	return x.mayStartRun()
 }
 
 // startAt reads the prompt and begins the answer at the engine of a reservation.
@@ -148,6 +137,12 @@
 		discard(wasteNotSent)
 		return nil, err
 	}
+	if !x.maySendRun() {
+		// Each prompt that an engine rejected is an arrival. Without this, runs after rejected prompts
+		// would exceed the budget by one each.
+		discard(wasteNotSent)
+		return nil, notRun(ReasonRetryBudget, retryNoRepeats, nil)
+	}
 	watched := x.watchDecode(ctx, taken)
 	taken.sent = time.Now()
 	answer, err := x.handler.options.Dialect.Decode(watched, taken.entry.Backend(), x.request, x.left(), options)
@@ -212,7 +207,7 @@
 		if refused := x.admissible(); refused != nil {
 			return nil, nil, refused
 		}
-		if len(tried) >= maxPrefills || !x.handler.options.Budget.TryRepeat(x.service, 1) {
+		if len(tried) >= maxPrefills || !x.mayStartRun() {
 			return nil, nil, notRun(ReasonPrefillFailed, retryShed, err)
 		}
 		x.handler.logRetry(x, err)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -174,6 +174,8 @@
 	// arrivals counts what has reached back ends, runs what may have run there.
 	arrivals arrivals
 	runs     int
+	// repeats is how many repeats the retry budget has counted for the request.
+	repeats int
 	// admission is the decision on a request to a plain service.
 	admission admission.Decision
 	// charged is how many units the request was charged, and quota the decision on that.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -27,7 +27,10 @@
 	// ReasonQuarantined is that of a request that has crashed the back ends which ran it.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverloaded is that of a request beyond what the back ends of its service can do.
-	ReasonOverloaded     Reason = "overloaded"
+	ReasonOverloaded Reason = "overloaded"
+	// ReasonRetryBudget is that of a request that would have to be sent once more than its service's retry
+	// budget allows.
+	ReasonRetryBudget    Reason = "retry_budget"
 	ReasonNoRoom         Reason = "no_room"
 	ReasonPrefillFailed  Reason = "prefill_failed"
 	ReasonBackendRefused Reason = "backend_refused"
