Set repeats against the requests of one window, the same at all nodes

Back ends got more repeats than their service allows where requests come in bursts or callers move between nodes. Cause: each node set the repeats of its last eleven parts of a window against the requests of these, at the moment of its own last repeat. No window of the rule holds all of them. Now a node looks at each window that is not over, and at the requests of the one that begins half a window earlier: known when it decides, and the same for all nodes, so that the bounds add up.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// bucketsPerWindow is into how many parts a window is split.
-const bucketsPerWindow = 10
-
 // Options describe a budget.
 type Options struct {
 	// Ratio is how many repeats are allowed for each request.
@@ -36,16 +33,6 @@
 	services map[string]*account
 }
 
-// account counts one service's requests and repeats in parts of a window, one
-// more than a window has, because the newest is not over yet.
-type account struct {
-	// granted and refused count repeats since the last report.
-	granted, refused int
-	newest           int64
-	requests         [bucketsPerWindow + 1]float64
-	repeats          [bucketsPerWindow + 1]float64
-}
-
 // New returns a budget.
 func New(options Options) *Budget {
 	return &Budget{options: options, started: options.Now(), services: map[string]*account{}}
@@ -56,7 +43,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	current.requests[current.position()]++
+	current.requests[position(current.newest)]++
 }
 
 // TryRepeat takes a number of repeats from the budget of a service. It reports
@@ -65,69 +52,52 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.account(service)
-	if sum(current.repeats)+float64(count) > b.allowed(current) {
+	if float64(count) > b.left(current) {
 		current.refused += count
 		return false
 	}
 	current.granted += count
-	current.repeats[current.position()] += float64(count)
+	current.repeats[position(current.newest)] += count
 	return true
 }
 
-// allowed returns how many repeats a service may have in this window. What an
-// earlier start of this process has spent is not known, so the burst grows over
-// the first window.
-func (b *Budget) allowed(current *account) float64 {
-	grown := min(1, b.options.Now().Sub(b.started).Seconds()/b.options.Window.Seconds())
-	return b.options.Burst()*grown + b.options.Ratio*sum(current.requests)
-}
-
 // Left returns how many repeats of a service the budget still has.
 func (b *Budget) Left(service string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current := b.account(service)
-	return b.allowed(current) - sum(current.repeats)
+	return b.left(b.account(service))
+}
+
+func (b *Budget) left(current *account) float64 { return current.left(b.burst(), b.options.Ratio) }
+
+// burst returns how many repeats a window may hold beside the ratio. What an earlier start of this process
+// has spent is not known, so it grows over the first window.
+func (b *Budget) burst() float64 {
+	grown := min(1, b.options.Now().Sub(b.started).Seconds()/b.options.Window.Seconds())
+	return b.options.Burst() * grown
 }
 
 // account returns the account of a service with its old parts cleared.
 func (b *Budget) account(service string) *account {
-	part := int64(b.options.Now().Sub(b.started) / (b.options.Window / bucketsPerWindow))
+	part := int64(b.options.Now().Sub(b.started) / (b.options.Window / partsPerWindow))
 	current := b.services[service]
 	if current == nil {
 		current = &account{newest: part}
 		b.services[service] = current
 	}
-	for current.newest < part {
-		current.newest++
-		current.requests[current.position()] = 0
-		current.repeats[current.position()] = 0
-		if part-current.newest > bucketsPerWindow {
-			current.newest = part - bucketsPerWindow - 1
-		}
-	}
+	current.advance(part)
 	return current
 }
 
-func (a *account) position() int64 { return a.newest % (bucketsPerWindow + 1) }
-
-func sum(parts [bucketsPerWindow + 1]float64) float64 {
-	total := 0.0
-	for _, part := range parts {
-		total += part
-	}
-	return total
-}
-
 // Report is how the budget of one service stands.
 type Report struct {
 	Service string
 	// Granted and Refused are the repeats since the last report.
 	Granted, Refused int
-	// Requests and Repeats are those of the last window, Allowed how many repeats it may hold and Burst
-	// how many of these do not depend on the requests.
+	// Requests and Repeats are those of the last window.
 	Requests, Repeats int
-	Allowed, Burst    float64
+	// Left is how many repeats may be sent now, and Burst how many a window may hold beside the ratio.
+	Left, Burst float64
 }
 
 // Report tells of the services of which repeats were wanted since the last call, by name.
@@ -142,8 +112,8 @@
 		}
 		reports = append(reports, Report{
 			Service: service, Granted: current.granted, Refused: current.refused,
-			Requests: int(sum(current.requests)), Repeats: int(sum(current.repeats)),
-			Allowed: b.allowed(current), Burst: b.options.Burst(),
+			Requests: current.sumOfWindow(&current.requests), Repeats: current.sumOfWindow(&current.repeats),
+			Left: b.left(current), Burst: b.burst(),
 		})
 		current.granted, current.refused = 0, 0
 	}
