Give a node that has just started no part of the retry budget for a window

Back ends got more repeats than a service allows after nodes had started again. Cause: a node's part grew from its first second on, while what its earlier start had spent still lay in the window, up to all of it. Now a start has only the ratio of its own requests until a window has passed: whatever was spent before is out of it then. Ruled out: a smaller part at first, which only lowers the sum. TestAStartedNodeBeginsWithoutABurst wanted half of the part after half a window, which is the fault itself; it now wants nothing until the window is over, and the bound from then on.

--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -55,11 +55,13 @@
 
 func (b *Budget) left(current *account) float64 { return current.left(b.burst(), b.options.Ratio) }
 
-// burst returns how many repeats a window may hold beside the ratio. What an earlier start of this process
-// has spent is not known, so it grows over the first window.
+// burst returns how many repeats a window may hold beside the ratio. An earlier start of this process may have
+// spent its part just before it ended, so that this one has none in its first window.
 func (b *Budget) burst() float64 {
-	grown := min(1, b.options.Now().Sub(b.started).Seconds()/b.options.Window.Seconds())
-	return b.options.Burst() * grown
+	if b.options.Now().Sub(b.started) < b.options.Window {
+		return 0
+	}
+	return b.options.Burst()
 }
 
 // account returns the account of a service with its old parts cleared.
--- a/retrybudget/property_test.go
+++ b/retrybudget/property_test.go
@@ -57,7 +57,7 @@
 	return count
 }
 
-// TestAStartedNodeBeginsWithoutABurst: what it spent before is not known.
+// TestAStartedNodeBeginsWithoutABurst: an earlier start may have spent all of it just before.
 func TestAStartedNodeBeginsWithoutABurst(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
@@ -65,10 +65,12 @@
 		Ratio: 0, Burst: func() float64 { return 10 }, Window: window, Now: func() time.Time { return now },
 	})
 	g.Expect(repeat(budget, 1)).To(BeFalse())
-	now = now.Add(window / 2)
-	g.Expect(budget.Left("s")).To(Equal(5.0))
-	g.Expect(repeat(budget, 6)).To(BeFalse())
-	g.Expect(repeat(budget, 5)).To(BeTrue())
+	now = now.Add(window - 1)
+	g.Expect(budget.Left("s")).To(BeZero())
+	g.Expect(repeat(budget, 1)).To(BeFalse())
+	now = now.Add(1)
+	g.Expect(repeat(budget, 11)).To(BeFalse())
+	g.Expect(repeat(budget, 10)).To(BeTrue())
 	g.Expect(repeat(budget, 1)).To(BeFalse())
 }
 
