Keep the nodes' parts of the retry budget in the store

Back ends got more repeats than a service allows after nodes had left, or while nodes counted each other differently. Cause: each node took one part by the number of nodes that it knew at that moment; a part grew at once as others left, whose repeats still lay in the window. Now one object in the store gives each start of a node its part, written under the store's condition by the first node that answers. A part that becomes larger is usable a window later; what becomes smaller is given to others once its node has confirmed it; a node that drains, has started again, or is without most of the others for half the time after which it is removed, has none. It holds whatever the nodes know of each other, and also while the store is away. Ruled out: the largest number of nodes seen in a window, since a node that is cut off does not see the others come; leases, since all repeats would end with the store.

--- /dev/null
+++ b/retrybudget/allocation_test.go
@@ -0,0 +1,157 @@
+package retrybudget_test
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/reelrun/reelrun/retrybudget"
+)
+
+func members(names ...string) []retrybudget.Member {
+	var all []retrybudget.Member
+	for _, name := range names {
+		all = append(all, retrybudget.Member{Name: name, Start: "1"})
+	}
+	return all
+}
+
+func units(a retrybudget.Allocation) map[string]int {
+	held := map[string]int{}
+	for name, share := range a.Shares {
+		held[name] = share.Units
+	}
+	return held
+}
+
+// TestPartsGrowOnceOthersHaveConfirmed follows a fleet that grows and shrinks.
+func TestPartsGrowOnceOthersHaveConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	const total = 12
+	first, changed := retrybudget.Allocation{}.Next(members("a", "b"), total)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(units(first)).To(Equal(map[string]int{"a": 6, "b": 6}))
+	_, changed = first.Next(members("a", "b"), total)
+	g.Expect(changed).To(BeFalse())
+
+	four := members("a", "b", "c", "d")
+	grown, _ := first.Next(four, total)
+	g.Expect(units(grown)).To(Equal(map[string]int{"a": 3, "b": 3}), "nothing is free yet")
+	four[0].Confirmed = grown.Generation
+	grown, _ = grown.Next(four, total)
+	g.Expect(units(grown)).To(Equal(map[string]int{"a": 3, "b": 3, "c": 3}), "a has confirmed")
+	four[1].Confirmed = grown.Generation
+	grown, _ = grown.Next(four, total)
+	g.Expect(units(grown)).To(Equal(map[string]int{"a": 3, "b": 3, "c": 3, "d": 3}))
+
+	shrunk, _ := grown.Next(four[:1], total)
+	g.Expect(units(shrunk)).To(Equal(map[string]int{"a": 12}))
+}
+
+// TestAnotherStartHasAnotherPart: its units count from when it gets them.
+func TestAnotherStartHasAnotherPart(t *testing.T) {
+	g := NewWithT(t)
+	first, _ := retrybudget.Allocation{}.Next(members("a"), 4)
+	again, changed := first.Next([]retrybudget.Member{{Name: "a", Start: "2"}}, 4)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(again.Shares["a"]).To(Equal(retrybudget.Share{Start: "2", Units: 4}))
+}
+
+// TestALargerPartIsUsableAWindowLater, and a smaller one is smaller at once.
+func TestALargerPartIsUsableAWindowLater(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	holder := retrybudget.NewHolder(window, func() time.Time { return now })
+	holder.Hold(5)
+	now = now.Add(window - 1)
+	g.Expect(holder.Usable()).To(BeZero())
+	now = now.Add(1)
+	g.Expect(holder.Usable()).To(Equal(5))
+	holder.Hold(8)
+	g.Expect(holder.Usable()).To(Equal(5))
+	holder.Hold(2)
+	g.Expect(holder.Usable()).To(Equal(2))
+	holder.Hold(8)
+	now = now.Add(window - 1)
+	g.Expect(holder.Usable()).To(Equal(2))
+	now = now.Add(1)
+	g.Expect(holder.Usable()).To(Equal(8))
+}
+
+// spender is one start of a node that spends all it may.
+type spender struct {
+	member retrybudget.Member
+	holder *retrybudget.Holder
+	budget *retrybudget.Budget
+}
+
+func newSpender(name string, start int, now func() time.Time) *spender {
+	holder := retrybudget.NewHolder(window, now)
+	return &spender{
+		member: retrybudget.Member{Name: name, Start: strconv.Itoa(start)}, holder: holder,
+		budget: retrybudget.New(retrybudget.Options{
+			Window: window, Now: now, Burst: func() float64 { return float64(holder.Usable()) },
+		}),
+	}
+}
+
+// hear puts the node's part of an allocation into force.
+func (s *spender) hear(allocation retrybudget.Allocation) {
+	held := 0
+	if share := allocation.Shares[s.member.Name]; share.Start == s.member.Start {
+		held = share.Units
+	}
+	s.holder.Hold(held)
+	s.member.Confirmed = allocation.Generation
+}
+
+// TestAllPartsTogetherStayWithinTheTotal has nodes start, start again and leave while they spend all they
+// may. They hear of allocations late, and miss some; the one that allocates hears of nodes as the store
+// tells. What all spend in any window stays within the total.
+func TestAllPartsTogetherStayWithinTheTotal(t *testing.T) {
+	const total, nodes = 9, 5
+	rapid.Check(t, func(t *rapid.T) {
+		// The library draws small numbers more often than others, so that it draws the seed alone.
+		seed := rapid.Uint64().Draw(t, "seed")
+		random := rand.New(rand.NewPCG(seed, seed))
+		chance := func(share float64) bool { return random.Float64() < share }
+		now := time.Unix(0, 0)
+		clock := func() time.Time { return now }
+		live := map[string]*spender{}
+		starts := 0
+		var allocation retrybudget.Allocation
+		var spent []time.Time
+		const steps, pause = 200, 2 * time.Second
+		for range steps {
+			now = now.Add(time.Duration(random.Int64N(int64(pause))))
+			name := strconv.Itoa(random.IntN(nodes))
+			if live[name] == nil || chance(0.05) {
+				starts++
+				live[name] = newSpender(name, starts, clock)
+			} else if chance(0.15) {
+				delete(live, name)
+			}
+			var members []retrybudget.Member
+			for _, name := range slices.Sorted(maps.Keys(live)) {
+				node := live[name]
+				if chance(0.1) {
+					node.hear(allocation)
+				}
+				for spends := chance(0.5); spends && repeat(node.budget, 1); {
+					spent = append(spent, now)
+				}
+				members = append(members, node.member)
+			}
+			if next, changed := allocation.Next(members, total); changed && chance(0.7) {
+				allocation = next
+			}
+		}
+		expectNoWindowAbove(t, nil, spent, total)
+	})
+}
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -14,8 +14,8 @@
 type Options struct {
 	// Ratio is how many repeats are allowed for each request.
 	Ratio float64
-	// Burst is how many repeats are allowed beside the ratio, within one window.
-	// It is this node's share and may change with the fleet.
+	// Burst is how many repeats are allowed beside the ratio, within one window. It is this node's share of
+	// what all may spend.
 	Burst func() float64
 	// Window is the time over which requests count.
 	Window time.Duration
--- a/router/abilities.go
+++ b/router/abilities.go
@@ -22,12 +22,14 @@
 	abilityQuotas ability = "quotas"
 	// abilityQuarantines keeps the requests that crash their back ends.
 	abilityQuarantines ability = "quarantines"
+	// abilityRetryShares is to spend no more of the retry budget than the node's part in the store.
+	abilityRetryShares ability = "retryShares"
 )
 
 // ownAbilities returns the abilities of this build.
 func ownAbilities() []ability { return knownAbilities[:] }
 
-var knownAbilities = [...]ability{abilityServices, abilityQuotas, abilityQuarantines}
+var knownAbilities = [...]ability{abilityServices, abilityQuotas, abilityQuarantines, abilityRetryShares}
 
 // unlistedAbilities returns those of builds that do not list theirs: of the last one that did not.
 func unlistedAbilities() []ability {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -64,7 +63,7 @@
 // ownNode returns this start of this node, and whether its object is in the store.
 func (r *Router) ownNode() (knownNode, bool) {
 	own, found := r.nodes.named(r.options.Settings.Name)
-	return own, found && own.Incarnation == strconv.FormatInt(r.started.UnixNano(), 10)
+	return own, found && own.Incarnation == r.startName()
 }
 
 // nodeCount returns how many nodes are known, this one included.
--- a/router/golden_test.go
+++ b/router/golden_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/retrybudget"
 )
 
 // goldenObject is the content of an object as the build of an earlier landing wrote it, and what it says.
@@ -46,4 +47,14 @@
 		written: `{"engine":"i-1@5","role":"decode"}`,
 		says:    roleChangeSpec{Engine: "i-1@5", Role: backend.RoleDecode},
 	})
+	expectGolden(t, goldenObject[retrybudget.Allocation]{
+		written: `{"generation":7,"shares":{"n":{"start":"17","units":5,"unconfirmed":2,"lowered":6}}}`,
+		says: retrybudget.Allocation{Generation: 7, Shares: map[string]retrybudget.Share{
+			"n": {Start: "17", Units: 5, Unconfirmed: 2, Lowered: 6},
+		}},
+	})
+	expectGolden(t, goldenObject[retryConfirmationSpec]{
+		written: `{"start":"17","generation":6}`,
+		says:    retryConfirmationSpec{Start: "17", Generation: 6},
+	})
 }
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -21,6 +21,7 @@
 	r.metrics.Gauge("nodes_known", func() float64 { return float64(r.nodeCount()) })
 	r.metrics.Gauge("nodes_responsive", func() float64 { return float64(r.responsiveCount()) })
 	r.metrics.Gauge("nodes_of_other_builds", func() float64 { return float64(r.nodes.countOtherBuilds(buildName())) })
+	r.metrics.Gauge("retry_share", func() float64 { return float64(r.retryShares.holder.Usable()) })
 	r.metrics.Gauge("services_coordinated", func() float64 { return float64(len(r.coordinatedServices())) })
 	for _, role := range []backend.Role{backend.RoleNone, backend.RolePrefill, backend.RoleDecode} {
 		name := "backends_ready_" + string(role)
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 
@@ -10,6 +12,7 @@
 
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/replica"
+	"github.com/reelrun/reelrun/retrybudget"
 )
 
 // knownNode is a node as its object tells of it.
@@ -127,6 +130,19 @@
 	return others
 }
 
+// able returns the nodes whose builds have an ability, by name.
+func (l *nodeList) able(wanted ability) []retrybudget.Member {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var able []retrybudget.Member
+	for _, name := range slices.Sorted(maps.Keys(l.byName)) {
+		if node := l.byName[name]; node.isAble(wanted) {
+			able = append(able, retrybudget.Member{Name: name, Start: node.Incarnation})
+		}
+	}
+	return able
+}
+
 func (l *nodeList) count() int {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- /dev/null
+++ b/router/retryshares.go
@@ -0,0 +1,201 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/logging"
+	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/periodic"
+	"github.com/reelrun/reelrun/replica"
+	"github.com/reelrun/reelrun/retrybudget"
+)
+
+const (
+	// kindRetryShares is the kind of the object that divides the retry budget among the nodes. The store
+	// keeps it; the nodes have it from each other, so that nobody watches it.
+	kindRetryShares objectapi.Kind = "retryshares"
+	// nameRetryShares is the name of that object.
+	nameRetryShares = "main"
+	// kindRetryConfirmation is the kind of the records by which nodes confirm that they spend less. They are
+	// not in the store.
+	kindRetryConfirmation objectapi.Kind = "retryconfirmations"
+	// shareInterval is how often a node looks at its part of the retry budget.
+	shareInterval = time.Second
+	// shareWriteInterval is the least time between two writes of all parts, so that nodes which start one
+	// after the other cost a few calls.
+	shareWriteInterval = 3 * time.Second
+	// isolationLimit is how long a node may be without most of the others and keep its part. They remove
+	// it after lostAfter, and then give its part to others.
+	isolationLimit = lostAfter / 2
+)
+
+// retryConfirmationSpec is the content of such a record.
+type retryConfirmationSpec struct {
+	// Start is the start of the node, and Generation that of the newest parts which it has put into force.
+	Start      string `json:"start"`
+	Generation int64  `json:"generation"`
+}
+
+// retryShares is the node's part in dividing the retry budget. Its fields but the holder are used by one
+// goroutine.
+type retryShares struct {
+	holder *retrybudget.Holder
+	// known is the newest allocation heard of, and version that of its object.
+	known   retrybudget.Allocation
+	version int64
+	// lonelySince is when the node last had most of the others, unless it has them now.
+	lonelySince time.Time
+	// members are those of the last look, and writtenAt is when this node last wrote the parts.
+	members   []retrybudget.Member
+	writtenAt time.Time
+}
+
+// keepRetryShares holds this node's part, and divides the budget where it is the one to do that, until the
+// context ends.
+func (r *Router) keepRetryShares(ctx context.Context) {
+	periodic.Run(ctx, shareInterval, func(ctx context.Context) {
+		r.readRetryShares()
+		r.holdRetryShare()
+		r.divideRetryBudget(ctx)
+	})
+}
+
+// readRetryShares decodes the newest allocation of the copy.
+func (r *Router) readRetryShares() {
+	for _, record := range r.copy.Records([]replica.Key{{Kind: kindRetryShares, Name: nameRetryShares}}) {
+		if record.Object.Version == r.retryShares.version {
+			continue
+		}
+		var allocation retrybudget.Allocation
+		if err := json.Unmarshal(record.Object.Spec, &allocation); err != nil {
+			// Nobody may spend what nobody can read.
+			r.options.Logger.Error("retry shares refused", "revision", record.Object.Version, "error", err.Error())
+		}
+		r.retryShares.known, r.retryShares.version = allocation, record.Object.Version
+	}
+}
+
+// holdRetryShare puts the node's part into force, and confirms where it has become smaller.
+func (r *Router) holdRetryShare() {
+	share := r.retryShares.known.Shares[r.options.Settings.Name]
+	if share.Start != r.startName() || r.isIsolated() {
+		r.retryShares.holder.Hold(0)
+		return
+	}
+	r.retryShares.holder.Hold(share.Units)
+	if share.Unconfirmed > 0 {
+		r.confirmRetryShare()
+	}
+}
+
+// confirmRetryShare tells the other nodes which generation is in force here.
+func (r *Router) confirmRetryShare() {
+	generation := r.retryShares.known.Generation
+	spec, err := json.Marshal(retryConfirmationSpec{Start: r.startName(), Generation: generation})
+	if err != nil {
+		r.options.Logger.Error("retry share not confirmed", "error", err.Error())
+		return
+	}
+	r.copy.Apply(replica.SourceStore, replica.Record{Object: objectapi.Object{
+		Kind: kindRetryConfirmation, Name: r.options.Settings.Name, Version: generation, Spec: spec,
+	}})
+}
+
+// isIsolated reports whether the node has been without most of the others for so long that they may soon
+// give its part away.
+func (r *Router) isIsolated() bool {
+	now := r.options.Clock.Now()
+	if r.hasMajority() {
+		r.retryShares.lonelySince = time.Time{}
+		return false
+	}
+	if r.retryShares.lonelySince.IsZero() {
+		r.retryShares.lonelySince = now
+	}
+	return now.Sub(r.retryShares.lonelySince) >= isolationLimit
+}
+
+// hasMajority reports whether most of the known nodes answer this one.
+func (r *Router) hasMajority() bool { return 2*r.responsiveCount() > r.nodeCount() }
+
+// divideRetryBudget writes the parts of all nodes where they have changed. The first of the nodes that answer
+// does it; the store refuses the write of one that does not know the newest parts.
+func (r *Router) divideRetryBudget(ctx context.Context) {
+	members := r.retryMembers()
+	settled := slices.EqualFunc(members, r.retryShares.members, func(a, b retrybudget.Member) bool {
+		return a.Name == b.Name && a.Start == b.Start
+	})
+	r.retryShares.members = members
+	_, position := r.place()
+	now := r.options.Clock.Now()
+	if position > 0 || !r.hasMajority() || !settled || len(members) == 0 || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
+		return
+	}
+	next, changed := r.retryShares.known.Next(members, r.dividedRepeats(len(members)))
+	if !changed {
+		return
+	}
+	r.retryShares.writtenAt = now
+	err := r.writeRetryShares(ctx, next)
+	r.options.Logger.Info("retry budget divided", "generation", next.Generation, "nodes", len(next.Shares), "error", logging.ErrorText(err))
+}
+
+// dividedRepeats returns how many repeats beside the ratio are divided among so many nodes. Those of builds
+// that go by the number of nodes take theirs without asking.
+func (r *Router) dividedRepeats(members int) int {
+	total := r.settings.Load().RetryBurst * budgetShare
+	return int(total * float64(members) / float64(r.nodeCount()))
+}
+
+// writeRetryShares writes the parts of all nodes in the place of those that this node knows, or reads those
+// of the store if they are newer.
+func (r *Router) writeRetryShares(ctx context.Context, allocation retrybudget.Allocation) error {
+	spec, err := json.Marshal(allocation)
+	if err != nil {
+		return errors.Wrap(err, "encode retry shares")
+	}
+	object := objectapi.Object{Kind: kindRetryShares, Name: nameRetryShares, Version: r.retryShares.version, Spec: spec}
+	written, err := r.options.Backplane.Store.Put(ctx, object)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		// Somebody has removed it; what the nodes have goes on.
+		object.Version = 0
+		written, err = r.options.Backplane.Store.Put(ctx, object)
+	}
+	if errors.Is(err, objectapi.ErrConflict) {
+		r.refetch(ctx, replica.Key{Kind: kindRetryShares, Name: nameRetryShares})
+	}
+	if err != nil {
+		return err
+	}
+	r.copy.Apply(replica.SourceStore, replica.Record{Object: written})
+	return nil
+}
+
+// retryMembers returns the nodes that have a part of the retry budget, by name.
+func (r *Router) retryMembers() []retrybudget.Member {
+	confirmed := map[string]retryConfirmationSpec{}
+	for _, object := range r.copy.Live(kindRetryConfirmation) {
+		var spec retryConfirmationSpec
+		if err := json.Unmarshal(object.Spec, &spec); err != nil {
+			r.options.Logger.Error("retry confirmation refused", "name", object.Name, "error", err.Error())
+			continue
+		}
+		confirmed[object.Name] = spec
+	}
+	members := r.nodes.able(abilityRetryShares)
+	for i, member := range members {
+		if told := confirmed[member.Name]; told.Start == member.Start {
+			members[i].Confirmed = told.Generation
+		}
+	}
+	return members
+}
+
+// startName names this start of the node.
+func (r *Router) startName() string { return strconv.FormatInt(r.started.UnixNano(), 10) }
--- a/router/router.go
+++ b/router/router.go
@@ -117,6 +117,8 @@
 	quarantineKeeper  *quarantine.Keeper
 	quarantineArchive *quarantine.Archive
 	roles             *roles.Controller
+	// retryShares is the node's part of the retry budget.
+	retryShares retryShares
 	// started names this start of the node, and origin is the time from which now counts.
 	started time.Time
 	origin  time.Time
@@ -197,6 +199,7 @@
 		Limited: r.anyTenantLimited, Now: r.now,
 	})
 	r.newQuarantines()
+	r.retryShares.holder = retrybudget.NewHolder(options.Settings.RetryWindow, options.Clock.Now)
 	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.roles = r.newRoleController()
 	r.publishGauges()
@@ -207,7 +210,7 @@
 		Backends: r.backends,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio:  options.Settings.RetryRatio * budgetShare,
-			Burst:  func() float64 { return r.settings.Load().RetryBurst * budgetShare / float64(r.nodeCount()) },
+			Burst:  func() float64 { return float64(r.retryShares.holder.Usable()) },
 			Window: options.Settings.RetryWindow,
 			Now:    options.Clock.Now,
 		}),
@@ -306,6 +309,7 @@
 		func() { r.quotas.Run(untilDrained) },
 		func() { r.quarantines.Run(untilDrained) },
 		func() { r.keepArchive(untilStop) },
+		func() { r.keepRetryShares(untilStop) },
 		func() { r.followReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
@@ -326,6 +330,8 @@
 	started := time.Now()
 	r.options.Logger.Info("stop", "grace_ms", r.options.Settings.Grace.Milliseconds())
 	r.gateway.Drain()
+	// The other nodes get this one's part once it has withdrawn.
+	r.retryShares.holder.Close()
 	go r.withdraw(context.WithoutCancel(ctx))
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), started.Add(r.options.Settings.Grace-stopMargin))
 	defer cancel()
