Let the first parts of the retry budget be spent once a start's first window is over

Nobody had the first parts before, so that only what an earlier start of the same node spent is unknown; its first window covers that.

--- a/retrybudget/allocation.go
+++ b/retrybudget/allocation.go
@@ -27,6 +27,8 @@
 	// smaller now, and Lowered the generation that made it smaller.
 	Unconfirmed int   `json:"unconfirmed,omitempty"`
 	Lowered     int64 `json:"lowered,omitempty"`
+	// First is set where no node had any of it before.
+	First bool `json:"first,omitempty"`
 }
 
 // Member is a node that may have a part.
@@ -87,7 +89,7 @@
 		if more <= 0 || share.Unconfirmed > 0 {
 			continue
 		}
-		share.Start, share.Units = member.Start, share.Units+more
+		share.Start, share.Units, share.First = member.Start, share.Units+more, a.Generation == 1
 		a.Shares[member.Name] = share
 		free -= more
 	}
--- a/retrybudget/allocation_test.go
+++ b/retrybudget/allocation_test.go
@@ -68,22 +68,38 @@
 	g := NewWithT(t)
 	now := time.Unix(0, 0)
 	holder := retrybudget.NewHolder(window, func() time.Time { return now })
-	holder.Hold(5)
+	holder.Hold(retrybudget.Share{Units: 5})
 	now = now.Add(window - 1)
 	g.Expect(holder.Usable()).To(BeZero())
 	now = now.Add(1)
 	g.Expect(holder.Usable()).To(Equal(5))
-	holder.Hold(8)
+	holder.Hold(retrybudget.Share{Units: 8})
 	g.Expect(holder.Usable()).To(Equal(5))
-	holder.Hold(2)
+	holder.Hold(retrybudget.Share{Units: 2})
 	g.Expect(holder.Usable()).To(Equal(2))
-	holder.Hold(8)
+	holder.Hold(retrybudget.Share{Units: 8})
 	now = now.Add(window - 1)
 	g.Expect(holder.Usable()).To(Equal(2))
 	now = now.Add(1)
 	g.Expect(holder.Usable()).To(Equal(8))
 }
 
+// TestTheFirstPartIsUsableAtOnce, and stays usable while the same part is heard of again.
+func TestTheFirstPartIsUsableAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Unix(0, 0)
+	holder := retrybudget.NewHolder(window, func() time.Time { return now })
+	first, _ := retrybudget.Allocation{}.Next(members("a", "b"), 8)
+	holder.Hold(first.Shares["a"])
+	g.Expect(holder.Usable()).To(Equal(4))
+	grown, _ := first.Next(members("a"), 8)
+	holder.Hold(grown.Shares["a"])
+	g.Expect(holder.Usable()).To(Equal(4), "the rest was b's")
+	holder.Hold(retrybudget.Share{})
+	holder.Hold(first.Shares["a"])
+	g.Expect(holder.Usable()).To(BeZero(), "it had been given up")
+}
+
 // spender is one start of a node that spends all it may.
 type spender struct {
 	member retrybudget.Member
@@ -103,11 +119,11 @@
 
 // hear puts the node's part of an allocation into force.
 func (s *spender) hear(allocation retrybudget.Allocation) {
-	held := 0
-	if share := allocation.Shares[s.member.Name]; share.Start == s.member.Start {
-		held = share.Units
+	share := allocation.Shares[s.member.Name]
+	if share.Start != s.member.Start {
+		share = retrybudget.Share{}
 	}
-	s.holder.Hold(held)
+	s.holder.Hold(share)
 	s.member.Confirmed = allocation.Generation
 }
 
--- a/retrybudget/share.go
+++ b/retrybudget/share.go
@@ -7,7 +7,8 @@
 
 // Holder knows how much of an allocation this start of a node may spend. A part that has become larger was another
 // node's, which may have spent it until it was given up, so that it is usable a window later. One that has
-// become smaller is smaller at once. It is safe for concurrent use.
+// become smaller is smaller at once. The first part of all is nobody's before, and usable at once. It is safe for
+// concurrent use.
 type Holder struct {
 	window time.Duration
 	now    func() time.Time
@@ -30,11 +31,15 @@
 }
 
 // Hold puts a part into force, unless the holder is closed.
-func (h *Holder) Hold(units int) {
+func (h *Holder) Hold(share Share) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.closed {
-		h.hold(units)
+	switch {
+	case h.closed:
+	case share.First && len(h.held) == 1:
+		h.held[0].units = share.Units
+	default:
+		h.hold(share.Units)
 	}
 }
 
--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -85,10 +85,10 @@
 func (r *Router) holdRetryShare() {
 	share := r.retryShares.known.Shares[r.options.Settings.Name]
 	if share.Start != r.startName() || r.isIsolated() {
-		r.retryShares.holder.Hold(0)
+		r.retryShares.holder.Hold(retrybudget.Share{})
 		return
 	}
-	r.retryShares.holder.Hold(share.Units)
+	r.retryShares.holder.Hold(share)
 	if share.Unconfirmed > 0 {
 		r.confirmRetryShare()
 	}
