Count a repeat in each window until its answer shows that it has arrived

Back ends could get two windows' worth of repeats in one where a link holds calls up. Cause: a repeat counted from its send, while it arrives at any moment until its answer or its failure is known. It now counts in each window until then, and for a window from that moment. Ruled out: a margin, since links hold calls up for seconds. This also ends the taking back of what was counted too early.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,18 +140,17 @@
 		defer cancel()
 		sendContext = limited
 	}
-	if refused := x.sendRun(); refused != nil {
+	if refused := x.refuseRun(); refused != nil {
 		return nil, refused
 	}
 	sent := time.Now()
 	answer, err := x.handler.options.Dialect.Send(sendContext, target, x.request, left)
 	if errors.Is(err, ErrNotSent) {
-		x.settleRepeats()
 		outcome = admission.OutcomeFailed
 		entry.Failed()
 		return nil, &tryError{failure: notRun(ReasonBackendFailed, retryShed, err)}
 	}
-	x.arrivals.runs++
+	x.runArrived()
 	if err == nil {
 		err = buffer(answer)
 	}
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -137,7 +137,7 @@
 		discard(wasteNotSent)
 		return nil, err
 	}
-	if refused := x.sendRun(); refused != nil {
+	if refused := x.refuseRun(); refused != nil {
 		// Each prompt that an engine rejected is an arrival. Without this, runs after rejected prompts
 		// would exceed the budget by one each.
 		discard(wasteNotSent)
@@ -150,7 +150,7 @@
 		discard(wasteDecodeFailed)
 		return nil, x.decodeFailed(ctx, taken, err)
 	}
-	x.arrivals.runs++
+	x.runArrived()
 	if answer.Misdirected {
 		x.misdirected(taken.entry, answer)
 	}
@@ -168,10 +168,8 @@
 
 // decodeFailed is the error of a decode engine that gave no answer.
 func (x *exchange) decodeFailed(ctx context.Context, taken *reservedEngine, err error) error {
-	if errors.Is(err, ErrNotSent) {
-		x.settleRepeats()
-	} else {
-		x.arrivals.runs++
+	if !errors.Is(err, ErrNotSent) {
+		x.runArrived()
 		x.runs++
 	}
 	if failure := ended(ctx); failure != nil {
@@ -198,8 +196,6 @@
 		tried[entry.Backend().ID] = true
 		result, err := x.prefillAt(ctx, entry, taken)
 		if err == nil {
-			x.arrivals.promptRead = true
-			x.settleRepeats()
 			taken.promptRead(entry.Backend().ID)
 			x.timings.prefill = x.since()
 			return result, entry, nil
@@ -249,15 +245,13 @@
 	defer end()
 	limited, cancel := context.WithTimeout(ctx, x.prefillTimeout(entry, taken))
 	defer cancel()
-	if refused := x.sendPrompt(); refused != nil {
+	if refused := x.refusePrompt(); refused != nil {
 		return nil, refused
 	}
 	sent := time.Now()
 	result, answer, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
-	if errors.Is(err, ErrNotSent) {
-		x.settleRepeats()
-	} else {
-		x.arrivals.prompts++
+	if !errors.Is(err, ErrNotSent) {
+		x.promptArrived(result != nil)
 	}
 	switch {
 	case err != nil && ctx.Err() != nil:
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -20,19 +20,29 @@
 	return x.maySend(after.withRun())
 }
 
-// sendRun counts the run that is about to be sent. It returns the refusal of the request if the retry budget
-// does not have that.
-func (x *exchange) sendRun() error { return x.send(x.arrivals.withRun()) }
+// refuseRun returns the refusal of the request if the retry budget does not have the run that is about to be
+// sent.
+func (x *exchange) refuseRun() error { return x.refuse(x.arrivals.withRun()) }
 
-// sendPrompt is sendRun for a prompt. Whether an engine takes it up is not known yet.
-func (x *exchange) sendPrompt() error { return x.send(x.arrivals.withPrompt()) }
+// refusePrompt is refuseRun for a prompt. Whether an engine takes it up is not known yet.
+func (x *exchange) refusePrompt() error { return x.refuse(x.arrivals.withPrompt()) }
 
-func (x *exchange) send(after arrivals) error {
-	if !x.maySend(after) || !x.repeats.Send(after.beyondFirst()) {
+func (x *exchange) refuse(after arrivals) error {
+	if !x.maySend(after) || !x.repeats.MaySend(after.beyondFirst()) {
 		return notRun(ReasonRetryBudget, retryNoRepeats, nil)
 	}
 	return nil
 }
 
-// settleRepeats gives back what was counted for a call that was not sent, or for a prompt that was read.
-func (x *exchange) settleRepeats() { x.repeats.Unsend(x.arrivals.beyondFirst()) }
+// runArrived counts a run that has reached a back end, or may have.
+func (x *exchange) runArrived() {
+	x.arrivals = x.arrivals.withRun()
+	x.repeats.Arrived(x.arrivals.beyondFirst())
+}
+
+// promptArrived counts a prompt that has reached an engine, or may have.
+func (x *exchange) promptArrived(read bool) {
+	x.arrivals = x.arrivals.withPrompt()
+	x.arrivals.promptRead = x.arrivals.promptRead || read
+	x.repeats.Arrived(x.arrivals.beyondFirst())
+}
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -124,7 +124,8 @@
 }
 
 // A link held a repeat up for nine seconds. It was forgotten a window after it was sent, and counted at the
-// engine until nine seconds later.
+// engine until nine seconds later: three repeats in a window that allows two. A call may arrive at any moment
+// until its answer or its failure is known, so that its repeat counts in each window until then.
 func TestRepeatsThatAreHeldUpCountUntilTheyArrive(t *testing.T) {
 	const burst, heldUp, window = 2, 9 * time.Second, 10 * time.Second
 	synctest.Test(t, func(t *testing.T) {
--- a/retrybudget/account.go
+++ b/retrybudget/account.go
@@ -15,7 +15,7 @@
 	newest   int64
 	requests [partsKept]int
 	repeats  [partsKept]int
-	// held are the repeats that were granted and not sent yet.
+	// held are the repeats that were granted and have not arrived.
 	held int
 	// granted and refused count repeats since the last report.
 	granted, refused int
@@ -52,13 +52,6 @@
 	return left
 }
 
-// forget takes back a repeat that counted in a part.
-func (a *account) forget(part int64) {
-	if part > a.newest-partsKept {
-		a.repeats[position(part)]--
-	}
-}
-
 // requestsAround returns the requests that lie within half a window of each moment of a part.
 func (a *account) requestsAround(part int64) int {
 	const half = partsPerWindow/2 - 1
--- a/retrybudget/property_test.go
+++ b/retrybudget/property_test.go
@@ -44,7 +44,11 @@
 func repeat(budget *retrybudget.Budget, count int) bool {
 	grant := budget.Grant("s")
 	defer grant.Release()
-	return grant.Reserve(count) && grant.Send(count)
+	if !grant.Reserve(count) || !grant.MaySend(count) {
+		return false
+	}
+	grant.Arrived(count)
+	return true
 }
 
 func within(times []time.Time, from, to time.Time) int {
@@ -155,8 +159,15 @@
 	})
 }
 
-// TestGrantsThatAreSentLater has requests hold what they were granted for up to a window and a half, send a
-// part of it, take a part back and release the rest. No window may hold more sent repeats than it is allowed.
+// waitingGrant is a repeat that is not sent yet, or is on its way.
+type waitingGrant struct {
+	grant    *retrybudget.Grant
+	reserved int
+	onItsWay bool
+}
+
+// TestGrantsThatAreSentLater has requests wait with what they were granted, send it and have a part of it
+// arrive at any moment until its end is known. No window may hold more that have arrived than it is allowed.
 func TestGrantsThatAreSentLater(t *testing.T) {
 	const slack, most = 6.0, 4
 	rapid.Check(t, func(t *rapid.T) {
@@ -165,7 +176,7 @@
 			Ratio: ratio, Burst: func() float64 { return slack }, Window: window, Now: func() time.Time { return now },
 		})
 		var requests, repeats []time.Time
-		var waiting []*retrybudget.Grant
+		var waiting []*waitingGrant
 		for range rapid.IntRange(1, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause")) * time.Millisecond)
 			for range rapid.IntRange(0, 20).Draw(t, "requests") {
@@ -173,23 +184,31 @@
 				requests = append(requests, now)
 			}
 			for range rapid.IntRange(0, most).Draw(t, "grants") {
-				grant := budget.Grant("s")
-				if grant.Reserve(rapid.IntRange(1, most).Draw(t, "reserved")) {
-					waiting = append(waiting, grant)
+				next := &waitingGrant{grant: budget.Grant("s"), reserved: rapid.IntRange(1, most).Draw(t, "reserved")}
+				if next.grant.Reserve(next.reserved) {
+					waiting = append(waiting, next)
 				}
 			}
-			for len(waiting) > 0 && rapid.Bool().Draw(t, "ends") {
-				grant, sent := waiting[0], rapid.IntRange(1, most).Draw(t, "sent")
-				waiting = waiting[1:]
-				if grant.Send(sent) {
-					kept := rapid.IntRange(0, sent).Draw(t, "kept")
-					grant.Unsend(kept)
-					for range kept {
+			var later []*waitingGrant
+			for _, one := range waiting {
+				switch {
+				case rapid.Bool().Draw(t, "waits"):
+					later = append(later, one)
+				case one.onItsWay:
+					one.grant.Arrived(one.reserved)
+					one.grant.Release()
+				case one.grant.MaySend(one.reserved):
+					// It arrives at once, and its end is heard of later.
+					for range one.reserved {
 						repeats = append(repeats, now)
 					}
+					one.onItsWay = true
+					later = append(later, one)
+				default:
+					one.grant.Release()
 				}
-				grant.Release()
 			}
+			waiting = later
 		}
 		expectNoWindowAbove(t, requests, repeats, slack)
 	})
