Offer a prompt that was read to another engine where a run is rejected

An engine that rejects a run takes up nothing, so that the prompt stays readable for half a second. Read once more elsewhere, the next start costs two repeats; with the prompt kept, one.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -36,6 +36,7 @@
 // and the answer is relayed, from another engine where one breaks off and the
 // stream may be resumed.
 func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
+	defer func() { x.freeKeptPrompt(ctx) }()
 	relayed := &streamRelay{exchange: x, lastID: x.request.Generation.LastEventID}
 	avoid := map[string]bool{}
 	for {
@@ -100,6 +101,9 @@
 	if failed.ran {
 		return x.mayResume()
 	}
+	if x.kept != nil {
+		return x.maySendRun()
+	}
 	return x.mayStartRun()
 }
 
@@ -109,45 +113,37 @@
 		return nil, err
 	}
 	options := DecodeOptions{Reservation: &taken.reservation, LastEventID: lastID}
-	discard := func(wasteCause) {}
-	if !taken.readsItself {
-		result, source, err := x.prefill(ctx, taken)
-		switch {
-		case err == nil:
-			options.Prefill = result
-			discard = func(cause wasteCause) { x.discard(ctx, source, *result, cause) }
-		case isReason(err, ReasonPrefillFailed):
-			// The decode engine has memory for the request, and reads more slowly, but now.
-			taken.readsItself = true
-			x.handler.logRetry(x, err)
-		default:
-			return nil, err
-		}
+	prompt, err := x.promptFor(ctx, taken)
+	if err != nil {
+		return nil, err
+	}
+	if prompt != nil {
+		options.Prefill = &prompt.result
 	}
 	x.target = taken.entry.Backend().ID
 	if taken.entry.LeavingFor() > leavingLimit {
-		discard(wasteEngineLeft)
+		x.keepPrompt(ctx, prompt, wasteEngineLeft)
 		return nil, &tryError{failure: notRun(ReasonBackendLeft, retryShed, nil)}
 	}
 	if taken.entry.BackingOffFor() > backoffLimit {
-		discard(wasteEngineBackoff)
+		x.keepPrompt(ctx, prompt, wasteEngineBackoff)
 		return nil, &tryError{failure: notRun(ReasonBackoff, retryShed, nil)}
 	}
 	if err := x.admissible(); err != nil {
-		discard(wasteNotSent)
+		x.discard(ctx, prompt, wasteNotSent)
 		return nil, err
 	}
 	if refused := x.refuseRun(); refused != nil {
 		// Each prompt that an engine rejected is an arrival. Without this, runs after rejected prompts
 		// would exceed the budget by one each.
-		discard(wasteNotSent)
+		x.discard(ctx, prompt, wasteNotSent)
 		return nil, refused
 	}
 	watched := x.watchDecode(ctx, taken)
 	taken.sent = time.Now()
 	answer, err := x.handler.options.Dialect.Decode(watched, taken.entry.Backend(), x.request, x.left(), options)
 	if err != nil {
-		discard(wasteDecodeFailed)
+		x.discard(ctx, prompt, wasteDecodeFailed)
 		return nil, x.decodeFailed(ctx, taken, err)
 	}
 	x.runArrived()
@@ -159,7 +155,7 @@
 		if taken.entry.BackoffLeft() == 0 {
 			taken.refusal = coordinator.RefusalClosed
 		}
-		discard(wasteDecodeRefused)
+		x.keepPrompt(ctx, prompt, wasteDecodeRefused)
 		return nil, &tryError{failure: notRun(ReasonBackendRefused, retryShed, nil), arrived: true}
 	}
 	x.runs++
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -176,6 +176,8 @@
 	runs     int
 	// repeats is what the retry budget has granted to the request.
 	repeats *retrybudget.Grant
+	// kept is a prompt that was read for a run which its engine rejected; nil for none.
+	kept *readPrompt
 	// admission is the decision on a request to a plain service.
 	admission admission.Decision
 	// charged is how many units the request was charged, and quota the decision on that.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -274,11 +274,3 @@
 		}
 	})
 }
-
-// discard frees a prompt that was read and is not used.
-func (x *exchange) discard(ctx context.Context, source *backend.Entry, result PrefillResult, cause wasteCause) {
-	x.handler.logWasted(x, source.Backend().ID, cause)
-	x.giveUp(ctx, source, "discard_errors", func(ctx context.Context) error {
-		return x.handler.options.Dialect.Discard(ctx, source.Backend(), result)
-	})
-}
