Divide the retry budget also while nodes start one after the other

The parts were written only once two looks found the same starts, so that a fleet whose nodes start in series had none as long as that lasted. That look is for the first parts alone, which are for all nodes of the first start.

--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"time"
 
@@ -51,8 +50,8 @@
 	version int64
 	// lonelySince is when the node last had most of the others, unless it has them now.
 	lonelySince time.Time
-	// members are those of the last look, and writtenAt is when this node last wrote the parts.
-	members   []retrybudget.Member
+	// members is how many there were at the last look, and writtenAt when this node last wrote the parts.
+	members   int
 	writtenAt time.Time
 }
 
@@ -128,13 +127,12 @@
 // does it; the store refuses the write of one that does not know the newest parts.
 func (r *Router) divideRetryBudget(ctx context.Context) {
 	members := r.retryMembers()
-	settled := slices.EqualFunc(members, r.retryShares.members, func(a, b retrybudget.Member) bool {
-		return a.Name == b.Name && a.Start == b.Start
-	})
-	r.retryShares.members = members
+	// Nodes that start together register within a second or so. The first parts are for all of them.
+	gathering := r.retryShares.version == 0 && len(members) != r.retryShares.members
+	r.retryShares.members = len(members)
 	_, position := r.place()
 	now := r.options.Clock.Now()
-	if position > 0 || !r.hasMajority() || !settled || len(members) == 0 || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
+	if position > 0 || !r.hasMajority() || gathering || len(members) == 0 || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
 		return
 	}
 	next, changed := r.retryShares.known.Next(members, r.dividedRepeats(len(members)))
