--- a/soak/crashes_test.go
+++ b/soak/crashes_test.go
@@ -107,6 +107,7 @@
 	if err != nil {
 		return
 	}
+	n.requests.add(k, time.Now())
 	request.Host, request.GetBody = routeHost, nil
 	caller := standin.Caller{ID: id, Wait: 4 * time.Second, PromptTokens: 3000, MaxOutputTokens: 2000, LengthHint: 600, Key: keyOf(steadyTenant)}
 	caller.Set(request.Header)
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -82,6 +82,7 @@
 // askUntil is ask by a caller that leaves when the context ends.
 func askUntil(ctx context.Context, transport http.RoundTripper, n *node, k kind, id string, lastOnConnection bool, tenant string) observation {
 	o := observation{id: id, kind: k, node: n.index, tenant: tenant, began: time.Now()}
+	n.requests.add(k, o.began)
 	defer func() { o.ended = time.Now() }()
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) { sent.Store(info.Err == nil) }})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -134,6 +134,7 @@
 	newer.Go(func() { w.newerFaults(rand.New(rand.NewPCG(seed, newerStream)), duration) })
 	newer.Go(func() { w.newestFaults(rand.New(rand.NewPCG(seed, newestStream)), duration) })
 	newer.Go(func() { w.noticeFaults(rand.New(rand.NewPCG(seed, noticeStream)), duration) })
+	newer.Go(func() { w.rejections(rand.New(rand.NewPCG(seed, rejectStream)), duration) })
 	w.faults(random, duration)
 	newer.Wait()
 	time.Sleep(recoveryTime)
@@ -151,12 +152,14 @@
 	unheeded, backoffs := judgeBackoffs(record)
 	violations = append(violations, append(lateArrivals, unheeded...)...)
 	violations = append(violations, w.recovered()...)
+	exceeded, repeats := w.judgeRepeats()
+	violations = append(violations, exceeded...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends, %d words and %d backoffs judged",
-		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes), words, backoffs)
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d callers that left were outlived, a request returned %d times and ended %d back ends, %d words, %d backoffs and %d repeats judged",
+		seed, len(w.nodes), len(load.observations()), statuses, len(w.disturbances), late, counted, len(returns), len(w.crashes), words, backoffs, repeats)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -74,6 +74,8 @@
 	backEnds     []*backEnd
 	nodes        []*node
 	disturbances []disturbance
+	// requests are those that callers sent.
+	requests requestLog
 	// older is another build of the daemon that nodes run by turns; empty for none.
 	older string
 	// starts are the starts of nodes' processes.
@@ -91,10 +93,12 @@
 
 // node is one daemon, over all its processes.
 type node struct {
-	index   int
-	ports   []int
-	store   *proxy
-	process *exec.Cmd
+	index int
+	// requests takes note of those that callers send here.
+	requests *requestLog
+	ports    []int
+	store    *proxy
+	process  *exec.Cmd
 	// started is when the process began, and ended is closed once it has ended.
 	started time.Time
 	ended   chan struct{}
@@ -133,7 +137,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w.nodes = append(w.nodes, &node{index: i, ports: nodePorts(t, seed, i), store: storeProxy, log: &logBuffer{}})
+		w.nodes = append(w.nodes, &node{index: i, requests: &w.requests, ports: nodePorts(t, seed, i), store: storeProxy, log: &logBuffer{}})
 	}
 	for _, n := range w.nodes {
 		w.start(n)
@@ -276,7 +280,7 @@
 		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
 		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", w.nodes[0].ports[2])},
 		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1},
-		"bounds": map[string]any{"grace_s": 8, "retry_budget_ratio": 0.2, "budget_window_s": 10, "budget_slack": 50, "lease_ms": 1000,
+		"bounds": map[string]any{"grace_s": 8, "retry_budget_ratio": retryRule.Ratio, "budget_window_s": retryRule.Window.Seconds(), "budget_slack": retryRule.Slack, "lease_ms": 1000,
 			"quota_window_s": limitWindow.Seconds(), "quota_overshoot": limitOvershoot, "quota_slack": limitSlack},
 		"platform": map[string]any{"address": n.store.address()},
 	}
