--- a/soak/repeats_test.go
+++ b/soak/repeats_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -117,8 +118,8 @@
 	}
 	arrive("first")
 	for i := range int(retryRule.Slack) {
-		arrive(fmt.Sprint(i))
-		arrive(fmt.Sprint(i))
+		arrive(strconv.Itoa(i))
+		arrive(strconv.Itoa(i))
 	}
 	violations, repeats := w.judgeRepeats()
 	g.Expect(violations).To(BeEmpty())
