Divide all of the retry budget, and leave parts as they are while a node starts again

With 85 nodes half of what is divided went to nobody, and with 986 all of it: parts were rounded down. What is left over goes to one node each now. A node that is away for a moment changes no other part, and costs no write.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -133,9 +133,7 @@
 		x.discard(ctx, prompt, wasteNotSent)
 		return nil, err
 	}
-	if refused := x.refuseRun(); refused != nil {
-		// Each prompt that an engine rejected is an arrival. Without this, runs after rejected prompts
-		// would exceed the budget by one each.
+	if refused := x.refuseRun(nil); refused != nil {
 		x.discard(ctx, prompt, wasteNotSent)
 		return nil, refused
 	}
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -33,9 +33,7 @@
 	}
 	result, source, err := x.prefill(ctx, taken)
 	if isReason(err, ReasonPrefillFailed) {
-		// The decode engine has memory for the request, and reads more slowly, but now.
-		taken.readsItself = true
-		return nil, nil
+		return nil, x.readAtRun(taken, err)
 	}
 	if err != nil {
 		return nil, err
@@ -43,6 +41,18 @@
 	return &readPrompt{result: *result, source: source, readAt: time.Now()}, nil
 }
 
+// readAtRun has the engine of the run read the prompt, which others have rejected or failed to read: it has
+// memory for the request, and reads more slowly, but now. Each prompt that was rejected is an arrival: if the
+// budget were not asked here, runs after rejected prompts would exceed it by one each.
+func (x *exchange) readAtRun(taken *reservedEngine, failed error) error {
+	if refused := x.refuseRun(failed); refused != nil {
+		return refused
+	}
+	taken.readsItself = true
+	x.handler.logRetry(x, failed)
+	return nil
+}
+
 // keepPrompt keeps a prompt that no engine has fetched for the next one, if there is time for that, and frees
 // it otherwise. An engine that rejects the run takes up nothing; with the prompt read once more elsewhere, the
 // next start would be two repeats in place of one. It is offered to two engines at most, because one may
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -1,7 +1,7 @@
 package gateway
 
-// retryNoRepeats is when a caller comes back whose request may not be sent again: repeats of the requests
-// that come meanwhile are allowed again.
+// retryNoRepeats is when a caller comes back whose request may not be sent again. What it sends then is a
+// first attempt, which asks for no repeat.
 const retryNoRepeats = retryShed
 
 // maySend asks the retry budget for the repeats that the request has made once the given calls have reached
@@ -21,15 +21,15 @@
 }
 
 // refuseRun returns the refusal of the request if the retry budget does not have the run that is about to be
-// sent.
-func (x *exchange) refuseRun() error { return x.refuse(x.arrivals.withRun()) }
+// sent. The cause is why it would be a repeat, where that is known.
+func (x *exchange) refuseRun(cause error) error { return x.refuse(x.arrivals.withRun(), cause) }
 
 // refusePrompt is refuseRun for a prompt. Whether an engine takes it up is not known yet.
-func (x *exchange) refusePrompt() error { return x.refuse(x.arrivals.withPrompt()) }
+func (x *exchange) refusePrompt() error { return x.refuse(x.arrivals.withPrompt(), nil) }
 
-func (x *exchange) refuse(after arrivals) error {
+func (x *exchange) refuse(after arrivals, cause error) error {
 	if !x.maySend(after) || !x.repeats.MaySend(after.beyondFirst()) {
-		return notRun(ReasonRetryBudget, retryNoRepeats, nil)
+		return notRun(ReasonRetryBudget, x.handler.options.Policy.retryAfter(retryNoRepeats), cause)
 	}
 	return nil
 }
--- a/retrybudget/allocation.go
+++ b/retrybudget/allocation.go
@@ -1,9 +1,10 @@
 package retrybudget
 
 import (
-	"maps"
+	"cmp"
 	"slices"
-	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Allocation says how many repeats beside the ratio each node may send in a window, for each service. It is
@@ -39,16 +40,83 @@
 	Confirmed int64
 }
 
-// Next returns the allocation for the nodes that there are, and whether it differs. All have the same part of
-// the total. A part becomes smaller first, and another one larger only once the node has confirmed that.
+// raiseShare is by which share of a part its target must lie above it for the part to become larger. A node
+// that starts again is away for a moment; without this, all others would have a little more for that time,
+// and each of them would have to confirm that it has given it back.
+const raiseShare = 0.25
+
+// Next returns the allocation for the nodes that there are, and whether it is to be written. All have about the same part
+// of the total. A part becomes smaller first, and another one larger only once the node has confirmed that.
 func (a Allocation) Next(members []Member, total int) (next Allocation, changed bool) {
 	next = Allocation{Generation: a.Generation + 1, Shares: a.remaining(members)}
-	target := total / max(1, len(members))
-	for name, share := range next.Shares {
-		next.Shares[name] = share.lowered(target, next.Generation)
+	targets := targetsOf(members, total)
+	if next.wanted(targets) > next.free(total) {
+		for name, share := range next.Shares {
+			next.Shares[name] = share.lowered(targets[name], next.Generation)
+		}
+	}
+	next.raise(members, targets, next.free(total))
+	return next, next.changes(a)
+}
+
+// changes reports whether the part of a node that is there differs. Those of nodes that are gone need no
+// write until somebody is to have them.
+func (a Allocation) changes(earlier Allocation) bool {
+	for name, share := range a.Shares {
+		if share != earlier.Shares[name] {
+			return true
+		}
+	}
+	return false
+}
+
+// targetsOf divides the total among the nodes. What is left over goes to one node each, by a hash of their
+// names, so that a node which comes or goes changes the parts of few others.
+func targetsOf(members []Member, total int) map[string]int {
+	if len(members) == 0 {
+		return nil
+	}
+	names := make([]string, len(members))
+	for i, member := range members {
+		names[i] = member.Name
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	targets := make(map[string]int, len(names))
+	for i, name := range names {
+		targets[name] = total / len(names)
+		if i < total%len(names) {
+			targets[name]++
+		}
 	}
-	next.raise(members, target, total)
-	return next, !maps.Equal(next.Shares, a.Shares)
+	return targets
+}
+
+// free returns how much of the total nobody may be spending.
+func (a Allocation) free(total int) int {
+	for _, share := range a.Shares {
+		total -= share.Units + share.Unconfirmed
+	}
+	return total
+}
+
+// wanted returns by how much parts are to become larger.
+func (a Allocation) wanted(targets map[string]int) int {
+	wanted := 0
+	for name, target := range targets {
+		wanted += a.Shares[name].missing(target)
+	}
+	return wanted
+}
+
+// missing returns by how much the share is to become larger.
+func (s Share) missing(target int) int {
+	missing := target - s.Units
+	if missing <= 0 || float64(missing) < raiseShare*float64(s.Units) {
+		return 0
+	}
+	return missing
 }
 
 // remaining returns the parts of the nodes that are still there, by the same start.
@@ -77,15 +145,11 @@
 	return s
 }
 
-// raise gives what is free to the nodes that have less than the others.
-func (a *Allocation) raise(members []Member, target, total int) {
-	free := total
-	for _, share := range a.Shares {
-		free -= share.Units + share.Unconfirmed
-	}
+// raise gives what is free to the nodes that have less than their targets.
+func (a *Allocation) raise(members []Member, targets map[string]int, free int) {
 	for _, member := range slices.SortedFunc(slices.Values(members), byName) {
 		share := a.Shares[member.Name]
-		more := min(target-share.Units, free)
+		more := min(share.missing(targets[member.Name]), free)
 		if more <= 0 || share.Unconfirmed > 0 {
 			continue
 		}
@@ -95,4 +159,4 @@
 	}
 }
 
-func byName(a, b Member) int { return strings.Compare(a.Name, b.Name) }
+func byName(a, b Member) int { return cmp.Compare(a.Name, b.Name) }
--- a/retrybudget/allocation_test.go
+++ b/retrybudget/allocation_test.go
@@ -54,6 +54,36 @@
 	g.Expect(units(shrunk)).To(Equal(map[string]int{"a": 12}))
 }
 
+// TestWhatIsLeftOverIsDivided has more nodes than a part for each, and less.
+func TestWhatIsLeftOverIsDivided(t *testing.T) {
+	g := NewWithT(t)
+	for _, total := range []int{2, 5, 13} {
+		allocation, _ := retrybudget.Allocation{}.Next(members("a", "b", "c", "d"), total)
+		sum := 0
+		for _, held := range units(allocation) {
+			g.Expect(held).To(BeNumerically("~", total/4, 1))
+			sum += held
+		}
+		g.Expect(sum).To(Equal(total))
+	}
+}
+
+// TestANodeThatIsAwayForAMomentChangesNoOthersPart: with eight nodes the others would have a seventh more.
+func TestANodeThatIsAwayForAMomentChangesNoOthersPart(t *testing.T) {
+	g := NewWithT(t)
+	all := members("a", "b", "c", "d", "e", "f", "g", "h")
+	before, _ := retrybudget.Allocation{}.Next(all, 48)
+	_, changed := before.Next(all[1:], 48)
+	g.Expect(changed).To(BeFalse())
+	all[0].Start = "2"
+	after, changed := before.Next(all, 48)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(units(after)).To(Equal(units(before)))
+	for name, share := range after.Shares {
+		g.Expect(share.Unconfirmed).To(BeZero(), name)
+	}
+}
+
 // TestAnotherStartHasAnotherPart: its units count from when it gets them.
 func TestAnotherStartHasAnotherPart(t *testing.T) {
 	g := NewWithT(t)
