--- a/cmd/reelrunctl/main.go
+++ b/cmd/reelrunctl/main.go
@@ -69,7 +69,7 @@
 		Subcommands: []*ffcli.Command{
 			planCommand(shared), confirmCommand(shared), applyCommand(shared), removeCommand(shared), engineCommand(shared),
 			getCommand(shared), statusCommand(shared), timelineCommand(shared), hashCommand(shared), explainCommand(shared),
-			accountCommand(shared),
+			accountCommand(shared), buildsCommand(shared),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
