Set repeats against the mean of a window's own requests and those before it

A start of a node had no repeats by its ratio for five seconds, and all of them only after fifteen: the window half a window earlier holds none of its requests. Half of a window's own requests and half of those before it are never more than the larger of both, and the same at all nodes, so that the bound stays proved; a new start has half of the ratio at once.

--- a/retrybudget/account.go
+++ b/retrybudget/account.go
@@ -5,8 +5,8 @@
 const (
 	// partsPerWindow is into how many parts a window is split.
 	partsPerWindow = 40
-	// partsKept is how many parts are remembered: a window, and half a window before it.
-	partsKept = partsPerWindow + partsPerWindow/2 + 1
+	// partsKept is how many parts are remembered: a window, and the one before it.
+	partsKept = 2*partsPerWindow + 1
 )
 
 // account counts one service's requests and repeats in parts of a window. Parts are numbered from the start
@@ -37,29 +37,30 @@
 // left returns how many repeats may be sent now, so that no window holds more than the burst and a ratio of
 // its requests.
 //
-// A window's repeats may be set against the requests of the window that begins half a window earlier. Of the
-// windows that the platform names for this it is the only one that each node can look at when it decides, and
-// that bounds the sum over all nodes: had each node its own choice, callers that move from one node to
-// another would count at both. A window that begins within a part has some of the parts at its ends, whose
-// repeats count whole and whose requests do not count.
+// A window's repeats may be set against its own requests or those of the window before it, whichever are more,
+// and thus against half of both together. All nodes take this mean: had each node its own choice, callers that
+// move from one node to another would count at both. Requests of the window that are still to come only add
+// to it. A window that begins within a part has some of the parts at its ends, whose repeats count whole and
+// whose requests do not count.
 func (a *account) left(burst, ratio float64) float64 {
 	left := math.Inf(1)
 	repeats := a.held
 	for begins := a.newest; begins >= a.newest-partsPerWindow; begins-- {
 		repeats += a.repeats[position(begins)]
-		left = min(left, burst+ratio*float64(a.requestsAround(begins))-float64(repeats))
+		left = min(left, burst+ratio*a.meanRequests(begins)-float64(repeats))
 	}
 	return left
 }
 
-// requestsAround returns the requests that lie within half a window of each moment of a part.
-func (a *account) requestsAround(part int64) int {
-	const half = partsPerWindow/2 - 1
+// meanRequests returns the mean of the requests of a window that begins in a part, and of the one before it,
+// as far as they are known.
+func (a *account) meanRequests(begins int64) float64 {
+	const reach = partsPerWindow - 1
 	requests := 0
-	for near := max(part-half, a.newest-partsKept+1); near <= min(part+half, a.newest); near++ {
-		requests += a.requests[position(near)]
+	for part := max(begins-reach, a.newest-partsKept+1); part <= min(begins+reach, a.newest); part++ {
+		requests += a.requests[position(part)]
 	}
-	return requests
+	return float64(requests) / 2 //nolint:mnd // two windows
 }
 
 // sumOfWindow adds up the parts of the last window.
