Let a node's next start take over its part

A start got its part anew, usable a window after it had heard of it, one to four seconds after its own first window was over. Nobody else had the very first parts; they go on to the next starts of their nodes, whose first window covers what the start before has spent.

--- a/retrybudget/allocation.go
+++ b/retrybudget/allocation.go
@@ -28,8 +28,10 @@
 	// smaller now, and Lowered the generation that made it smaller.
 	Unconfirmed int   `json:"unconfirmed,omitempty"`
 	Lowered     int64 `json:"lowered,omitempty"`
-	// First is set where no node had any of it before.
-	First bool `json:"first,omitempty"`
+	// Own is set where no other node has ever had any of it: the very first parts, which go on to the next
+	// starts of their nodes. One that has become larger since was another node's, perhaps until a moment
+	// after this start began.
+	Own bool `json:"own,omitempty"`
 }
 
 // Member is a node that may have a part.
@@ -119,15 +121,18 @@
 	return missing
 }
 
-// remaining returns the parts of the nodes that are still there, by the same start.
+// remaining returns the parts of the nodes that are still there. The next start of a node takes over the part
+// of the one before.
 func (a Allocation) remaining(members []Member) map[string]Share {
 	shares := make(map[string]Share, len(members))
 	for _, member := range members {
 		share, found := a.Shares[member.Name]
-		if !found || share.Start != member.Start {
+		switch {
+		case !found:
 			continue
-		}
-		if share.Unconfirmed > 0 && member.Confirmed >= share.Lowered {
+		case share.Start != member.Start:
+			share = Share{Start: member.Start, Units: share.Units, Own: share.Own}
+		case share.Unconfirmed > 0 && member.Confirmed >= share.Lowered:
 			share.Unconfirmed, share.Lowered = 0, 0
 		}
 		shares[member.Name] = share
@@ -153,7 +158,7 @@
 		if more <= 0 || share.Unconfirmed > 0 {
 			continue
 		}
-		share.Start, share.Units, share.First = member.Start, share.Units+more, a.Generation == 1
+		share.Start, share.Units, share.Own = member.Start, share.Units+more, a.Generation == 1
 		a.Shares[member.Name] = share
 		free -= more
 	}
--- a/retrybudget/allocation_test.go
+++ b/retrybudget/allocation_test.go
@@ -84,13 +84,13 @@
 	}
 }
 
-// TestAnotherStartHasAnotherPart: its units count from when it gets them.
-func TestAnotherStartHasAnotherPart(t *testing.T) {
+// TestTheNextStartTakesOverThePart, which no other node has had meanwhile.
+func TestTheNextStartTakesOverThePart(t *testing.T) {
 	g := NewWithT(t)
 	first, _ := retrybudget.Allocation{}.Next(members("a"), 4)
 	again, changed := first.Next([]retrybudget.Member{{Name: "a", Start: "2"}}, 4)
 	g.Expect(changed).To(BeTrue())
-	g.Expect(again.Shares["a"]).To(Equal(retrybudget.Share{Start: "2", Units: 4}))
+	g.Expect(again.Shares["a"]).To(Equal(retrybudget.Share{Start: "2", Units: 4, Own: true}))
 }
 
 // TestALargerPartIsUsableAWindowLater, and a smaller one is smaller at once.
@@ -169,7 +169,7 @@
 		chance := func(share float64) bool { return random.Float64() < share }
 		now := time.Unix(0, 0)
 		clock := func() time.Time { return now }
-		live := map[string]*spender{}
+		live, registered := map[string]*spender{}, map[string]retrybudget.Member{}
 		starts := 0
 		var allocation retrybudget.Allocation
 		var spent []time.Time
@@ -183,7 +183,6 @@
 			} else if chance(0.15) {
 				delete(live, name)
 			}
-			var members []retrybudget.Member
 			for _, name := range slices.Sorted(maps.Keys(live)) {
 				node := live[name]
 				if chance(0.1) {
@@ -192,8 +191,17 @@
 				for spends := chance(0.5); spends && repeat(node.budget, 1); {
 					spent = append(spent, now)
 				}
-				members = append(members, node.member)
+				// A start registers some time after it began, in the place of the one before.
+				if registered[name].Start == node.member.Start || chance(0.4) {
+					registered[name] = node.member
+				}
+			}
+			for _, name := range slices.Sorted(maps.Keys(registered)) {
+				if live[name] == nil && chance(0.4) {
+					delete(registered, name)
+				}
 			}
+			members := slices.Collect(maps.Values(registered))
 			if next, changed := allocation.Next(members, total); changed && chance(0.7) {
 				allocation = next
 			}
--- a/retrybudget/share.go
+++ b/retrybudget/share.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Holder knows how much of an allocation this start of a node may spend. A part that has become larger was another
-// node's, which may have spent it until it was given up, so that it is usable a window later. One that has
-// become smaller is smaller at once. The first part of all is nobody's before, and usable at once. It is safe for
-// concurrent use.
+// Holder knows how much of an allocation this start of a node may spend. A part that has become larger was
+// another node's, which may have spent it until it was given up, so that it is usable a window later. One that
+// has become smaller is smaller at once. A part that no other node has had is usable at once, as far as the
+// budget of a start is in its first window. It is safe for concurrent use.
 type Holder struct {
 	window time.Duration
 	now    func() time.Time
@@ -36,7 +36,7 @@
 	defer h.mu.Unlock()
 	switch {
 	case h.closed:
-	case share.First && len(h.held) == 1:
+	case share.Own && len(h.held) == 1:
 		h.held[0].units = share.Units
 	default:
 		h.hold(share.Units)
