--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -50,6 +51,8 @@
 	version int64
 	// lonelySince is when the node last had most of the others, unless it has them now.
 	lonelySince time.Time
+	// missing is since when nodes with a part have had no object, by name.
+	missing map[string]time.Time
 	// members is how many there were at the last look, and writtenAt when this node last wrote the parts.
 	members   int
 	writtenAt time.Time
@@ -126,16 +129,20 @@
 // divideRetryBudget writes the parts of all nodes where they have changed. The first of the nodes that answer
 // does it; the store refuses the write of one that does not know the newest parts.
 func (r *Router) divideRetryBudget(ctx context.Context) {
+	_, position := r.place()
+	now := r.options.Clock.Now()
+	if position > 0 || !r.hasMajority() || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
+		return
+	}
 	members := r.retryMembers()
 	// Nodes that start together register within a second or so. The first parts are for all of them.
 	gathering := r.retryShares.version == 0 && len(members) != r.retryShares.members
 	r.retryShares.members = len(members)
-	_, position := r.place()
-	now := r.options.Clock.Now()
-	if position > 0 || !r.hasMajority() || gathering || len(members) == 0 || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
+	if gathering || len(members) == 0 {
 		return
 	}
-	next, changed := r.retryShares.known.Next(members, r.dividedRepeats(len(members)))
+	members = append(members, r.awaited(members)...)
+	next, changed := r.retryShares.known.Next(members, r.dividedRepeats())
 	if !changed {
 		return
 	}
@@ -144,11 +151,12 @@
 	r.options.Logger.Info("retry budget divided", "generation", next.Generation, "nodes", len(next.Shares), "error", logging.ErrorText(err))
 }
 
-// dividedRepeats returns how many repeats beside the ratio are divided among so many nodes. Those of builds
-// that go by the number of nodes take theirs without asking.
-func (r *Router) dividedRepeats(members int) int {
+// dividedRepeats returns how many repeats beside the ratio are divided among the nodes. Those of builds that go
+// by the number of nodes take theirs without asking.
+func (r *Router) dividedRepeats() int {
 	total := r.settings.Load().RetryBurst * budgetShare
-	return int(total * float64(members) / float64(r.nodeCount()))
+	able := len(r.nodes.able(abilityRetryShares))
+	return int(total * float64(able) / float64(r.nodeCount()))
 }
 
 // writeRetryShares writes the parts of all nodes in the place of those that this node knows, or reads those
@@ -175,6 +183,30 @@
 	return nil
 }
 
+// awaited returns the nodes that have a part, but no object, for less time than after which nodes count as lost.
+// One that starts again is away for some seconds, and has its part again; given to others, that would have
+// to wait for them and for a window.
+func (r *Router) awaited(present []retrybudget.Member) []retrybudget.Member {
+	now := r.options.Clock.Now()
+	missing := map[string]time.Time{}
+	var awaited []retrybudget.Member
+	for name, share := range r.retryShares.known.Shares {
+		if slices.ContainsFunc(present, func(m retrybudget.Member) bool { return m.Name == name }) {
+			continue
+		}
+		since, known := r.retryShares.missing[name]
+		if !known {
+			since = now
+		}
+		missing[name] = since
+		if now.Sub(since) < lostAfter {
+			awaited = append(awaited, retrybudget.Member{Name: name, Start: share.Start})
+		}
+	}
+	r.retryShares.missing = missing
+	return awaited
+}
+
 // retryMembers returns the nodes that have a part of the retry budget, by name.
 func (r *Router) retryMembers() []retrybudget.Member {
 	confirmed := map[string]retryConfirmationSpec{}
