--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -140,7 +140,7 @@
 		defer cancel()
 		sendContext = limited
 	}
-	if refused := x.refuseRun(nil); refused != nil {
+	if refused := x.runRefusal(nil); refused != nil {
 		return nil, refused
 	}
 	sent := time.Now()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -133,7 +133,7 @@
 		x.discard(ctx, prompt, wasteNotSent)
 		return nil, err
 	}
-	if refused := x.refuseRun(nil); refused != nil {
+	if refused := x.runRefusal(nil); refused != nil {
 		x.discard(ctx, prompt, wasteNotSent)
 		return nil, refused
 	}
@@ -239,7 +239,7 @@
 	defer end()
 	limited, cancel := context.WithTimeout(ctx, x.prefillTimeout(entry, taken))
 	defer cancel()
-	if refused := x.refusePrompt(); refused != nil {
+	if refused := x.promptRefusal(); refused != nil {
 		return nil, refused
 	}
 	sent := time.Now()
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -45,7 +45,7 @@
 // memory for the request, and reads more slowly, but now. Each prompt that was rejected is an arrival: if the
 // budget were not asked here, runs after rejected prompts would exceed it by one each.
 func (x *exchange) readAtRun(taken *reservedEngine, failed error) error {
-	if refused := x.refuseRun(failed); refused != nil {
+	if refused := x.runRefusal(failed); refused != nil {
 		return refused
 	}
 	taken.readsItself = true
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -20,14 +20,14 @@
 	return x.maySend(after.withRun())
 }
 
-// refuseRun returns the refusal of the request if the retry budget does not have the run that is about to be
+// runRefusal returns the refusal of the request if the retry budget does not have the run that is about to be
 // sent. The cause is why it would be a repeat, where that is known.
-func (x *exchange) refuseRun(cause error) error { return x.refuse(x.arrivals.withRun(), cause) }
+func (x *exchange) runRefusal(cause error) error { return x.refusalOf(x.arrivals.withRun(), cause) }
 
-// refusePrompt is refuseRun for a prompt. Whether an engine takes it up is not known yet.
-func (x *exchange) refusePrompt() error { return x.refuse(x.arrivals.withPrompt(), nil) }
+// promptRefusal is runRefusal for a prompt. Whether an engine takes it up is not known yet.
+func (x *exchange) promptRefusal() error { return x.refusalOf(x.arrivals.withPrompt(), nil) }
 
-func (x *exchange) refuse(after arrivals, cause error) error {
+func (x *exchange) refusalOf(after arrivals, cause error) error {
 	if !x.maySend(after) || !x.repeats.MaySend(after.beyondFirst()) {
 		return notRun(ReasonRetryBudget, x.handler.options.Policy.retryAfter(retryNoRepeats), cause)
 	}
--- a/retrybudget/allocation.go
+++ b/retrybudget/allocation.go
@@ -8,33 +8,33 @@
 )
 
 // Allocation says how many repeats beside the ratio each node may send in a window, for each service. It is
-// one object in the platform's store, so that the parts of all nodes never add up to more than there is,
+// one object in the platform's store, so that the shares of all nodes never add up to more than there is,
 // whatever the nodes know of each other.
 type Allocation struct {
 	// Generation counts the versions.
 	Generation int64 `json:"generation"`
-	// Shares are the nodes' parts by the nodes' names.
+	// Shares are by the nodes' names.
 	Shares map[string]Share `json:"shares"`
 }
 
-// Share is a node's part.
+// Share is how much one node may send.
 type Share struct {
 	// Start names the start of the node that has it. The next start is another one: how much the earlier
 	// one has spent is not known.
 	Start string `json:"start"`
 	// Units is how many repeats the node may send in a window.
 	Units int `json:"units"`
-	// Unconfirmed is how many more it may still be sending, because it has not confirmed that its part is
+	// Unconfirmed is how many more it may still be sending, because it has not confirmed that its share is
 	// smaller now, and Lowered the generation that made it smaller.
 	Unconfirmed int   `json:"unconfirmed,omitempty"`
 	Lowered     int64 `json:"lowered,omitempty"`
-	// Own is set where no other node has ever had any of it: the very first parts, which go on to the next
+	// Own is set where no other node has ever had any of it: the very first shares, which go on to the next
 	// starts of their nodes. One that has become larger since was another node's, perhaps until a moment
 	// after this start began.
 	Own bool `json:"own,omitempty"`
 }
 
-// Member is a node that may have a part.
+// Member is a node that may have a share.
 type Member struct {
 	Name  string
 	Start string
@@ -42,13 +42,14 @@
 	Confirmed int64
 }
 
-// raiseShare is by which share of a part its target must lie above it for the part to become larger. A node
+// leastRaise is by what part of a share its target must lie above it for the share to become larger. A node
 // that starts again is away for a moment; without this, all others would have a little more for that time,
 // and each of them would have to confirm that it has given it back.
-const raiseShare = 0.25
+const leastRaise = 0.25
 
-// Next returns the allocation for the nodes that there are, and whether it is to be written. All have about the same part
-// of the total. A part becomes smaller first, and another one larger only once the node has confirmed that.
+// Next returns the allocation for the nodes that there are, and whether it is to be written. All have about the
+// same share of the total. A share becomes smaller first, and another one larger only once the node has
+// confirmed that.
 func (a Allocation) Next(members []Member, total int) (next Allocation, changed bool) {
 	next = Allocation{Generation: a.Generation + 1, Shares: a.remaining(members)}
 	targets := targetsOf(members, total)
@@ -61,7 +62,7 @@
 	return next, next.changes(a)
 }
 
-// changes reports whether the part of a node that is there differs. Those of nodes that are gone need no
+// changes reports whether the share of a node that is there differs. Those of nodes that are gone need no
 // write until somebody is to have them.
 func (a Allocation) changes(earlier Allocation) bool {
 	for name, share := range a.Shares {
@@ -73,7 +74,7 @@
 }
 
 // targetsOf divides the total among the nodes. What is left over goes to one node each, by a hash of their
-// names, so that a node which comes or goes changes the parts of few others.
+// names, so that a node which comes or goes changes the shares of few others.
 func targetsOf(members []Member, total int) map[string]int {
 	if len(members) == 0 {
 		return nil
@@ -103,7 +104,7 @@
 	return total
 }
 
-// wanted returns by how much parts are to become larger.
+// wanted returns by how much shares are to become larger.
 func (a Allocation) wanted(targets map[string]int) int {
 	wanted := 0
 	for name, target := range targets {
@@ -115,13 +116,13 @@
 // missing returns by how much the share is to become larger.
 func (s Share) missing(target int) int {
 	missing := target - s.Units
-	if missing <= 0 || float64(missing) < raiseShare*float64(s.Units) {
+	if missing <= 0 || float64(missing) < leastRaise*float64(s.Units) {
 		return 0
 	}
 	return missing
 }
 
-// remaining returns the parts of the nodes that are still there. The next start of a node takes over the part
+// remaining returns the shares of the nodes that are still there. The next start of a node takes over the share
 // of the one before.
 func (a Allocation) remaining(members []Member) map[string]Share {
 	shares := make(map[string]Share, len(members))
--- a/retrybudget/budget.go
+++ b/retrybudget/budget.go
@@ -56,7 +56,7 @@
 func (b *Budget) left(current *account) float64 { return current.left(b.burst(), b.options.Ratio) }
 
 // burst returns how many repeats a window may hold beside the ratio. An earlier start of this process may have
-// spent its part just before it ended, so that this one has none in its first window.
+// spent its share just before it ended, so that this one has none in its first window.
 func (b *Budget) burst() float64 {
 	if b.options.Now().Sub(b.started) < b.options.Window {
 		return 0
@@ -64,15 +64,15 @@
 	return b.options.Burst()
 }
 
-// account returns the account of a service with its old parts cleared.
+// account returns the account of a service with its old buckets cleared.
 func (b *Budget) account(service string) *account {
-	part := int64(b.options.Now().Sub(b.started) / (b.options.Window / partsPerWindow))
+	bucket := int64(b.options.Now().Sub(b.started) / (b.options.Window / bucketsPerWindow))
 	current := b.services[service]
 	if current == nil {
-		current = &account{newest: part}
+		current = &account{newest: bucket}
 		b.services[service] = current
 	}
-	current.advance(part)
+	current.advance(bucket)
 	return current
 }
 
--- a/retrybudget/share.go
+++ b/retrybudget/share.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// Holder knows how much of an allocation this start of a node may spend. A part that has become larger was
+// Holder knows how much of an allocation this start of a node may spend. A share that has become larger was
 // another node's, which may have spent it until it was given up, so that it is usable a window later. One that
-// has become smaller is smaller at once. A part that no other node has had is usable at once, as far as the
+// has become smaller is smaller at once. A share that no other node has had is usable at once, as far as the
 // budget of a start is in its first window. It is safe for concurrent use.
 type Holder struct {
 	window time.Duration
@@ -15,11 +15,11 @@
 
 	mu     sync.Mutex
 	closed bool
-	// held are the parts of the last window and the one before these, the oldest first.
+	// held are the shares of the last window and the one before these, the oldest first.
 	held []heldUnits
 }
 
-// heldUnits is a part from a moment on.
+// heldUnits is a share from a moment on.
 type heldUnits struct {
 	since time.Time
 	units int
@@ -30,7 +30,7 @@
 	return &Holder{window: window, now: now, held: []heldUnits{{since: now()}}}
 }
 
-// Hold puts a part into force, unless the holder is closed.
+// Hold puts a share into force, unless the holder is closed.
 func (h *Holder) Hold(share Share) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -49,7 +49,7 @@
 	}
 }
 
-// Close gives the part up for good.
+// Close gives the share up for good.
 func (h *Holder) Close() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/router/abilities.go
+++ b/router/abilities.go
@@ -22,7 +22,7 @@
 	abilityQuotas ability = "quotas"
 	// abilityQuarantines keeps the requests that crash their back ends.
 	abilityQuarantines ability = "quarantines"
-	// abilityRetryShares is to spend no more of the retry budget than the node's part in the store.
+	// abilityRetryShares is to spend no more of the retry budget than the node's share in the store.
 	abilityRetryShares ability = "retryShares"
 )
 
--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -25,24 +25,24 @@
 	// kindRetryConfirmation is the kind of the records by which nodes confirm that they spend less. They are
 	// not in the store.
 	kindRetryConfirmation objectapi.Kind = "retryconfirmations"
-	// shareInterval is how often a node looks at its part of the retry budget.
+	// shareInterval is how often a node looks at its share of the retry budget.
 	shareInterval = time.Second
-	// shareWriteInterval is the least time between two writes of all parts, so that nodes which start one
+	// shareWriteInterval is the least time between two writes of all shares, so that nodes which start one
 	// after the other cost a few calls.
 	shareWriteInterval = 3 * time.Second
-	// isolationLimit is how long a node may be without most of the others and keep its part. They remove
-	// it after lostAfter, and then give its part to others.
+	// isolationLimit is how long a node may be without most of the others and keep its share. They remove
+	// it after lostAfter, and then give its share to others.
 	isolationLimit = lostAfter / 2
 )
 
 // retryConfirmationSpec is the content of such a record.
 type retryConfirmationSpec struct {
-	// Start is the start of the node, and Generation that of the newest parts which it has put into force.
+	// Start is the start of the node, and Generation that of the newest shares which it has put into force.
 	Start      string `json:"start"`
 	Generation int64  `json:"generation"`
 }
 
-// retryShares is the node's part in dividing the retry budget. Its fields but the holder are used by one
+// retryShares is what the node knows of how the retry budget is divided. Its fields but the holder are used by one
 // goroutine.
 type retryShares struct {
 	holder *retrybudget.Holder
@@ -51,14 +51,14 @@
 	version int64
 	// lonelySince is when the node last had most of the others, unless it has them now.
 	lonelySince time.Time
-	// missing is since when nodes with a part have had no object, by name.
+	// missing is since when nodes with a share have had no object, by name.
 	missing map[string]time.Time
-	// members is how many there were at the last look, and writtenAt when this node last wrote the parts.
+	// members is how many there were at the last look, and writtenAt when this node last wrote the shares.
 	members   int
 	writtenAt time.Time
 }
 
-// keepRetryShares holds this node's part, and divides the budget where it is the one to do that, until the
+// keepRetryShares holds this node's share, and divides the budget where it is the one to do that, until the
 // context ends.
 func (r *Router) keepRetryShares(ctx context.Context) {
 	periodic.Run(ctx, shareInterval, func(ctx context.Context) {
@@ -83,7 +83,7 @@
 	}
 }
 
-// holdRetryShare puts the node's part into force, and confirms where it has become smaller.
+// holdRetryShare puts the node's share into force, and confirms where it has become smaller.
 func (r *Router) holdRetryShare() {
 	share := r.retryShares.known.Shares[r.options.Settings.Name]
 	if share.Start != r.startName() || r.isIsolated() {
@@ -110,7 +110,7 @@
 }
 
 // isIsolated reports whether the node has been without most of the others for so long that they may soon
-// give its part away.
+// give its share away.
 func (r *Router) isIsolated() bool {
 	now := r.options.Clock.Now()
 	if r.hasMajority() {
@@ -126,8 +126,8 @@
 // hasMajority reports whether most of the known nodes answer this one.
 func (r *Router) hasMajority() bool { return 2*r.responsiveCount() > r.nodeCount() }
 
-// divideRetryBudget writes the parts of all nodes where they have changed. The first of the nodes that answer
-// does it; the store refuses the write of one that does not know the newest parts.
+// divideRetryBudget writes the shares of all nodes where they have changed. The first of the nodes that answer
+// does it; the store refuses the write of one that does not know the newest shares.
 func (r *Router) divideRetryBudget(ctx context.Context) {
 	_, position := r.place()
 	now := r.options.Clock.Now()
@@ -135,7 +135,7 @@
 		return
 	}
 	members := r.retryMembers()
-	// Nodes that start together register within a second or so. The first parts are for all of them.
+	// Nodes that start together register within a second or so. The first shares are for all of them.
 	gathering := r.retryShares.version == 0 && len(members) != r.retryShares.members
 	r.retryShares.members = len(members)
 	if gathering || len(members) == 0 {
@@ -159,7 +159,7 @@
 	return int(total * float64(able) / float64(r.nodeCount()))
 }
 
-// writeRetryShares writes the parts of all nodes in the place of those that this node knows, or reads those
+// writeRetryShares writes the shares of all nodes in the place of those that this node knows, or reads those
 // of the store if they are newer.
 func (r *Router) writeRetryShares(ctx context.Context, allocation retrybudget.Allocation) error {
 	spec, err := json.Marshal(allocation)
@@ -183,8 +183,8 @@
 	return nil
 }
 
-// awaited returns the nodes that have a part, but no object, for less time than after which nodes count as lost.
-// One that starts again is away for some seconds, and has its part again; given to others, that would have
+// awaited returns the nodes that have a share, but no object, for less time than after which nodes count as lost.
+// One that starts again is away for some seconds, and has its share again; given to others, that would have
 // to wait for them and for a window.
 func (r *Router) awaited(present []retrybudget.Member) []retrybudget.Member {
 	now := r.options.Clock.Now()
@@ -207,7 +207,7 @@
 	return awaited
 }
 
-// retryMembers returns the nodes that have a part of the retry budget, by name.
+// retryMembers returns the nodes that may have a share of the retry budget, by name.
 func (r *Router) retryMembers() []retrybudget.Member {
 	confirmed := map[string]retryConfirmationSpec{}
 	for _, object := range r.copy.Live(kindRetryConfirmation) {
--- a/router/router.go
+++ b/router/router.go
@@ -117,7 +117,7 @@
 	quarantineKeeper  *quarantine.Keeper
 	quarantineArchive *quarantine.Archive
 	roles             *roles.Controller
-	// retryShares is the node's part of the retry budget.
+	// retryShares is what the node knows of how the retry budget is divided.
 	retryShares retryShares
 	// started names this start of the node, and origin is the time from which now counts.
 	started time.Time
@@ -330,7 +330,7 @@
 	started := time.Now()
 	r.options.Logger.Info("stop", "grace_ms", r.options.Settings.Grace.Milliseconds())
 	r.gateway.Drain()
-	// The other nodes get this one's part once it has withdrawn.
+	// The other nodes may get this one's share once it has withdrawn.
 	r.retryShares.holder.Close()
 	go r.withdraw(context.WithoutCancel(ctx))
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), started.Add(r.options.Settings.Grace-stopMargin))
