--- a/retrybudget/account.go
+++ b/retrybudget/account.go
@@ -40,8 +40,8 @@
 // A window's repeats may be set against its own requests or those of the window before it, whichever are more,
 // and thus against half of both together. All nodes take this mean: had each node its own choice, callers that
 // move from one node to another would count at both. Requests of the window that are still to come only add
-// to it. A window that begins within a bucket has a piece of the buckets at its ends: their repeats count whole,
-// and their requests not at all.
+// to it. A window that begins within a bucket has a piece of that and of the one a window earlier: the repeats
+// of the first count whole, and the requests of the second not at all.
 func (a *account) left(burst, ratio float64) float64 {
 	left := math.Inf(1)
 	repeats := a.held
@@ -53,11 +53,10 @@
 }
 
 // meanRequests returns the mean of the requests of a window that begins in a bucket, and of the one before it,
-// as far as they are known.
+// as far as they are known. The window is not over: all requests since it began are its own.
 func (a *account) meanRequests(begins int64) float64 {
-	const reach = bucketsPerWindow - 1
 	requests := 0
-	for bucket := max(begins-reach, a.newest-bucketsKept+1); bucket <= min(begins+reach, a.newest); bucket++ {
+	for bucket := max(begins-bucketsPerWindow+1, a.newest-bucketsKept+1); bucket <= a.newest; bucket++ {
 		requests += a.requests[position(bucket)]
 	}
 	return float64(requests) / 2 //nolint:mnd // two windows
