Refuse shares of the retry budget that add up to more than there is

Another writer's object could have raised what nodes spend, or sent the count of generations back, so that old confirmations counted for new shares. It now names no share; the next one is written with the next generation.

--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -16,7 +16,7 @@
 	result PrefillResult
 	source *backend.Entry
 	readAt time.Time
-	// offered is set once a decode engine was asked to fetch it.
+	// offered is set once it has been kept for another engine.
 	offered bool
 }
 
--- a/retrybudget/allocation.go
+++ b/retrybudget/allocation.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 // Allocation says how many repeats beside the ratio each node may send in a window, for each service. It is
@@ -17,6 +19,24 @@
 	Shares map[string]Share `json:"shares"`
 }
 
+// DecodeAllocation decodes the content of the object. It returns an error where that is no allocation, or one of
+// more than the total.
+func DecodeAllocation(content []byte, total int) (Allocation, error) {
+	var allocation Allocation
+	if err := json.Unmarshal(content, &allocation); err != nil {
+		return Allocation{}, errors.Wrap(err, "decode retry shares")
+	}
+	for name, share := range allocation.Shares {
+		if min(share.Units, share.Unconfirmed) < 0 || max(share.Units, share.Unconfirmed) > total {
+			return Allocation{}, errors.Newf("share of %s is not within 0 and %d", name, total)
+		}
+	}
+	if allocation.Generation < 1 || allocation.free(total) < 0 {
+		return Allocation{}, errors.Newf("generation %d with more than %d repeats", allocation.Generation, total)
+	}
+	return allocation, nil
+}
+
 // Share is how much one node may send.
 type Share struct {
 	// Start names the start of the node that has it. The next start is another one: how much the earlier
--- a/retrybudget/allocation_test.go
+++ b/retrybudget/allocation_test.go
@@ -114,6 +114,22 @@
 	g.Expect(holder.Usable()).To(Equal(8))
 }
 
+// TestSpoiltAllocationsAreRefused: another writer must not raise what nodes spend.
+func TestSpoiltAllocationsAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	const total = 8
+	sound, err := retrybudget.DecodeAllocation([]byte(`{"generation":3,"shares":{"a":{"start":"1","units":5},"b":{"start":"1","units":2,"unconfirmed":1}}}`), total)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(units(sound)).To(Equal(map[string]int{"a": 5, "b": 2}))
+	for _, spoilt := range []string{
+		``, `[]`, `{}`, `{"generation":3,"shares":{"a":{"units":"5"}}}`, `{"generation":3,"shares":{"a":{"start":"1","units":9}}}`,
+		`{"generation":3,"shares":{"a":{"start":"1","units":9},"b":{"start":"1","units":-5}}}`, "\xff",
+	} {
+		_, err := retrybudget.DecodeAllocation([]byte(spoilt), total)
+		g.Expect(err).To(HaveOccurred(), spoilt)
+	}
+}
+
 // TestTheFirstPartIsUsableAtOnce, and stays usable while the same part is heard of again.
 func TestTheFirstPartIsUsableAtOnce(t *testing.T) {
 	g := NewWithT(t)
--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -49,8 +49,8 @@
 	// known is the newest allocation heard of, and version that of its object.
 	known   retrybudget.Allocation
 	version int64
-	// lonelySince is when the node last had most of the others, unless it has them now.
-	lonelySince time.Time
+	// isolatedSince is since when the node has been without most of the others; zero while it has them.
+	isolatedSince time.Time
 	// missing is since when nodes with a share have had no object, by name.
 	missing map[string]time.Time
 	// members is how many there were at the last look, and writtenAt when this node last wrote the shares.
@@ -74,10 +74,11 @@
 		if record.Object.Version == r.retryShares.version {
 			continue
 		}
-		var allocation retrybudget.Allocation
-		if err := json.Unmarshal(record.Object.Spec, &allocation); err != nil {
-			// Nobody may spend what nobody can read.
+		allocation, err := retrybudget.DecodeAllocation(record.Object.Spec, int(r.settings.Load().RetryBurst))
+		if err != nil {
+			// Another writer may have spoilt it. Nobody has a share then until it is written again.
 			r.options.Logger.Error("retry shares refused", "revision", record.Object.Version, "error", err.Error())
+			allocation = retrybudget.Allocation{Generation: r.retryShares.known.Generation}
 		}
 		r.retryShares.known, r.retryShares.version = allocation, record.Object.Version
 	}
@@ -114,13 +115,13 @@
 func (r *Router) isIsolated() bool {
 	now := r.options.Clock.Now()
 	if r.hasMajority() {
-		r.retryShares.lonelySince = time.Time{}
+		r.retryShares.isolatedSince = time.Time{}
 		return false
 	}
-	if r.retryShares.lonelySince.IsZero() {
-		r.retryShares.lonelySince = now
+	if r.retryShares.isolatedSince.IsZero() {
+		r.retryShares.isolatedSince = now
 	}
-	return now.Sub(r.retryShares.lonelySince) >= isolationLimit
+	return now.Sub(r.retryShares.isolatedSince) >= isolationLimit
 }
 
 // hasMajority reports whether most of the known nodes answer this one.
