--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -47,21 +47,71 @@
 	}
 }
 
-// exchangeAll makes the buckets that differ alike, as far as one comparison goes.
+// exchangeAll makes the buckets that differ alike, as far as one comparison goes. A copy that is not
+// whole takes over all that a whole one has: otherwise a node that starts would need as many
+// comparisons as the fleet's objects fill messages.
 func (s *Syncer) exchangeAll(ctx context.Context, address string, compared comparison) error {
-	differing := compared.differing[:min(len(compared.differing), bucketsPerComparison)]
+	differing := compared.differing
+	if !compared.covers {
+		differing = differing[:min(len(differing), bucketsPerComparison)]
+	}
 	for buckets := range slices.Chunk(differing, bucketsPerExchange) {
-		complete, err := s.exchange(ctx, address, buckets)
+		if err := s.exchangeBuckets(ctx, address, compared, buckets); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// exchangeBuckets makes a few buckets alike. It goes on with one whose objects do not fit into one
+// message where the other copy is whole.
+func (s *Syncer) exchangeBuckets(ctx context.Context, address string, compared comparison, buckets []int) error {
+	sections := replica.WholeBuckets(buckets)
+	if compared.byPart {
+		differing, err := s.compareParts(ctx, address, buckets)
+		if err != nil {
+			return errors.Wrap(err, "compare parts")
+		}
+		sections = differing
+	}
+	result := exchangeResult{truncated: true}
+	for result.truncated {
+		var err error
+		result, err = s.exchange(ctx, address, sections)
 		if err != nil {
 			return err
 		}
-		if complete && compared.covers {
-			s.cover(buckets)
+		if !compared.covers || result.taken == 0 {
+			break
 		}
 	}
+	if result.complete() && compared.covers {
+		s.cover(buckets)
+	}
 	return nil
 }
 
+// compareParts asks another node which parts of some buckets differ.
+func (s *Syncer) compareParts(ctx context.Context, address string, buckets []int) ([]replica.Section, error) {
+	request := &peerpb.CompareParts{}
+	for _, bucket := range buckets {
+		request.Buckets = append(request.Buckets, &peerpb.BucketParts{
+			Bucket: uint32(bucket), Digests: s.options.Replica.PartDigests(bucket),
+		})
+	}
+	response, err := s.call(ctx, peer.LaneBulk, address, s.options.ExchangeTimeout, &peerpb.Request{
+		Body: &peerpb.Request_CompareParts{CompareParts: request},
+	})
+	if err != nil {
+		return nil, err
+	}
+	var sections []replica.Section
+	for _, differing := range response.GetDifferingParts().GetBuckets() {
+		sections = append(sections, replica.Section{Bucket: int(differing.GetBucket()), Parts: replica.PartSet(differing.GetParts())})
+	}
+	return sections, nil
+}
+
 const (
 	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
 	// slow link too.
@@ -82,26 +132,45 @@
 	return buckets
 }
 
-// exchange takes over what another node has newer in some buckets, and sends it what it
-// lacks. It reports whether nothing newer is left there.
-func (s *Syncer) exchange(ctx context.Context, address string, buckets []int) (complete bool, err error) {
-	request := &peerpb.ExchangeObjects{Versions: objectVersions(s.options.Replica.Versions(buckets))}
-	for _, bucket := range buckets {
-		request.Buckets = append(request.Buckets, uint32(bucket))
+// exchangeResult is how far one exchange has come.
+type exchangeResult struct {
+	// truncated is set where not all that is newer at the other node fitted into its answer.
+	truncated bool
+	// offered is how many long objects are only named, and fetched now.
+	offered int
+	// taken is how many objects of the other node were newer.
+	taken int
+}
+
+// complete reports whether nothing newer is left at the other node.
+func (r exchangeResult) complete() bool { return !r.truncated && r.offered == 0 }
+
+// exchange takes over what another node has newer in some sections, and sends it what it lacks.
+func (s *Syncer) exchange(ctx context.Context, address string, sections []replica.Section) (exchangeResult, error) {
+	request := &peerpb.ExchangeObjects{
+		Versions: objectVersions(s.options.Replica.Versions(sections)), ReadsCompressed: true,
+	}
+	for _, section := range sections {
+		request.Buckets = append(request.Buckets, uint32(section.Bucket))
+		request.Parts = append(request.Parts, uint32(section.Parts))
 	}
 	received, err := s.callExchange(ctx, address, request)
 	if err != nil {
-		return false, errors.Wrap(err, "receive objects")
+		return exchangeResult{}, errors.Wrap(err, "receive objects")
+	}
+	objects, err := receivedObjects(received)
+	if err != nil {
+		return exchangeResult{}, errors.Wrap(err, "receive objects")
 	}
-	offered := s.take(received.GetObjects(), address)
-	complete = !received.GetTruncated() && offered == 0
+	result := exchangeResult{truncated: received.GetTruncated()}
+	result.taken, result.offered = s.take(objects, address)
 	wanted := s.options.Replica.Records(keysOf(received.GetWanted()))
 	if len(wanted) == 0 {
-		return complete, nil
+		return result, nil
 	}
-	sent, _ := s.storedObjects(wanted)
+	sent, _ := s.storedObjects(wanted, maxExchangedBytes)
 	_, err = s.callExchange(ctx, address, &peerpb.ExchangeObjects{Objects: sent, Address: s.options.Address})
-	return complete, errors.Wrap(err, "send objects")
+	return result, errors.Wrap(err, "send objects")
 }
 
 func (s *Syncer) callExchange(ctx context.Context, address string, request *peerpb.ExchangeObjects) (*peerpb.StoredObjects, error) {
@@ -111,23 +180,25 @@
 	return response.GetStoredObjects(), err
 }
 
-// take applies objects of another node, and begins to fetch the long ones. It returns how
-// many of these it was offered. News are passed on.
-func (s *Syncer) take(objects []*peerpb.StoredObject, address string) (offered int) {
+// take applies objects of another node, and begins to fetch the long ones. It returns how many were
+// newer, and how many it was offered to fetch. News are passed on.
+func (s *Syncer) take(objects []*peerpb.StoredObject, address string) (taken, offered int) {
 	records, longObjects, err := recordsOfObjects(objects)
 	if err != nil {
 		s.options.Logger.Error("objects of another node refused", "error", err.Error())
 	}
-	s.apply(records...)
+	taken = s.apply(records...)
 	for _, long := range longObjects {
 		s.transfers.offer(long.record, long.manifest, address)
 	}
-	return len(longObjects)
+	return taken, len(longObjects)
 }
 
-// apply applies records of other nodes and passes news on.
-func (s *Syncer) apply(records ...replica.Record) {
-	if s.options.Replica.Apply(replica.SourcePeer, records...) > 0 {
+// apply applies records of other nodes and passes news on. It returns how many were newer.
+func (s *Syncer) apply(records ...replica.Record) int {
+	taken := s.options.Replica.Apply(replica.SourcePeer, records...)
+	if taken > 0 {
 		s.News()
 	}
+	return taken
 }
--- a/antientropy/handler.go
+++ b/antientropy/handler.go
@@ -7,6 +7,7 @@
 	"github.com/reelrun/reelrun/chunk"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/replica"
 )
 
 // Handle answers another node.
@@ -14,6 +15,8 @@
 	switch body := request.GetBody().(type) {
 	case *peerpb.Request_CompareReplicas:
 		return s.handleCompare(body.CompareReplicas), nil
+	case *peerpb.Request_CompareParts:
+		return s.handleCompareParts(body.CompareParts), nil
 	case *peerpb.Request_ExchangeObjects:
 		return s.handleExchange(body.ExchangeObjects), nil
 	case *peerpb.Request_FetchChunks:
@@ -26,24 +29,42 @@
 func (s *Syncer) handleCompare(request *peerpb.CompareReplicas) *peerpb.Response {
 	// Asked before the digest is taken: what is whole then stays so.
 	whole := s.options.Whole()
-	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest(), Whole: whole}
+	compared := &peerpb.ReplicaVersions{Same: request.GetDigest() == s.options.Replica.Digest(), Whole: whole, ComparesParts: true}
 	if !compared.GetSame() {
 		compared.Buckets = s.options.Replica.Buckets()
 	}
 	return &peerpb.Response{Body: &peerpb.Response_ReplicaVersions{ReplicaVersions: compared}}
 }
 
+// handleCompareParts tells which parts of some buckets differ.
+func (s *Syncer) handleCompareParts(request *peerpb.CompareParts) *peerpb.Response {
+	differing := &peerpb.DifferingParts{}
+	for _, asked := range request.GetBuckets() {
+		parts := s.options.Replica.DifferingParts(int(asked.GetBucket()), asked.GetDigests())
+		differing.Buckets = append(differing.Buckets, &peerpb.PartSet{Bucket: asked.GetBucket(), Parts: uint32(parts)})
+	}
+	return &peerpb.Response{Body: &peerpb.Response_DifferingParts{DifferingParts: differing}}
+}
+
 func (s *Syncer) handleExchange(request *peerpb.ExchangeObjects) *peerpb.Response {
 	s.take(request.GetObjects(), request.GetAddress())
-	buckets := make([]int, len(request.GetBuckets()))
+	newerHere, newerThere := s.options.Replica.Compare(sectionsOf(request), recordsOf(request.GetVersions()))
+	answer := s.encodeNewer(s.options.Replica.Records(newerHere), request.GetReadsCompressed())
+	answer.Wanted = wantedVersions(newerThere)
+	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: answer}}
+}
+
+// sectionsOf returns what an exchange is about: whole buckets where it names no parts, as older
+// builds do not.
+func sectionsOf(request *peerpb.ExchangeObjects) []replica.Section {
+	sections := make([]replica.Section, len(request.GetBuckets()))
 	for i, bucket := range request.GetBuckets() {
-		buckets[i] = int(bucket)
+		sections[i] = replica.Section{Bucket: int(bucket), Parts: replica.AllParts}
+		if i < len(request.GetParts()) {
+			sections[i].Parts = replica.PartSet(request.GetParts()[i])
+		}
 	}
-	newerHere, newerThere := s.options.Replica.Compare(buckets, recordsOf(request.GetVersions()))
-	stored, truncated := s.storedObjects(s.options.Replica.Records(newerHere))
-	return &peerpb.Response{Body: &peerpb.Response_StoredObjects{StoredObjects: &peerpb.StoredObjects{
-		Objects: stored, Wanted: wantedVersions(newerThere), Truncated: truncated,
-	}}}
+	return sections
 }
 
 // handleFetch sends the chunks that this node has, as many as one message holds, unless it has
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -245,6 +245,8 @@
 	differing []int
 	// covers is set where the other copy is whole and this one is not known to be.
 	covers bool
+	// byPart is set where the other node compares parts of buckets; older builds do not.
+	byPart bool
 }
 
 // compare asks another node whether its copy differs. It is a short call, by which nodes know
@@ -258,7 +260,7 @@
 	}
 	versions := response.GetReplicaVersions()
 	// A copy that is whole stays so: there is nothing to note any more.
-	compared := comparison{covers: versions.GetWhole() && !s.options.Whole()}
+	compared := comparison{covers: versions.GetWhole() && !s.options.Whole(), byPart: versions.GetComparesParts()}
 	if !versions.GetSame() {
 		compared.differing = shuffled(s.options.Replica.Differing(versions.GetBuckets()))
 	}
--- a/antientropy/syncer_test.go
+++ b/antientropy/syncer_test.go
@@ -35,11 +35,14 @@
 	// exchangeDelay is how long the node takes for an exchange.
 	exchangeDelay time.Duration
 
+	// isOld is set for a node whose build compares no parts of buckets.
+	isOld bool
+
 	mu sync.Mutex
 	// largestCall is the size of the largest request or response of a call to it.
 	largestCall int
-	// answered is how many bytes it has sent in responses.
-	answered int
+	// answered is how many bytes it has sent in responses, and asked how many it was sent in requests.
+	answered, asked int
 }
 
 // handle answers a call and notes its size.
@@ -48,9 +51,13 @@
 		time.Sleep(n.exchangeDelay)
 	}
 	response, err := n.syncer.Handle(ctx, request)
+	if versions := response.GetReplicaVersions(); versions != nil && n.isOld {
+		versions.ComparesParts = false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.answered += proto.Size(response)
+	n.asked += proto.Size(request)
 	n.largestCall = max(n.largestCall, proto.Size(request), proto.Size(response))
 	return response, err
 }
@@ -186,3 +193,60 @@
 		g.Expect(third.compare(t.Context(), late.address)).To(Succeed(), "it passes on")
 	}
 }
+
+// exchanged is how many bytes calls to a node had, in both directions.
+func (n *testNode) exchanged() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked + n.answered
+}
+
+// bytesOfOneDifference returns how many bytes it takes to bring one change to a copy of so many objects.
+func bytesOfOneDifference(t *testing.T, objects int, isOld bool) int {
+	t.Helper()
+	g := NewWithT(t)
+	first, second := newTestNode(t), newTestNode(t)
+	second.isOld = isOld
+	for i := range objects {
+		name := fmt.Sprintf("engine-%05d", i)
+		first.put(name, int64(i+1), 200)
+		second.put(name, int64(i+1), 200)
+	}
+	second.put("engine-00007", int64(objects+1), 200)
+	g.Expect(first.compare(context.Background(), second.address)).To(Succeed())
+	g.Expect(first.copied.Digest()).To(Equal(second.copied.Digest()))
+	return second.exchanged()
+}
+
+// TestADifferenceCostsTheSameInALargeCopy counts the bytes of one change in copies of 1,000, 10,000 and
+// 20,000 objects. With all versions of a bucket, each change of each of thousands of back ends cost each
+// pair of nodes as many bytes as the bucket had objects.
+func TestADifferenceCostsTheSameInALargeCopy(t *testing.T) {
+	g := NewWithT(t)
+	small, large, twice := bytesOfOneDifference(t, 1000, false), bytesOfOneDifference(t, 10_000, false), bytesOfOneDifference(t, 20_000, false)
+	t.Logf("bytes of one change among 1,000, 10,000 and 20,000: %d, %d, %d", small, large, twice)
+	g.Expect(large).To(BeNumerically("<", 2*small))
+	g.Expect(twice).To(BeNumerically("<", large*3/2))
+}
+
+// TestAnOlderNodeIsComparedByBucket exchanges objects with a node whose build knows no parts.
+func TestAnOlderNodeIsComparedByBucket(t *testing.T) {
+	NewWithT(t).Expect(bytesOfOneDifference(t, 1000, true)).To(BeNumerically(">", bytesOfOneDifference(t, 1000, false)))
+}
+
+// TestAWholeCopyIsTakenOverAtOnce joins an empty copy to a whole one of 10,000 objects: one comparison
+// brings all of them, in messages that are compressed together.
+func TestAWholeCopyIsTakenOverAtOnce(t *testing.T) {
+	const objects, size = 10_000, 200
+	g := NewWithT(t)
+	whole, joining := newTestNode(t), newTestNode(t)
+	whole.whole.Store(true)
+	for i := range objects {
+		whole.put(fmt.Sprintf("engine-%05d", i), int64(i+1), size)
+	}
+	g.Expect(joining.compare(context.Background(), whole.address)).To(Succeed())
+	g.Expect(joining.copied.Digest()).To(Equal(whole.copied.Digest()))
+	g.Expect(joining.whole.Load()).To(BeTrue())
+	g.Expect(whole.answered).To(BeNumerically("<", objects*size/2))
+	g.Expect(whole.largestCall).To(BeNumerically("<", maxExchangedBytes+(16<<10)))
+}
--- a/antientropy/wire.go
+++ b/antientropy/wire.go
@@ -47,6 +47,8 @@
 	// maxExchangedBytes bounds the content of one message as it is sent. What does not
 	// fit comes with the next comparison.
 	maxExchangedBytes = 128 << 10
+	// maxCompressedContent bounds the content that is compressed together for one message.
+	maxCompressedContent = 4 * maxExchangedBytes
 	// compressedFrom is the content, in bytes, from which compression is tried. Back ends
 	// and nodes have some hundred bytes each.
 	compressedFrom = 4 << 10
@@ -55,14 +57,14 @@
 	chunkedFrom = chunk.MaxBytes
 )
 
-// storedObjects returns as many of the records as one message holds, at least one, and
+// storedObjects returns as many of the records as fit into so many bytes, at least one, and
 // whether some are left out.
-func (s *Syncer) storedObjects(records []replica.Record) (stored []*peerpb.StoredObject, truncated bool) {
+func (s *Syncer) storedObjects(records []replica.Record, most int) (stored []*peerpb.StoredObject, truncated bool) {
 	size := 0
 	for _, record := range records {
 		object := s.encodeRecord(record)
 		size += proto.Size(object)
-		if size > maxExchangedBytes && len(stored) > 0 {
+		if size > most && len(stored) > 0 {
 			return stored, true
 		}
 		stored = append(stored, object)
@@ -70,6 +72,50 @@
 	return stored, false
 }
 
+// encodeNewer encodes the records of an answer, compressed together where the receiver reads that:
+// the entries of back ends have the same fields, and one alone is too short to be compressed.
+func (s *Syncer) encodeNewer(records []replica.Record, readsCompressed bool) *peerpb.StoredObjects {
+	if readsCompressed {
+		if answer, fits := s.encodeTogether(records); fits {
+			return answer
+		}
+	}
+	stored, truncated := s.storedObjects(records, maxExchangedBytes)
+	return &peerpb.StoredObjects{Objects: stored, Truncated: truncated}
+}
+
+// encodeTogether encodes as many records as may be compressed together. It reports whether that is
+// worth it and the result fits into one message.
+func (s *Syncer) encodeTogether(records []replica.Record) (answer *peerpb.StoredObjects, fits bool) {
+	stored, truncated := s.storedObjects(records, maxCompressedContent)
+	content, err := proto.Marshal(&peerpb.StoredObjects{Objects: stored})
+	if err != nil {
+		// Objects that cannot be encoded cannot be sent without compression either; the call fails then.
+		return nil, false
+	}
+	compressed, shorter := compress(content)
+	if !shorter || len(compressed) > maxExchangedBytes {
+		return nil, false
+	}
+	return &peerpb.StoredObjects{Compressed: compressed, Truncated: truncated}, true
+}
+
+// receivedObjects returns the objects of an answer.
+func receivedObjects(received *peerpb.StoredObjects) ([]*peerpb.StoredObject, error) {
+	if len(received.GetCompressed()) == 0 {
+		return received.GetObjects(), nil
+	}
+	content, err := decompress(received.GetCompressed(), peer.MaxMessageBytes)
+	if err != nil {
+		return nil, err
+	}
+	var objects peerpb.StoredObjects
+	if err := proto.Unmarshal(content, &objects); err != nil {
+		return nil, errors.Wrap(err, "decode objects")
+	}
+	return objects.GetObjects(), nil
+}
+
 // encodeRecord encodes one record: a long content by the names of its chunks, others whole.
 func (s *Syncer) encodeRecord(record replica.Record) *peerpb.StoredObject {
 	if len(record.Object.Spec) >= chunkedFrom {
--- a/replica/notify_test.go
+++ b/replica/notify_test.go
@@ -36,7 +36,7 @@
 	go func() {
 		defer close(compared)
 		copied.Digest()
-		copied.Compare([]int{replica.UrgentBucket}, nil)
+		copied.Compare(replica.WholeBuckets([]int{replica.UrgentBucket}), nil)
 	}()
 	g.Eventually(compared).WithTimeout(10 * time.Second).Should(BeClosed())
 	g.Consistently(applied).WithTimeout(10*time.Millisecond).ShouldNot(BeClosed(), "what is applied is in force")
--- a/replica/property_test.go
+++ b/replica/property_test.go
@@ -33,12 +33,12 @@
 	return records
 }
 
-func allBuckets() []int {
+func allBuckets() []replica.Section {
 	buckets := make([]int, replica.BucketCount)
 	for i := range buckets {
 		buckets[i] = i
 	}
-	return buckets
+	return replica.WholeBuckets(buckets)
 }
 
 // TestOrderDoesNotMatter applies a history in two orders, one with repeats.
@@ -81,6 +81,18 @@
 	})
 }
 
+// differingSections returns the buckets of two copies that differ, or only their parts that do.
+func differingSections(first, second *replica.Replica, byPart bool) []replica.Section {
+	sections := replica.WholeBuckets(first.Differing(second.Buckets()))
+	if !byPart {
+		return sections
+	}
+	for i, section := range sections {
+		sections[i].Parts = first.DifferingParts(section.Bucket, second.PartDigests(section.Bucket))
+	}
+	return sections
+}
+
 // TestExchangeMakesAlike compares two copies and exchanges what differs.
 func TestExchangeMakesAlike(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -94,7 +106,7 @@
 				second.Apply(replica.SourceStore, record)
 			}
 		}
-		differing := first.Differing(second.Buckets())
+		differing := differingSections(first, second, rapid.Bool().Draw(t, "by part"))
 		newerFirst, newerSecond := first.Compare(differing, second.Versions(differing))
 		second.Apply(replica.SourcePeer, first.Records(newerFirst)...)
 		first.Apply(replica.SourcePeer, second.Records(newerSecond)...)
@@ -128,9 +140,19 @@
 	g := NewWithT(t)
 	copied := replica.New("urgent", ignore)
 	copied.Apply(replica.SourceStore, replica.Record{Object: objectapi.Object{Kind: "urgent", Name: "only", Version: 1}})
-	asked := []int{-1, replica.UrgentBucket, replica.BucketCount, replica.UrgentBucket}
+	asked := replica.WholeBuckets([]int{-1, replica.UrgentBucket, replica.BucketCount, replica.UrgentBucket})
 	g.Expect(copied.Versions(asked)).To(HaveLen(1))
 	here, there := copied.Compare(asked, nil)
 	g.Expect(here).To(HaveLen(1))
 	g.Expect(there).To(BeEmpty())
 }
+
+// TestPartsOfNoBucketArePassedOver asks for parts as another node might: of no bucket, and in another number.
+func TestPartsOfNoBucketArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	copied := replica.New("urgent", ignore)
+	g.Expect(copied.PartDigests(-1)).To(BeEmpty())
+	g.Expect(copied.PartDigests(replica.BucketCount)).To(BeEmpty())
+	g.Expect(copied.DifferingParts(1, make([]uint64, replica.PartCount))).To(BeZero(), "two empty buckets are alike")
+	g.Expect(copied.DifferingParts(1, make([]uint64, 3))).To(Equal(replica.AllParts))
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"iter"
+	"math/bits"
 	"slices"
 	"sort"
 	"sync"
@@ -20,6 +21,32 @@
 // compared by bucket, so that few versions are exchanged for few differences.
 const BucketCount = 64
 
+// PartCount is into how many parts the objects of a bucket fall. Buckets that differ are compared
+// by part before versions are exchanged, so that one difference costs the versions of few objects
+// also where a bucket holds hundreds.
+const PartCount = 32
+
+// PartSet holds the numbers of parts of a bucket, a bit each.
+type PartSet uint32
+
+// AllParts is the set of all parts of a bucket.
+const AllParts = ^PartSet(0)
+
+// Section is some parts of one bucket.
+type Section struct {
+	Bucket int
+	Parts  PartSet
+}
+
+// WholeBuckets returns the sections that are all parts of some buckets.
+func WholeBuckets(buckets []int) []Section {
+	sections := make([]Section, len(buckets))
+	for i, bucket := range buckets {
+		sections[i] = Section{Bucket: bucket, Parts: AllParts}
+	}
+	return sections
+}
+
 // UrgentBucket holds the objects of the urgent kind, and no others, so that they can be
 // compared before all others by a node that has none of them yet.
 const UrgentBucket = 0
@@ -79,8 +106,17 @@
 // bucket holds a part of the objects.
 type bucket struct {
 	records map[Key]Record
-	// digest is equal for buckets with the same versions.
-	digest uint64
+	// parts are equal for parts with the same versions.
+	parts [PartCount]uint64
+}
+
+// digest is equal for buckets with the same versions.
+func (b *bucket) digest() uint64 {
+	var digest uint64
+	for _, part := range b.parts {
+		digest ^= part
+	}
+	return digest
 }
 
 // New returns an empty copy that tells of its changes. The function must not
@@ -107,21 +143,28 @@
 }
 
 // in returns the bucket of an object.
-func (r *Replica) in(key Key) *bucket { return &r.buckets[r.bucketOf(key)] }
+func (r *Replica) in(key Key) *bucket {
+	bucket, _ := r.place(key)
+	return &r.buckets[bucket]
+}
 
-// bucketOf returns the bucket of an object.
-func (r *Replica) bucketOf(key Key) int {
-	if key.Kind == r.urgent {
-		return UrgentBucket
-	}
+// place returns the bucket of an object and its part there.
+func (r *Replica) place(key Key) (bucket, part int) {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(string(key.Kind)) // These never fail.
 	_, _ = digest.WriteString("/")
 	_, _ = digest.WriteString(key.Name)
-	return UrgentBucket + 1 + int(digest.Sum64()%(BucketCount-1))
+	sum := digest.Sum64()
+	if key.Kind == r.urgent {
+		return UrgentBucket, partOf(sum)
+	}
+	return UrgentBucket + 1 + int(sum%(BucketCount-1)), partOf(sum)
 }
 
+// partOf returns the part of an object by the hash of its name. Its upper bits do not decide on the bucket.
+func partOf(hash uint64) int { return int(hash >> (64 - bits.Len(PartCount-1))) }
+
 // Apply takes over the records that are newer than the copy's, and returns once they are reported.
 // It returns how many were newer.
 func (r *Replica) Apply(source Source, records ...Record) int {
@@ -198,7 +241,8 @@
 
 // apply takes over one record; the lock is held.
 func (r *Replica) apply(source Source, record Record) bool {
-	bucket := r.in(record.Key())
+	number, part := r.place(record.Key())
+	bucket := &r.buckets[number]
 	known, exists := bucket.records[record.Key()]
 	if exists && known.Object.Version >= record.Object.Version {
 		return false
@@ -208,19 +252,19 @@
 		r.tombstones++
 	}
 	if exists {
-		bucket.mix(known)
+		bucket.mix(part, known)
 		if known.Deleted {
 			r.tombstones--
 		}
 	}
-	bucket.mix(record)
+	bucket.mix(part, record)
 	bucket.records[record.Key()] = record
 	r.pending = append(r.pending, Change{Record: record, Source: source, New: !exists || known.Deleted})
 	return true
 }
 
-// mix puts a record into the digest, or takes it out again.
-func (b *bucket) mix(record Record) { b.digest ^= hash(record) }
+// mix puts a record into the digest of its part, or takes it out again.
+func (b *bucket) mix(part int, record Record) { b.parts[part] ^= hash(record) }
 
 // forget drops the oldest deletions beyond the bound; the lock is held.
 func (r *Replica) forget() {
@@ -235,8 +279,9 @@
 	}
 	sort.Slice(deleted, func(i, j int) bool { return deleted[i].Object.Version < deleted[j].Object.Version })
 	for _, record := range deleted[:len(deleted)-maxTombstones] {
-		bucket := r.in(record.Key())
-		bucket.mix(record)
+		number, part := r.place(record.Key())
+		bucket := &r.buckets[number]
+		bucket.mix(part, record)
 		delete(bucket.records, record.Key())
 		r.tombstones--
 	}
@@ -248,7 +293,7 @@
 	defer r.mu.Unlock()
 	var encoded [8 * BucketCount]byte
 	for i := range r.buckets {
-		binary.LittleEndian.PutUint64(encoded[8*i:], r.buckets[i].digest)
+		binary.LittleEndian.PutUint64(encoded[8*i:], r.buckets[i].digest())
 	}
 	return xxhash.Sum64(encoded[:])
 }
@@ -259,7 +304,7 @@
 	defer r.mu.Unlock()
 	digests := make([]uint64, BucketCount)
 	for i := range r.buckets {
-		digests[i] = r.buckets[i].digest
+		digests[i] = r.buckets[i].digest()
 	}
 	return digests
 }
@@ -270,37 +315,77 @@
 	defer r.mu.Unlock()
 	var differing []int
 	for i := range r.buckets {
-		if i >= len(others) || others[i] != r.buckets[i].digest {
+		if i >= len(others) || others[i] != r.buckets[i].digest() {
 			differing = append(differing, i)
 		}
 	}
 	return differing
 }
 
-// Versions returns the records of some buckets without their content. Numbers that name no
+// PartDigests returns the digests of the parts of a bucket; none for a number that names no bucket.
+func (r *Replica) PartDigests(bucket int) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if bucket < 0 || bucket >= BucketCount {
+		return nil
+	}
+	return slices.Clone(r.buckets[bucket].parts[:])
+}
+
+// DifferingParts returns the parts of a bucket whose digests differ from those of another copy.
+// All parts differ where the other copy tells of another number of them.
+func (r *Replica) DifferingParts(bucket int, others []uint64) PartSet {
+	own := r.PartDigests(bucket)
+	if len(own) != len(others) {
+		return AllParts
+	}
+	var differing PartSet
+	for part, digest := range own {
+		if digest != others[part] {
+			differing |= 1 << part
+		}
+	}
+	return differing
+}
+
+// Versions returns the records of some sections without their content. Numbers that name no
 // bucket are passed over: they may come from another node.
-func (r *Replica) Versions(buckets []int) []Record {
+func (r *Replica) Versions(sections []Section) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var versions []Record
-	for _, number := range known(buckets) {
-		for _, record := range r.buckets[number].records {
-			record.Object.Spec = nil
-			versions = append(versions, record)
-		}
+	for record := range r.recordsIn(sections) {
+		record.Object.Spec = nil
+		versions = append(versions, record)
 	}
 	return versions
 }
 
-// known returns the numbers that name a bucket, each once.
-func known(numbers []int) []int {
-	var named []int
-	for _, number := range numbers {
-		if number >= 0 && number < BucketCount && !slices.Contains(named, number) {
-			named = append(named, number)
+// recordsIn iterates over the records of some sections; the lock is held.
+func (r *Replica) recordsIn(sections []Section) iter.Seq[Record] {
+	return func(yield func(Record) bool) {
+		for number, parts := range merged(sections) {
+			for key, record := range r.buckets[number].records {
+				if _, part := r.place(key); parts&(1<<part) == 0 {
+					continue
+				}
+				if !yield(record) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// merged returns the parts by the buckets that exist, so that none counts twice.
+func merged(sections []Section) map[int]PartSet {
+	parts := make(map[int]PartSet, len(sections))
+	for _, section := range sections {
+		if section.Bucket >= 0 && section.Bucket < BucketCount {
+			parts[section.Bucket] |= section.Parts
 		}
 	}
-	return named
+	return parts
 }
 
 // Records returns the records of the given objects that the copy has.
@@ -341,9 +426,9 @@
 	return live
 }
 
-// Compare sorts the differences from another copy in some buckets: keys that are
-// newer here, and keys that are newer there.
-func (r *Replica) Compare(buckets []int, others []Record) (newerHere, newerThere []Key) {
+// Compare sorts the differences from another copy in some sections, given all versions that it has
+// there: keys that are newer here, and keys that are newer there.
+func (r *Replica) Compare(sections []Section, others []Record) (newerHere, newerThere []Key) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	seen := make(map[Key]bool, len(others))
@@ -358,11 +443,9 @@
 			newerHere = append(newerHere, key)
 		}
 	}
-	for _, number := range known(buckets) {
-		for key := range r.buckets[number].records {
-			if !seen[key] {
-				newerHere = append(newerHere, key)
-			}
+	for record := range r.recordsIn(sections) {
+		if key := record.Key(); !seen[key] {
+			newerHere = append(newerHere, key)
 		}
 	}
 	return newerHere, newerThere
--- a/router/engines.go
+++ b/router/engines.go
@@ -19,7 +19,8 @@
 // handlePeer answers another node.
 func (r *Router) handlePeer(ctx context.Context, request *peerpb.Request) (*peerpb.Response, error) {
 	switch request.GetBody().(type) {
-	case *peerpb.Request_CompareReplicas, *peerpb.Request_ExchangeObjects, *peerpb.Request_FetchChunks:
+	case *peerpb.Request_CompareReplicas, *peerpb.Request_CompareParts, *peerpb.Request_ExchangeObjects,
+		*peerpb.Request_FetchChunks:
 		return r.syncer.Handle(ctx, request)
 	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun, *peerpb.Request_SyncRuns,
 		*peerpb.Request_PromptRead, *peerpb.Request_EngineFailed:
