--- a/antientropy/contact.go
+++ b/antientropy/contact.go
@@ -24,6 +24,9 @@
 	return !silent
 }
 
+// ContactChanges counts how often a node has fallen silent or answered again so far.
+func (s *Syncer) ContactChanges() uint64 { return s.contactChanges.Load() }
+
 // SilentFor returns how long a node has not answered; zero if it does.
 func (s *Syncer) SilentFor(address string) time.Duration {
 	s.mu.Lock()
@@ -64,6 +67,7 @@
 	current, known := s.silent[address]
 	if !known {
 		current.since = now
+		s.contactChanges.Add(1)
 		s.options.Logger.Warn("node lost", "address", address, "error", err.Error())
 	}
 	current.until = now.Add(s.options.Avoidance)
@@ -75,12 +79,32 @@
 func (s *Syncer) noteContact(address string, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, wasSilent := s.silent[address]
-	switch {
-	case err != nil:
+	if err != nil {
 		s.noteSilent(address, err)
-	case wasSilent:
+		return
+	}
+	if s.options.Near(address) {
+		s.neighbourAt = time.Now()
+	}
+	if _, wasSilent := s.silent[address]; wasSilent {
 		delete(s.silent, address)
+		s.contactChanges.Add(1)
 		s.options.Logger.Info("node back", "address", address)
 	}
 }
+
+// neighbourPatience is how long a node without an answer of its own zone waits before it exchanges
+// objects with other zones itself: some comparisons.
+const neighbourPatience = 3 * time.Second
+
+// mayExchange reports whether objects are exchanged with a node: with those of the own zone, and, where
+// this node is a bridge or hears of no neighbour, with all. Each change would cross the borders of zones
+// about as often as there are nodes otherwise.
+func (s *Syncer) mayExchange(address string) bool {
+	if s.options.Near(address) || s.options.Bridges() {
+		return true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.neighbourAt.IsZero() || time.Since(s.neighbourAt) > neighbourPatience
+}
--- a/antientropy/partners.go
+++ b/antientropy/partners.go
@@ -1,7 +1,6 @@
 package antientropy
 
 import (
-	"math/rand/v2"
 	"strconv"
 	"time"
 
@@ -20,20 +19,27 @@
 	retriedSilent = 2
 )
 
-// draw returns up to count nodes for one round without news. Rounds take turns between partners and
-// the nodes that hear first from the store, so that these are known to live or not wherever they
-// are.
-func (s *Syncer) draw(count int) []string {
+// sourcePeriod is the time in which a node looks at most of its sources, however many these are.
+const sourcePeriod = 20 * time.Second
+
+// draw returns the nodes for one round without news. Rounds take turns between partners, one a round,
+// and the nodes that hear first from the store, so that these are known to live or not wherever they
+// are. Partners are in the zone of this node unless it is a bridge: with others it exchanges nothing.
+func (s *Syncer) draw() []string {
 	now := time.Now()
-	var candidates, silent []string
 	if s.isSourceRound() {
-		candidates, silent = s.available(s.options.Sources(), now)
+		candidates, silent := s.available(s.options.Sources(), now)
+		if len(candidates) > 0 {
+			// Every second round is one of these.
+			rounds := int(sourcePeriod / (2 * s.options.Interval))
+			return s.drawFrom(append(candidates, silent...), 1+len(candidates)/rounds)
+		}
 	}
-	if len(candidates) == 0 {
-		candidates, silent = s.available(s.options.Peers(), now)
-		candidates = s.partners(candidates, now)
+	candidates, silent := s.available(s.options.Peers(), now)
+	if !s.options.Bridges() {
+		candidates = s.inZone(candidates)
 	}
-	return drawFrom(append(candidates, silent...), count)
+	return s.drawFrom(append(s.partners(candidates, now), silent...), 1)
 }
 
 // drawForNews returns the nodes to which news are brought: up to count partners within the zone of
@@ -44,7 +50,7 @@
 	answering, silent := s.available(s.options.Peers(), now)
 	candidates := append(s.partners(s.inZone(answering), now), silent...)
 	relays, _ := s.available(s.options.Relays(), now)
-	return append(drawFrom(candidates, count), relays...)
+	return append(s.drawFrom(candidates, count), relays...)
 }
 
 // inZone returns the nodes in the zone of this one, or all where there are none.
@@ -61,8 +67,8 @@
 	return near
 }
 
-func drawFrom(candidates []string, count int) []string {
-	shuffle(candidates)
+func (s *Syncer) drawFrom(candidates []string, count int) []string {
+	s.shuffle(candidates)
 	return candidates[:min(count, len(candidates))]
 }
 
@@ -88,7 +94,7 @@
 			silent = append(silent, address)
 		}
 	}
-	shuffle(silent)
+	s.shuffle(silent)
 	return answering, silent[:min(retriedSilent, len(silent))]
 }
 
@@ -98,6 +104,6 @@
 	return placement.Top(s.salt+"/"+period, addresses, partnerCount)
 }
 
-func shuffle(addresses []string) {
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+func (s *Syncer) shuffle(addresses []string) {
+	s.permute(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 }
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +50,8 @@
 	Near func(address string) bool
 	// Relays returns the nodes of other zones to which this one brings news besides. Default: none.
 	Relays func() []string
+	// Bridges reports whether this node exchanges objects with nodes of other zones. Default: it does.
+	Bridges func() bool
 	// Whole reports whether the copy of this node is whole: it has listed all kinds. Default:
 	// it never is.
 	Whole func() bool
@@ -86,6 +90,8 @@
 	started time.Time
 	// salt makes this node's order of the others its own.
 	salt string
+	// permute puts a number of things into an order by chance.
+	permute func(count int, swap func(i, j int))
 	// verifying holds the nodes that are compared with because they did not answer a call.
 	verifying singleflight.Group
 	// transfers fetches long objects.
@@ -96,12 +102,16 @@
 	background sync.WaitGroup
 	ctx        context.Context
 	stop       context.CancelFunc
+	// contactChanges counts changes of silent.
+	contactChanges atomic.Uint64
 
 	mu sync.Mutex
 	// rounds counts the draws that brought no news.
 	rounds int
 	// silent holds the nodes that did not answer.
 	silent map[string]silence
+	// neighbourAt is when a node of this zone last answered.
+	neighbourAt time.Time
 	// exchanging holds the nodes with which objects are exchanged at present, and whether a
 	// comparison has found a difference meanwhile.
 	exchanging map[string]bool
@@ -135,6 +145,9 @@
 	if options.Near == nil {
 		options.Near = func(string) bool { return true }
 	}
+	if options.Bridges == nil {
+		options.Bridges = func() bool { return true }
+	}
 	if options.Relays == nil {
 		options.Relays = func() []string { return nil }
 	}
@@ -146,7 +159,7 @@
 	}
 	s := &Syncer{
 		options: options, news: make(chan struct{}, 1), silent: map[string]silence{},
-		started: time.Now(), salt: uuid.NewString(),
+		started: time.Now(), salt: uuid.NewString(), permute: rand.Shuffle,
 		uploads:    newUploadLimiter(options.LinkBytes),
 		exchanging: map[string]bool{},
 	}
@@ -201,7 +214,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			drawn = s.draw(1)
+			drawn = s.draw()
 		case <-s.news:
 			drawn = s.drawForNews(s.options.Fanout)
 		}
@@ -224,7 +237,7 @@
 		return
 	}
 	s.noteContact(address, err)
-	if err != nil || len(compared.differing) == 0 {
+	if err != nil || len(compared.differing) == 0 || !s.mayExchange(address) {
 		return
 	}
 	if !s.beginExchange(address) {
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -55,30 +54,7 @@
 // where less than half of the fleet answers: the greater part has another one. Nor do nodes whose
 // build does not know the role.
 func (r *Router) Candidates(scope string) []coordinator.Node {
-	var heard []knownNode
-	if own, registered := r.ownNode(); registered {
-		heard = append(heard, own)
-	}
-	for _, node := range r.otherNodes() {
-		if r.syncer.Responsive(node.Address) {
-			heard = append(heard, node)
-		}
-	}
-	if 2*len(heard) < r.nodeCount() {
-		return nil
-	}
-	able := slices.DeleteFunc(heard, func(node knownNode) bool { return !node.isAble(abilityFor(scope)) })
-	strongest := 0.0
-	for _, node := range able {
-		strongest = max(strongest, node.capacity)
-	}
-	var candidates []coordinator.Node
-	for _, node := range able {
-		if node.capacity >= strongShare*strongest {
-			candidates = append(candidates, node.Node)
-		}
-	}
-	return candidates
+	return r.fleet().candidates[abilityFor(scope)]
 }
 
 // Own implements coordinator.Fleet.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -44,21 +44,14 @@
 	var seeds []knownNode
 	for _, seed := range r.settings.Load().Seeds {
 		if seed != r.Own() {
-			seeds = append(seeds, knownNode{Node: coordinator.Node{Address: seed}, abilities: abilitiesOf(nil)})
+			seeds = append(seeds, knownNode{Node: coordinator.Node{Address: seed}, addressHash: hashOf(seed), abilities: abilitiesOf(nil)})
 		}
 	}
 	return seeds
 }
 
 // peers returns the addresses of the other nodes that are known.
-func (r *Router) peers() []string {
-	nodes := r.otherNodes()
-	addresses := make([]string, len(nodes))
-	for i, node := range nodes {
-		addresses[i] = node.Address
-	}
-	return addresses
-}
+func (r *Router) peers() []string { return r.fleet().addresses }
 
 // ownNode returns this start of this node, and whether its object is in the store.
 func (r *Router) ownNode() (knownNode, bool) {
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/coordinator"
@@ -22,6 +23,8 @@
 	capacity float64
 	// linkBytes is what its link carries, in bytes a second; zero if it is not known.
 	linkBytes float64
+	// addressHash is that of the address, by which nodes with equal links are ordered.
+	addressHash uint64
 	// abilities are the roles that its build can take.
 	abilities abilitySet
 }
@@ -36,12 +39,25 @@
 	// builds are the commits of the nodes' builds by the names of their objects; empty where a node
 	// does not say. They are beside the nodes, whose descriptions are copied at each choice.
 	builds map[string]string
+	// changeCount counts what was taken.
+	changeCount uint64
+}
+
+// hashOf is the hash of an address by which nodes are ordered.
+func hashOf(address string) uint64 { return xxhash.Sum64String(address) }
+
+// changes counts the changes of the list so far.
+func (l *nodeList) changes() uint64 {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return l.changeCount
 }
 
 // take puts a newer version of a node's object into the list.
 func (l *nodeList) take(record replica.Record) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.changeCount++
 	if l.byName == nil {
 		l.byName, l.zones, l.builds = map[string]knownNode{}, map[string]string{}, map[string]string{}
 	}
@@ -58,7 +74,7 @@
 	}
 	l.byName[record.Object.Name] = knownNode{
 		Node: coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
-		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, abilities: abilitiesOf(spec.Abilities),
+		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, addressHash: hashOf(spec.Address), abilities: abilitiesOf(spec.Abilities),
 	}
 	l.builds[record.Object.Name] = spec.Build
 	l.zones[spec.Address] = spec.Zone
--- a/router/router.go
+++ b/router/router.go
@@ -95,6 +95,7 @@
 	copy    *replica.Replica
 	contact *contact
 	nodes   nodeList
+	view    heldFleetView
 	syncer  *antientropy.Syncer
 	client  *peer.Client
 	server  *peer.Server
@@ -184,7 +185,7 @@
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, stamps)
 	r.client.Observe(r.countCall)
 	r.syncer = antientropy.New(antientropy.Options{
-		Replica: r.copy, Peers: r.peers, Sources: r.sources, Near: r.isNear, Relays: r.relays, Client: r.client, Logger: options.Logger,
+		Replica: r.copy, Peers: r.peers, Sources: r.sources, Near: r.isNear, Relays: r.relays, Bridges: r.isBridge, Client: r.client, Logger: options.Logger,
 		Whole: r.backends.Synced, BecameWhole: r.backends.SetSynced,
 		Address: options.Settings.PeerAddress, LinkBytes: options.Settings.LinkBytes, Refetch: r.refetch,
 	})
--- a/router/watchers.go
+++ b/router/watchers.go
@@ -1,16 +1,12 @@
 package router
 
 import (
-	"cmp"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/objectapi"
+	"github.com/reelrun/reelrun/placement"
 )
 
 const (
@@ -71,83 +67,69 @@
 	return wait
 }
 
-// sources returns the other nodes that follow the store, as far as this one knows. The first
-// of them looks at all nodes, because it removes the lost ones.
+// nextWatchers is how many nodes look at all that follow the store, in the order in which they would do
+// so themselves: as many as a loss of machines may take away before these do. All others look at a few,
+// because each node that is looked at by the whole fleet has a connection to each node.
+const nextWatchers = 4 * maxWatchers
+
+// watchersOfOthers is how many of those that follow the store any other node looks at.
+const watchersOfOthers = 2
+
+// sources returns the other nodes that follow the store and are looked at, as far as this one knows.
+// The first of all nodes looks at all others, because it removes the lost ones.
 func (r *Router) sources() []string {
-	if _, position := r.place(); position == 0 {
-		return r.peers()
+	view := r.fleet()
+	switch {
+	case view.position == 0:
+		return view.addresses
+	case view.position < nextWatchers:
+		return addressesOf(view.watchers)
 	}
-	return r.otherWatchers()
-}
-
-// otherWatchers returns the other nodes that follow the store, as far as this one knows.
-func (r *Router) otherWatchers() []string {
-	others := r.otherNodes()
-	slices.SortFunc(others, compareWatchers)
-	var addresses []string
-	for _, node := range others {
-		if len(addresses) == maxWatchers {
-			break
-		}
-		if r.syncer.Responsive(node.Address) {
-			addresses = append(addresses, node.Address)
-		}
+	near := slices.DeleteFunc(slices.Clone(view.watchers), func(node knownNode) bool { return node.zone != r.options.Settings.Zone })
+	if len(near) == 0 {
+		near = view.watchers
 	}
-	return addresses
+	return placement.Top(r.Own(), addressesOf(near), watchersOfOthers)
 }
 
-// relays returns one other watcher of each other zone, for a watcher. What it hears first, or makes
-// known itself, reaches the other zones by them.
+// relays returns a bridge of each other zone, for nodes that hear of news first. What they hear, or
+// make known themselves, reaches the other zones by these.
 func (r *Router) relays() []string {
-	if !r.isWatcher() {
+	if !r.isWatcher() && !r.isBridge() {
 		return nil
 	}
-	byZone := map[string]string{}
-	addresses := r.otherWatchers()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	for _, address := range addresses {
-		if zone := r.zoneOf(address); zone != r.options.Settings.Zone {
-			byZone[zone] = address
+	var relays []string
+	for zone, bridges := range r.fleet().bridges {
+		if zone != r.options.Settings.Zone {
+			relays = append(relays, bridges[rand.IntN(len(bridges))].Address)
 		}
 	}
-	return slices.Collect(maps.Values(byZone))
+	return relays
+}
+
+func addressesOf(nodes []knownNode) []string {
+	addresses := make([]string, len(nodes))
+	for i, node := range nodes {
+		addresses[i] = node.Address
+	}
+	return addresses
 }
 
 // isWatcher reports whether this node follows the store: it is among the first of
 // those that answer.
-func (r *Router) isWatcher() bool {
-	_, position := r.place()
-	return position < maxWatchers
+func (r *Router) isWatcher() bool { return r.fleet().position < maxWatchers }
+
+// isBridge reports whether this node exchanges objects with nodes of other zones.
+func (r *Router) isBridge() bool {
+	return r.isWatcher() || r.fleet().isBridge(r.options.Settings.Zone, r.Own())
 }
 
 // responsiveCount returns how many nodes answer, this one included.
-func (r *Router) responsiveCount() int {
-	count, _ := r.place()
-	return count
-}
+func (r *Router) responsiveCount() int { return r.fleet().responsiveCount }
 
 // place returns the number of nodes that answer and the position of this one among them, in the
 // order in which they follow the store.
 func (r *Router) place() (count, position int) {
-	own := knownNode{Node: coordinator.Node{Address: r.Own()}, linkBytes: r.options.Settings.LinkBytes}
-	for _, node := range r.otherNodes() {
-		if !r.syncer.Responsive(node.Address) {
-			continue
-		}
-		count++
-		if compareWatchers(node, own) < 0 {
-			position++
-		}
-	}
-	return count + 1, position
-}
-
-// compareWatchers orders nodes: those with the widest links follow the store first, because it
-// sends objects whole, whatever changed in them. Among equals a hash of their addresses decides,
-// so that the zones mix.
-func compareWatchers(a, b knownNode) int {
-	return cmp.Or(
-		cmp.Compare(b.linkBytes, a.linkBytes),
-		cmp.Compare(xxhash.Sum64String(a.Address), xxhash.Sum64String(b.Address)),
-	)
+	view := r.fleet()
+	return view.responsiveCount, view.position
 }
