--- a/backend/entry.go
+++ b/backend/entry.go
@@ -31,6 +31,13 @@
 	askedForBackoff atomic.Bool
 
 	mu sync.Mutex
+	// seen is what this node has observed; nil for the most of thousands of back ends, to which it has
+	// never sent anything.
+	seen *observations
+}
+
+// observations are what a node has observed of one back end.
+type observations struct {
 	// leavingAt is when it stopped taking new work, or was removed; zero while it takes work.
 	leavingAt time.Time
 	// failures counts those of late, older ones less.
@@ -41,12 +48,32 @@
 	failureAt time.Time
 	// fullUntil is when a back end that refused for want of room is asked again.
 	fullUntil time.Time
-	// backoffFrom and backoffUntil are from when until when the back end wants no request from this node.
-	backoffFrom, backoffUntil time.Time
+	backoff   backoffPeriod
 	// heardAt is when the back end last said anything of itself, as a Unix millisecond by this node.
 	heardAt int64
 }
 
+// backoffPeriod is from when until when a back end wants no request from this node.
+type backoffPeriod struct{ from, until time.Time }
+
+// observed returns the observations to change; the lock is held.
+func (e *Entry) observed() *observations {
+	if e.seen == nil {
+		e.seen = &observations{}
+	}
+	return e.seen
+}
+
+// observations returns a copy of what was observed so far.
+func (e *Entry) observations() observations {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.seen == nil {
+		return observations{}
+	}
+	return *e.seen
+}
+
 func newEntry(described Backend, now func() time.Time) *Entry {
 	entry := &Entry{now: now}
 	entry.backend.Store(&described)
@@ -56,6 +83,9 @@
 // Backend returns the current description.
 func (e *Entry) Backend() Backend { return *e.backend.Load() }
 
+// ID names the life of the back end; it never changes.
+func (e *Entry) ID() string { return e.backend.Load().ID }
+
 func (e *Entry) set(updated Backend) bool {
 	if e.Backend() == updated {
 		return false
@@ -78,21 +108,20 @@
 	case e.saidLeaving.Load():
 		// What discovery tells may be older.
 	case !leaving:
-		e.leavingAt = time.Time{}
-	case e.leavingAt.IsZero():
-		e.leavingAt = e.now()
+		e.observed().leavingAt = time.Time{}
+	case e.observed().leavingAt.IsZero():
+		e.observed().leavingAt = e.now()
 	}
 }
 
 // LeavingFor returns how long ago the back end stopped taking new work, or was removed; zero
 // while it takes work.
 func (e *Entry) LeavingFor() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.leavingAt.IsZero() {
+	leavingAt := e.observations().leavingAt
+	if leavingAt.IsZero() {
 		return 0
 	}
-	return e.now().Sub(e.leavingAt)
+	return e.now().Sub(leavingAt)
 }
 
 // Begin counts a request that this node has under way there. The function that
@@ -110,52 +139,48 @@
 func (e *Entry) Failed() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failures = e.decayed(e.failures) + 1
-	e.failing = e.decayed(e.failing)
-	e.failing += outcomeWeight * (1 - e.failing)
-	e.failureAt = e.now()
+	now, seen := e.now(), e.observed()
+	seen.failures = seen.decayed(seen.failures, now) + 1
+	seen.failing = seen.decayed(seen.failing, now)
+	seen.failing += outcomeWeight * (1 - seen.failing)
+	seen.failureAt = now
 }
 
 // Succeeded notes an answer.
 func (e *Entry) Succeeded() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.failing -= outcomeWeight * e.failing
+	if e.seen != nil {
+		e.seen.failing -= outcomeWeight * e.seen.failing
+	}
 }
 
 // Failing returns the share of requests that seem to fail there.
 func (e *Entry) Failing() float64 {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.decayed(e.failing)
+	seen := e.observations()
+	return seen.decayed(seen.failing, e.now())
 }
 
 // Sound reports whether the back end has not failed lately.
 func (e *Entry) Sound() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.decayed(e.failures) <= unsoundFailures
+	seen := e.observations()
+	return seen.decayed(seen.failures, e.now()) <= unsoundFailures
 }
 
 // decayed returns a value of the time of the last failure as of now.
-func (e *Entry) decayed(value float64) float64 {
+func (o observations) decayed(value float64, now time.Time) float64 {
 	if value == 0 {
 		return 0
 	}
-	age := e.now().Sub(e.failureAt)
-	return value * math.Exp2(-age.Seconds()/failureHalfLife.Seconds())
+	return value * math.Exp2(-now.Sub(o.failureAt).Seconds()/failureHalfLife.Seconds())
 }
 
 // Full notes that the back end has no capacity until the given time has passed.
 func (e *Entry) Full(lasting time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.fullUntil = e.now().Add(lasting)
+	e.observed().fullUntil = e.now().Add(lasting)
 }
 
 // IsFull reports whether the back end was full a short time ago.
-func (e *Entry) IsFull() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.now().Before(e.fullUntil)
-}
+func (e *Entry) IsFull() bool { return e.now().Before(e.observations().fullUntil) }
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -25,7 +25,7 @@
 	news := Notice{Leaving: said.Leaving && e.heardLeaving(), Backoff: e.heardBackoff(said.Backoff)}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.heardAt = at
+	e.observed().heardAt = at
 	return news
 }
 
@@ -36,8 +36,8 @@
 	if !e.saidLeaving.CompareAndSwap(false, true) {
 		return false
 	}
-	if e.leavingAt.IsZero() {
-		e.leavingAt = e.now()
+	if seen := e.observed(); seen.leavingAt.IsZero() {
+		seen.leavingAt = e.now()
 	}
 	return true
 }
@@ -51,13 +51,13 @@
 	e.askedForBackoff.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	begins := !now.Before(e.backoffUntil)
+	now, period := e.now(), &e.observed().backoff
+	begins := !now.Before(period.until)
 	if begins {
-		e.backoffFrom = now
+		period.from = now
 	}
-	if until := now.Add(backoff); until.After(e.backoffUntil) {
-		e.backoffUntil = until
+	if until := now.Add(backoff); until.After(period.until) {
+		period.until = until
 	}
 	if !begins {
 		return 0
@@ -71,20 +71,16 @@
 	if !e.askedForBackoff.Load() {
 		return 0
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return max(0, e.backoffUntil.Sub(e.now()))
+	return max(0, e.observations().backoff.until.Sub(e.now()))
 }
 
 // BackingOffFor returns how long ago the backoff began that the back end is in; zero where it has none.
 func (e *Entry) BackingOffFor() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := e.now()
-	if !now.Before(e.backoffUntil) {
+	now, period := e.now(), e.observations().backoff
+	if !now.Before(period.until) {
 		return 0
 	}
-	return now.Sub(e.backoffFrom)
+	return now.Sub(period.from)
 }
 
 // isWithheld reports whether the back end has said something for which this node gives it no work now.
@@ -95,13 +91,17 @@
 	if before.saidLeaving.Load() {
 		e.heardLeaving()
 	}
-	before.mu.Lock()
-	from, until := before.backoffFrom, before.backoffUntil
-	before.mu.Unlock()
-	e.askedForBackoff.Store(before.askedForBackoff.Load())
+	if before.askedForBackoff.Load() {
+		e.setBackoff(before.observations().backoff)
+	}
+}
+
+// setBackoff puts a backoff into force in place of any other.
+func (e *Entry) setBackoff(period backoffPeriod) {
+	e.askedForBackoff.Store(true)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.backoffFrom, e.backoffUntil = from, until
+	e.observed().backoff = period
 }
 
 // unsureLeaving is how long a new life is given nothing where it may be the one that said that it leaves. It
@@ -112,22 +112,17 @@
 // inherit takes over what was heard from the life before, if that was not before this one began. It
 // reports whether there was anything.
 func (e *Entry) inherit(before *Entry) bool {
-	before.mu.Lock()
-	heardAt, from, until := before.heardAt, before.backoffFrom, before.backoffUntil
-	before.mu.Unlock()
-	if heardAt < e.Backend().Born {
+	seen := before.observations()
+	if seen.heardAt < e.Backend().Born {
 		return false
 	}
-	now := e.now()
+	now, period := e.now(), seen.backoff
 	if before.saidLeaving.Load() {
-		from, until = now, now.Add(unsureLeaving)
+		period = backoffPeriod{from: now, until: now.Add(unsureLeaving)}
 	}
-	if !now.Before(until) {
+	if !now.Before(period.until) {
 		return false
 	}
-	e.askedForBackoff.Store(true)
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.backoffFrom, e.backoffUntil = from, until
+	e.setBackoff(period)
 	return true
 }
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -17,8 +17,9 @@
 
 	mu   sync.RWMutex
 	byID map[string]*Entry
-	// lives holds the current life of each back end by what it is registered as.
-	lives map[string]string
+	// lives holds the current life of each back end by what it is registered as, where that is another
+	// name than its identifier.
+	lives map[string]*Entry
 	// services holds the entries of each service in the order of their identifiers.
 	services map[string][]*Entry
 	// notices are the entries of back ends that have said something of themselves.
@@ -43,7 +44,7 @@
 // NewRegistry returns an empty registry. The clock must be monotonic.
 func NewRegistry(now func() time.Time) *Registry {
 	return &Registry{
-		now: now, timeOfDay: time.Now, byID: map[string]*Entry{}, lives: map[string]string{}, services: map[string][]*Entry{},
+		now: now, timeOfDay: time.Now, byID: map[string]*Entry{}, lives: map[string]*Entry{}, services: map[string][]*Entry{},
 		notices: map[string]*Entry{}, departed: map[string]departedLife{},
 	}
 }
@@ -71,14 +72,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	name := updated.name()
-	if before, known := r.lives[name]; known && before != updated.ID {
-		r.remove(before)
+	if before := r.current(name); before != nil && before.ID() != updated.ID {
+		r.remove(before.ID())
 	}
-	r.lives[name] = updated.ID
 	entry := r.byID[updated.ID]
 	if entry == nil {
 		entry = newEntry(updated, r.now)
 		r.byID[updated.ID] = entry
+		if name != updated.ID {
+			r.lives[name] = entry
+		}
 		r.recall(entry)
 		r.inherit(entry)
 		r.insert(updated.Service, entry)
@@ -107,7 +110,19 @@
 func (r *Registry) RemoveRegistered(name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.remove(r.lives[name])
+	entry := r.current(name)
+	return entry != nil && r.remove(entry.ID())
+}
+
+// current returns the current life of a back end by what it is registered as, or nil; the lock is held.
+func (r *Registry) current(name string) *Entry {
+	if entry := r.lives[name]; entry != nil {
+		return entry
+	}
+	if entry := r.byID[name]; entry != nil && entry.Backend().name() == name {
+		return entry
+	}
+	return nil
 }
 
 // remove forgets one life of a back end; the lock is held.
@@ -119,7 +134,7 @@
 	entry.noteLeaving(true)
 	delete(r.byID, id)
 	r.depart(entry)
-	if name := entry.Backend().name(); r.lives[name] == id {
+	if name := entry.Backend().name(); r.lives[name] == entry {
 		delete(r.lives, name)
 	}
 	r.delete(entry.Backend().Service, id)
@@ -170,7 +185,7 @@
 // takes over thousands of entries one by one, so that a list is never built anew.
 func (r *Registry) insert(service string, entry *Entry) {
 	entries := r.services[service]
-	position, _ := find(entries, entry.Backend().ID)
+	position, _ := find(entries, entry.ID())
 	r.services[service] = slices.Insert(entries, position, entry)
 }
 
@@ -192,7 +207,7 @@
 // find returns where an identifier is, or would be, in a list.
 func find(entries []*Entry, id string) (position int, found bool) {
 	return slices.BinarySearchFunc(entries, id, func(entry *Entry, id string) int {
-		return strings.Compare(entry.Backend().ID, id)
+		return strings.Compare(entry.ID(), id)
 	})
 }
 
