--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -23,6 +23,7 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/clock"
+	"github.com/reelrun/reelrun/heaplimit"
 	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/platform"
@@ -78,6 +79,7 @@
 		return exitFailure
 	}
 	daemon := newRouter(parsed, given, counting, logger)
+	go heaplimit.Run(ctx, parsed.MemoryBytes)
 	go followSettings(ctx, path, hangups, daemon, logger)
 	if err := daemon.Run(ctx); err != nil {
 		logger.Error("node failed", "error", err)
--- a/settings/router.go
+++ b/settings/router.go
@@ -17,6 +17,8 @@
 	StoreAddress string
 	// Capacity is the share of a core that the node has.
 	Capacity float64
+	// MemoryBytes is what the process may use of the machine's memory; zero if it is not known.
+	MemoryBytes int64
 	// LinkBytes is what the node's link carries, in bytes a second; zero if it is not known.
 	LinkBytes float64
 	// Seeds are addresses of other nodes; they may be stale.
