--- a/backend/registry.go
+++ b/backend/registry.go
@@ -22,6 +22,9 @@
 	lives map[string]*Entry
 	// services holds the entries of each service in the order of their identifiers.
 	services map[string][]*Entry
+	// groups holds the same entries by service, role and zone, so that a few are found without a look at
+	// all.
+	groups map[group][]*Entry
 	// notices are the entries of back ends that have said something of themselves.
 	notices map[string]*Entry
 	// departed are removed lives that had said something of themselves.
@@ -44,7 +47,7 @@
 // NewRegistry returns an empty registry. The clock must be monotonic.
 func NewRegistry(now func() time.Time) *Registry {
 	return &Registry{
-		now: now, timeOfDay: time.Now, byID: map[string]*Entry{}, lives: map[string]*Entry{}, services: map[string][]*Entry{},
+		now: now, timeOfDay: time.Now, byID: map[string]*Entry{}, lives: map[string]*Entry{}, services: map[string][]*Entry{}, groups: map[group][]*Entry{},
 		notices: map[string]*Entry{}, departed: map[string]departedLife{},
 	}
 }
@@ -84,16 +87,20 @@
 		}
 		r.recall(entry)
 		r.inherit(entry)
-		r.insert(updated.Service, entry)
+		r.insert(entry)
 		return true
 	}
-	service := entry.Backend().Service
-	if !entry.set(updated) {
+	before := entry.Backend()
+	if before == updated {
 		return false
 	}
-	if service != updated.Service {
-		r.delete(service, updated.ID)
-		r.insert(updated.Service, entry)
+	isElsewhere := groupOf(before) != groupOf(updated)
+	if isElsewhere {
+		r.delete(before)
+	}
+	entry.set(updated)
+	if isElsewhere {
+		r.insert(entry)
 	}
 	return true
 }
@@ -137,7 +144,7 @@
 	if name := entry.Backend().name(); r.lives[name] == entry {
 		delete(r.lives, name)
 	}
-	r.delete(entry.Backend().Service, id)
+	r.delete(entry.Backend())
 	return true
 }
 
@@ -181,27 +188,40 @@
 	}
 }
 
-// insert puts an entry into the list of a service; the lock is held. A node that starts
-// takes over thousands of entries one by one, so that a list is never built anew.
-func (r *Registry) insert(service string, entry *Entry) {
-	entries := r.services[service]
+// insert puts an entry into the lists; the lock is held. A node that starts takes over thousands of
+// entries one by one, so that a list is never built anew.
+func (r *Registry) insert(entry *Entry) {
+	described := entry.Backend()
+	insertInto(r.services, described.Service, entry)
+	insertInto(r.groups, groupOf(described), entry)
+}
+
+// delete takes the entry of a description out of the lists; the lock is held.
+func (r *Registry) delete(described Backend) {
+	deleteFrom(r.services, described.Service, described.ID)
+	deleteFrom(r.groups, groupOf(described), described.ID)
+}
+
+// insertInto puts an entry into one of some lists.
+func insertInto[K comparable](lists map[K][]*Entry, key K, entry *Entry) {
+	entries := lists[key]
 	position, _ := find(entries, entry.ID())
-	r.services[service] = slices.Insert(entries, position, entry)
+	lists[key] = slices.Insert(entries, position, entry)
 }
 
-// delete takes an entry out of the list of a service; the lock is held.
-func (r *Registry) delete(service, id string) {
-	entries := r.services[service]
+// deleteFrom takes an identifier out of one of some lists.
+func deleteFrom[K comparable](lists map[K][]*Entry, key K, id string) {
+	entries := lists[key]
 	position, found := find(entries, id)
 	if !found {
 		return
 	}
 	entries = slices.Delete(entries, position, position+1)
 	if len(entries) == 0 {
-		delete(r.services, service)
+		delete(lists, key)
 		return
 	}
-	r.services[service] = entries
+	lists[key] = entries
 }
 
 // find returns where an identifier is, or would be, in a list.
--- a/coordinator/assign.go
+++ b/coordinator/assign.go
@@ -40,7 +40,7 @@
 // nearTo returns which engines are in the zone of a node.
 func (c *Coordinator) nearTo(holder string, engines Engines) func(engine string) bool {
 	zone := c.options.ZoneOf(holder)
-	return func(engine string) bool { return zone != "" && engines.Zones[engine] == zone }
+	return func(engine string) bool { return zone != "" && engines.zoneOf(engine) == zone }
 }
 
 // assignedPair is the engines of a run, and after what time its prompt is read.
@@ -55,11 +55,11 @@
 func (c *Coordinator) preferSameZone(
 	now time.Duration, current *serviceState, engines Engines, queued *waiter, run ledger.Run, avoid map[string]bool, given assignedPair,
 ) (reader string, ready time.Duration) {
-	zone := engines.Zones[given.decoder]
-	if zone == "" || engines.Zones[given.reader] == zone {
+	zone := engines.zoneOf(given.decoder)
+	if zone == "" || engines.zoneOf(given.reader) == zone {
 		return given.reader, given.ready
 	}
-	isNear := func(id string) bool { return engines.Zones[id] == zone }
+	isNear := func(id string) bool { return engines.zoneOf(id) == zone }
 	near, nearReady := current.prefill.nearest(now, engines.Prefill, run, avoid, isNear, given.ready+sameZoneAllowance)
 	if near == "" || !c.isTimely(now, current, queued, near, nearReady) {
 		return given.reader, given.ready
--- a/coordinator/assign_test.go
+++ b/coordinator/assign_test.go
@@ -48,12 +48,13 @@
 func TestPromptsAreReadInTheZoneOfTheirAnswer(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Second
+	zones := map[string]string{"d": "b", "a1": "a", "a2": "a", "b1": "b", "b2": "b"}
 	zoned := New(Options{
 		Engines: func(string) Engines {
 			return Engines{
 				Decode:  []ledger.Engine{{ID: "d", Memory: 1_000_000, Slots: 64}},
 				Prefill: []string{"a1", "a2", "b1", "b2"},
-				Zones:   map[string]string{"d": "b", "a1": "a", "a2": "a", "b1": "b", "b2": "b"},
+				ZoneOf:  func(engine string) string { return zones[engine] },
 			}
 		},
 		Nodes: func() int { return 1 }, Now: func() time.Duration { return now },
--- a/coordinator/benchmark_test.go
+++ b/coordinator/benchmark_test.go
@@ -53,3 +53,23 @@
 		}
 	}
 }
+
+// BenchmarkAssign gives engines to one request of a large service that is nearly idle.
+func BenchmarkAssign(b *testing.B) {
+	for _, engines := range []int{24, 600, 10_000, 20_000} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			many := newManyEngines(engines*2/3, engines/3)
+			now := time.Duration(0)
+			assigning := many.newCoordinator(true, func() time.Duration { return now })
+			b.ReportAllocs()
+			for number := 0; b.Loop(); number++ {
+				now += 10 * time.Millisecond
+				id := fmt.Sprint(number)
+				if assigning.Assign(b.Context(), requestOf(id, 0)).Decode == "" {
+					b.Fatal("none")
+				}
+				assigning.End(Ended{Service: "s", ID: id})
+			}
+		})
+	}
+}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -14,15 +14,27 @@
 type Engines struct {
 	Decode  []ledger.Engine
 	Prefill []string
-	// Zones are the zones of all of them by their identifiers; those that are not named are
-	// alike.
-	Zones map[string]string
+	// AreAll is set where these are all engines of the service.
+	AreAll bool
+	// ZoneOf returns the zone of one of them, empty where that is not known. Without it they are alike.
+	ZoneOf func(engine string) string
+}
+
+// zoneOf returns the zone of an engine, empty where that is not known.
+func (e Engines) zoneOf(engine string) string {
+	if e.ZoneOf == nil {
+		return ""
+	}
+	return e.ZoneOf(engine)
 }
 
 // Options are the parts of a Coordinator.
 type Options struct {
-	// Engines returns the engines of a service.
+	// Engines returns all engines of a service.
 	Engines func(service string) Engines
+	// Shortlist returns some engines of a service for a node in a zone. They are tried before all are
+	// looked at, so that an assignment costs the same however many engines there are. Default: all.
+	Shortlist func(service, zone string) Engines
 	// ZoneOf returns the zone of the node at an address; empty if that is not known. Default:
 	// it never is.
 	ZoneOf func(address string) string
--- a/coordinator/prefill.go
+++ b/coordinator/prefill.go
@@ -47,6 +47,8 @@
 	return &prefillQueue{engines: map[string]*prefillEngine{}, reading: map[string]string{}}
 }
 
+// engine returns what is known of an engine that is given prompts. An engine that is only looked at has
+// nothing before it.
 func (q *prefillQueue) engine(id string) *prefillEngine {
 	known := q.engines[id]
 	if known == nil {
@@ -96,7 +98,10 @@
 
 // forget drops prompts that are no longer read.
 func (q *prefillQueue) forget(now time.Duration, id string) {
-	engine := q.engine(id)
+	engine := q.engines[id]
+	if engine == nil {
+		return
+	}
 	engine.prompts = slices.DeleteFunc(engine.prompts, func(given prompt) bool {
 		old := now-given.given > promptLifetime
 		if old {
@@ -109,8 +114,8 @@
 // silent reports whether an engine has been at its first prompt for much longer than it
 // should take.
 func (q *prefillQueue) silent(now time.Duration, id string) bool {
-	engine := q.engine(id)
-	if len(engine.prompts) == 0 {
+	engine := q.engines[id]
+	if engine == nil || len(engine.prompts) == 0 {
 		return false
 	}
 	expected := q.model.Duration(id, engine.prompts[0].tokens)
@@ -130,8 +135,8 @@
 
 // backlog returns how long an engine still reads the prompts that it has.
 func (q *prefillQueue) backlog(now time.Duration, id string) time.Duration {
-	engine := q.engine(id)
-	if len(engine.prompts) == 0 {
+	engine := q.engines[id]
+	if engine == nil || len(engine.prompts) == 0 {
 		return 0
 	}
 	left := time.Duration(0)
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -41,20 +41,19 @@
 		return
 	}
 	now := c.options.Now()
-	engines := soundOf(now, &current.health, c.options.Engines(service))
-	current.decode.SetEngines(engines.Decode)
 	current.decode.SetCoverage(c.coverage(now, current))
 	current.decode.SetSpread(current.output.Spread())
 	slices.SortStableFunc(current.waiting, byRank)
 	var still []*waiter
 	var failed []ledger.Run
+	round := servingRound{coordinator: c, service: service, current: current, now: now}
 	for _, queued := range current.waiting {
 		run := queued.request.Run
 		if len(failed) >= tries || len(queued.request.Avoid) == 0 && isLarger(run, failed) {
 			still = append(still, queued)
 			continue
 		}
-		assignment, ok := c.assign(now, current, engines, queued)
+		assignment, ok := round.assign(queued)
 		if !ok {
 			failed = append(failed, run)
 			still = append(still, queued)
@@ -66,6 +65,46 @@
 	current.waiting = still
 }
 
+// servingRound gives engines to those that wait, once.
+type servingRound struct {
+	coordinator *Coordinator
+	service     string
+	current     *serviceState
+	now         time.Duration
+	// all are all engines, once a request has found none among a few.
+	all *Engines
+}
+
+// assign gives engines to one request: among a few that are drawn for it, and among all where none of these
+// can take it. Once that was so for one request, the next ones look at all at once.
+func (r *servingRound) assign(queued *waiter) (Assignment, bool) {
+	options := r.coordinator.options
+	if r.all == nil && options.Shortlist != nil {
+		few := r.soundOf(options.Shortlist(r.service, options.ZoneOf(queued.request.Run.Holder)))
+		assignment, ok := r.assignAmong(few, queued)
+		if few.AreAll {
+			r.all = &few
+		}
+		if ok || few.AreAll {
+			return assignment, ok
+		}
+	}
+	if r.all == nil {
+		all := r.soundOf(options.Engines(r.service))
+		r.all = &all
+	}
+	return r.assignAmong(*r.all, queued)
+}
+
+func (r *servingRound) soundOf(engines Engines) Engines {
+	return soundOf(r.now, &r.current.health, engines)
+}
+
+func (r *servingRound) assignAmong(engines Engines, queued *waiter) (Assignment, bool) {
+	r.current.decode.SetEngines(engines.Decode)
+	return r.coordinator.assign(r.now, r.current, engines, queued)
+}
+
 // byRank is the order in which those that wait are served: first attempts, more urgent tenants,
 // tenants that are not above their usual, more urgent routes, earlier arrivals. A tenant that
 // sends many times its usual fills the queue up to its limit; others pass it.
@@ -93,10 +132,14 @@
 
 // soundOf returns the engines that have not failed lately.
 func soundOf(now time.Duration, health *engineHealth, all Engines) Engines {
+	if len(health.engines) == 0 {
+		return all
+	}
 	return Engines{
 		Decode:  slices.DeleteFunc(all.Decode, func(engine ledger.Engine) bool { return !health.sound(now, engine.ID) }),
 		Prefill: slices.DeleteFunc(all.Prefill, func(id string) bool { return !health.sound(now, id) }),
-		Zones:   all.Zones,
+		AreAll:  all.AreAll,
+		ZoneOf:  all.ZoneOf,
 	}
 }
 
--- /dev/null
+++ b/coordinator/shortlist_test.go
@@ -0,0 +1,133 @@
+package coordinator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/ledger"
+)
+
+// manyEngines are the engines of a large service, and how often all of them were looked at.
+type manyEngines struct {
+	all    Engines
+	looks  int
+	random *rand.Rand
+}
+
+func newManyEngines(decode, prefill int) *manyEngines {
+	many := &manyEngines{random: rand.New(rand.NewPCG(9, 10))}
+	for i := range decode {
+		many.all.Decode = append(many.all.Decode, ledger.Engine{ID: fmt.Sprintf("d%05d", i), Memory: 60_000, Slots: 24})
+	}
+	for i := range prefill {
+		many.all.Prefill = append(many.all.Prefill, fmt.Sprintf("p%05d", i))
+	}
+	many.all.AreAll = true
+	return many
+}
+
+func (m *manyEngines) engines(string) Engines {
+	m.looks++
+	return Engines{Decode: slices.Clone(m.all.Decode), Prefill: slices.Clone(m.all.Prefill), AreAll: true}
+}
+
+// shortlist draws some engines, some of them perhaps twice, as a registry does.
+func (m *manyEngines) shortlist(string, string) Engines {
+	const drawn = 48
+	var few Engines
+	for range drawn {
+		few.Decode = append(few.Decode, m.all.Decode[m.random.IntN(len(m.all.Decode))])
+		few.Prefill = append(few.Prefill, m.all.Prefill[m.random.IntN(len(m.all.Prefill))])
+	}
+	return few
+}
+
+// newCoordinator returns one that draws a few engines first, or looks at all of them.
+func (m *manyEngines) newCoordinator(draws bool, now func() time.Duration) *Coordinator {
+	options := Options{Engines: m.engines, Nodes: func() int { return 1 }, Now: now}
+	if draws {
+		options.Shortlist = m.shortlist
+	}
+	return New(options)
+}
+
+// TestAnAssignmentCostsTheSameAmongMany counts what an assignment allocates among 10,000 and 20,000 idle
+// engines, and how often it looks at all of them.
+func TestAnAssignmentCostsTheSameAmongMany(t *testing.T) {
+	g := NewWithT(t)
+	allocations := func(engines int) float64 {
+		many := newManyEngines(engines*2/3, engines/3)
+		now := time.Duration(0)
+		assigning := many.newCoordinator(true, func() time.Duration { return now })
+		number := 0
+		return testing.AllocsPerRun(500, func() {
+			now += 10 * time.Millisecond
+			id := fmt.Sprint(number)
+			number++
+			g.Expect(assigning.Assign(t.Context(), requestOf(id, 0)).Decode).NotTo(BeEmpty())
+			assigning.PromptRead("s", id, "")
+			assigning.End(Ended{Service: "s", ID: id})
+			g.Expect(many.looks).To(BeZero())
+		})
+	}
+	many, twice := allocations(10_000), allocations(20_000)
+	t.Logf("allocations of an assignment among 10,000 and 20,000: %.0f, %.0f", many, twice)
+	g.Expect(twice).To(BeNumerically("<=", 1.2*many))
+	g.Expect(many).To(BeNumerically("<=", 1.5*allocations(300)))
+}
+
+const fillingRequests = 2400
+
+// filledBy assigns runs to a large service until many could not be, while about as many end, and returns
+// how many were refused and how much fuller than the mean the fullest engine became.
+func filledBy(t *testing.T, draws bool, underWay int) (refused int, fullest float64) {
+	t.Helper()
+	const requests = fillingRequests
+	many := newManyEngines(150, 60)
+	now := time.Duration(0)
+	filling := many.newCoordinator(draws, func() time.Duration { return now })
+	random := rand.New(rand.NewPCG(11, 12))
+	var running []string
+	for i := range requests {
+		now += 2 * time.Millisecond
+		id := fmt.Sprint(i)
+		request := requestOf(id, 0)
+		request.Run.Prompt, request.Run.Output = 2000+random.IntN(6000), 50+random.IntN(100)
+		if filling.Assign(t.Context(), request).Decode == "" {
+			refused++
+		} else {
+			running = append(running, id)
+			filling.PromptRead("s", id, "")
+		}
+		for len(running) > underWay {
+			at := random.IntN(len(running))
+			filling.End(Ended{Service: "s", ID: running[at]})
+			running = slices.Delete(running, at, at+1)
+		}
+	}
+	counts, most := filling.Runs("s"), 0
+	for _, count := range counts {
+		most = max(most, count)
+	}
+	return refused, float64(most) / (float64(len(running)) / float64(len(many.all.Decode)))
+}
+
+// TestAFewEnginesAreAsGoodAsAll fills a large service to a half and to its end, once by a choice among all
+// engines and once by one among a few. What all engines together can take is taken in both, since all are
+// looked at where none of the few has capacity.
+func TestAFewEnginesAreAsGoodAsAll(t *testing.T) {
+	for _, underWay := range []int{600, 1800} {
+		g := NewWithT(t)
+		refusedByAll, fullestByAll := filledBy(t, false, underWay)
+		refused, fullest := filledBy(t, true, underWay)
+		t.Logf("%d under way: refused %d by all, %d by a few; fullest %.2f and %.2f of the mean",
+			underWay, refusedByAll, refused, fullestByAll, fullest)
+		g.Expect(refused).To(BeNumerically("<=", refusedByAll+fillingRequests/100))
+		g.Expect(fullest).To(BeNumerically("<", fullestByAll+0.5))
+	}
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -80,10 +80,13 @@
 	// answers counts those that taught them, tokens and seconds are what they took together.
 	answers         int
 	tokens, seconds float64
-	engines         map[string]Engine
+	engines         []Engine
 	runs            map[string]Run
-	// byEngine holds the runs of each engine.
+	// byEngine holds the runs of each engine, and byHolder the identifiers of those of each holder.
 	byEngine map[string]map[string]Run
+	byHolder map[string]map[string]bool
+	// projected is used for one look at an engine after the other.
+	projected []projected
 	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
@@ -116,19 +119,14 @@
 		options.Start = defaultStart
 	}
 	return &Ledger{
-		options: options, pace: options.Pace, start: options.Start, engines: map[string]Engine{}, runs: map[string]Run{},
-		byEngine: map[string]map[string]Run{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, foreign: map[string]foreignUse{}, coverage: 1,
+		options: options, pace: options.Pace, start: options.Start, runs: map[string]Run{},
+		byEngine: map[string]map[string]Run{}, byHolder: map[string]map[string]bool{}, refusedUntil: map[string]time.Duration{}, heard: map[string]time.Duration{}, foreign: map[string]foreignUse{}, coverage: 1,
 	}
 }
 
 // SetEngines states which engines take runs. Runs at other engines are kept: an
-// engine may come back.
-func (l *Ledger) SetEngines(engines []Engine) {
-	l.engines = make(map[string]Engine, len(engines))
-	for _, engine := range engines {
-		l.engines[engine.ID] = engine
-	}
-}
+// engine may come back. The ledger only reads the list.
+func (l *Ledger) SetEngines(engines []Engine) { l.engines = engines }
 
 // Sync takes over all runs of a holder, whichever ledger gave them. Runs of the
 // holder that it does not name have ended.
@@ -142,16 +140,12 @@
 			l.add(run)
 		}
 	}
-	for id, run := range l.runs {
-		if run.Holder == holder && !named[id] && now-run.Started > syncSlack {
+	for id := range l.byHolder[holder] {
+		if !named[id] && now-l.runs[id].Started > syncSlack {
 			l.remove(id)
 		}
 	}
-	for holder, at := range l.heard {
-		if now-at > silenceLimit {
-			delete(l.heard, holder)
-		}
-	}
+	l.forget(now)
 }
 
 // End forgets a run and returns it.
@@ -190,17 +184,17 @@
 	l.heard[run.Holder] = now
 	l.forget(now)
 	var best, near choice
-	for id, engine := range l.engines {
-		if avoid[id] || now < l.refusedUntil[id] {
+	for _, engine := range l.engines {
+		if avoid[engine.ID] || now < l.refusedUntil[engine.ID] {
 			continue
 		}
 		peak, fits := l.peakWith(now, engine, run)
 		if !fits {
 			continue
 		}
-		best.offer(id, peak)
-		if isNear(id) {
-			near.offer(id, peak)
+		best.offer(engine.ID, peak)
+		if isNear(engine.ID) {
+			near.offer(engine.ID, peak)
 		}
 	}
 	if best.engine == "" {
@@ -235,6 +229,10 @@
 		l.byEngine[run.Engine] = map[string]Run{}
 	}
 	l.byEngine[run.Engine][run.ID] = run
+	if l.byHolder[run.Holder] == nil {
+		l.byHolder[run.Holder] = map[string]bool{}
+	}
+	l.byHolder[run.Holder][run.ID] = true
 }
 
 func (l *Ledger) remove(id string) {
@@ -247,14 +245,18 @@
 	if len(l.byEngine[run.Engine]) == 0 {
 		delete(l.byEngine, run.Engine)
 	}
+	delete(l.byHolder[run.Holder], id)
+	if len(l.byHolder[run.Holder]) == 0 {
+		delete(l.byHolder, run.Holder)
+	}
 }
 
 // CapacityAfter returns how long it will take until a run fits somewhere, if every
 // run ends as expected and no other comes.
 func (l *Ledger) CapacityAfter(now time.Duration, run Run) time.Duration {
 	soonest := time.Duration(0)
-	for id, engine := range l.engines {
-		after, found := l.roomAt(now, engine, run, l.byEngine[id])
+	for _, engine := range l.engines {
+		after, found := l.roomAt(now, engine, run, l.byEngine[engine.ID])
 		if found && (soonest == 0 || after < soonest) {
 			soonest = after
 		}
--- a/ledger/pace.go
+++ b/ledger/pace.go
@@ -61,9 +61,9 @@
 // MemoryShare returns the share of the memory of all engines that runs use now.
 func (l *Ledger) MemoryShare(now time.Duration) float64 {
 	used, memory := 0.0, 0.0
-	for id, engine := range l.engines {
+	for _, engine := range l.engines {
 		memory += float64(engine.Memory)
-		for _, run := range l.byEngine[id] {
+		for _, run := range l.byEngine[engine.ID] {
 			used += l.project(now, run).size
 		}
 	}
--- a/ledger/projection.go
+++ b/ledger/projection.go
@@ -16,7 +16,7 @@
 // peakWith returns the greatest memory that an engine will need with one more
 // run, as a share of what may be given, and whether that is enough.
 func (l *Ledger) peakWith(now time.Duration, engine Engine, run Run) (float64, bool) {
-	active := make([]Run, 0, len(l.byEngine[engine.ID]))
+	var active []Run
 	for _, current := range l.byEngine[engine.ID] {
 		active = append(active, current)
 	}
@@ -26,11 +26,11 @@
 // peakOf is peakWith for given runs of the engine.
 func (l *Ledger) peakOf(now time.Duration, engine Engine, run Run, active []Run) (float64, bool) {
 	run.Started = now
-	runs := make([]projected, 0, len(active)+1)
-	runs = append(runs, l.project(now, run))
+	runs := append(l.projected[:0], l.project(now, run))
 	for _, current := range active {
 		runs = append(runs, l.project(now, current))
 	}
+	l.projected = runs
 	if len(runs) > engine.Slots && engine.Slots > 0 {
 		return 1, false
 	}
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -63,30 +64,66 @@
 // Silent implements coordinator.Fleet.
 func (r *Router) Silent(address string, err error) { r.syncer.Silent(address, err) }
 
+// shortlistSize is how many engines of each role are drawn for a request before all are looked at: so many
+// of the whole service, and so many in the zone of the request's node.
+const shortlistSize = 48
+
 // engines returns the engines of a service that take new work.
 func (r *Router) engines(service string) coordinator.Engines {
-	var engines coordinator.Engines
+	return r.describeEngines(service, func(role backend.Role) ([]*backend.Entry, bool) {
+		return r.backends.Ready(service, role), true
+	})
+}
+
+// shortlist returns some of them for a node in a zone.
+func (r *Router) shortlist(service, zone string) coordinator.Engines {
+	return r.describeEngines(service, func(role backend.Role) ([]*backend.Entry, bool) {
+		wanted := backend.Wanted{Service: service, Role: role, Count: shortlistSize}
+		drawn, isAll := r.backends.Sample(wanted, rand.IntN)
+		if isAll || zone == "" {
+			return drawn, isAll
+		}
+		wanted.Zone = zone
+		near, _ := r.backends.Sample(wanted, rand.IntN)
+		return backend.Union(drawn, near), false
+	})
+}
+
+// describeEngines describes engines of a service, given back ends of each role and whether these are all.
+func (r *Router) describeEngines(service string, readyIn func(role backend.Role) ([]*backend.Entry, bool)) coordinator.Engines {
+	engines := coordinator.Engines{ZoneOf: r.zoneOfBackend}
 	configuration := r.gateway.Configuration()
 	if configuration == nil || configuration.Services[service] == nil || configuration.Services[service].Engine == nil {
 		return engines
 	}
 	profile := configuration.Services[service].Engine
-	engines.Zones = map[string]string{}
-	for _, entry := range r.backends.Ready(service, backend.RoleDecode) {
+	decode, allDecode := readyIn(backend.RoleDecode)
+	engines.Decode = make([]ledger.Engine, 0, len(decode))
+	for _, entry := range decode {
 		if r.assignable(entry) {
-			engines.Decode = append(engines.Decode, ledger.Engine{ID: entry.Backend().ID, Memory: profile.MemoryTokens, Slots: profile.Slots})
-			engines.Zones[entry.Backend().ID] = entry.Backend().Zone
+			engines.Decode = append(engines.Decode, ledger.Engine{ID: entry.ID(), Memory: profile.MemoryTokens, Slots: profile.Slots})
 		}
 	}
-	for _, entry := range r.backends.Ready(service, backend.RolePrefill) {
+	prefill, allPrefill := readyIn(backend.RolePrefill)
+	engines.Prefill = make([]string, 0, len(prefill))
+	for _, entry := range prefill {
 		if r.assignable(entry) {
-			engines.Prefill = append(engines.Prefill, entry.Backend().ID)
-			engines.Zones[entry.Backend().ID] = entry.Backend().Zone
+			engines.Prefill = append(engines.Prefill, entry.ID())
 		}
 	}
+	engines.AreAll = allDecode && allPrefill
 	return engines
 }
 
+// zoneOfBackend returns the zone of a back end by its identifier, empty where that is not known.
+func (r *Router) zoneOfBackend(id string) string {
+	entry := r.backends.Lookup(id)
+	if entry == nil {
+		return ""
+	}
+	return entry.Backend().Zone
+}
+
 // assignable reports whether an engine is given new work. Which engines fail, the
 // coordinator knows from all nodes.
 func (r *Router) assignable(entry *backend.Entry) bool {
--- a/router/router.go
+++ b/router/router.go
@@ -189,7 +189,7 @@
 		Whole: r.backends.Synced, BecameWhole: r.backends.SetSynced,
 		Address: options.Settings.PeerAddress, LinkBytes: options.Settings.LinkBytes, Refetch: r.refetch,
 	})
-	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, ZoneOf: r.zoneOf, Nodes: r.responsiveCount, Now: r.now})
+	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Shortlist: r.shortlist, ZoneOf: r.zoneOf, Nodes: r.responsiveCount, Now: r.now})
 	r.assigner = coordinator.NewClient(r, r.client, r.coordinator, r.now)
 	r.admission = admission.NewNode(r.Own(), r.now)
 	r.controller = admission.NewController(admission.Options{Slots: r.plainSlots, Nodes: r.responsiveCount})
