--- a/router/fleet.go
+++ b/router/fleet.go
@@ -85,11 +85,7 @@
 
 // awaitNodes waits for the first list of nodes, for a bounded time.
 func (r *Router) awaitNodes(ctx context.Context) {
-	patience := listPatience
-	if r.options.Settings.FirstStart {
-		patience += registrationTime
-	}
-	timer := time.NewTimer(time.Until(r.started.Add(patience)))
+	timer := time.NewTimer(time.Until(r.started.Add(r.joinTime() + listPatience)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -98,6 +94,13 @@
 	}
 }
 
+// runSyncer compares copies with other nodes, once the list of nodes is known. Nodes that start together
+// would tell each other of one new node after the other otherwise.
+func (r *Router) runSyncer(ctx context.Context) {
+	r.awaitNodes(ctx)
+	r.syncer.Run(ctx)
+}
+
 // ownObjectRemoved notes that the node's object is gone.
 func (r *Router) ownObjectRemoved() {
 	if r.withdrawn.Load() {
--- a/router/follow.go
+++ b/router/follow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/periodic"
@@ -66,8 +67,8 @@
 // Contact implements objectapi.Follower.
 func (f *follower) Contact(err error) { f.contact.observe(f.kind, err) }
 
-// firstWatchDelay is how long after its start a node first watches the store. By then it knows
-// the others, and most nodes leave the watches to a few: where all lose power at once, each that
+// firstWatchDelay is how long after it has listed the others a node first watches the store. By then it knows
+// them, and most nodes leave the watches to a few: where all lose power at once, each that
 // watches at once costs three calls for nothing. What changes meanwhile comes with the watch or
 // from other nodes, well within the time that a configuration has.
 const firstWatchDelay = 1200 * time.Millisecond
@@ -120,7 +121,7 @@
 }
 
 func (r *Router) followKind(ctx context.Context, kind objectapi.Kind) {
-	fed := &follower{kind: kind, copy: r.copy, contact: r.contact, watchFrom: r.started.Add(firstWatchDelay)}
+	fed := &follower{kind: kind, copy: r.copy, contact: r.contact, watchFrom: r.started.Add(r.joinTime() + firstWatchDelay)}
 	switch kind {
 	case r.options.Backplane.BackendKind:
 		// A list of thousands of back ends takes dozens of calls. Most nodes have it from neighbours.
@@ -128,11 +129,9 @@
 		if ctx.Err() != nil || !r.followsStore() {
 			return
 		}
-		fed.listed = r.backends.SetSynced
+		fed.listed = r.backendsWhole
 	case kindNode:
-		if r.options.Settings.FirstStart {
-			_ = periodic.Pause(ctx, time.Until(r.started.Add(registrationTime))) // Follow looks at the context.
-		}
+		_ = periodic.Pause(ctx, time.Until(r.started.Add(r.joinTime()))) // Follow looks at the context.
 		fed.listed = r.closeNodesListed
 	}
 	objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
@@ -142,6 +141,27 @@
 // within less than that, so that the list is about whole, and each node knows whether it follows the store.
 const registrationTime = time.Second
 
+// joinTime is how long after its start this node lists the others.
+func (r *Router) joinTime() time.Duration {
+	if r.options.Settings.FirstStart {
+		return registrationTime
+	}
+	return 0
+}
+
+// backendsWhole notes that this node knows all back ends.
+func (r *Router) backendsWhole() {
+	if r.backends.Synced() {
+		return
+	}
+	r.backends.SetSynced()
+	counts := []any{"after_ms", time.Since(r.started).Milliseconds()}
+	for _, role := range []backend.Role{backend.RoleNone, backend.RolePrefill, backend.RoleDecode} {
+		counts = append(counts, roleName(role), r.backends.CountReady(role))
+	}
+	r.options.Logger.Info("back ends known", counts...)
+}
+
 // refetch reads one object from the store, for a node that gets it from no other node.
 func (r *Router) refetch(ctx context.Context, key replica.Key) {
 	object, err := r.options.Backplane.Store.Get(ctx, key.Kind, key.Name)
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -24,12 +24,16 @@
 	r.metrics.Gauge("retry_share", func() float64 { return float64(r.retryShares.holder.Usable()) })
 	r.metrics.Gauge("services_coordinated", func() float64 { return float64(len(r.coordinatedServices())) })
 	for _, role := range []backend.Role{backend.RoleNone, backend.RolePrefill, backend.RoleDecode} {
-		name := "backends_ready_" + string(role)
-		if role == backend.RoleNone {
-			name = "backends_ready_plain"
-		}
-		r.metrics.Gauge(name, func() float64 { return float64(r.backends.CountReady(role)) })
+		r.metrics.Gauge("backends_ready_"+roleName(role), func() float64 { return float64(r.backends.CountReady(role)) })
+	}
+}
+
+// roleName names a role in metrics and log lines.
+func roleName(role backend.Role) string {
+	if role == backend.RoleNone {
+		return "plain"
 	}
+	return string(role)
 }
 
 // metricsHandler serves all metrics as JSON.
--- a/router/router.go
+++ b/router/router.go
@@ -186,7 +186,7 @@
 	r.client.Observe(r.countCall)
 	r.syncer = antientropy.New(antientropy.Options{
 		Replica: r.copy, Peers: r.peers, Sources: r.sources, Near: r.isNear, Relays: r.relays, Bridges: r.isBridge, Client: r.client, Logger: options.Logger,
-		Whole: r.backends.Synced, BecameWhole: r.backends.SetSynced,
+		Whole: r.backends.Synced, BecameWhole: r.backendsWhole,
 		Address: options.Settings.PeerAddress, LinkBytes: options.Settings.LinkBytes, Refetch: r.refetch,
 	})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Shortlist: r.shortlist, ZoneOf: r.zoneOf, Nodes: r.responsiveCount, Now: r.now})
@@ -304,7 +304,7 @@
 	backplane := r.options.Backplane
 	tasks := []func(){
 		func() { r.follow(untilDrained, backplane.ConfigurationKind, backplane.BackendKind, kindNode) },
-		func() { r.syncer.Run(untilDrained) },
+		func() { r.runSyncer(untilDrained) },
 		func() { r.assigner.Run(untilDrained) },
 		func() { r.admissions.Run(untilDrained) },
 		func() { r.quotas.Run(untilDrained) },
--- a/router/view.go
+++ b/router/view.go
@@ -72,7 +72,8 @@
 		return
 	}
 	r.refused.accepted(object.Name)
-	if r.backends.Update(decoded) {
+	if r.backends.Update(decoded) && r.backends.Synced() {
+		// A node that starts takes over thousands, and writes how many once it has all.
 		r.options.Logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
 			"role", string(decoded.Role), "revision", object.Version, "source", string(change.Source))
 	}
