--- a/objectapi/follow.go
+++ b/objectapi/follow.go
@@ -16,6 +16,9 @@
 	Apply(event Event)
 	// Contact is told of each answer of the store, with its error if it failed.
 	Contact(err error)
+	// MorePages is called after each page of a list but the last. It may block until the context ends: what
+	// the rest holds may become known otherwise.
+	MorePages(ctx context.Context, page []Object)
 	// BeforeWatch is called once a list has been taken over, before the first watch since. It may
 	// block until the context ends: the list is enough for the time being.
 	BeforeWatch(ctx context.Context)
@@ -65,7 +68,7 @@
 // advance lists, if it must, and watches until the store fails.
 func (p *position) advance(ctx context.Context, store Store, kind Kind, follower Follower, succeeded func()) error {
 	if !p.listed {
-		objects, revision, err := store.List(ctx, kind)
+		objects, revision, err := list(ctx, store, kind, follower)
 		if err != nil {
 			return err
 		}
@@ -85,3 +88,31 @@
 		succeeded()
 	})
 }
+
+// list lists a kind, page by page where the store has pages. The revision is that of the first page, so that
+// a watch from it misses nothing of the later ones.
+func list(ctx context.Context, store Store, kind Kind, follower Follower) (objects []Object, revision int64, err error) {
+	pager, hasPages := store.(Pager)
+	if !hasPages {
+		return store.List(ctx, kind)
+	}
+	after := ""
+	for {
+		page, err := pager.ListPage(ctx, kind, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		objects = append(objects, page.Objects...)
+		if !page.More || len(page.Objects) == 0 {
+			return objects, revision, nil
+		}
+		after = page.Objects[len(page.Objects)-1].Name
+		follower.MorePages(ctx, page.Objects)
+		if ctx.Err() != nil {
+			return nil, 0, ctx.Err()
+		}
+	}
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -83,15 +83,16 @@
 // link of 20 Mbit/s, with a fifth of a core, a list of 350 nodes takes two nodes in three over 100 ms.
 const listPatience = time.Second
 
-// awaitNodes waits for the first list of nodes, for a bounded time.
+// awaitNodes waits until this node knows some others, for a bounded time.
 func (r *Router) awaitNodes(ctx context.Context) {
-	timer := time.NewTimer(time.Until(r.started.Add(r.joinTime() + listPatience)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-r.nodesListed:
-	case <-timer.C:
-	}
+	r.nodesMet.await(ctx, r.started.Add(r.joinTime()+listPatience))
+}
+
+// onceNodesKnown does what one node does for all, once this one has had the time to know them. Each node of a
+// fleet that starts would take itself for that one otherwise, and call the store for it.
+func (r *Router) onceNodesKnown(ctx context.Context, run func(ctx context.Context)) {
+	r.nodesKnown.await(ctx, r.started.Add(r.joinTime()+listPatience+meetingTime))
+	run(ctx)
 }
 
 // runSyncer compares copies with other nodes, once the list of nodes is known. Nodes that start together
--- a/router/follow.go
+++ b/router/follow.go
@@ -20,6 +20,8 @@
 	contact *contact
 	// listed is called after a whole list; it may be nil.
 	listed func()
+	// morePages is called after each page of a list but the last; it may be nil.
+	morePages func(ctx context.Context)
 	// watchFrom is when the first watch may begin.
 	watchFrom time.Time
 }
@@ -64,6 +66,16 @@
 	takeOver()
 }
 
+// MorePages implements objectapi.Follower. What a page holds is used before the whole list is in.
+func (f *follower) MorePages(ctx context.Context, page []objectapi.Object) {
+	for _, object := range page {
+		f.copy.Apply(replica.SourceStore, replica.Record{Object: object})
+	}
+	if f.morePages != nil {
+		f.morePages(ctx)
+	}
+}
+
 // Contact implements objectapi.Follower.
 func (f *follower) Contact(err error) { f.contact.observe(f.kind, err) }
 
@@ -82,13 +94,14 @@
 const watcherInterval = 500 * time.Millisecond
 
 // copyPatience is how long a node that does not follow the store waits until other nodes have brought it
-// all back ends, before it lists them itself. A neighbour has them within a second or two.
-const copyPatience = 4 * time.Second
+// all back ends, before it lists them itself. A neighbour has them within a second or two, or within some
+// more where all nodes have lost power.
+const copyPatience = 6 * time.Second
 
 // followsStore reports whether this node is to follow the store: it is a watcher, or no other node has
 // brought it a whole copy in time.
 func (r *Router) followsStore() bool {
-	return r.isWatcher() || !r.backends.Synced() && time.Since(r.started) > copyPatience
+	return r.isWatcher() || !r.backends.Synced() && time.Since(r.started) > r.joinTime()+copyPatience
 }
 
 // follow keeps the copies of the given kinds up to date until the context ends,
@@ -125,18 +138,53 @@
 	switch kind {
 	case r.options.Backplane.BackendKind:
 		// A list of thousands of back ends takes dozens of calls. Most nodes have it from neighbours.
-		r.awaitNodes(ctx)
+		r.nodesKnown.await(ctx, r.started.Add(r.joinTime()+listPatience+meetingTime))
 		if ctx.Err() != nil || !r.followsStore() {
 			return
 		}
 		fed.listed = r.backendsWhole
 	case kindNode:
 		_ = periodic.Pause(ctx, time.Until(r.started.Add(r.joinTime()))) // Follow looks at the context.
-		fed.listed = r.closeNodesListed
+		fed.morePages = r.meetNeighbours
+		fed.listed = func() {
+			r.nodesMet.set()
+			r.nodesKnown.set()
+		}
 	}
 	objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
 }
 
+// meetingTime is how long a node that has listed a part of a large fleet waits until it knows the others from
+// these: some comparisons.
+const meetingTime = 1500 * time.Millisecond
+
+// meetNeighbours reads on in a list of nodes with those whose names come next after the own one, and leaves the
+// rest to these: where a thousand nodes start together and each lists all, the answers are a quarter of a
+// gigabyte. It returns where this node follows the store by what it then knows, or the context ends.
+func (r *Router) meetNeighbours(ctx context.Context) {
+	if r.nodesMet.isSet() {
+		return
+	}
+	name := r.options.Settings.Name
+	if pager, hasPages := r.options.Backplane.Store.(objectapi.Pager); hasPages {
+		page, err := pager.ListPage(ctx, kindNode, name[:len(name)-1])
+		if err != nil {
+			r.options.Logger.Warn("neighbours not listed", "error", err.Error())
+		}
+		for _, object := range page.Objects {
+			r.copy.Apply(replica.SourceStore, replica.Record{Object: object})
+		}
+	}
+	r.nodesMet.set()
+	if periodic.Pause(ctx, meetingTime) != nil {
+		return
+	}
+	r.nodesKnown.set()
+	for ctx.Err() == nil && !r.followsStore() {
+		_ = periodic.Pause(ctx, watcherInterval)
+	}
+}
+
 // registrationTime is how long after the first start of all machines a node lists the others. They start
 // within less than that, so that the list is about whole, and each node knows whether it follows the store.
 const registrationTime = time.Second
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -134,9 +133,9 @@
 	withdrawn atomic.Bool
 	// removed tells that another one has.
 	removed chan struct{}
-	// nodesListed is closed by closeNodesListed once the store's list of nodes is in the copy.
-	nodesListed      chan struct{}
-	closeNodesListed func()
+	// nodesMet is set once this node knows some others: all of a small fleet, or its neighbours by name in a
+	// large one. nodesKnown is set once it has had the time to know all.
+	nodesMet, nodesKnown *milestone
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
 	settings atomic.Pointer[settings.Router]
@@ -176,8 +175,7 @@
 		options: options, metrics: metrics.NewSet(), started: time.Now(), origin: options.Clock.Now(), removed: make(chan struct{}, 1),
 		backends: backend.NewRegistry(options.Clock.Now), contact: newContact(options.Logger, options.Clock),
 	}
-	r.nodesListed = make(chan struct{})
-	r.closeNodesListed = sync.OnceFunc(func() { close(r.nodesListed) })
+	r.nodesMet, r.nodesKnown = newMilestone(), newMilestone()
 	r.settings.Store(options.Settings)
 	options.Backplane.Dialect.Observe(r.heardBackend)
 	r.copy = replica.New(options.Backplane.ConfigurationKind, r.changed)
@@ -309,8 +307,8 @@
 		func() { r.admissions.Run(untilDrained) },
 		func() { r.quotas.Run(untilDrained) },
 		func() { r.quarantines.Run(untilDrained) },
-		func() { r.keepArchive(untilStop) },
-		func() { r.keepRetryShares(untilStop) },
+		func() { r.onceNodesKnown(untilStop, r.keepArchive) },
+		func() { r.onceNodesKnown(untilStop, r.keepRetryShares) },
 		func() { r.followReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
