--- a/router/fleet.go
+++ b/router/fleet.go
@@ -91,7 +91,7 @@
 // onceNodesKnown does what one node does for all, once this one has had the time to know them. Each node of a
 // fleet that starts would take itself for that one otherwise, and call the store for it.
 func (r *Router) onceNodesKnown(ctx context.Context, run func(ctx context.Context)) {
-	r.nodesKnown.await(ctx, r.started.Add(r.joinTime()+listPatience+meetingTime))
+	r.nodesKnown.await(ctx, r.nodesKnownBy())
 	run(ctx)
 }
 
--- a/router/follow.go
+++ b/router/follow.go
@@ -98,10 +98,11 @@
 // more where all nodes have lost power.
 const copyPatience = 6 * time.Second
 
-// followsStore reports whether this node is to follow the store: it is a watcher, or no other node has
-// brought it a whole copy in time.
+// followsStore reports whether this node is to follow the store: it does not know the others yet, it is a
+// watcher, or no other node has brought it a whole copy in time.
 func (r *Router) followsStore() bool {
-	return r.isWatcher() || !r.backends.Synced() && time.Since(r.started) > r.joinTime()+copyPatience
+	knowsNodes := r.nodesKnown.isSet() || !time.Now().Before(r.nodesKnownBy())
+	return !knowsNodes || r.isWatcher() || !r.backends.Synced() && time.Since(r.started) > r.joinTime()+copyPatience
 }
 
 // follow keeps the copies of the given kinds up to date until the context ends,
@@ -138,7 +139,7 @@
 	switch kind {
 	case r.options.Backplane.BackendKind:
 		// A list of thousands of back ends takes dozens of calls. Most nodes have it from neighbours.
-		r.nodesKnown.await(ctx, r.started.Add(r.joinTime()+listPatience+meetingTime))
+		r.nodesKnown.await(ctx, r.nodesKnownBy())
 		if ctx.Err() != nil || !r.followsStore() {
 			return
 		}
@@ -158,6 +159,11 @@
 // these: some comparisons.
 const meetingTime = 1500 * time.Millisecond
 
+// nodesKnownBy is when this node acts by the nodes that it knows, whatever these are.
+func (r *Router) nodesKnownBy() time.Time {
+	return r.started.Add(r.joinTime() + listPatience + meetingTime)
+}
+
 // meetNeighbours reads on in a list of nodes with those whose names come next after the own one, and leaves the
 // rest to these: where a thousand nodes start together and each lists all, the answers are a quarter of a
 // gigabyte. It returns where this node follows the store by what it then knows, or the context ends.
