--- a/retrybudget/account.go
+++ b/retrybudget/account.go
@@ -44,22 +44,26 @@
 // of the first count whole, and the requests of the second not at all.
 func (a *account) left(burst, ratio float64) float64 {
 	left := math.Inf(1)
-	repeats := a.held
+	repeats, requests := a.held, a.requestsFrom(a.newest-bucketsPerWindow+1)
 	for begins := a.newest; begins >= a.newest-bucketsPerWindow; begins-- {
 		repeats += a.repeats[position(begins)]
-		left = min(left, burst+ratio*a.meanRequests(begins)-float64(repeats))
+		// The window is not over: all requests since it began are its own.
+		meanRequests := float64(requests) / 2 //nolint:mnd // a window and the one before it
+		left = min(left, burst+ratio*meanRequests-float64(repeats))
+		if earlier := begins - bucketsPerWindow; earlier > a.newest-bucketsKept {
+			requests += a.requests[position(earlier)]
+		}
 	}
 	return left
 }
 
-// meanRequests returns the mean of the requests of a window that begins in a bucket, and of the one before it,
-// as far as they are known. The window is not over: all requests since it began are its own.
-func (a *account) meanRequests(begins int64) float64 {
-	requests := 0
-	for bucket := max(begins-bucketsPerWindow+1, a.newest-bucketsKept+1); bucket <= a.newest; bucket++ {
-		requests += a.requests[position(bucket)]
+// requestsFrom adds up the requests since a bucket.
+func (a *account) requestsFrom(first int64) int {
+	total := 0
+	for bucket := first; bucket <= a.newest; bucket++ {
+		total += a.requests[position(bucket)]
 	}
-	return float64(requests) / 2 //nolint:mnd // two windows
+	return total
 }
 
 // sumOfWindow adds up the buckets of the last window.
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -124,9 +124,7 @@
 // ends. One watcher does it; a node that lives after all registers again.
 func (r *Router) removeLost(ctx context.Context) {
 	periodic.Run(ctx, removeInterval, func(ctx context.Context) {
-		responsive, position := r.place()
-		if position > 0 || 2*responsive <= r.nodeCount() {
-			// Another node does it, or this one is itself cut off.
+		if !r.isFirst() {
 			return
 		}
 		for _, object := range r.copy.Live(kindNode) {
--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"strconv"
 	"time"
 
@@ -130,9 +129,8 @@
 // divideRetryBudget writes the shares of all nodes where they have changed. The first of the nodes that answer
 // does it; the store refuses the write of one that does not know the newest shares.
 func (r *Router) divideRetryBudget(ctx context.Context) {
-	_, position := r.place()
 	now := r.options.Clock.Now()
-	if position > 0 || !r.hasMajority() || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
+	if !r.isFirst() || now.Sub(r.retryShares.writtenAt) < shareWriteInterval {
 		return
 	}
 	members := r.retryMembers()
@@ -189,10 +187,14 @@
 // to wait for them and for a window.
 func (r *Router) awaited(present []retrybudget.Member) []retrybudget.Member {
 	now := r.options.Clock.Now()
+	isPresent := make(map[string]bool, len(present))
+	for _, member := range present {
+		isPresent[member.Name] = true
+	}
 	missing := map[string]time.Time{}
 	var awaited []retrybudget.Member
 	for name, share := range r.retryShares.known.Shares {
-		if slices.ContainsFunc(present, func(m retrybudget.Member) bool { return m.Name == name }) {
+		if isPresent[name] {
 			continue
 		}
 		since, known := r.retryShares.missing[name]
--- a/router/watchers.go
+++ b/router/watchers.go
@@ -119,6 +119,10 @@
 // those that answer.
 func (r *Router) isWatcher() bool { return r.fleet().position < maxWatchers }
 
+// isFirst reports whether this node does what one does for all: it is the first of those that answer, and not
+// itself cut off from most.
+func (r *Router) isFirst() bool { return r.fleet().position == 0 && r.hasMajority() }
+
 // isBridge reports whether this node exchanges objects with nodes of other zones.
 func (r *Router) isBridge() bool {
 	return r.isWatcher() || r.fleet().isBridge(r.options.Settings.Zone, r.Own())
