--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -67,7 +67,7 @@
 // message where the other copy is whole.
 func (s *Syncer) exchangeBuckets(ctx context.Context, address string, compared comparison, buckets []int) error {
 	sections := replica.WholeBuckets(buckets)
-	if compared.byPart {
+	if compared.byPart && len(s.options.Replica.Versions(sections)) >= len(buckets)*worthParts {
 		differing, err := s.compareParts(ctx, address, buckets)
 		if err != nil {
 			return errors.Wrap(err, "compare parts")
@@ -113,6 +113,9 @@
 }
 
 const (
+	// worthParts is from how many objects a bucket on the digests of its parts are shorter than the versions
+	// of all.
+	worthParts = 6
 	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
 	// slow link too.
 	bucketsPerExchange = 4
@@ -194,10 +197,12 @@
 	return taken, len(longObjects)
 }
 
-// apply applies records of other nodes and passes news on. It returns how many were newer.
+// apply applies records of other nodes and passes news on. It returns how many were newer. What a node
+// without a whole copy takes over is hardly news to others: where all nodes start together, each of them
+// would bring each object to others that get it at the same time. The urgent ones are passed on all the same.
 func (s *Syncer) apply(records ...replica.Record) int {
 	taken := s.options.Replica.Apply(replica.SourcePeer, records...)
-	if taken > 0 {
+	if taken > 0 && (s.options.Whole() || slices.ContainsFunc(records, s.options.Replica.IsUrgent)) {
 		s.News()
 	}
 	return taken
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -27,6 +27,9 @@
 	defaultExchangeTimeout = 2 * time.Second
 	defaultFanout          = 2
 	defaultAvoidance       = 2 * time.Second
+	// newsInterval is the least time between two rounds with news. Objects that change one after the other,
+	// as in a release, go together.
+	newsInterval = 50 * time.Millisecond
 	// maxExchanges is how many exchanges of objects run at once. Each has up to 128 KiB, 105 ms of
 	// a link of 10 Mbit/s.
 	maxExchanges = 4
@@ -208,15 +211,25 @@
 	defer s.Close()
 	ticker := time.NewTicker(s.options.Interval)
 	defer ticker.Stop()
+	// resting is set after a round with news: those that come meanwhile go with the next one.
+	var resting <-chan time.Time
 	for {
+		news := s.news
+		if resting != nil {
+			news = nil
+		}
 		var drawn []string
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			drawn = s.draw()
-		case <-s.news:
+		case <-resting:
+			resting = nil
+			continue
+		case <-news:
 			drawn = s.drawForNews(s.options.Fanout)
+			resting = time.After(newsInterval)
 		}
 		var round sync.WaitGroup
 		for _, address := range drawn {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -142,6 +142,9 @@
 	}
 }
 
+// IsUrgent reports whether a record is of the urgent kind.
+func (r *Replica) IsUrgent(record Record) bool { return record.Object.Kind == r.urgent }
+
 // in returns the bucket of an object.
 func (r *Replica) in(key Key) *bucket {
 	bucket, _ := r.place(key)
