--- a/router/follow.go
+++ b/router/follow.go
@@ -20,14 +20,19 @@
 	contact *contact
 	// listed is called after a whole list; it may be nil.
 	listed func()
-	// morePages is called after each page of a list but the last; it may be nil.
-	morePages func(ctx context.Context)
+	// longList is called after each page but the last, once the pages have brought longFrom objects; it may be
+	// nil.
+	longList func(ctx context.Context)
+	longFrom int
+	// paged is how many objects the pages of the present list have brought.
+	paged int
 	// watchFrom is when the first watch may begin.
 	watchFrom time.Time
 }
 
 // Replace implements objectapi.Follower.
 func (f *follower) Replace(objects []objectapi.Object, revision int64) {
+	f.paged = 0
 	for _, object := range objects {
 		f.copy.Apply(replica.SourceStore, replica.Record{Object: object})
 	}
@@ -71,11 +76,17 @@
 	for _, object := range page {
 		f.copy.Apply(replica.SourceStore, replica.Record{Object: object})
 	}
-	if f.morePages != nil {
-		f.morePages(ctx)
+	f.paged += len(page)
+	if f.paged >= f.longFrom && f.longList != nil {
+		f.longList(ctx)
 	}
 }
 
+// longNodeList is how many nodes a node reads when it starts before it leaves the rest to others: where a
+// thousand nodes start together and each lists all, the answers are a quarter of a gigabyte. Lists of back ends
+// are left to others after their first page.
+const longNodeList = 150
+
 // Contact implements objectapi.Follower.
 func (f *follower) Contact(err error) { f.contact.observe(f.kind, err) }
 
@@ -138,15 +149,11 @@
 	fed := &follower{kind: kind, copy: r.copy, contact: r.contact, watchFrom: r.started.Add(r.joinTime() + firstWatchDelay)}
 	switch kind {
 	case r.options.Backplane.BackendKind:
-		// A list of thousands of back ends takes dozens of calls. Most nodes have it from neighbours.
 		r.nodesKnown.await(ctx, r.nodesKnownBy())
-		if ctx.Err() != nil || !r.followsStore() {
-			return
-		}
-		fed.listed = r.backendsWhole
+		fed.listed, fed.longList = r.backendsWhole, r.awaitFollowing
 	case kindNode:
 		_ = periodic.Pause(ctx, time.Until(r.started.Add(r.joinTime()))) // Follow looks at the context.
-		fed.morePages = r.meetNeighbours
+		fed.longList, fed.longFrom = r.meetNeighbours, longNodeList
 		fed.listed = func() {
 			r.nodesMet.set()
 			r.nodesKnown.set()
@@ -155,8 +162,9 @@
 	objectapi.Follow(ctx, r.options.Backplane.Store, kind, fed)
 }
 
-// meetingTime is how long a node that has listed a part of a large fleet waits until it knows the others from
-// these: some comparisons.
+// meetingTime is how long, at the first start of a large fleet, a node waits until it knows the others from the
+// part of them that it has listed: some comparisons. Later starts do not wait, since the store has the objects
+// of the starts before, and those with the widest links are among the parts that nodes list.
 const meetingTime = 1500 * time.Millisecond
 
 // nodesKnownBy is when this node acts by the nodes that it knows, whatever these are.
@@ -164,9 +172,8 @@
 	return r.started.Add(r.joinTime() + listPatience + meetingTime)
 }
 
-// meetNeighbours reads on in a list of nodes with those whose names come next after the own one, and leaves the
-// rest to these: where a thousand nodes start together and each lists all, the answers are a quarter of a
-// gigabyte. It returns where this node follows the store by what it then knows, or the context ends.
+// meetNeighbours reads on in a long list of nodes with those whose names come next after the own one, and leaves
+// the rest to these.
 func (r *Router) meetNeighbours(ctx context.Context) {
 	if r.nodesMet.isSet() {
 		return
@@ -182,12 +189,18 @@
 		}
 	}
 	r.nodesMet.set()
-	if periodic.Pause(ctx, meetingTime) != nil {
+	if r.options.Settings.FirstStart && periodic.Pause(ctx, meetingTime) != nil {
 		return
 	}
 	r.nodesKnown.set()
+	r.awaitFollowing(ctx)
+}
+
+// awaitFollowing returns where this node follows the store, or the context ends: what the rest of a long list
+// holds comes from other nodes.
+func (r *Router) awaitFollowing(ctx context.Context) {
 	for ctx.Err() == nil && !r.followsStore() {
-		_ = periodic.Pause(ctx, watcherInterval)
+		_ = periodic.Pause(ctx, watcherInterval) // The context is looked at above.
 	}
 }
 
