--- a/heaplimit/heaplimit.go
+++ b/heaplimit/heaplimit.go
@@ -29,6 +29,13 @@
 	adjustInterval = 2 * time.Second
 	// leastChange is the change of the pace, in percent of the heap, that is worth an adjustment.
 	leastChange = 5
+	// releaseFrom is how much free memory, in bytes, is given back to the machine at once. The runtime gives it
+	// back over minutes, and what a node needs when it starts would stay with it as long.
+	releaseFrom = 4 << 20
+	// releaseInterval is the least time between two such releases, each of which is a collection.
+	releaseInterval = 10 * time.Second
+	// freeMetric is the memory that the heap holds without use, in bytes.
+	freeMetric = "/memory/classes/heap/free:bytes"
 	// liveMetric is the heap that was in use at the last collection, in bytes.
 	liveMetric = "/gc/heap/live:bytes"
 )
@@ -55,22 +62,32 @@
 		return
 	}
 	debug.SetMemoryLimit(SoftLimit(machine))
-	current := mostPercent
+	current, released := mostPercent, time.Now()
 	periodic.Run(ctx, adjustInterval, func(context.Context) {
-		wanted := Percent(liveHeap(), machine)
+		live, free := readHeap()
+		wanted := Percent(live, machine)
 		if max(wanted-current, current-wanted) >= leastChange {
 			debug.SetGCPercent(wanted)
 			current = wanted
 		}
+		if free >= releaseFrom && time.Since(released) >= releaseInterval {
+			debug.FreeOSMemory()
+			released = time.Now()
+		}
 	})
 }
 
-// liveHeap returns the heap that was in use at the last collection, in bytes.
-func liveHeap() int64 {
-	samples := []metrics.Sample{{Name: liveMetric}}
+// readHeap returns the heap that was in use at the last collection, and what the heap holds without use, in
+// bytes. A runtime that does not know them tells of nothing.
+func readHeap() (live, free int64) {
+	samples := []metrics.Sample{{Name: liveMetric}, {Name: freeMetric}}
 	metrics.Read(samples)
-	if samples[0].Value.Kind() != metrics.KindUint64 {
+	return bytesOf(samples[0]), bytesOf(samples[1])
+}
+
+func bytesOf(sample metrics.Sample) int64 {
+	if sample.Value.Kind() != metrics.KindUint64 {
 		return 0
 	}
-	return int64(samples[0].Value.Uint64())
+	return int64(sample.Value.Uint64())
 }
