--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -202,7 +202,11 @@
 // would bring each object to others that get it at the same time. The urgent ones are passed on all the same.
 func (s *Syncer) apply(records ...replica.Record) int {
 	taken := s.options.Replica.Apply(replica.SourcePeer, records...)
-	if taken > 0 && (s.options.Whole() || slices.ContainsFunc(records, s.options.Replica.IsUrgent)) {
+	switch {
+	case taken == 0:
+	case slices.ContainsFunc(records, s.options.Replica.IsUrgent):
+		s.UrgentNews()
+	case s.options.Whole():
 		s.News()
 	}
 	return taken
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -27,9 +27,6 @@
 	defaultExchangeTimeout = 2 * time.Second
 	defaultFanout          = 2
 	defaultAvoidance       = 2 * time.Second
-	// newsInterval is the least time between two rounds with news. Objects that change one after the other,
-	// as in a release, go together.
-	newsInterval = 50 * time.Millisecond
 	// maxExchanges is how many exchanges of objects run at once. Each has up to 128 KiB, 105 ms of
 	// a link of 10 Mbit/s.
 	maxExchanges = 4
@@ -89,7 +86,9 @@
 // Syncer compares the copy of this node with those of others.
 type Syncer struct {
 	options Options
-	news    chan struct{}
+	// news and urgentNews tell that the copy has changed.
+	news, urgentNews chan struct{}
+
 	started time.Time
 	// salt makes this node's order of the others its own.
 	salt string
@@ -161,7 +160,7 @@
 		options.Refetch = func(context.Context, replica.Key) {}
 	}
 	s := &Syncer{
-		options: options, news: make(chan struct{}, 1), silent: map[string]silence{},
+		options: options, news: make(chan struct{}, 1), urgentNews: make(chan struct{}, 1), silent: map[string]silence{},
 		started: time.Now(), salt: uuid.NewString(), permute: rand.Shuffle,
 		uploads:    newUploadLimiter(options.LinkBytes),
 		exchanging: map[string]bool{},
@@ -198,10 +197,15 @@
 	s.background.Wait()
 }
 
-// News has the copy compared at once. It never blocks.
-func (s *Syncer) News() {
+// News has the copy compared soon. It never blocks.
+func (s *Syncer) News() { notify(s.news) }
+
+// UrgentNews has the copy compared at once. It never blocks.
+func (s *Syncer) UrgentNews() { notify(s.urgentNews) }
+
+func notify(waiting chan struct{}) {
 	select {
-	case s.news <- struct{}{}:
+	case waiting <- struct{}{}:
 	default:
 	}
 }
@@ -211,25 +215,22 @@
 	defer s.Close()
 	ticker := time.NewTicker(s.options.Interval)
 	defer ticker.Stop()
-	// resting is set after a round with news: those that come meanwhile go with the next one.
-	var resting <-chan time.Time
+	var rest newsRest
 	for {
-		news := s.news
-		if resting != nil {
-			news = nil
-		}
 		var drawn []string
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			drawn = s.draw()
-		case <-resting:
-			resting = nil
+		case <-rest.over:
+			rest.end()
 			continue
-		case <-news:
+		case <-rest.unless(s.news):
+			drawn = s.drawForNews(s.options.Fanout)
+			rest.begin(time.Now())
+		case <-s.urgentNews:
 			drawn = s.drawForNews(s.options.Fanout)
-			resting = time.After(newsInterval)
 		}
 		var round sync.WaitGroup
 		for _, address := range drawn {
--- a/router/view.go
+++ b/router/view.go
@@ -29,7 +29,11 @@
 	case kindRoleChange:
 		r.roleAnnounced(change)
 	}
-	if change.Source == replica.SourceStore && r.syncer != nil {
+	switch {
+	case change.Source != replica.SourceStore || r.syncer == nil:
+	case change.Record.Object.Kind == r.options.Backplane.ConfigurationKind:
+		r.syncer.UrgentNews()
+	default:
 		r.syncer.News()
 	}
 }
