--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return exchangeResult{}, errors.Wrap(err, "receive objects")
 	}
-	objects, err := receivedObjects(received)
+	objects, err := objectsOf(received.GetObjects(), received.GetCompressed())
 	if err != nil {
 		return exchangeResult{}, errors.Wrap(err, "receive objects")
 	}
@@ -184,7 +184,7 @@
 }
 
 // take applies objects of another node, and begins to fetch the long ones. It returns how many were
-// newer, and how many it was offered to fetch. News are passed on.
+// newer, and how many it was offered to fetch.
 func (s *Syncer) take(objects []*peerpb.StoredObject, address string) (taken, offered int) {
 	records, longObjects, err := recordsOfObjects(objects)
 	if err != nil {
@@ -197,17 +197,7 @@
 	return taken, len(longObjects)
 }
 
-// apply applies records of other nodes and passes news on. It returns how many were newer. What a node
-// without a whole copy takes over is hardly news to others: where all nodes start together, each of them
-// would bring each object to others that get it at the same time. The urgent ones are passed on all the same.
+// apply applies records of other nodes. It returns how many were newer.
 func (s *Syncer) apply(records ...replica.Record) int {
-	taken := s.options.Replica.Apply(replica.SourcePeer, records...)
-	switch {
-	case taken == 0:
-	case slices.ContainsFunc(records, s.options.Replica.IsUrgent):
-		s.UrgentNews()
-	case s.options.Whole():
-		s.News()
-	}
-	return taken
+	return s.options.Replica.Apply(replica.SourcePeer, records...)
 }
--- a/antientropy/handler.go
+++ b/antientropy/handler.go
@@ -47,7 +47,11 @@
 }
 
 func (s *Syncer) handleExchange(request *peerpb.ExchangeObjects) *peerpb.Response {
-	s.take(request.GetObjects(), request.GetAddress())
+	brought, err := objectsOf(request.GetObjects(), request.GetCompressed())
+	if err != nil {
+		s.options.Logger.Error("objects of another node refused", "error", err.Error())
+	}
+	s.take(brought, request.GetAddress())
 	newerHere, newerThere := s.options.Replica.Compare(sectionsOf(request), recordsOf(request.GetVersions()))
 	answer := s.encodeNewer(s.options.Replica.Records(newerHere), request.GetReadsCompressed())
 	answer.Wanted = wantedVersions(newerThere)
--- a/antientropy/partners.go
+++ b/antientropy/partners.go
@@ -42,15 +42,15 @@
 	return s.drawFrom(append(s.partners(candidates, now), silent...), 1)
 }
 
-// drawForNews returns the nodes to which news are brought: up to count partners within the zone of
-// this node, and the relays of other zones. News would cross the border of a zone about as often as
-// there are nodes otherwise, and bytes between zones cost.
-func (s *Syncer) drawForNews(count int) []string {
+// newsTargets returns the nodes to which news are brought: up to count partners within the zone of this
+// node, and the relays of other zones. News would cross the border of a zone about as often as there are
+// nodes otherwise, and bytes between zones cost.
+func (s *Syncer) newsTargets(count int) (near, relays []string) {
 	now := time.Now()
 	answering, silent := s.available(s.options.Peers(), now)
 	candidates := append(s.partners(s.inZone(answering), now), silent...)
-	relays, _ := s.available(s.options.Relays(), now)
-	return append(s.drawFrom(candidates, count), relays...)
+	relays, _ = s.available(s.options.Relays(), now)
+	return s.drawFrom(candidates, count), relays
 }
 
 // inZone returns the nodes in the zone of this one, or all where there are none.
--- a/antientropy/partners_test.go
+++ b/antientropy/partners_test.go
@@ -25,6 +25,12 @@
 	})
 }
 
+// newsDrawn returns all nodes of one round with news.
+func (s *Syncer) newsDrawn() []string {
+	near, relays := s.newsTargets(defaultFanout)
+	return append(near, relays...)
+}
+
 func fleetOf(size int) []string {
 	addresses := make([]string, size)
 	for i := range addresses {
@@ -39,7 +45,7 @@
 	for range rounds {
 		round := s.draw
 		if isNews {
-			round = func() []string { return s.drawForNews(defaultFanout) }
+			round = func() []string { return s.newsDrawn() }
 		}
 		for _, address := range round() {
 			seen[address] = true
@@ -92,7 +98,7 @@
 	knows := map[string]bool{fleet[0]: true}
 	for range rounds {
 		for address := range union(knows, nil) {
-			for _, next := range nodes[address].drawForNews(defaultFanout) {
+			for _, next := range nodes[address].newsDrawn() {
 				knows[next] = true
 			}
 		}
@@ -169,7 +175,7 @@
 	for range rounds {
 		var next []string
 		for _, address := range heard {
-			for _, other := range f.nodes[address].drawForNews(defaultFanout) {
+			for _, other := range f.nodes[address].newsDrawn() {
 				calls++
 				if f.zoneOf[other] != f.zoneOf[address] {
 					across++
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -86,8 +86,9 @@
 // Syncer compares the copy of this node with those of others.
 type Syncer struct {
 	options Options
-	// news and urgentNews tell that the copy has changed.
+	// news and urgentNews tell that the copy has changed, and fresh holds what.
 	news, urgentNews chan struct{}
+	fresh            freshObjects
 
 	started time.Time
 	// salt makes this node's order of the others its own.
@@ -114,6 +115,10 @@
 	silent map[string]silence
 	// neighbourAt is when a node of this zone last answered.
 	neighbourAt time.Time
+	// byPart holds the nodes that compare parts of buckets.
+	byPart map[string]bool
+	// spreadAt is when news were last spread, and exchangedAt when the last exchange of objects began.
+	spreadAt, exchangedAt time.Time
 	// exchanging holds the nodes with which objects are exchanged at present, and whether a
 	// comparison has found a difference meanwhile.
 	exchanging map[string]bool
@@ -163,7 +168,7 @@
 		options: options, news: make(chan struct{}, 1), urgentNews: make(chan struct{}, 1), silent: map[string]silence{},
 		started: time.Now(), salt: uuid.NewString(), permute: rand.Shuffle,
 		uploads:    newUploadLimiter(options.LinkBytes),
-		exchanging: map[string]bool{},
+		exchanging: map[string]bool{}, byPart: map[string]bool{},
 	}
 	s.transfers = newTransfers(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -217,26 +222,19 @@
 	defer ticker.Stop()
 	var rest newsRest
 	for {
-		var drawn []string
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			drawn = s.draw()
+			s.forEach(s.draw(), func(address string) { s.syncWith(ctx, address) })
 		case <-rest.over:
 			rest.end()
-			continue
 		case <-rest.unless(s.news):
-			drawn = s.drawForNews(s.options.Fanout)
+			s.spreadNews(ctx)
 			rest.begin(time.Now())
 		case <-s.urgentNews:
-			drawn = s.drawForNews(s.options.Fanout)
+			s.spreadNews(ctx)
 		}
-		var round sync.WaitGroup
-		for _, address := range drawn {
-			round.Go(func() { s.syncWith(ctx, address) })
-		}
-		round.Wait()
 	}
 }
 
@@ -254,7 +252,7 @@
 	if err != nil || len(compared.differing) == 0 || !s.mayExchange(address) {
 		return
 	}
-	if !s.beginExchange(address) {
+	if !compared.covers && !s.mayRepair() || !s.beginExchange(address) {
 		// The next comparison goes on.
 		return
 	}
@@ -286,6 +284,7 @@
 		return comparison{}, errors.Wrap(err, "compare copies")
 	}
 	versions := response.GetReplicaVersions()
+	s.noteBuild(address, versions.GetComparesParts())
 	// A copy that is whole stays so: there is nothing to note any more.
 	compared := comparison{covers: versions.GetWhole() && !s.options.Whole(), byPart: versions.GetComparesParts()}
 	if !versions.GetSame() {
--- a/antientropy/transfers.go
+++ b/antientropy/transfers.go
@@ -250,7 +250,7 @@
 	if announced.GetAddress() == "" {
 		return
 	}
-	for _, address := range ts.syncer.drawForNews(ts.syncer.options.Fanout) {
+	for _, address := range ts.syncer.newsOrBridged() {
 		ts.syncer.inBackground(func(ctx context.Context) {
 			request := &peerpb.Request{Body: &peerpb.Request_ExchangeObjects{ExchangeObjects: announced}}
 			if _, err := ts.syncer.call(ctx, peer.LaneBulk, address, chunksTimeout, request); err != nil {
--- a/antientropy/wire.go
+++ b/antientropy/wire.go
@@ -88,24 +88,19 @@
 // worth it and the result fits into one message.
 func (s *Syncer) encodeTogether(records []replica.Record) (answer *peerpb.StoredObjects, fits bool) {
 	stored, truncated := s.storedObjects(records, maxCompressedContent)
-	content, err := proto.Marshal(&peerpb.StoredObjects{Objects: stored})
-	if err != nil {
-		// Objects that cannot be encoded cannot be sent without compression either; the call fails then.
-		return nil, false
-	}
-	compressed, shorter := compress(content)
+	compressed, shorter := compressObjects(stored)
 	if !shorter || len(compressed) > maxExchangedBytes {
 		return nil, false
 	}
 	return &peerpb.StoredObjects{Compressed: compressed, Truncated: truncated}, true
 }
 
-// receivedObjects returns the objects of an answer.
-func receivedObjects(received *peerpb.StoredObjects) ([]*peerpb.StoredObject, error) {
-	if len(received.GetCompressed()) == 0 {
-		return received.GetObjects(), nil
+// objectsOf returns the objects of a message, which has them either plain or compressed together.
+func objectsOf(plain []*peerpb.StoredObject, compressed []byte) ([]*peerpb.StoredObject, error) {
+	if len(compressed) == 0 {
+		return plain, nil
 	}
-	content, err := decompress(received.GetCompressed(), peer.MaxMessageBytes)
+	content, err := decompress(compressed, peer.MaxMessageBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/backend/sample_test.go
+++ b/backend/sample_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 		registry := backend.NewRegistry(time.Now)
 		for range rapid.IntRange(0, 60).Draw(t, "steps") {
 			next := drawBackend(t)
-			next.ID += fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "number"))
+			next.ID += strconv.Itoa(rapid.IntRange(0, 5).Draw(t, "number"))
 			next.Zone = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
 			if rapid.IntRange(0, 4).Draw(t, "remove") == 0 {
 				registry.Remove(next.ID)
--- a/coordinator/benchmark_test.go
+++ b/coordinator/benchmark_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -64,7 +65,7 @@
 			b.ReportAllocs()
 			for number := 0; b.Loop(); number++ {
 				now += 10 * time.Millisecond
-				id := fmt.Sprint(number)
+				id := strconv.Itoa(number)
 				if assigning.Assign(b.Context(), requestOf(id, 0)).Decode == "" {
 					b.Fatal("none")
 				}
--- a/coordinator/shortlist_test.go
+++ b/coordinator/shortlist_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -67,7 +68,7 @@
 		number := 0
 		return testing.AllocsPerRun(500, func() {
 			now += 10 * time.Millisecond
-			id := fmt.Sprint(number)
+			id := strconv.Itoa(number)
 			number++
 			g.Expect(assigning.Assign(t.Context(), requestOf(id, 0)).Decode).NotTo(BeEmpty())
 			assigning.PromptRead("s", id, "")
@@ -95,7 +96,7 @@
 	var running []string
 	for i := range requests {
 		now += 2 * time.Millisecond
-		id := fmt.Sprint(i)
+		id := strconv.Itoa(i)
 		request := requestOf(id, 0)
 		request.Run.Prompt, request.Run.Output = 2000+random.IntN(6000), 50+random.IntN(100)
 		if filling.Assign(t.Context(), request).Decode == "" {
--- a/ledger/projection.go
+++ b/ledger/projection.go
@@ -26,7 +26,8 @@
 // peakOf is peakWith for given runs of the engine.
 func (l *Ledger) peakOf(now time.Duration, engine Engine, run Run, active []Run) (float64, bool) {
 	run.Started = now
-	runs := append(l.projected[:0], l.project(now, run))
+	runs := l.projected[:0]
+	runs = append(runs, l.project(now, run))
 	for _, current := range active {
 		runs = append(runs, l.project(now, current))
 	}
--- a/router/view.go
+++ b/router/view.go
@@ -29,12 +29,24 @@
 	case kindRoleChange:
 		r.roleAnnounced(change)
 	}
+	if r.isNews(change.Record.Key()) {
+		r.syncer.Changed(change)
+	}
+}
+
+// isNews reports whether a change is to be brought to other nodes. What a node takes over while it starts they
+// have, or get at the same time: where all start together, each would bring each object to others. The
+// configuration is brought all the same, and the node's own object.
+func (r *Router) isNews(changed replica.Key) bool {
 	switch {
-	case change.Source != replica.SourceStore || r.syncer == nil:
-	case change.Record.Object.Kind == r.options.Backplane.ConfigurationKind:
-		r.syncer.UrgentNews()
+	case r.syncer == nil:
+		return false
+	case changed.Kind == r.options.Backplane.ConfigurationKind:
+		return true
+	case changed.Kind == kindNode && changed.Name == r.options.Settings.Name:
+		return true
 	default:
-		r.syncer.News()
+		return r.backends.Synced()
 	}
 }
 
--- a/router/watchers.go
+++ b/router/watchers.go
@@ -92,12 +92,9 @@
 	return placement.Top(r.Own(), addressesOf(near), watchersOfOthers)
 }
 
-// relays returns a bridge of each other zone, for nodes that hear of news first. What they hear, or
-// make known themselves, reaches the other zones by these.
+// relays returns a bridge of each other zone. What this node hears from the store, or makes known itself,
+// reaches the other zones by these.
 func (r *Router) relays() []string {
-	if !r.isWatcher() && !r.isBridge() {
-		return nil
-	}
 	var relays []string
 	for zone, bridges := range r.fleet().bridges {
 		if zone != r.options.Settings.Zone {
