--- a/antientropy/news.go
+++ b/antientropy/news.go
@@ -164,7 +164,7 @@
 		// Objects that cannot be encoded cannot be sent without compression either; the call fails then.
 		return nil, false
 	}
-	return compress(content)
+	return compressFrom(content, compressedTogetherFrom)
 }
 
 // bring sends news to a node. One that misses them has them by a comparison.
--- a/antientropy/wire.go
+++ b/antientropy/wire.go
@@ -52,6 +52,8 @@
 	// compressedFrom is the content, in bytes, from which compression is tried. Back ends
 	// and nodes have some hundred bytes each.
 	compressedFrom = 4 << 10
+	// compressedTogetherFrom is the same for several objects, whose fields have the same names.
+	compressedTogetherFrom = 512
 	// chunkedFrom is the content, in bytes, from which an object is fetched by chunks. A
 	// configuration of 1,400 routes has 280 KB.
 	chunkedFrom = chunk.MaxBytes
@@ -142,7 +144,12 @@
 
 // compress returns the content compressed, if that makes it shorter.
 func compress(content []byte) (compressed []byte, shorter bool) {
-	if len(content) < compressedFrom {
+	return compressFrom(content, compressedFrom)
+}
+
+// compressFrom is compress for contents of so many bytes or more.
+func compressFrom(content []byte, least int) (compressed []byte, shorter bool) {
+	if len(content) < least {
 		return nil, false
 	}
 	compressed = s2.EncodeBetter(nil, content)
