--- a/router/view.go
+++ b/router/view.go
@@ -68,6 +68,12 @@
 	}
 }
 
+// isNotable reports whether a change of a back end is worth a line. A node that starts takes over thousands, and
+// writes how many once it has all; of a new one those write that hear of it from the store.
+func (r *Router) isNotable(isNew bool, source replica.Source) bool {
+	return r.backends.Synced() && (!isNew || source == replica.SourceStore)
+}
+
 func (r *Router) backendChanged(change replica.Change) {
 	object := change.Record.Object
 	if change.Record.Deleted {
@@ -88,8 +94,8 @@
 		return
 	}
 	r.refused.accepted(object.Name)
-	if r.backends.Update(decoded) && r.backends.Synced() {
-		// A node that starts takes over thousands, and writes how many once it has all.
+	isNew := r.backends.Lookup(decoded.ID) == nil
+	if r.backends.Update(decoded) && r.isNotable(isNew, change.Source) {
 		r.options.Logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
 			"role", string(decoded.Role), "revision", object.Version, "source", string(change.Source))
 	}
