--- a/antientropy/doc.go
+++ b/antientropy/doc.go
@@ -1,6 +1,10 @@
 // Package antientropy keeps the nodes' copies of the store's objects alike. At each interval
 // a node compares its copy with that of another one, and both apply what the other has newer.
-// A node with news from the store does so at once with a few nodes, which do the same in turn.
+// A node with news brings what changed to a few nodes of its zone, which do the same in turn (news.go),
+// and what it has from the store to one node of each other zone. What news do not reach, comparisons do.
+//
+// Copies are compared by buckets, and buckets that differ by their parts, so that a difference costs the
+// same in a copy of any size. Few nodes of each zone exchange objects with other zones.
 //
 // Each node has a few partners of its own, which change with time, and compares besides with the
 // nodes that hear first from the store. So neither the connections nor the cost of a node
--- a/antientropy/news.go
+++ b/antientropy/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,9 +80,14 @@
 	if len(fromStore) < len(all) {
 		farNews = s.encodeNews(fromStore)
 	}
-	s.forEach(near, func(address string) { s.bring(ctx, address, news) })
-	if len(fromStore) > 0 {
-		s.forEach(relays, func(address string) { s.bring(ctx, address, farNews) })
+	for _, address := range near {
+		s.bring(address, news)
+	}
+	if len(fromStore) == 0 {
+		return
+	}
+	for _, address := range relays {
+		s.bring(address, farNews)
 	}
 }
 
@@ -167,18 +173,43 @@
 	return compressFrom(content, compressedTogetherFrom)
 }
 
-// bring sends news to a node. One that misses them has them by a comparison.
-func (s *Syncer) bring(ctx context.Context, address string, news encodedNews) {
+// bring sends news to a node, beside all else: a node that does not answer must not hold up the comparisons
+// by which this one knows others. One that misses news has them by a comparison.
+func (s *Syncer) bring(address string, news encodedNews) {
 	messages := news.plain
 	if len(news.compressed) > 0 && s.comparesParts(address) {
 		messages = news.compressed
 	}
-	for _, message := range messages {
-		if _, err := s.callExchange(ctx, address, message); err != nil {
-			s.bulkFailed(ctx, "news not brought", address, err)
-			return
+	s.setBringing(address, true)
+	s.inBackground(func(ctx context.Context) {
+		defer s.setBringing(address, false)
+		for _, message := range messages {
+			if _, err := s.callExchange(ctx, address, message); err != nil {
+				s.bulkFailed(ctx, "news not brought", address, err)
+				s.Silent(address, err)
+				return
+			}
 		}
+	})
+}
+
+// setBringing notes whether news are being brought to a node.
+func (s *Syncer) setBringing(address string, isBringing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isBringing {
+		s.bringing[address] = true
+		return
 	}
+	delete(s.bringing, address)
+}
+
+// notBringing returns the nodes to which no news are being brought: one that has not taken the earlier ones is
+// slow, or does not answer.
+func (s *Syncer) notBringing(addresses []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(addresses, func(address string) bool { return s.bringing[address] })
 }
 
 // comparesParts reports whether a node has said that it compares parts of buckets: older builds do not.
--- a/antientropy/partners.go
+++ b/antientropy/partners.go
@@ -50,7 +50,7 @@
 	answering, silent := s.available(s.options.Peers(), now)
 	candidates := append(s.partners(s.inZone(answering), now), silent...)
 	relays, _ = s.available(s.options.Relays(), now)
-	return s.drawFrom(candidates, count), relays
+	return s.drawFrom(s.notBringing(candidates), count), s.notBringing(relays)
 }
 
 // inZone returns the nodes in the zone of this one, or all where there are none.
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -119,6 +119,8 @@
 	byPart map[string]bool
 	// spreadAt is when news were last spread, and exchangedAt when the last exchange of objects began.
 	spreadAt, exchangedAt time.Time
+	// bringing holds the nodes to which news are being brought.
+	bringing map[string]bool
 	// exchanging holds the nodes with which objects are exchanged at present, and whether a
 	// comparison has found a difference meanwhile.
 	exchanging map[string]bool
@@ -168,7 +170,7 @@
 		options: options, news: make(chan struct{}, 1), urgentNews: make(chan struct{}, 1), silent: map[string]silence{},
 		started: time.Now(), salt: uuid.NewString(), permute: rand.Shuffle,
 		uploads:    newUploadLimiter(options.LinkBytes),
-		exchanging: map[string]bool{}, byPart: map[string]bool{},
+		exchanging: map[string]bool{}, byPart: map[string]bool{}, bringing: map[string]bool{},
 	}
 	s.transfers = newTransfers(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
