--- a/roles/plan.go
+++ b/roles/plan.go
@@ -82,6 +82,15 @@
 	hysteresisPower = 1.5
 	// leastEngines is the least number of engines that can be divided.
 	leastEngines = 2
+	// shareTolerance is by how much the share of the engines that read prompts may be off while the demand is
+	// not known: the first guess is no better than that. Among nine engines it is less than one, among
+	// thousands it keeps hundreds from an order each, and from seconds in which they do nothing.
+	shareTolerance = 0.03
+	// A role is calm of which at most calmLoad is busy and at least calmEngines are free: no request of it waits
+	// for another division. The best division has roles equally busy, however little that is, and the more
+	// engines there are, the less off it is worth an order.
+	calmLoad    = 0.5
+	calmEngines = 64
 )
 
 // Plan returns the changes that bring a division closer to the policy, none where it is close
@@ -123,8 +132,14 @@
 	current := len(division.Prefill) + division.ArrivingPrefill
 	if division.Demand == nil {
 		share := cmp.Or(p.PrefillShare, defaultPrefillShare)
+		if current > 0 && math.Abs(float64(current)/float64(total)-share) <= shareTolerance {
+			return current, false
+		}
 		return max(1, int(math.Round(float64(total)*share))), false
 	}
+	if division.Demand.isCalm(current, total) {
+		return current, false
+	}
 	best := 1
 	for candidate := 2; candidate < total; candidate++ {
 		if division.Demand.load(candidate, total) < division.Demand.load(best, total) {
@@ -145,6 +160,16 @@
 	return max(loadOf(d.Prefill, prefillCapacity(prefill)), loadOf(d.Decode, d.decodeTarget()*float64(total-prefill)))
 }
 
+// isCalm reports whether neither role has anything to wait for, with so many prefill engines among all.
+func (d Demand) isCalm(prefill, total int) bool {
+	readers, writers := prefillCapacity(prefill), d.decodeTarget()*float64(total-prefill)
+	return isCalmRole(d.Prefill, readers) && isCalmRole(d.Decode, writers)
+}
+
+func isCalmRole(demand, capacity float64) bool {
+	return demand <= calmLoad*capacity && capacity-demand >= calmEngines
+}
+
 // decodeTarget returns how busy decode engines may be on average.
 func (d Demand) decodeTarget() float64 {
 	if d.DecodeFill == 0 {
--- a/roles/plan_test.go
+++ b/roles/plan_test.go
@@ -165,3 +165,31 @@
 		HaveField("Role", backend.RoleDecode), HaveField("Role", backend.RoleDecode)))
 	g.Expect(roles.Policy{}.Plan(divided(0.99))).To(BeEmpty(), "not above the target")
 }
+
+// manyEngines is a division of so many engines, of which a part reads prompts.
+func manyEngines(prefill, decode int, demand *roles.Demand) roles.Division {
+	division := roles.Division{Demand: demand}
+	for i := range prefill {
+		division.Prefill = append(division.Prefill, "p"+strconv.Itoa(i))
+	}
+	for i := range decode {
+		division.Decode = append(division.Decode, "d"+strconv.Itoa(i))
+	}
+	return division
+}
+
+// TestACalmServiceIsLeftAsItIs has thousands of engines of which hardly any is busy: no order makes anything
+// faster, and each costs its engine some seconds. The same load on few engines is divided as before.
+func TestACalmServiceIsLeftAsItIs(t *testing.T) {
+	g := NewWithT(t)
+	for _, total := range []int{8650, 17_300} {
+		prefill := total * 35 / 100
+		g.Expect(roles.Policy{}.Plan(manyEngines(prefill, total-prefill, nil))).To(BeEmpty(), "before the demand is known")
+		calm := &roles.Demand{Prefill: 4, Decode: 60}
+		g.Expect(roles.Policy{}.Plan(manyEngines(prefill, total-prefill, calm))).To(BeEmpty())
+		busy := &roles.Demand{Prefill: float64(prefill), Decode: float64(total) / 4}
+		g.Expect(roles.Policy{}.Plan(manyEngines(prefill, total-prefill, busy))).NotTo(BeEmpty(), "prompts wait")
+	}
+	few := &roles.Demand{Prefill: 0.3, Decode: 4}
+	g.Expect(roles.Policy{}.Plan(manyEngines(12, 12, few))).NotTo(BeEmpty(), "half of 24 engines for a tenth of the work")
+}
