--- a/admission/controller.go
+++ b/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -30,6 +31,9 @@
 	entryFullness = 1.5
 	// notableFullness is the fullness from which a plan names a back end.
 	notableFullness = 0.5
+	// mostNamed is how many back ends a plan names at most. A service of a thousand has a few requests for each,
+	// so that all seem to differ; a plan that names them all is 40 KB for each node and second.
+	mostNamed = 32
 	// notableWeight is how far from 1 a weight is that a plan names.
 	notableWeight = 0.1
 	// shortestRetryAfter and longestRetryAfter bound when a caller comes back. The first is
@@ -218,7 +222,7 @@
 
 // weigh states how the back ends differ, and when nodes report again.
 func (s *serviceState) weigh(shares, fullness map[string]float64, mean float64, nodes int) {
-	s.plan.Backends = nil
+	s.plan.Backends, s.plan.RestFullness = nil, 0
 	fullest := 0.0
 	for _, id := range slices.Sorted(maps.Keys(fullness)) {
 		full, weight := fullness[id], 1.0
@@ -230,8 +234,29 @@
 			s.plan.Backends = append(s.plan.Backends, BackendPlan{ID: id, Weight: weight, Fullness: full})
 		}
 	}
+	if len(s.plan.Backends) > mostNamed {
+		s.plan.Backends = mostProminent(s.plan.Backends)
+		s.plan.RestFullness = meanOfRest(fullness, s.plan.Backends)
+	}
 	s.plan.Interval = calmInterval
 	if s.overloaded || fullest >= busyFullness {
 		s.plan.Interval = max(busyInterval, time.Duration(nodes)*time.Second/mostReports)
 	}
 }
+
+// mostProminent returns those that differ most, in the order of their identifiers.
+func mostProminent(backends []BackendPlan) []BackendPlan {
+	slices.SortStableFunc(backends, func(a, b BackendPlan) int { return cmp.Compare(b.prominence(), a.prominence()) })
+	named := slices.Clone(backends[:mostNamed])
+	slices.SortFunc(named, func(a, b BackendPlan) int { return cmp.Compare(a.ID, b.ID) })
+	return named
+}
+
+// meanOfRest returns the mean fullness of the back ends that are not named.
+func meanOfRest(fullness map[string]float64, named []BackendPlan) float64 {
+	rest := maps.Clone(fullness)
+	for _, described := range named {
+		delete(rest, described.ID)
+	}
+	return meanOf(rest)
+}
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -143,6 +143,14 @@
 	return max(weight, leastShare*leastShare)
 }
 
+// fullness returns how full a back end is by the plan.
+func (h heldPlan) fullness(id string) float64 {
+	if described, known := h.backends[id]; known {
+		return described.Fullness
+	}
+	return h.plan.RestFullness
+}
+
 // homeShare returns the probability with which a request stays in its zone: 1 while the back
 // ends there are less than half full and as sound as usual, 0 where they are full.
 func (h heldPlan) homeShare(candidates []Candidate, weights []float64) float64 {
@@ -150,7 +158,7 @@
 	for i, candidate := range candidates {
 		if candidate.SameZone {
 			count++
-			fullness += h.backends[candidate.ID].Fullness
+			fullness += h.fullness(candidate.ID)
 			weight += weights[i]
 		}
 	}
--- a/admission/report.go
+++ b/admission/report.go
@@ -64,8 +64,21 @@
 	RetryAfter time.Duration
 	// Interval is when the node is to report again.
 	Interval time.Duration
-	// Backends are those that differ from the usual: of weight 1 and less than half full.
+	// Backends are those that differ from the usual: of weight 1 and less than half full. Of many they are
+	// those that differ most.
 	Backends []BackendPlan
+	// RestFullness is the mean fullness of the others, where not all that differ are named.
+	RestFullness float64
+}
+
+// prominence is how much a back end differs: one with half the usual weight as much as one with twice, and one
+// that is full as much as either.
+func (p BackendPlan) prominence() float64 {
+	difference := p.Weight - 1
+	if p.Weight > 0 && p.Weight < 1 {
+		difference = 1/p.Weight - 1
+	}
+	return max(difference, p.Fullness)
 }
 
 // openPlan admits everything and weighs all back ends alike.
--- a/router/follow.go
+++ b/router/follow.go
@@ -26,8 +26,8 @@
 	longFrom int
 	// paged is how many objects the pages of the present list have brought.
 	paged int
-	// watchFrom is when the first watch may begin.
-	watchFrom time.Time
+	// beforeWatch is called before the first watch; it may block until the context ends.
+	beforeWatch func(ctx context.Context)
 }
 
 // Replace implements objectapi.Follower.
@@ -97,8 +97,12 @@
 const firstWatchDelay = 1200 * time.Millisecond
 
 // BeforeWatch implements objectapi.Follower.
-func (f *follower) BeforeWatch(ctx context.Context) {
-	_ = periodic.Pause(ctx, time.Until(f.watchFrom)) // The follower looks at the context.
+func (f *follower) BeforeWatch(ctx context.Context) { f.beforeWatch(ctx) }
+
+// awaitFirstWatch waits until this node knows whether it follows the store.
+func (r *Router) awaitFirstWatch(ctx context.Context) {
+	r.nodesKnown.await(ctx, r.nodesKnownBy())
+	_ = periodic.Pause(ctx, time.Until(r.started.Add(r.joinTime()+firstWatchDelay))) // Follow looks at the context.
 }
 
 // watcherInterval is how often a node looks whether it is to follow the store.
@@ -146,10 +150,13 @@
 }
 
 func (r *Router) followKind(ctx context.Context, kind objectapi.Kind) {
-	fed := &follower{kind: kind, copy: r.copy, contact: r.contact, watchFrom: r.started.Add(r.joinTime() + firstWatchDelay)}
+	fed := &follower{kind: kind, copy: r.copy, contact: r.contact, beforeWatch: r.awaitFirstWatch}
 	switch kind {
 	case r.options.Backplane.BackendKind:
 		r.nodesKnown.await(ctx, r.nodesKnownBy())
+		if r.inLargeFleet.Load() && !r.followsStore() {
+			return
+		}
 		fed.listed, fed.longList = r.backendsWhole, r.awaitFollowing
 	case kindNode:
 		_ = periodic.Pause(ctx, time.Until(r.started.Add(r.joinTime()))) // Follow looks at the context.
@@ -178,6 +185,7 @@
 	if r.nodesMet.isSet() {
 		return
 	}
+	r.inLargeFleet.Store(true)
 	name := r.options.Settings.Name
 	if pager, hasPages := r.options.Backplane.Store.(objectapi.Pager); hasPages {
 		page, err := pager.ListPage(ctx, kindNode, name[:len(name)-1])
--- a/router/router.go
+++ b/router/router.go
@@ -136,6 +136,8 @@
 	// nodesMet is set once this node knows some others: all of a small fleet, or its neighbours by name in a
 	// large one. nodesKnown is set once it has had the time to know all.
 	nodesMet, nodesKnown *milestone
+	// inLargeFleet is set where a list of nodes was long.
+	inLargeFleet atomic.Bool
 	// settings may be replaced while the node runs; those of listeners are only
 	// read at the start.
 	settings atomic.Pointer[settings.Router]
