--- a/router/fleetview_test.go
+++ b/router/fleetview_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -15,7 +16,7 @@
 func viewedNode(index int, zone string, linkBytes, capacity float64) knownNode {
 	address := fmt.Sprintf("10.0.%d.%d:80", index/250, index%250)
 	return knownNode{
-		Node: coordinator.Node{Address: address, Incarnation: fmt.Sprint(index)}, zone: zone,
+		Node: coordinator.Node{Address: address, Incarnation: strconv.Itoa(index)}, zone: zone,
 		linkBytes: linkBytes, capacity: capacity, addressHash: hashOf(address), abilities: abilitiesOf(ownAbilities()),
 	}
 }
