--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -47,15 +47,18 @@
 	}
 }
 
-// exchangeAll makes the buckets that differ alike, as far as one comparison goes. A copy that is not
-// whole takes over all that a whole one has: otherwise a node that starts would need as many
-// comparisons as the fleet's objects fill messages.
+// exchangeAll makes the buckets that differ alike. Where they are compared whole, a comparison goes on
+// with a few of them only, unless this copy is not whole and the other one is: a node that starts would
+// need as many comparisons as the fleet's objects fill messages.
 func (s *Syncer) exchangeAll(ctx context.Context, address string, compared comparison) error {
-	differing := compared.differing
-	if !compared.covers {
+	differing, together := compared.differing, bucketsPerExchange
+	switch {
+	case compared.byPart:
+		together = bucketsByPart
+	case !compared.covers:
 		differing = differing[:min(len(differing), bucketsPerComparison)]
 	}
-	for buckets := range slices.Chunk(differing, bucketsPerExchange) {
+	for buckets := range slices.Chunk(differing, together) {
 		if err := s.exchangeBuckets(ctx, address, compared, buckets); err != nil {
 			return err
 		}
@@ -119,6 +122,8 @@
 	// bucketsPerExchange bounds the buckets of one call, so that it ends in time over a
 	// slow link too.
 	bucketsPerExchange = 4
+	// bucketsByPart is the same where only parts that differ are exchanged.
+	bucketsByPart = 16
 	// bucketsPerComparison bounds the buckets of one comparison, so that news do not
 	// wait for the rest of a large difference. The rest comes with the next comparisons.
 	bucketsPerComparison = 12
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -25,7 +25,7 @@
 	defaultInterval        = 400 * time.Millisecond
 	defaultCallTimeout     = 300 * time.Millisecond
 	defaultExchangeTimeout = 2 * time.Second
-	defaultFanout          = 2
+	defaultFanout          = 3
 	defaultAvoidance       = 2 * time.Second
 	// maxExchanges is how many exchanges of objects run at once. Each has up to 128 KiB, 105 ms of
 	// a link of 10 Mbit/s.
