--- a/admission/controller.go
+++ b/admission/controller.go
@@ -31,8 +31,8 @@
 	entryFullness = 1.5
 	// notableFullness is the fullness from which a plan names a back end.
 	notableFullness = 0.5
-	// mostNamed is how many back ends a plan names at most. A service of a thousand has a few requests for each,
-	// so that all seem to differ; a plan that names them all is 40 KB for each node and second.
+	// mostNamed is how many back ends a plan names at most. Where each of a thousand has few requests, all seem
+	// to differ, and plans that name them all grow with the service, for each node and second.
 	mostNamed = 32
 	// notableWeight is how far from 1 a weight is that a plan names.
 	notableWeight = 0.1
