--- a/objectapi/follow.go
+++ b/objectapi/follow.go
@@ -89,30 +89,14 @@
 	})
 }
 
-// list lists a kind, page by page where the store has pages. The revision is that of the first page, so that
-// a watch from it misses nothing of the later ones.
+// list lists a kind, page by page where the store has pages.
 func list(ctx context.Context, store Store, kind Kind, follower Follower) (objects []Object, revision int64, err error) {
 	pager, hasPages := store.(Pager)
 	if !hasPages {
 		return store.List(ctx, kind)
 	}
-	after := ""
-	for {
-		page, err := pager.ListPage(ctx, kind, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if after == "" {
-			revision = page.Revision
-		}
-		objects = append(objects, page.Objects...)
-		if !page.More || len(page.Objects) == 0 {
-			return objects, revision, nil
-		}
-		after = page.Objects[len(page.Objects)-1].Name
-		follower.MorePages(ctx, page.Objects)
-		if ctx.Err() != nil {
-			return nil, 0, ctx.Err()
-		}
-	}
+	return ListPages(ctx, pager, kind, func(page []Object) error {
+		follower.MorePages(ctx, page)
+		return ctx.Err()
+	})
 }
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -67,19 +67,3 @@
 	// ends or the connection does. It returns ErrTooOld if changes were missed.
 	Watch(ctx context.Context, kind Kind, after int64, handle func(Event)) error
 }
-
-// Page is a part of a list.
-type Page struct {
-	// Objects are in the order of their names.
-	Objects []Object
-	// Revision is that of the store as of the page.
-	Revision int64
-	// More is set where objects with later names follow.
-	More bool
-}
-
-// Pager is a Store whose lists come in pages.
-type Pager interface {
-	// ListPage returns objects whose names come after the given one, as many as the store sends at once.
-	ListPage(ctx context.Context, kind Kind, after string) (Page, error)
-}
