Sight: how fresh the configuration of a node is that refuses a request without a route

The line on such a request named the version in force alone. Whether the node does not hear the others, waits for an exchange, or has a newer configuration that it has not put in force could not be told.

--- a/antientropy/exchange.go
+++ b/antientropy/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,21 +18,22 @@
 func (s *Syncer) beginExchange(address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, underWay := s.exchanging[address]; underWay {
-		s.exchanging[address] = true
+	if current, underWay := s.exchanging[address]; underWay {
+		current.missed = true
+		s.exchanging[address] = current
 		return false
 	}
 	if len(s.exchanging) >= maxExchanges {
 		return false
 	}
-	s.exchanging[address] = false
+	s.exchanging[address] = ongoingExchange{began: time.Now()}
 	return true
 }
 
 // endExchange ends an exchange. What changed while it was under way is passed on at once.
 func (s *Syncer) endExchange(address string) {
 	s.mu.Lock()
-	missed := s.exchanging[address]
+	missed := s.exchanging[address].missed
 	delete(s.exchanging, address)
 	s.mu.Unlock()
 	if missed {
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -121,9 +121,10 @@
 	spreadAt, exchangedAt time.Time
 	// bringing holds the nodes to which news are being brought.
 	bringing map[string]bool
-	// exchanging holds the nodes with which objects are exchanged at present, and whether a
-	// comparison has found a difference meanwhile.
-	exchanging map[string]bool
+	// exchanging holds the nodes with which objects are exchanged at present.
+	exchanging map[string]ongoingExchange
+	// agreedAt is when the copy was last known to be like another one.
+	agreedAt time.Time
 	// covered marks the buckets that this node has taken over from whole copies.
 	covered [replica.BucketCount]bool
 }
@@ -170,7 +171,7 @@
 		options: options, news: make(chan struct{}, 1), urgentNews: make(chan struct{}, 1), silent: map[string]silence{},
 		started: time.Now(), salt: uuid.NewString(), permute: rand.Shuffle,
 		uploads:    newUploadLimiter(options.LinkBytes),
-		exchanging: map[string]bool{}, byPart: map[string]bool{}, bringing: map[string]bool{},
+		exchanging: map[string]ongoingExchange{}, agreedAt: time.Now(), byPart: map[string]bool{}, bringing: map[string]bool{},
 	}
 	s.transfers = newTransfers(s)
 	s.ctx, s.stop = context.WithCancel(context.Background())
@@ -251,6 +252,9 @@
 		return
 	}
 	s.noteContact(address, err)
+	if err == nil && len(compared.differing) == 0 {
+		s.noteAgreement()
+	}
 	if err != nil || len(compared.differing) == 0 || !s.mayExchange(address) {
 		return
 	}
@@ -262,7 +266,9 @@
 		defer s.endExchange(address)
 		if err := s.exchangeAll(ctx, address, compared); err != nil {
 			s.bulkFailed(ctx, "exchange failed", address, err)
+			return
 		}
+		s.noteAgreement()
 	})
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -47,6 +47,8 @@
 	// Admission decides which requests to plain services are admitted, and where they go.
 	// Default: all are, by what this node has seen alone.
 	Admission *admission.Node
+	// Freshness returns how new the configuration of this node may be, for the log. Default: nothing is known.
+	Freshness func() Freshness
 	// Policy is how engines are chosen; the zero value is the default.
 	Policy Policy
 }
@@ -95,6 +97,9 @@
 	if options.Assignable == nil {
 		options.Assignable = func(*backend.Entry) bool { return true }
 	}
+	if options.Freshness == nil {
+		options.Freshness = func() Freshness { return Freshness{} }
+	}
 	started := options.Clock.Now()
 	if options.Admission == nil {
 		options.Admission = admission.NewNode("", func() time.Duration { return options.Clock.Since(started) })
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -52,6 +52,9 @@
 	if x.short != "" {
 		attributes = append(attributes, "short", x.short)
 	}
+	if final.reason == ReasonNoRoute {
+		attributes = append(attributes, h.options.Freshness().attributes()...)
+	}
 	if final.reason == ReasonQuarantined {
 		attributes = append(attributes, "content", x.fingerprint().String())
 	}
--- /dev/null
+++ b/router/freshness.go
@@ -0,0 +1,35 @@
+package router
+
+import (
+	"github.com/reelrun/reelrun/gateway"
+	"github.com/reelrun/reelrun/objectapi"
+)
+
+// freshness returns how new the configuration of this node may be.
+func (r *Router) freshness() gateway.Freshness {
+	agreement := r.syncer.Agreement()
+	return gateway.Freshness{
+		RevisionInForce: r.revisionInForce.Load(), RevisionKnown: r.revisionKnown(),
+		AgreedAgo: agreement.Age, Exchanges: agreement.Exchanges, OldestExchange: agreement.OldestExchange,
+	}
+}
+
+// revisionKnown returns the newest revision of a configuration in the copy.
+func (r *Router) revisionKnown() int64 {
+	known := int64(0)
+	for _, object := range r.copy.Live(r.options.Backplane.ConfigurationKind) {
+		known = max(known, object.Version)
+	}
+	return known
+}
+
+// publishFreshness adds the gauges of it.
+func (r *Router) publishFreshness() {
+	r.metrics.Gauge("configuration_revision_in_force", func() float64 { return float64(r.revisionInForce.Load()) })
+	r.metrics.Gauge("configuration_revision_known", func() float64 { return float64(r.revisionKnown()) })
+	r.metrics.Gauge("copy_agreed_age_seconds", func() float64 { return r.syncer.Agreement().Age.Seconds() })
+	r.metrics.Gauge("copy_exchanges_under_way", func() float64 { return float64(r.syncer.Agreement().Exchanges) })
+}
+
+// noteInForce notes the object whose configuration is in force now.
+func (r *Router) noteInForce(object objectapi.Object) { r.revisionInForce.Store(object.Version) }
--- a/router/router.go
+++ b/router/router.go
@@ -129,6 +129,8 @@
 	// traffic counts the bytes of calls to other nodes.
 	traffic nodeTraffic
 	refused refusedEntries
+	// revisionInForce is that of the object whose configuration is in force.
+	revisionInForce atomic.Int64
 	// withdrawn is set once the node has removed its own object.
 	withdrawn atomic.Bool
 	// removed tells that another one has.
@@ -204,6 +206,7 @@
 	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.roles = r.newRoleController()
 	r.publishGauges()
+	r.publishFreshness()
 	r.gateway = gateway.New(gateway.Options{
 		Clock:    options.Clock,
 		Zone:     options.Settings.Zone,
@@ -220,6 +223,7 @@
 		Quotas:      r.quotas,
 		Quarantine:  r.quarantines,
 		Admission:   r.admission,
+		Freshness:   r.freshness,
 		Metrics:     r.metrics,
 		Logger:      options.Logger,
 	})
--- a/router/view.go
+++ b/router/view.go
@@ -62,6 +62,7 @@
 		return
 	}
 	if r.gateway.Configure(decoded) {
+		r.noteInForce(object)
 		r.options.Logger.Info("configuration in force", "version", decoded.Version, "revision", object.Version,
 			"routes", decoded.RouteCount(), "bytes", len(object.Spec), "decode_ms", time.Since(began).Milliseconds(),
 			"source", string(change.Source))
