Show that a connection carries anything before contents wait for it

Callers saw a route refused with 404 by some nodes for longer than a change may take. Cause: a node finds out within 0.3 s that the connection of its comparisons to another node has fallen silent, and opens a new one; contents have a connection of their own, on which a call waited 2 s, and so at each step of a change from node to node. Now a connection unheard for 2 s answers a ping before it is used, and a comparison that needed a new connection drops the other one where no call is under way on it.

--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -309,6 +309,8 @@
 // comparisons take its place.
 func (s *Syncer) compareAnew(ctx context.Context, address string, openedAfter time.Time) (comparison, error) {
 	s.options.Client.ResetLane(peer.LaneControl, address, openedAfter)
+	// What silenced one connection may have silenced the other. A call that is under way may only be slow.
+	s.options.Client.ResetUnusedLane(peer.LaneBulk, address, openedAfter)
 	return s.compare(ctx, address)
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -141,11 +141,12 @@
 	}
 }
 
+// lookup returns the session of a key; nil where there is none that may be used at once.
 func (c *Client) lookup(key sessionKey) *clientSession {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	session := c.sessions[key]
-	if session == nil || session.mux.IsClosed() {
+	if session == nil || session.mux.IsClosed() || key.lane == LaneBulk && session.isDoubtful() {
 		return nil
 	}
 	// While the lock is held, so that CloseIdle does not end what is about to be used.
@@ -153,7 +154,9 @@
 	return session
 }
 
+// open returns a session that carries calls: the one that there is, or a new one.
 func (c *Client) open(key sessionKey) (*clientSession, error) {
+	c.verify(key)
 	if session := c.lookup(key); session != nil {
 		return session, nil
 	}
@@ -178,6 +181,18 @@
 	return session, nil
 }
 
+// verify ends the session of a key where that is doubtful and its node does not answer on it.
+func (c *Client) verify(key sessionKey) {
+	c.mu.Lock()
+	session := c.sessions[key]
+	c.mu.Unlock()
+	if session == nil || !session.isDoubtful() || session.answersPing() {
+		return
+	}
+	c.drop(key, session)
+	_ = session.mux.Close()
+}
+
 func (c *Client) drop(key sessionKey, session *clientSession) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -198,19 +213,28 @@
 // ResetLane closes the session of one lane to an address, if it was opened before a moment: when
 // a call that began then has failed, a newer session is another one's and may be sound.
 func (c *Client) ResetLane(lane Lane, address string, openedBefore time.Time) {
-	key := sessionKey{address, lane}
+	c.resetIf(sessionKey{address, lane}, func(session *clientSession) bool { return session.openedAt.Before(openedBefore) })
+}
+
+// ResetUnusedLane is ResetLane for a session on which no call is under way. It costs nothing but a new connection
+// where the session was sound.
+func (c *Client) ResetUnusedLane(lane Lane, address string, openedBefore time.Time) {
+	c.resetIf(sessionKey{address, lane}, func(session *clientSession) bool {
+		return session.openedAt.Before(openedBefore) && !session.inUse()
+	})
+}
+
+// resetIf closes the session of a key if it is to be closed.
+func (c *Client) resetIf(key sessionKey, closes func(*clientSession) bool) {
 	c.mu.Lock()
 	session := c.sessions[key]
-	if session != nil && !session.openedAt.Before(openedBefore) {
-		session = nil
-	}
-	if session != nil {
-		delete(c.sessions, key)
+	if session == nil || !closes(session) {
+		c.mu.Unlock()
+		return
 	}
+	delete(c.sessions, key)
 	c.mu.Unlock()
-	if session != nil {
-		_ = session.mux.Close()
-	}
+	_ = session.mux.Close()
 }
 
 // CloseIdle ends the sessions that no call has used for a time, so that a node does not keep
--- a/peer/session.go
+++ b/peer/session.go
@@ -22,6 +22,11 @@
 	streamReadBuffer = 512
 	// writeTimeout ends a session whose peer does not read.
 	writeTimeout = 5 * time.Second
+	// doubtfulAfter is how long a session may be unheard before it is doubtful: established connections may fall
+	// silent for good, without a reset, while new ones work.
+	doubtfulAfter = 2 * time.Second
+	// pingTimeout is how long a node may take to answer a ping, which is as short as a comparison of copies.
+	pingTimeout = 300 * time.Millisecond
 )
 
 // sessionConfig turns yamux's own keep-alive off: heartbeats take its place.
@@ -54,6 +59,8 @@
 	// calls counts those under way, usedAt is when the last one began or ended.
 	calls  int
 	usedAt time.Time
+	// heardAt is when the other node was last heard on this session.
+	heardAt time.Time
 }
 
 func newClientSession(conn net.Conn) (*clientSession, error) {
@@ -62,7 +69,7 @@
 		return nil, errors.Wrap(err, "open session")
 	}
 	now := time.Now()
-	return &clientSession{mux: mux, openedAt: now, usedAt: now}, nil
+	return &clientSession{mux: mux, openedAt: now, usedAt: now, heardAt: now}, nil
 }
 
 func (s *clientSession) take() (*stream, error) {
@@ -112,6 +119,13 @@
 	s.usedAt = time.Now()
 }
 
+// inUse reports whether a call is under way.
+func (s *clientSession) inUse() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls > 0
+}
+
 // unusedFor returns how long no call has used the session.
 func (s *clientSession) unusedFor() time.Duration {
 	s.mu.Lock()
@@ -122,6 +136,41 @@
 	return time.Since(s.usedAt)
 }
 
+// heard notes that the other node has answered.
+func (s *clientSession) heard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heardAt = time.Now()
+}
+
+// isDoubtful reports whether it has to be shown that the session still carries anything before long contents are
+// sent on it. While calls are under way their own timeouts decide.
+func (s *clientSession) isDoubtful() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls == 0 && time.Since(s.heardAt) > doubtfulAfter
+}
+
+// answersPing reports whether the other node answers a ping in time.
+func (s *clientSession) answersPing() bool {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.mux.Ping()
+		answered <- err
+	}()
+	timer := time.NewTimer(pingTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-answered:
+		if err == nil {
+			s.heard()
+		}
+		return err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // callResult is what a call ended with.
 type callResult struct {
 	response *peerpb.Response
@@ -166,6 +215,7 @@
 		_ = taken.Close()
 		return nil, err
 	}
+	s.heard()
 	s.put(taken)
 	return response, nil
 }
