Have a node follow the store where no other node tells of a configuration that is new enough

Callers at nodes that reach the store and not the other nodes were refused on confirmed routes for as long as that lasted. Cause: a node that leaves the store to others did not know how old its copy was; it took up following the store only after it had found most others silent, one in 0.4 s. Ruled out: reading the configuration each second at all nodes (46 calls a second at 58 nodes, each priced), comparing with more nodes at a time (connections grow with the fleet, and nodes that are cut off together still hear each other). Now each comparison tells the age of the configuration that it compared; beyond 1.2 to 1.8 s the node follows the store for 15 s at least. A large fleet's stale node follows the configuration alone. Older builds tell no age and count as followers.

--- a/antientropy/agreement.go
+++ b/antientropy/agreement.go
@@ -1,11 +1,16 @@
 package antientropy
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"github.com/reelrun/reelrun/peer/peerpb"
+)
 
 // Agreement tells how far this node's copy is known to be like those of others.
 type Agreement struct {
-	// Age is how long ago a comparison found no difference, or an exchange of objects ended well. It counts from
-	// the start of the node where neither has happened.
+	// Age is how long ago the urgent objects of the copy were those of a node that follows the store, as far as
+	// other nodes tell. It counts from the start of the node where none has told.
 	Age time.Duration
 	// Exchanges is how many exchanges of objects are under way, and OldestExchange how long the first of them is.
 	Exchanges      int
@@ -30,9 +35,26 @@
 	return agreement
 }
 
-// noteAgreement notes that the copy is like another one.
-func (s *Syncer) noteAgreement() {
+// noteAgreement notes that the urgent objects of the copy are those that a node which follows the store had at a
+// moment.
+func (s *Syncer) noteAgreement(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.agreedAt = time.Now()
+	if at.After(s.agreedAt) {
+		s.agreedAt = at
+	}
+}
+
+// ageToTell is the age of the urgent objects as other nodes are told it, in milliseconds.
+func (s *Syncer) ageToTell() uint32 {
+	if s.options.Follows() {
+		return 0
+	}
+	return uint32(min(s.Agreement().Age.Milliseconds(), math.MaxUint32))
+}
+
+// agreedAt returns when a node that follows the store had the urgent objects that another node has, by what that one
+// answered to a call which began at a moment.
+func agreedAt(began time.Time, versions *peerpb.ReplicaVersions) time.Time {
+	return began.Add(-time.Duration(versions.GetUrgentAgeMs()) * time.Millisecond)
 }
--- a/antientropy/syncer.go
+++ b/antientropy/syncer.go
@@ -55,6 +55,8 @@
 	// Whole reports whether the copy of this node is whole: it has listed all kinds. Default:
 	// it never is.
 	Whole func() bool
+	// Follows reports whether this node follows the store. Default: it does.
+	Follows func() bool
 	// BecameWhole is called once the copy has all that a whole one has, though this node
 	// may have listed nothing. It may be called again. Default: nothing.
 	BecameWhole func()
@@ -123,7 +125,7 @@
 	bringing map[string]bool
 	// exchanging holds the nodes with which objects are exchanged at present.
 	exchanging map[string]ongoingExchange
-	// agreedAt is when the copy was last known to be like another one.
+	// agreedAt is when a node that follows the store had the urgent objects of this copy.
 	agreedAt time.Time
 	// covered marks the buckets that this node has taken over from whole copies.
 	covered [replica.BucketCount]bool
@@ -149,6 +151,9 @@
 	if options.Whole == nil {
 		options.Whole = func() bool { return false }
 	}
+	if options.Follows == nil {
+		options.Follows = func() bool { return true }
+	}
 	if options.BecameWhole == nil {
 		options.BecameWhole = func() {}
 	}
@@ -223,6 +228,7 @@
 	defer s.Close()
 	ticker := time.NewTicker(s.options.Interval)
 	defer ticker.Stop()
+	s.noteAgreement(time.Now())
 	var rest newsRest
 	for {
 		select {
@@ -252,8 +258,8 @@
 		return
 	}
 	s.noteContact(address, err)
-	if err == nil && len(compared.differing) == 0 {
-		s.noteAgreement()
+	if err == nil && !slices.Contains(compared.differing, replica.UrgentBucket) {
+		s.noteAgreement(compared.agreedAt)
 	}
 	if err != nil || len(compared.differing) == 0 || !s.mayExchange(address) {
 		return
@@ -268,7 +274,7 @@
 			s.bulkFailed(ctx, "exchange failed", address, err)
 			return
 		}
-		s.noteAgreement()
+		s.noteAgreement(compared.agreedAt)
 	})
 }
 
@@ -280,11 +286,14 @@
 	covers bool
 	// byPart is set where the other node compares parts of buckets; older builds do not.
 	byPart bool
+	// agreedAt is when a node that follows the store had the urgent objects of the other copy.
+	agreedAt time.Time
 }
 
 // compare asks another node whether its copy differs. It is a short call, by which nodes know
 // that others live.
 func (s *Syncer) compare(ctx context.Context, address string) (comparison, error) {
+	began := time.Now()
 	response, err := s.call(ctx, peer.LaneControl, address, s.options.CallTimeout, &peerpb.Request{Body: &peerpb.Request_CompareReplicas{
 		CompareReplicas: &peerpb.CompareReplicas{Digest: s.options.Replica.Digest()},
 	}})
@@ -294,7 +303,7 @@
 	versions := response.GetReplicaVersions()
 	s.noteBuild(address, versions.GetComparesParts())
 	// A copy that is whole stays so: there is nothing to note any more.
-	compared := comparison{covers: versions.GetWhole() && !s.options.Whole(), byPart: versions.GetComparesParts()}
+	compared := comparison{covers: versions.GetWhole() && !s.options.Whole(), byPart: versions.GetComparesParts(), agreedAt: agreedAt(began, versions)}
 	if !versions.GetSame() {
 		compared.differing = shuffled(s.options.Replica.Differing(versions.GetBuckets()))
 	}
--- a/gateway/freshness.go
+++ b/gateway/freshness.go
@@ -8,7 +8,8 @@
 	// RevisionInForce is the revision of the configuration in force, and RevisionKnown the newest one that has
 	// reached this node.
 	RevisionInForce, RevisionKnown int64
-	// AgreedAgo is how long ago this node last found that it knows what another one knows.
+	// AgreedAgo is how long ago this node's configuration was that of a node that follows the store, as far as other
+	// nodes tell.
 	AgreedAgo time.Duration
 	// Exchanges is how many exchanges of objects with other nodes are under way, and OldestExchange how long the
 	// first of them is.
--- a/router/follow.go
+++ b/router/follow.go
@@ -113,9 +113,12 @@
 // more where all nodes have lost power.
 const copyPatience = 6 * time.Second
 
-// followsStore reports whether this node is to follow the store: it does not know the others yet, it is a
-// watcher, or no other node has brought it a whole copy in time.
-func (r *Router) followsStore() bool {
+// followsStore reports whether this node is to follow the store: it is chosen to, or hears nothing of those that are.
+func (r *Router) followsStore() bool { return r.isChosenToFollow() || r.isStale() }
+
+// isChosenToFollow reports whether this node is to follow the store whatever it hears: it does not know the others
+// yet, it is a watcher, or no other node has brought it a whole copy in time.
+func (r *Router) isChosenToFollow() bool {
 	knowsNodes := r.nodesKnown.isSet() || !time.Now().Before(r.nodesKnownBy())
 	return !knowsNodes || r.isWatcher() || !r.backends.Synced() && time.Since(r.started) > r.joinTime()+copyPatience
 }
@@ -127,13 +130,21 @@
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		watching, stop := context.WithCancel(ctx)
+		r.following.Store(true)
+		allKinds := r.followsAllKinds()
 		var following sync.WaitGroup
 		for _, kind := range kinds {
-			following.Go(func() { r.followKind(watching, kind) })
+			if allKinds || kind == r.options.Backplane.ConfigurationKind {
+				following.Go(func() { r.followKind(watching, kind) })
+			}
 		}
-		r.waitFor(ctx, ticker, func() bool { return !r.followsStore() })
+		r.waitFor(ctx, ticker, func() bool { return !r.followsStore() || r.followsAllKinds() != allKinds })
 		stop()
 		following.Wait()
+		if r.followsStore() {
+			continue
+		}
+		r.following.Store(false)
 		r.options.Logger.Info("store followed by others")
 		r.waitFor(ctx, ticker, r.followsStore)
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -129,6 +129,9 @@
 	// traffic counts the bytes of calls to other nodes.
 	traffic nodeTraffic
 	refused refusedEntries
+	// following is set while this node follows the store, and staleness decides when it does so without being chosen.
+	following atomic.Bool
+	staleness *staleness
 	// revisionInForce is that of the object whose configuration is in force.
 	revisionInForce atomic.Int64
 	// withdrawn is set once the node has removed its own object.
@@ -179,6 +182,7 @@
 		options: options, metrics: metrics.NewSet(), started: time.Now(), origin: options.Clock.Now(), removed: make(chan struct{}, 1),
 		backends: backend.NewRegistry(options.Clock.Now), contact: newContact(options.Logger, options.Clock),
 	}
+	r.staleness = newStaleness()
 	r.nodesMet, r.nodesKnown = newMilestone(), newMilestone()
 	r.settings.Store(options.Settings)
 	options.Backplane.Dialect.Observe(r.heardBackend)
@@ -188,7 +192,7 @@
 	r.client.Observe(r.countCall)
 	r.syncer = antientropy.New(antientropy.Options{
 		Replica: r.copy, Peers: r.peers, Sources: r.sources, Near: r.isNear, Relays: r.relays, Bridges: r.isBridge, Client: r.client, Logger: options.Logger,
-		Whole: r.backends.Synced, BecameWhole: r.backendsWhole,
+		Follows: r.following.Load, Whole: r.backends.Synced, BecameWhole: r.backendsWhole,
 		Address: options.Settings.PeerAddress, LinkBytes: options.Settings.LinkBytes, Refetch: r.refetch,
 	})
 	r.coordinator = coordinator.New(coordinator.Options{Engines: r.engines, Shortlist: r.shortlist, ZoneOf: r.zoneOf, Nodes: r.responsiveCount, Now: r.now})
