Soak changes of the configuration in a fleet most of which does not follow the store

The soak had 3 to 7 nodes in one zone, all of which follow the store, so that no change took a second step from node to node, and it judged no configuration. Ports of seeds are further apart, since nodes beyond the twelfth took those of the next seed (seen in trials with 58 nodes).

--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -51,6 +51,7 @@
 	id      string
 	service string
 	stage   string
+	zone    string
 	// born is when its current life began, as a Unix millisecond.
 	born atomic.Int64
 	// lives are when its lives began; guarded by the world.
@@ -78,6 +79,9 @@
 	requests requestLog
 	// older is another build of the daemon that nodes run by turns; empty for none.
 	older string
+	// zones is how many zones there are, and firstStart is set while all nodes start together for the first time.
+	zones      int
+	firstStart bool
 	// starts are the starts of nodes' processes.
 	starts []nodeStart
 	// troubles are the times in which connections to back ends were in trouble.
@@ -88,7 +92,9 @@
 	restarting sync.WaitGroup
 	version    int
 	made       int
-	serving    sync.WaitGroup
+	// added are routes that stay in all later versions.
+	added   []string
+	serving sync.WaitGroup
 }
 
 // node is one daemon, over all its processes.
@@ -123,16 +129,35 @@
 }
 
 func newWorld(t *testing.T, seed uint64, nodes int, older string) *world {
-	w := &world{t: t, folder: t.TempDir(), store: standin.NewStore(), older: older}
+	return newFleet(t, seed, fleetShape{nodes: nodes, zones: 1, engines: 6, plain: 4, older: older})
+}
+
+// fleetShape is what a world consists of.
+type fleetShape struct {
+	nodes, zones   int
+	engines, plain int
+	// firstStart tells the nodes that all of them start together.
+	firstStart bool
+	// older is another build of the daemon that nodes run by turns; empty for none.
+	older string
+}
+
+// newFleet starts a world of a shape. A third of its engines have the prefill role.
+func newFleet(t *testing.T, seed uint64, shape fleetShape) *world {
+	w := &world{t: t, folder: t.TempDir(), store: standin.NewStore(), older: shape.older, zones: shape.zones, firstStart: shape.firstStart}
 	storeAddress := w.serve(w.store, &w.web)
 	w.configure()
-	for _, stage := range []string{"prefill", "prefill", "decode", "decode", "decode", "decode"} {
+	for i := range shape.engines {
+		stage := "decode"
+		if i < shape.engines/3 {
+			stage = "prefill"
+		}
 		w.addBackEnd("llm", stage)
 	}
-	for range 4 {
+	for range shape.plain {
 		w.addBackEnd("app", "")
 	}
-	for i := range nodes {
+	for i := range shape.nodes {
 		storeProxy, err := newProxy(storeAddress)
 		if err != nil {
 			t.Fatal(err)
@@ -161,8 +186,8 @@
 // each seed, so that nothing else takes one while a node is down.
 const (
 	firstPort   = 10_000
-	portsOfSeed = 64
-	seedsApart  = 300
+	portsOfSeed = 320
+	seedsApart  = 70
 	portsOfNode = 5
 )
 
@@ -215,6 +240,9 @@
 	for i := range w.version % 5 {
 		routes = append(routes, route(fmt.Sprintf("more%d", i), "safe", "app", 2, false))
 	}
+	for _, name := range w.added {
+		routes = append(routes, route(name, "safe", "app", 2, false))
+	}
 	for i := range others {
 		routes = append(routes, route(fmt.Sprintf("other%x", (i+1)*w.version*0x9e3779b1), "safe", "app", 2, false))
 	}
@@ -233,7 +261,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.made++
-	b := &backEnd{id: fmt.Sprintf("i-%d", w.made), service: service, stage: stage}
+	b := &backEnd{id: fmt.Sprintf("i-%d", w.made), service: service, stage: stage, zone: w.zoneOf(w.made)}
 	b.begin()
 	var handler http.Handler
 	crashing := &standin.Crashing{Body: crashText, After: crashAfter, End: func() { w.crash(b) }}
@@ -267,15 +295,18 @@
 
 func (w *world) announce(b *backEnd, state, stage string) {
 	w.store.Put("servers", b.id, map[string]any{
-		"service": b.service, "address": b.proxy.address(), "zone": "a", "slots": 32, "state": state, "stage": stage, "born": b.born.Load(),
+		"service": b.service, "address": b.proxy.address(), "zone": b.zone, "slots": 32, "state": state, "stage": stage, "born": b.born.Load(),
 	})
 }
 
+// zoneOf returns the zone of a node or a back end by its number.
+func (w *world) zoneOf(number int) string { return string(rune('a' + number%w.zones)) }
+
 // start begins a process of a node.
 func (w *world) start(n *node) {
 	address := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", n.ports[i]) }
 	settings := map[string]any{
-		"node": fmt.Sprintf("node-%d", n.index), "ip": "127.0.0.1", "zone": "a",
+		"node": fmt.Sprintf("node-%d", n.index), "ip": "127.0.0.1", "zone": w.zoneOf(n.index), "bootstrap": w.firstStart,
 		"listen":           map[string]any{"front": address(0), "ready": address(1), "control": address(2)},
 		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
 		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", w.nodes[0].ports[2])},
