Divide fewer than some thousand engines as wanted before the demand is known

Cause: the tolerance of the first division, 0.03 of the engines, was to spare thousands an order each; among 90 it left two engines too many with the prefill role, and these changed, six seconds each, in the middle of the bursts. Now the tolerance counts where it is 64 engines or more, from 2,134 engines on; the 8,650 of the fleet still get no order (TestACalmServiceIsLeftAsItIs).

The test fails before this commit (no change planned).

--- a/roles/plan.go
+++ b/roles/plan.go
@@ -83,8 +83,9 @@
 	// leastEngines is the least number of engines that can be divided.
 	leastEngines = 2
 	// shareTolerance is by how much the share of the engines that read prompts may be off while the demand is
-	// not known: the first guess is no better than that. Among nine engines it is less than one, among
-	// thousands it keeps hundreds from an order each, and from seconds in which they do nothing.
+	// not known, where that are calmEngines or more: the first guess is no better than that, and among
+	// thousands it keeps hundreds from an order each, and from seconds in which they do nothing. Among fewer
+	// each engine in the wrong role is missed in the first burst, and changes in the middle of it.
 	shareTolerance = 0.03
 	// A role is calm of which at most calmLoad is busy and at least calmEngines are free: no request of it waits
 	// for another division. The best division has roles equally busy, however little that is, and the more
@@ -131,11 +132,11 @@
 func (p Policy) wanted(division Division, total int) (prefill int, urgent bool) {
 	current := len(division.Prefill) + division.ArrivingPrefill
 	if division.Demand == nil {
-		share := cmp.Or(p.PrefillShare, defaultPrefillShare)
-		if current > 0 && math.Abs(float64(current)/float64(total)-share) <= shareTolerance {
+		share := cmp.Or(p.PrefillShare, defaultPrefillShare) * float64(total)
+		if current > 0 && math.Abs(float64(current)-share) <= toleratedEngines(total) {
 			return current, false
 		}
-		return max(1, int(math.Round(float64(total)*share))), false
+		return max(1, int(math.Round(share))), false
 	}
 	if division.Demand.isCalm(current, total) {
 		return current, false
@@ -154,6 +155,15 @@
 	return best, load >= cmp.Or(p.UrgentLoad, defaultUrgentLoad)*least
 }
 
+// toleratedEngines returns how many engines may be in another role than the first guess wants, among so many.
+func toleratedEngines(total int) float64 {
+	tolerated := shareTolerance * float64(total)
+	if tolerated < calmEngines {
+		return 0
+	}
+	return tolerated
+}
+
 // load returns how busy the busier role is against its target, with so many prefill engines
 // among all.
 func (d Demand) load(prefill, total int) float64 {
--- a/roles/plan_test.go
+++ b/roles/plan_test.go
@@ -178,6 +178,15 @@
 	return division
 }
 
+// TestNinetyEnginesAreDividedAsWantedBeforeTheFirstBurst has two more engines read prompts than is wanted before the
+// demand is known. Left so, they change in the middle of the first burst.
+func TestNinetyEnginesAreDividedAsWantedBeforeTheFirstBurst(t *testing.T) {
+	g := NewWithT(t)
+	planned := roles.Policy{}.Plan(manyEngines(32, 58, nil))
+	g.Expect(planned).To(HaveLen(2))
+	g.Expect(planned[0].Role).To(Equal(backend.RoleDecode))
+}
+
 // TestACalmServiceIsLeftAsItIs has thousands of engines of which hardly any is busy: no order makes anything
 // faster, and each costs its engine some seconds. The same load on few engines is divided as before.
 func TestACalmServiceIsLeftAsItIs(t *testing.T) {
