Look at all engines of a service that has few, and leave no garbage in each look

Cause: the node that coordinates the service of 90 engines needed twice the time for each event while they were full: what was drawn was tried for nothing before all were looked at, and each look at an engine grew a list anew (240 allocations a try, 60 engines). Nodes missed its answers, chose engines by themselves and overfilled them. Now up to 160 engines of a role are looked at whole, and a look reuses its list.

--- a/backend/sample.go
+++ b/backend/sample.go
@@ -24,21 +24,23 @@
 	Zone string
 	// Count is how many are drawn. Some may be drawn twice, and some not take work.
 	Count int
+	// Whole is up to how many all are returned, where that is more than Count.
+	Whole int
 }
 
 // Random returns a number from 0 up to a bound.
 type Random func(bound int) int
 
 // Sample returns some back ends that take new work, drawn by chance, in the order of their identifiers.
-// Where there are no more than wanted, it returns all and says so. A choice among a few that are drawn is
+// Where there are few enough, it returns all and says so. A choice among a few that are drawn is
 // nearly as good as one among thousands (Mitzenmacher, "The Power of Two Choices in Randomized Load
 // Balancing", 2001), and costs the same however many there are.
 func (r *Registry) Sample(wanted Wanted, random Random) (drawn []*Entry, isAll bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	groups, total := r.groupsOf(wanted)
-	drawn = make([]*Entry, 0, min(wanted.Count, total))
-	if total <= wanted.Count {
+	drawn = make([]*Entry, 0, min(max(wanted.Count, wanted.Whole), total))
+	if total <= max(wanted.Count, wanted.Whole) {
 		for _, entries := range groups {
 			drawn = append(drawn, entries...)
 		}
--- a/backend/sample_test.go
+++ b/backend/sample_test.go
@@ -64,6 +64,19 @@
 	})
 }
 
+// TestFewBackEndsAreLookedAtWhole draws from as many as are to be looked at whole, and from one more.
+func TestFewBackEndsAreLookedAtWhole(t *testing.T) {
+	const whole = 60
+	g := NewWithT(t)
+	wanted := backend.Wanted{Service: "s", Role: backend.RoleDecode, Count: 32, Whole: whole}
+	drawn, isAll := manyBackends(whole).Sample(wanted, rand.IntN)
+	g.Expect(isAll).To(BeTrue())
+	g.Expect(drawn).To(HaveLen(whole))
+	drawn, isAll = manyBackends(whole+1).Sample(wanted, rand.IntN)
+	g.Expect(isAll).To(BeFalse())
+	g.Expect(len(drawn)).To(BeNumerically("<=", wanted.Count))
+}
+
 // TestASampleCostsTheSameAmongMany counts what a sample of 10,000 and of 20,000 back ends allocates.
 func TestASampleCostsTheSameAmongMany(t *testing.T) {
 	g := NewWithT(t)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -85,8 +85,9 @@
 	// byEngine holds the runs of each engine, and byHolder the identifiers of those of each holder.
 	byEngine map[string]map[string]Run
 	byHolder map[string]map[string]bool
-	// projected is used for one look at an engine after the other.
+	// projected and active are used for one look at an engine after the other.
 	projected []projected
+	active    []Run
 	// refusedUntil holds the engines that did not take a run that should have fitted, until
 	// they are given runs again.
 	refusedUntil map[string]time.Duration
--- a/ledger/projection.go
+++ b/ledger/projection.go
@@ -16,10 +16,11 @@
 // peakWith returns the greatest memory that an engine will need with one more
 // run, as a share of what may be given, and whether that is enough.
 func (l *Ledger) peakWith(now time.Duration, engine Engine, run Run) (float64, bool) {
-	var active []Run
+	active := l.active[:0]
 	for _, current := range l.byEngine[engine.ID] {
 		active = append(active, current)
 	}
+	l.active = active
 	return l.peakOf(now, engine, run, active)
 }
 
--- a/router/engines.go
+++ b/router/engines.go
@@ -68,6 +68,10 @@
 // of the whole service, and so many in the zone of the request's node.
 const shortlistSize = 48
 
+// wholeSize is up to how many engines of a role all are looked at. When they are full, what was drawn is tried for
+// nothing and all are looked at besides, and the coordinator of a service has the least time for that.
+const wholeSize = 160
+
 // engines returns the engines of a service that take new work.
 func (r *Router) engines(service string) coordinator.Engines {
 	return r.describeEngines(service, func(role backend.Role) ([]*backend.Entry, bool) {
@@ -78,7 +82,7 @@
 // shortlist returns some of them for a node in a zone.
 func (r *Router) shortlist(service, zone string) coordinator.Engines {
 	return r.describeEngines(service, func(role backend.Role) ([]*backend.Entry, bool) {
-		wanted := backend.Wanted{Service: service, Role: role, Count: shortlistSize}
+		wanted := backend.Wanted{Service: service, Role: role, Count: shortlistSize, Whole: wholeSize}
 		drawn, isAll := r.backends.Sample(wanted, rand.IntN)
 		if isAll || zone == "" {
 			return drawn, isAll
