--- a/roles/plan.go
+++ b/roles/plan.go
@@ -83,7 +83,7 @@
 	// leastEngines is the least number of engines that can be divided.
 	leastEngines = 2
 	// shareTolerance is by how much the share of the engines that read prompts may be off while the demand is
-	// not known, where that are calmEngines or more: the first guess is no better than that, and among
+	// not known, where that is calmEngines or more: the first guess is no better than that, and among
 	// thousands it keeps hundreds from an order each, and from seconds in which they do nothing. Among fewer
 	// each engine in the wrong role is missed in the first burst, and changes in the middle of it.
 	shareTolerance = 0.03
