Allocate for a sample what is drawn, not what may be looked at whole

Cause: since up to 160 engines of a role may be looked at whole, each sample of a larger service made room for 160 entries though it draws 48, at each assignment. Ruled out: nothing else. Change: room for all where all are returned, for the drawn ones otherwise. Behaviour is the same.

--- a/backend/sample.go
+++ b/backend/sample.go
@@ -39,13 +39,14 @@
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	groups, total := r.groupsOf(wanted)
-	drawn = make([]*Entry, 0, min(max(wanted.Count, wanted.Whole), total))
 	if total <= max(wanted.Count, wanted.Whole) {
+		drawn = make([]*Entry, 0, total)
 		for _, entries := range groups {
 			drawn = append(drawn, entries...)
 		}
 		return ready(drawn), true
 	}
+	drawn = make([]*Entry, 0, wanted.Count)
 	for range wanted.Count {
 		drawn = append(drawn, at(groups, random(total)))
 	}
