Limits that back ends name in their responses are decoded, logged and counted

No log line or metric said whether any node had read the limit, so the hypotheses of the incident could not be told apart. Change: one line when a back end begins, changes or ends a limit, a count of responses that name one, by back end and second. Nothing is decided by it yet. A success without a limit ends it; other responses leave it as it is.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -28,6 +28,8 @@
 	// requestedBackoff is set once this incarnation has requested backoff, so that choosing among thousands of
 	// backends locks none of those that never did.
 	requestedBackoff atomic.Bool
+	// requestLimit is the limit of requests per second that this incarnation has named; nil for none.
+	requestLimit atomic.Pointer[float64]
 
 	mu sync.Mutex
 	// recorded holds this node's observations; nil for a backend to which it has never sent anything, which is
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -8,6 +8,29 @@
 	Leaving bool
 	// Backoff is how long the backend requests that this node sends it nothing; zero if it requests no backoff.
 	Backoff time.Duration
+	// Limit is the limit of the backend's requests.
+	Limit RequestLimit
+}
+
+// LimitStatement is what a response states about the limit of its backend's requests.
+type LimitStatement int
+
+// Statements of a response.
+const (
+	// LimitUnstated means that the response does not show whether there is a limit.
+	LimitUnstated LimitStatement = iota
+	// LimitNone means that the backend has no limit, or none any more.
+	LimitNone
+	// LimitNamed means that the response names the limit.
+	LimitNamed
+)
+
+// RequestLimit is the limit of a backend's requests, as stated by a response. The zero value states nothing.
+type RequestLimit struct {
+	Statement LimitStatement
+	// Rate is the number of requests per second that the backend accepts from all nodes together, if it names a
+	// limit.
+	Rate float64
 }
 
 // IsEmpty reports whether the notice announces nothing.
@@ -22,7 +45,9 @@
 	if notice.IsEmpty() {
 		return Notice{}
 	}
-	changed := Notice{Leaving: notice.Leaving && e.recordLeaving(), Backoff: e.recordBackoff(notice.Backoff)}
+	changed := Notice{
+		Leaving: notice.Leaving && e.recordLeaving(), Backoff: e.recordBackoff(notice.Backoff), Limit: e.recordLimit(notice.Limit),
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.ensureObservations().noticeAt = at
@@ -42,6 +67,35 @@
 	return true
 }
 
+// recordLimit records the limit that a response states. It returns the statement if it changes the limit.
+func (e *Entry) recordLimit(stated RequestLimit) RequestLimit {
+	if stated.Statement == LimitUnstated {
+		return RequestLimit{}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before, limited := e.RequestLimit()
+	switch {
+	case stated.Statement == LimitNone && !limited, stated.Statement == LimitNamed && limited && before == stated.Rate:
+		return RequestLimit{}
+	case stated.Statement == LimitNone:
+		e.requestLimit.Store(nil)
+	default:
+		e.requestLimit.Store(&stated.Rate)
+	}
+	return stated
+}
+
+// RequestLimit returns the number of requests per second that the backend accepts from all nodes together, and
+// whether it has named such a limit.
+func (e *Entry) RequestLimit() (rate float64, limited bool) {
+	named := e.requestLimit.Load()
+	if named == nil {
+		return 0, false
+	}
+	return *named, true
+}
+
 // recordBackoff records the backoff that the backend requests. It returns the backoff if this begins one, and zero
 // if the backend is in backoff already or requests none.
 func (e *Entry) recordBackoff(backoff time.Duration) time.Duration {
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -254,6 +254,9 @@
 // RecordNotice records the notice of a backend incarnation. It returns the part of the notice that is new. The
 // incarnation may have no entry: an expired entry may be written again in its previous form.
 func (r *Registry) RecordNotice(target Backend, notice Notice) Notice {
+	if notice == (Notice{Limit: RequestLimit{Statement: LimitNone}}) && !r.isLimited(target.ID) {
+		return Notice{}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	entry := r.byID[target.ID]
@@ -266,6 +269,22 @@
 	return entry.recordNotice(notice, r.wallClock().UnixMilli())
 }
 
+// isLimited reports whether an incarnation has named a limit of its requests. Nearly all responses come from
+// backends that have not, so this is cheaper than recording a notice.
+func (r *Registry) isLimited(id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	entry := r.byID[id]
+	if entry == nil {
+		entry = r.removed[id].entry
+	}
+	if entry == nil {
+		return false
+	}
+	_, limited := entry.RequestLimit()
+	return limited
+}
+
 // removedEntryOf returns the entry of an incarnation that discovery does not describe; the lock is held.
 func (r *Registry) removedEntryOf(target Backend) *Entry {
 	kept, found := r.removed[target.ID]
--- a/router/notices.go
+++ b/router/notices.go
@@ -17,12 +17,38 @@
 		r.options.Logger.Info("back end asks for backoff", "backend", target.ID, "service", target.Service, "role", string(target.Role),
 			"backoff_ms", change.Backoff.Milliseconds())
 	}
-	if change.IsEmpty() {
+	r.handleLimit(target, notice.Limit, change.Limit)
+	if repeated := (backend.Notice{Leaving: notice.Leaving, Backoff: notice.Backoff}); change.IsEmpty() && !repeated.IsEmpty() {
 		r.metrics.Add("backends_heard_again", 1)
 		r.repeatedNotices.add(target.ID)
 	}
 }
 
+// handleLimit logs that a backend limits its requests, changes the limit, or limits them no longer, and counts its
+// responses while it does.
+func (r *Router) handleLimit(target backend.Backend, stated, change backend.RequestLimit) {
+	switch change.Statement {
+	case backend.LimitNamed:
+		r.metrics.Add("backends_named_limit", 1)
+		r.options.Logger.Info("back end limits its requests", "backend", target.ID, "service", target.Service, "role", string(target.Role),
+			"requests_per_second", change.Rate)
+	case backend.LimitNone:
+		r.options.Logger.Info("back end limits its requests no longer", "backend", target.ID, "service", target.Service, "role", string(target.Role))
+	case backend.LimitUnstated:
+	}
+	if stated.Statement == backend.LimitNamed {
+		r.metrics.Add("responses_naming_limit", 1)
+		r.limitedResponses.add(target.ID)
+	}
+}
+
+// logLimitedResponses logs how many responses have named a limit since the last summary, by backend.
+func (r *Router) logLimitedResponses() {
+	if counts := r.limitedResponses.take(); len(counts) > 0 {
+		r.options.Logger.Info("responses of backends that limit their requests", "answers", counts)
+	}
+}
+
 // logRepeatedNotices logs which backends have repeated a notice since the last summary, and how often.
 func (r *Router) logRepeatedNotices() {
 	if counts := r.repeatedNotices.take(); len(counts) > 0 {
--- a/router/router.go
+++ b/router/router.go
@@ -125,6 +125,8 @@
 	storeCalls callCounts
 	// repeatedNotices counts repeated notices by backend since the last summary.
 	repeatedNotices callCounts
+	// limitedResponses counts, by backend, the responses that named a limit since the last summary.
+	limitedResponses callCounts
 	// traffic counts the bytes of calls to other nodes.
 	traffic  nodeTraffic
 	rejected rejectedEntries
--- a/router/summary.go
+++ b/router/summary.go
@@ -31,6 +31,7 @@
 		r.logLoads()
 		r.logStoreCalls()
 		r.logRepeatedNotices()
+		r.logLimitedResponses()
 	})
 }
 
