Calls to back ends that name a limit are charged to one limit for the whole fleet

Cause: the limit in a response was read by nobody, and no state of the fleet could have held it: it is a bound on all nodes together, while a node decides by itself where a plain request goes. Change: each call to a back end that names a limit is charged before it is sent, at one coordinator of the fleet; without a response of one, by a node's equal share.

--- a/backend/entry.go
+++ b/backend/entry.go
@@ -50,6 +50,8 @@
 	// fullUntil is when a backend that rejected a request for lack of capacity may be used again.
 	fullUntil time.Time
 	backoff   backoffPeriod
+	// limitedUntil is when the backend's limit grants this node calls again.
+	limitedUntil time.Time
 	// noticeAt is when the backend last sent a notice, in Unix milliseconds by this node's clock.
 	noticeAt int64
 }
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -80,6 +80,7 @@
 		return RequestLimit{}
 	case stated.Statement == LimitNone:
 		e.requestLimit.Store(nil)
+		e.ensureObservations().limitedUntil = time.Time{}
 	default:
 		e.requestLimit.Store(&stated.Rate)
 	}
@@ -119,13 +120,21 @@
 	return backoff
 }
 
-// BackoffRemaining returns how much of the backoff that the backend requested remains; zero if it is not in
-// backoff.
+// BackoffRemaining returns how long this node sends the backend nothing: for the rest of the backoff that the backend
+// requested, and until there is credit again of the limit that it named.
 func (e *Entry) BackoffRemaining() time.Duration {
-	if !e.requestedBackoff.Load() {
+	if _, limited := e.RequestLimit(); !limited && !e.requestedBackoff.Load() {
 		return 0
 	}
-	return max(0, e.observations().backoff.until.Sub(e.now()))
+	now, observed := e.now(), e.observations()
+	return max(0, observed.backoff.until.Sub(now), observed.limitedUntil.Sub(now))
+}
+
+// limitReached records that the backend's limit grants this node no call for a time.
+func (e *Entry) limitReached(wait time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ensureObservations().limitedUntil = e.now().Add(wait)
 }
 
 // BackingOffFor returns how long ago the current backoff began; zero if there is none.
@@ -148,6 +157,7 @@
 	if before.requestedBackoff.Load() {
 		e.setBackoff(before.observations().backoff)
 	}
+	e.requestLimit.Store(before.requestLimit.Load())
 }
 
 // setBackoff replaces the backoff.
@@ -171,12 +181,16 @@
 	if observed.noticeAt < e.Backend().StartedAt {
 		return false
 	}
+	limit := before.requestLimit.Load()
+	if limit != nil {
+		e.requestLimit.Store(limit)
+	}
 	now, period := e.now(), observed.backoff
 	if before.announcedLeaving.Load() {
 		period = backoffPeriod{from: now, until: now.Add(uncertainLeavingBackoff)}
 	}
 	if !now.Before(period.until) {
-		return false
+		return limit != nil
 	}
 	e.setBackoff(period)
 	return true
--- a/backend/registry.go
+++ b/backend/registry.go
@@ -147,11 +147,11 @@
 	return true
 }
 
-// retire keeps a removed incarnation whose notices still withhold work from it; the lock is held.
+// retire keeps a removed incarnation whose notices still apply; the lock is held.
 func (r *Registry) retire(entry *Entry) {
 	id := entry.Backend().ID
 	delete(r.notices, id)
-	if entry.isWithheld() {
+	if _, limited := entry.RequestLimit(); limited || entry.isWithheld() {
 		r.remember(id, entry)
 	}
 }
@@ -254,8 +254,11 @@
 // RecordNotice records the notice of a backend incarnation. It returns the part of the notice that is new. The
 // incarnation may have no entry: an expired entry may be written again in its previous form.
 func (r *Registry) RecordNotice(target Backend, notice Notice) Notice {
-	if notice == (Notice{Limit: RequestLimit{Statement: LimitNone}}) && !r.isLimited(target.ID) {
-		return Notice{}
+	if notice == (Notice{Limit: RequestLimit{Statement: LimitNone}}) {
+		// Nearly all responses: recording these would lock the registry for each.
+		if _, limited := r.RequestLimit(target.ID); !limited {
+			return Notice{}
+		}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -269,9 +272,9 @@
 	return entry.recordNotice(notice, r.wallClock().UnixMilli())
 }
 
-// isLimited reports whether an incarnation has named a limit of its requests. Nearly all responses come from
-// backends that have not, so this is cheaper than recording a notice.
-func (r *Registry) isLimited(id string) bool {
+// RequestLimit returns the limit of requests per second over all nodes that an incarnation has named, and whether it
+// has named one. The incarnation may have no entry.
+func (r *Registry) RequestLimit(id string) (rate float64, limited bool) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	entry := r.byID[id]
@@ -279,10 +282,19 @@
 		entry = r.removed[id].entry
 	}
 	if entry == nil {
-		return false
+		return 0, false
+	}
+	return entry.RequestLimit()
+}
+
+// LimitReached records that the limit of a backend grants this node no call for a time.
+func (r *Registry) LimitReached(id string, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if entry := r.byID[id]; entry != nil {
+		entry.limitReached(wait)
+		r.notices[id] = entry
 	}
-	_, limited := entry.RequestLimit()
-	return limited
 }
 
 // removedEntryOf returns the entry of an incarnation that discovery does not describe; the lock is held.
--- a/gateway/backoff_test.go
+++ b/gateway/backoff_test.go
@@ -61,3 +61,31 @@
 	g.Expect(rejected.Header().Get("Retry-After")).To(Or(HavePrefix("0.9"), HavePrefix("1.")), "when the first backoff ends")
 	g.Expect(dialect.sent).To(Equal(map[string]int{"a": 50}))
 }
+
+// limitingDialect has the first backend fail and the others accept no request, by the limits that they have named.
+type limitingDialect struct {
+	parser
+	backends *backend.Registry
+	sent     *int
+}
+
+func (d limitingDialect) Send(_ context.Context, target backend.Backend, _ *gateway.Request, _ time.Duration) (*gateway.Response, error) {
+	*d.sent++
+	if *d.sent == 1 {
+		return &gateway.Response{Status: http.StatusInternalServerError, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("own words"))}, nil
+	}
+	d.backends.LimitReached(target.ID, time.Second)
+	return nil, gateway.ErrLimited
+}
+
+// TestLastResponseIsReturnedWhenOthersAreBeyondTheirLimits has one backend fail while the limit of the other one is used
+// up. It guards against replacing the response by a failure of this node.
+func TestLastResponseIsReturnedWhenOthersAreBeyondTheirLimits(t *testing.T) {
+	g := NewWithT(t)
+	backends, sent := twoBackends(), 0
+	handler := newPlainHandlerOf(backends, limitingDialect{backends: backends, sent: &sent}, admission.NewNode("n", func() time.Duration { return 0 }))
+	got := sendOnce(handler)
+	g.Expect(got.Code).To(Equal(http.StatusInternalServerError))
+	g.Expect(got.Body.String()).To(Equal("own words"))
+	g.Expect(sent).To(Equal(2))
+}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -14,6 +14,10 @@
 // ErrNotSent means that no byte of a request has left this node for the backend.
 var ErrNotSent = errors.New("gateway: not sent")
 
+// ErrLimited means that nothing was sent because the backend accepts no more requests now, by the limit that it has
+// named. The registry of backends knows when it does again.
+var ErrLimited = errors.New("gateway: beyond the limit of the backend")
+
 // ErrResponseMismatch means that the response of a backend belongs to another request.
 var ErrResponseMismatch = errors.New("gateway: response to another request")
 
@@ -53,8 +57,8 @@
 	LastEventID string
 }
 
-// Dialect is the protocol spoken with callers and backends. Errors of its calls are marked by ErrNotSent if
-// nothing was sent; any other error leaves open whether the request ran. It is safe for concurrent use.
+// Dialect is the protocol spoken with callers and backends. Errors of its calls are marked by ErrNotSent or ErrLimited
+// if nothing was sent; any other error leaves open whether the request ran. It is safe for concurrent use.
 type Dialect interface {
 	// Parse reads the head of a caller's request. The body is read later. On an error, it returns what
 	// could be parsed of the request, for the log.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -40,6 +40,8 @@
 	if entry == nil {
 		return x.allBackingOff(backend.RoleNone, notRun(ReasonNoBackend, noBackendRetryAfter, nil))
 	}
+	var last attemptResult
+	defer func() { last.close() }()
 	for {
 		if err := contextFailure(ctx); err != nil {
 			return err
@@ -52,20 +54,38 @@
 		if err == nil {
 			return x.relay(response)
 		}
+		if !errors.Is(err, ErrLimited) || last.err == nil {
+			// The response of an earlier backend is kept while only limits keep the request from others.
+			last.close()
+			last = attemptResult{response, err}
+		}
 		// The check for another backend comes first. Otherwise the last backend's own response would be
 		// dropped, and a retry charged to the budget, although no backend is left to retry at.
 		next := x.handler.pick(x.service, backend.RoleNone, attempted)
-		if next == nil || !x.mayRetry(err) {
-			return x.finalResponse(response, err)
+		if next == nil || !x.mayRetry(last.err) {
+			return x.finalResponse(last.response, last.err)
 		}
-		x.handler.logRetry(x, err)
-		if response != nil {
-			_ = response.Body.Close()
+		if !errors.Is(err, ErrLimited) {
+			x.handler.logRetry(x, err)
 		}
 		entry = next
 	}
 }
 
+// attemptResult is what an attempt has returned that does not end the request.
+type attemptResult struct {
+	// response is what the backend returned, or nil.
+	response *Response
+	err      error
+}
+
+// close discards the response.
+func (r attemptResult) close() {
+	if r.response != nil {
+		_ = r.response.Body.Close()
+	}
+}
+
 // finalResponse passes on the last response of a backend, if there is one that the caller may receive, and
 // returns the error otherwise.
 func (x *exchange) finalResponse(response *Response, err error) error {
@@ -146,6 +166,9 @@
 	}
 	sent := time.Now()
 	response, err := x.handler.options.Dialect.Send(sendContext, target, x.request, left)
+	if errors.Is(err, ErrLimited) {
+		return nil, &attemptError{failure: notRun(ReasonBackendLimit, rejectedRetryAfter, err)}
+	}
 	if errors.Is(err, ErrNotSent) {
 		outcome = admission.OutcomeFailed
 		entry.RecordFailure()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -203,7 +203,9 @@
 		if len(attempted) >= maxPrefills || !x.mayStartRun() {
 			return nil, nil, notRun(ReasonPrefillFailed, rejectedRetryAfter, err)
 		}
-		x.handler.logRetry(x, err)
+		if !errors.Is(err, ErrLimited) {
+			x.handler.logRetry(x, err)
+		}
 	}
 }
 
@@ -244,10 +246,12 @@
 	}
 	sent := time.Now()
 	result, response, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
-	if !errors.Is(err, ErrNotSent) {
+	if !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrLimited) {
 		x.countPrefill(result != nil)
 	}
 	switch {
+	case errors.Is(err, ErrLimited):
+		return nil, err
 	case err != nil && ctx.Err() != nil:
 		return nil, err
 	case err != nil:
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -24,6 +24,8 @@
 	ReasonNoBackend    Reason = "no_backend"
 	// ReasonBackoff means that all backends for the request have requested backoff from this node.
 	ReasonBackoff Reason = "backoff"
+	// ReasonBackendLimit means that the chosen backend accepts no more requests now, by the limit that it has named.
+	ReasonBackendLimit Reason = "backend_limit"
 	// ReasonQuarantined means that the request has crashed the backends that ran it.
 	ReasonQuarantined Reason = "quarantined"
 	// ReasonOverloaded means that the request exceeds the capacity of the backends of its service.
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -221,6 +221,8 @@
 	switch {
 	case ctx.Err() != nil:
 		return nil, coordinator.RejectionNone, contextFailure(ctx)
+	case errors.Is(err, ErrLimited):
+		return nil, coordinator.RejectionNone, nil
 	case err != nil:
 		entry.RecordFailure()
 		x.handler.options.Metrics.Add("reservation_errors", 1)
--- a/router/capabilities.go
+++ b/router/capabilities.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"github.com/reelrun/reelrun/backendlimit"
 	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/quota"
 )
@@ -13,7 +14,8 @@
 // rolling upgrade: a role is only assigned to nodes whose build supports it, because a node that does not
 // would answer each call of the role with an error. Where no supporting node is live, each node decides
 // locally: it requests reservations from engines in turn for a bounded time, admits all requests to plain
-// services, limits tenants by its equal share of each limit (see quota.LocalLimiter), and quarantines requests
+// services, limits tenants and its calls to backends by its equal share of each limit (see quota.LocalLimiter
+// and backendlimit.LocalLimiter), and quarantines requests
 // by the crashes that it saw and the statuses that it received earlier. Shares of the retry budget need no
 // coordinator: a node without a share sends only as many retries as the ratio allows.
 type capability string
@@ -27,12 +29,14 @@
 	capabilityQuarantines capability = "quarantines"
 	// capabilityRetryShares is to use no more of the retry budget than the node's share in the store.
 	capabilityRetryShares capability = "retryShares"
+	// capabilityBackendLimits is the enforcement of the limits that backends name.
+	capabilityBackendLimits capability = "backendLimits"
 )
 
 // ownCapabilities returns the capabilities of this build.
 func ownCapabilities() []capability { return knownCapabilities[:] }
 
-var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares}
+var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares, capabilityBackendLimits}
 
 // unlistedCapabilities returns the capabilities of builds that do not list theirs: those of the last build
 // without a list.
@@ -48,6 +52,8 @@
 		return capabilityQuotas
 	case quarantine.Scope:
 		return capabilityQuarantines
+	case backendlimit.Scope:
+		return capabilityBackendLimits
 	default:
 		return capabilityServices
 	}
--- a/router/engines.go
+++ b/router/engines.go
@@ -27,6 +27,8 @@
 		return r.coordinator.Handle(ctx, request)
 	case *peerpb.Request_ChargeQuota:
 		return r.quotas.Handle(request)
+	case *peerpb.Request_ChargeBackend:
+		return r.limits.Handle(request)
 	case *peerpb.Request_ReportCrashes, *peerpb.Request_AnnounceCrashes:
 		return r.quarantines.Handle(request)
 	case *peerpb.Request_ReportLoad:
--- a/router/reports.go
+++ b/router/reports.go
@@ -71,8 +71,12 @@
 		if entry == nil || entry.BackoffRemaining() > 0 {
 			continue
 		}
+		if _, limited := entry.RequestLimit(); limited {
+			// A report each second would use up a small limit.
+			continue
+		}
 		polled.Go(func() {
-			report, err := r.options.Environment.Dialect.Report(ctx, entry.Backend())
+			report, err := r.dialect.Report(ctx, entry.Backend())
 			if err != nil {
 				r.metrics.Add("report_errors", 1)
 				return
--- a/router/rolechange.go
+++ b/router/rolechange.go
@@ -23,7 +23,7 @@
 // newRoleController returns the controller of the engines' roles.
 func (r *Router) newRoleController() *roles.Controller {
 	return roles.New(roles.Options{
-		EngineClient: r.options.Environment.Dialect,
+		EngineClient: r.dialect,
 		Backends:     r.backends,
 		Lease: lease.New(lease.Options{
 			Store: r.options.Environment.Store, Name: leaseRoles,
--- a/router/router.go
+++ b/router/router.go
@@ -15,6 +15,7 @@
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/backendlimit"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/gateway"
@@ -88,8 +89,10 @@
 type Router struct {
 	options  Options
 	backends *backend.Registry
-	gateway  *gateway.Handler
-	metrics  *metrics.Set
+	// dialect makes all calls to backends.
+	dialect Dialect
+	gateway *gateway.Handler
+	metrics *metrics.Set
 	// replica holds this node's replica of the store's objects.
 	replica     *replica.Replica
 	storeHealth *storeHealth
@@ -110,6 +113,8 @@
 	// quotas charges the requests of this node, and quotaCoordinator those of all nodes while this one coordinates.
 	quotas           *quota.Client
 	quotaCoordinator *quota.Coordinator
+	// limits charges the calls of this node to backends that limit their requests.
+	limits *backendlimit.Client
 	// quarantines holds the quarantine status of requests that crash backends; quarantineCoordinator combines the
 	// reports of all nodes while this one is selected for it, and quarantineArchive writes them to the store.
 	quarantines           *quarantine.Client
@@ -127,6 +132,8 @@
 	repeatedNotices callCounts
 	// limitedResponses counts, by backend, the responses that named a limit since the last summary.
 	limitedResponses callCounts
+	// deniedCalls counts, by backend, the calls beyond the limits of backends since the last summary.
+	deniedCalls callCounts
 	// traffic counts the bytes of calls to other nodes.
 	traffic  nodeTraffic
 	rejected rejectedEntries
@@ -186,6 +193,7 @@
 	r.someNodesKnown, r.nodesKnown = newLatch(), newLatch()
 	r.settings.Store(options.Settings)
 	options.Environment.Dialect.Observe(r.handleNotice)
+	r.dialect = limitedDialect{options.Environment.Dialect, r}
 	r.replica = replica.New(options.Environment.ConfigurationKind, r.changed)
 	stamps := timeline.NewClock(time.Now)
 	r.client = peer.NewClient(options.Settings.Name, options.Dial, stamps)
@@ -205,6 +213,10 @@
 		Coordinators: r.assigner, Peers: r.client, LocalCoordinator: r.quotaCoordinator, LocalLimiter: quota.NewLocalLimiter(r.nodeCount, rand.Float64),
 		Limited: r.anyTenantLimited, Now: r.now,
 	})
+	r.limits = backendlimit.NewClient(backendlimit.ClientOptions{
+		Coordinators: r.assigner, Peers: r.client, LocalCoordinator: backendlimit.NewCoordinator(r.limitNodes),
+		LocalLimiter: backendlimit.NewLocalLimiter(r.limitNodes, rand.Float64), Now: r.now,
+	})
 	r.newQuarantines()
 	r.retryShares.holder = retrybudget.NewHolder(options.Settings.RetryWindow, options.Clock.Now)
 	r.server = peer.NewServer(r.handlePeer, stamps)
@@ -214,7 +226,7 @@
 	r.gateway = gateway.New(gateway.Options{
 		Clock:    options.Clock,
 		Zone:     options.Settings.Zone,
-		Dialect:  options.Environment.Dialect,
+		Dialect:  r.dialect,
 		Backends: r.backends,
 		Budget: retrybudget.New(retrybudget.Options{
 			Ratio:  options.Settings.RetryRatio * budgetShare,
--- a/router/summary.go
+++ b/router/summary.go
@@ -32,6 +32,7 @@
 		r.logStoreCalls()
 		r.logRepeatedNotices()
 		r.logLimitedResponses()
+		r.logDeniedCalls()
 	})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,6 +136,7 @@
 	injecting.Go(func() { h.injectStallFaults(rand.New(rand.NewPCG(seed, stallStream)), duration) })
 	injecting.Go(func() { h.injectRegistryFaults(rand.New(rand.NewPCG(seed, registryStream)), duration) })
 	injecting.Go(func() { h.injectNoticeFaults(rand.New(rand.NewPCG(seed, noticeStream)), duration) })
+	injecting.Go(func() { h.injectLimits(rand.New(rand.NewPCG(seed, limitStream)), duration) })
 	injecting.Go(func() { h.injectRejections(rand.New(rand.NewPCG(seed, rejectStream)), duration) })
 	h.injectFaults(random, duration)
 	injecting.Wait()
@@ -153,6 +154,8 @@
 	ignoredNotices, leavingNotices := checkLeaving(load.observations(), record)
 	ignoredBackoffs, backoffs := checkBackoffs(record)
 	violations = append(violations, append(ignoredNotices, ignoredBackoffs...)...)
+	excessCalls, limitedCalls := checkLimits(record)
+	violations = append(violations, excessCalls...)
 	violations = append(violations, h.checkRecovery()...)
 	excessRetries, retries := h.checkUpstreamRetries()
 	violations = append(violations, excessRetries...)
@@ -160,8 +163,8 @@
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs and %d upstream retries checked",
-		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, retries)
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs, %d requests to limited backends and %d upstream retries checked",
+		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, limitedCalls, retries)
 	for _, violation := range violations {
 		t.Error(violation)
 	}
