--- a/router/router.go
+++ b/router/router.go
@@ -134,6 +134,8 @@
 	limitedResponses callCounts
 	// deniedCalls counts, by backend, the calls beyond the limits of backends since the last summary.
 	deniedCalls callCounts
+	// outdatedObjects counts the objects of the store that were ignored since the last summary, by kind and name.
+	outdatedObjects callCounts
 	// traffic counts the bytes of calls to other nodes.
 	traffic  nodeTraffic
 	rejected rejectedEntries
--- a/router/summary.go
+++ b/router/summary.go
@@ -33,6 +33,7 @@
 		r.logRepeatedNotices()
 		r.logLimitedResponses()
 		r.logDeniedCalls()
+		r.logOutdatedObjects()
 	})
 }
 
--- a/router/watchstore.go
+++ b/router/watchstore.go
@@ -18,6 +18,8 @@
 	kind        objectapi.Kind
 	replica     *replica.Replica
 	storeHealth *storeHealth
+	// onReceived is called with each object of the store before it is applied.
+	onReceived func(record replica.Record)
 	// onListed is called after a complete list; it may be nil.
 	onListed func()
 	// onLongList is called after each page but the last, once the pages contained at least longListSize objects; it may
@@ -34,6 +36,7 @@
 func (f *storeFeed) Replace(objects []objectapi.Object, revision int64) {
 	f.pagedCount = 0
 	for _, object := range objects {
+		f.onReceived(replica.Record{Object: object})
 		f.replica.Apply(replica.SourceStore, replica.Record{Object: object})
 	}
 	f.deferIfStoreFailed(func() { f.replica.Replace(f.kind, objects, revision) })
@@ -45,6 +48,7 @@
 // Apply implements objectapi.Handler.
 func (f *storeFeed) Apply(event objectapi.Event) {
 	record := replica.Record{Object: event.Object, Deleted: event.Deleted}
+	f.onReceived(record)
 	if !event.Deleted {
 		f.replica.Apply(replica.SourceStore, record)
 		return
@@ -162,7 +166,7 @@
 }
 
 func (r *Router) watchKind(ctx context.Context, kind objectapi.Kind) {
-	feed := &storeFeed{kind: kind, replica: r.replica, storeHealth: r.storeHealth, beforeWatch: r.awaitFirstWatch}
+	feed := &storeFeed{kind: kind, replica: r.replica, storeHealth: r.storeHealth, onReceived: r.noteOutdated, beforeWatch: r.awaitFirstWatch}
 	switch kind {
 	case r.options.Environment.BackendKind:
 		r.nodesKnown.await(ctx, r.nodesKnownBy())
