Versions of stored objects contain the store's epoch

What callers saw: a configuration that the store had acknowledged was not active in time, or answered by 404 (CONFIG), after the store had come back from an older copy. Cause: objects were ordered by the store's revision alone. A restored store gives revisions out again, so what was written next seemed older than the nodes' copies of it and was ignored; a watch from such a revision is served without what came before it. Ways weighed: forget all objects at a restore (nodes that do not watch, and those that start, cannot tell old from new); an epoch beside the revision in each record and message (all comparisons, digests and the protocol between nodes change); the epoch in the upper bits of the version, translated in platform/ (chosen: replicas, comparisons and older builds order it as it is).

--- a/objectapi/pages.go
+++ b/objectapi/pages.go
@@ -10,7 +10,7 @@
 type Page struct {
 	// Objects are ordered by name.
 	Objects []Object
-	// Revision is the revision of the store as of the page.
+	// Revision is the version of the store as of the page.
 	Revision int64
 	// More is set if objects with greater names follow.
 	More bool
@@ -38,6 +38,9 @@
 		if number == 0 {
 			revision = page.Revision
 		}
+		if EpochOf(page.Revision) != EpochOf(revision) {
+			return nil, 0, errors.Wrap(ErrUnavailable, "the store was restored from a copy during the list")
+		}
 		objects = append(objects, page.Objects...)
 		if !page.More || len(page.Objects) == 0 {
 			return objects, revision, nil
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -40,7 +40,8 @@
 type Object struct {
 	Kind Kind
 	Name string
-	// Version changes with each write. Zero means that the object must not exist.
+	// Version rises with each write, across restores of the store from a copy too (see NewVersion). Zero means that
+	// the object must not exist.
 	Version int64
 	// Spec is the JSON value.
 	Spec json.RawMessage
@@ -56,15 +57,15 @@
 type Store interface {
 	// Get returns an object, or ErrNotFound.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
-	// List returns all objects of a kind and the revision to watch from.
+	// List returns all objects of a kind and the version to watch from.
 	List(ctx context.Context, kind Kind) ([]Object, int64, error)
 	// Put writes the object if its stored version equals object.Version, and
 	// returns it with its new version; otherwise ErrConflict.
 	Put(ctx context.Context, object Object) (Object, error)
 	// Delete removes the object if its stored version equals version.
 	Delete(ctx context.Context, kind Kind, name string, version int64) error
-	// Watch calls handle for each change after the revision until the context or
+	// Watch calls handle for each change after the version until the context or
 	// the connection ends. It returns ErrTooOld if the store no longer has all
-	// changes since the revision.
+	// changes since the version, or has been restored from a copy since.
 	Watch(ctx context.Context, kind Kind, after int64, handle func(Event)) error
 }
--- a/router/changes.go
+++ b/router/changes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/replica"
 )
@@ -57,12 +58,12 @@
 	began := time.Now()
 	decoded, err := r.options.Environment.DecodeConfiguration(object)
 	if err != nil {
-		r.options.Logger.Error("configuration refused", "revision", object.Version, "error", err.Error())
+		r.options.Logger.Error("configuration refused", "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "error", err.Error())
 		return
 	}
 	if r.gateway.Configure(decoded) {
 		r.recordActiveRevision(object)
-		r.options.Logger.Info("configuration in force", "version", decoded.Version, "revision", object.Version,
+		r.options.Logger.Info("configuration in force", "version", decoded.Version, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version),
 			"routes", decoded.RouteCount(), "bytes", len(object.Spec), "decode_ms", time.Since(began).Milliseconds(),
 			"source", string(change.Source))
 	}
@@ -79,7 +80,7 @@
 	if change.Record.Deleted {
 		r.rejected.accepted(object.Name)
 		if r.backends.RemoveRegistered(object.Name) {
-			r.options.Logger.Info("back end gone", "backend", object.Name, "revision", object.Version, "source", string(change.Source))
+			r.options.Logger.Info("back end gone", "backend", object.Name, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "source", string(change.Source))
 		}
 		return
 	}
@@ -89,7 +90,7 @@
 		r.backends.RemoveRegistered(object.Name)
 		r.metrics.Add("backends_refused", 1)
 		if r.rejected.first(object.Name) {
-			r.options.Logger.Error("back end refused", "backend", object.Name, "revision", object.Version, "error", err.Error())
+			r.options.Logger.Error("back end refused", "backend", object.Name, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "error", err.Error())
 		}
 		return
 	}
@@ -97,6 +98,6 @@
 	isNew := r.backends.Lookup(decoded.ID) == nil
 	if r.backends.Update(decoded) && r.isNotable(isNew, change.Source) {
 		r.options.Logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
-			"role", string(decoded.Role), "revision", object.Version, "source", string(change.Source))
+			"role", string(decoded.Role), "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "source", string(change.Source))
 	}
 }
--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -77,7 +77,7 @@
 		allocation, err := retrybudget.DecodeAllocation(record.Object.Spec, int(r.settings.Load().RetryBurst))
 		if err != nil {
 			// Another writer may have corrupted the object. No node has a share until it is written again.
-			r.options.Logger.Error("retry shares rejected", "revision", record.Object.Version, "error", err.Error())
+			r.options.Logger.Error("retry shares rejected", "revision", objectapi.RevisionOf(record.Object.Version), "epoch", objectapi.EpochOf(record.Object.Version), "error", err.Error())
 			allocation = retrybudget.Allocation{Generation: r.retryShares.allocation.Generation}
 		}
 		r.retryShares.allocation, r.retryShares.version = allocation, record.Object.Version
