An expired holder does not mark its successor's lease as idle

Cause: a failed Acquire keeps the node's held flag and stores the other holder's record as the observed one; MarkIdle then wrote that record as idle. Release already compares the holder.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -198,7 +198,7 @@
 	held, record := l.held, l.observed
 	l.held = false
 	l.mu.Unlock()
-	if !held {
+	if !held || record.Holder != l.options.Holder {
 		return nil
 	}
 	record.Idle = true
