A lease is not given out twice after a restore of the store

Cause: a candidate trusted the record. A restored one may be idle, released, absent or of an earlier holder while a later holder, whose record is lost, still acts; the next token was one above the restored one, which the later holder has already. Ways weighed: the holder gives its lease up once it sees the restore (it may see it later than a candidate does); candidates wait (chosen: needs no word from the holder). Change: records name the store's epoch that they were written in. A candidate that finds an earlier one waits for a whole duration from its first read in the epoch, counts it as a takeover from an unknown holder, and takes a token above all earlier epochs'.

--- a/cmd/reelrun-router/main.go
+++ b/cmd/reelrun-router/main.go
@@ -147,7 +147,7 @@
 	store.Observe(func(operation platform.Operation, kind objectapi.Kind) {
 		daemon.CountStoreCall(string(operation), kind)
 	})
-	store.ObserveRestores(func(before, after int64) { daemon.StoreRestored(before, after) })
+	store.ObserveEpoch(func(epoch int64) { daemon.StoreEpoch(epoch) })
 	daemon = router.New(router.Options{
 		Settings:  parsed,
 		Placement: values.placement,
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -21,7 +21,7 @@
 type Record struct {
 	// Holder is the node and incarnation that holds the lease; empty if released.
 	Holder string `json:"holder"`
-	// FencingToken increases by one with each holder.
+	// FencingToken increases by one with each holder, and by more with the first holder after a restore of the store.
 	FencingToken uint64 `json:"fence"`
 	// Renewals increases with each renewal, so that a candidate detects a live holder.
 	Renewals uint64 `json:"renewals"`
@@ -30,8 +30,16 @@
 	// Idle is set if the holder has no order in flight and will acquire the lease again before it acts: another
 	// node may take it immediately.
 	Idle bool `json:"idle,omitempty"`
+	// Epoch is the store's epoch in which the record was written.
+	Epoch int64 `json:"epoch,omitempty"`
 }
 
+// epochTokenBits is the number of bits of a fencing token that count the holders of one epoch of the store.
+const epochTokenBits = 20
+
+// firstToken returns a fencing token above those of all earlier epochs.
+func firstToken(epoch int64) uint64 { return uint64(max(0, epoch)) << epochTokenBits }
+
 // Options configures a Lease.
 type Options struct {
 	Store objectapi.Store
@@ -45,6 +53,8 @@
 	Margin time.Duration
 	// Now reads a monotonic clock. Default time.Now.
 	Now func() time.Time
+	// Epoch returns the newest known epoch of the store. Default: always zero.
+	Epoch func() int64
 }
 
 const (
@@ -62,6 +72,9 @@
 	observedSince time.Time
 	// version is that of the stored record when it was last read.
 	version int64
+	// epoch is the store's epoch as of the last read, and epochSince is when a read first showed it.
+	epoch      int64
+	epochSince time.Time
 	// held is set while this node holds the lease, until heldUntil unless it is renewed.
 	held      bool
 	heldUntil time.Time
@@ -80,6 +93,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Epoch == nil {
+		options.Epoch = func() int64 { return 0 }
+	}
 	return &Lease{options: options}
 }
 
@@ -100,7 +116,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if current.Holder != "" && current.Holder != proposed.Holder && !current.Idle {
+	takenOver := current.Holder != "" && current.Holder != proposed.Holder && !current.Idle
+	if takenOver || current.Epoch < proposed.Epoch {
 		l.takenOverAt = l.options.Now()
 	}
 	l.observed, l.observedSince = proposed, l.options.Now()
@@ -124,6 +141,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.version = object.Version
+	if epoch := max(objectapi.EpochOf(object.Version), l.options.Epoch()); epoch != l.epoch || l.epochSince.IsZero() {
+		l.epoch, l.epochSince = epoch, l.options.Now()
+	}
 	if l.observedSince.IsZero() || record != l.observed {
 		l.observed, l.observedSince = record, l.options.Now()
 	}
@@ -139,6 +159,14 @@
 	proposed.Renewals++
 	proposed.DurationMillis = l.options.Duration.Milliseconds()
 	proposed.Idle = false
+	proposed.Epoch = l.epoch
+	if current.Epoch < l.epoch {
+		// The restore may have removed the record of a later holder.
+		duration := max(l.options.Duration, time.Duration(current.DurationMillis)*time.Millisecond)
+		proposed.Holder = l.options.Holder
+		proposed.FencingToken = max(current.FencingToken+1, firstToken(l.epoch))
+		return proposed, now.Sub(l.epochSince) > duration
+	}
 	if current.Holder == l.options.Holder {
 		return proposed, true
 	}
--- a/router/restores.go
+++ b/router/restores.go
@@ -2,11 +2,26 @@
 
 import "github.com/reelrun/reelrun/replica"
 
-// StoreRestored logs that the store has been restored from a copy: what was written after the copy is lost. The epoch
-// counts the restores.
-func (r *Router) StoreRestored(before, after int64) {
-	r.metrics.Add("store_restores", 1)
-	r.options.Logger.Warn("store restored from a copy", "epoch_before", before, "epoch", after)
+// unknownEpoch is the epoch of the store before anything is known of it.
+const unknownEpoch = -1
+
+// StoreEpoch records the epoch of the store, which counts how often it has been restored from a copy. What was written
+// after the copy is lost then.
+func (r *Router) StoreEpoch(epoch int64) {
+	for {
+		known := r.storeEpoch.Load()
+		if epoch <= known {
+			return
+		}
+		if !r.storeEpoch.CompareAndSwap(known, epoch) {
+			continue
+		}
+		if known != unknownEpoch {
+			r.metrics.Add("store_restores", 1)
+			r.options.Logger.Warn("store restored from a copy", "epoch_before", known, "epoch", epoch)
+		}
+		return
+	}
 }
 
 // noteOutdated counts an object of the store that is older than the one that this node knows, and is ignored.
--- a/router/rolechange.go
+++ b/router/rolechange.go
@@ -31,7 +31,8 @@
 			Duration: leaseFactor * r.options.Settings.LeaseDuration,
 			// After a suspension, a holder finds its lease expired as soon as it resumes, and
 			// sends no order that competes with the next holder's.
-			Now: r.options.Clock.Exact,
+			Now:   r.options.Clock.Exact,
+			Epoch: r.storeEpoch.Load,
 		}),
 		Holder:   r.options.Settings.Name,
 		Services: r.coordinatedServices,
--- a/router/router.go
+++ b/router/router.go
@@ -143,6 +143,8 @@
 	// although it is not selected as a watcher.
 	watching  atomic.Bool
 	staleness *staleness
+	// storeEpoch is the newest known epoch of the store, or unknownEpoch.
+	storeEpoch atomic.Int64
 	// activeRevision is the revision of the object whose configuration is active.
 	activeRevision atomic.Int64
 	// withdrawn is set once the node has removed its own object.
@@ -192,6 +194,7 @@
 		backends: backend.NewRegistry(options.Clock.Now), storeHealth: newStoreHealth(options.Logger, options.Clock),
 	}
 	r.staleness = newStaleness()
+	r.storeEpoch.Store(unknownEpoch)
 	r.someNodesKnown, r.nodesKnown = newLatch(), newLatch()
 	r.settings.Store(options.Settings)
 	options.Environment.Dialect.Observe(r.handleNotice)
