Nodes whose objects a restore of the store has removed register again

What callers could see: after the store came back from a copy older than a node's last start, the other nodes took that node for absent or for an earlier start: it coordinated nothing, and shares of limits and budgets were counted by too few nodes. Its object was only written again once the others had deleted theirs, 1.8 s after the first list. Cause: a node registers at its start and when its object is removed; an object that is missing in a restored store, or that of an earlier start, was no reason. Evidence: TestNodesWrittenAfterTheCopyStayUnregistered fails before: one of four nodes missing, one with its earlier start. Ways weighed: each node reads its object after a restore (one call a node, a thousand at once); each node looks at what others send it (chosen: no call where nothing is lost). Entries missing in a restored list are kept for expiryGrace, as after an outage. A node that stops removes the object that the store has, if its version is not the known one.

--- a/router/changes.go
+++ b/router/changes.go
@@ -10,6 +10,8 @@
 
 // changed applies a newer version of an object. The replica calls it, one change at a time.
 func (r *Router) changed(change replica.Change) {
+	// A node that does not watch the store learns of a restore by what others send it.
+	r.StoreEpoch(objectapi.EpochOf(change.Record.Object.Version))
 	switch change.Record.Object.Kind {
 	case r.options.Environment.ConfigurationKind:
 		r.configurationChanged(change)
--- a/router/registration.go
+++ b/router/registration.go
@@ -63,17 +63,20 @@
 func (r *Router) nodeCount() int { return max(1, r.nodes.count()) }
 
 // stayRegistered writes the node's object, so that others discover the node, and writes it again whenever
-// another node has considered this one lost and removed the object.
+// another node has considered this one lost and removed the object, or a restore of the store has.
 func (r *Router) stayRegistered(ctx context.Context) {
 	if !r.options.Settings.FirstStart {
 		r.awaitNodes(ctx)
 	}
+	r.register(ctx)
 	for ctx.Err() == nil {
-		r.register(ctx)
 		select {
 		case <-ctx.Done():
 		case <-r.removed:
 			r.options.Logger.Warn("node object was removed by another node; registering again")
+			r.register(ctx)
+		case <-r.restored:
+			r.reregisterAfterRestore(ctx)
 		}
 	}
 }
@@ -108,10 +111,7 @@
 	if r.withdrawn.Load() {
 		return
 	}
-	select {
-	case r.removed <- struct{}{}:
-	default:
-	}
+	signal(r.removed)
 }
 
 const (
@@ -193,8 +193,25 @@
 		if object.Name != r.options.Settings.Name {
 			continue
 		}
-		if err := r.options.Environment.Store.Delete(ctx, kindNode, object.Name, object.Version); err != nil {
+		err := r.options.Environment.Store.Delete(ctx, kindNode, object.Name, object.Version)
+		if errors.Is(err, objectapi.ErrConflict) {
+			err = r.withdrawStoredVersion(ctx)
+		}
+		if err != nil {
 			r.options.Logger.Warn("node not withdrawn", "error", err.Error())
 		}
 	}
 }
+
+// withdrawStoredVersion removes the object that the store has: after a restore, its version is not the known one.
+func (r *Router) withdrawStoredVersion(ctx context.Context) error {
+	store, name := r.options.Environment.Store, r.options.Settings.Name
+	stored, err := store.Get(ctx, kindNode, name)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return store.Delete(ctx, kindNode, name, stored.Version)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -149,8 +149,9 @@
 	activeRevision atomic.Int64
 	// withdrawn is set once the node has removed its own object.
 	withdrawn atomic.Bool
-	// removed signals that another node has removed this node's object.
-	removed chan struct{}
+	// removed signals that another node has removed this node's object, and restored that the store has been restored
+	// from a copy.
+	removed, restored chan struct{}
 	// someNodesKnown is set once this node knows some others: all nodes of a small fleet, or its neighbours by name in a
 	// large one. nodesKnown is set once it has had the time to learn of all.
 	someNodesKnown, nodesKnown *latch
@@ -190,7 +191,7 @@
 		}
 	}
 	r := &Router{
-		options: options, metrics: metrics.NewSet(), started: time.Now(), origin: options.Clock.Now(), removed: make(chan struct{}, 1),
+		options: options, metrics: metrics.NewSet(), started: time.Now(), origin: options.Clock.Now(), removed: make(chan struct{}, 1), restored: make(chan struct{}, 1),
 		backends: backend.NewRegistry(options.Clock.Now), storeHealth: newStoreHealth(options.Logger, options.Clock),
 	}
 	r.staleness = newStaleness()
--- a/router/watchstore.go
+++ b/router/watchstore.go
@@ -298,6 +298,14 @@
 	}
 }
 
+// noteRestore records that the store has been restored from a copy: entries written since the copy are missing until
+// their writers write them again, as after an outage.
+func (h *storeHealth) noteRestore() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lastFailure = h.clock.Now()
+}
+
 // failedWithin reports whether a call to the store has failed in the given time.
 func (h *storeHealth) failedWithin(window time.Duration) bool {
 	h.mu.Lock()
