A restore of the store ends no quarantine

What callers could see: a request that had crashed three backends reached servers again (BUDGET), after the store had come back from a copy older than its quarantine. Cause: the quarantine coordinator took an object that is missing in the store for one that an operator had removed. Evidence: TestRestoreOfStoreEndsQuarantines fails before: the quarantine ends with the first read after the restore. Change: objects missing in a list of another epoch are written again, and the archive is read again as soon as the node knows of the restore, not up to a minute later. After: the test passes, which also checks that a removal by an operator still ends a quarantine.

--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -35,6 +35,8 @@
 	loaded bool
 	// loadedAt is when they were read last, by the coordinator's clock.
 	loadedAt time.Duration
+	// epoch is the store's epoch as of then.
+	epoch int64
 	// unreadable is set while the store's objects cannot be read.
 	unreadable bool
 	// versions are those of the store's objects, by name.
@@ -46,7 +48,7 @@
 	return &Archive{store: store, coordinator: coordinator, logger: logger, wall: wall}
 }
 
-// Reset makes the next Reconcile read the store's objects again: another node may have changed them.
+// Reset makes the next Reconcile read the store's objects again: another node, or a restore, may have changed them.
 func (a *Archive) Reset() { a.loaded = false }
 
 // Reconcile makes the store's objects match the coordinator's quarantines. It makes no call if nothing has
@@ -92,11 +94,11 @@
 func (a *Archive) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	objects, _, err := a.store.List(ctx, Kind)
+	objects, revision, err := a.store.List(ctx, Kind)
 	if err != nil {
 		return errors.Wrap(err, "list quarantines")
 	}
-	before := a.versions
+	before, epoch := a.versions, objectapi.EpochOf(revision)
 	a.versions = map[string]int64{}
 	for _, object := range objects {
 		earlier, err := DecodeRecord(a.wall(), object.Name, object.Spec)
@@ -109,10 +111,11 @@
 			a.coordinator.Restore(earlier)
 		}
 	}
-	if a.loaded {
+	// Objects that are missing in a restored store were not removed by a writer; they are written again.
+	if a.loaded && epoch == a.epoch {
 		a.endRemoved(before)
 	}
-	a.loaded, a.loadedAt = true, a.coordinator.options.Now()
+	a.loaded, a.loadedAt, a.epoch = true, a.coordinator.options.Now(), epoch
 	return nil
 }
 
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -172,3 +172,26 @@
 	g.Expect(coordinator.announced[request].Status()).To(Equal(Status{}))
 	g.Expect(store.objects).To(BeEmpty(), "not written again")
 }
+
+// TestRestoreOfStoreEndsQuarantines restores the store from a copy that lacks a quarantine. The coordinator took the
+// missing object for one that an operator had removed, and the request crashed three more backends.
+func TestRestoreOfStoreEndsQuarantines(t *testing.T) {
+	g := NewWithT(t)
+	store := &memoryStore{objects: map[string]objectapi.Object{}}
+	coordinator, request := newTestCoordinator(store, time.Hour), testRequest(1)
+	for _, backend := range []string{"a", "b", "c"} {
+		coordinator.crash(request, backend)
+	}
+	coordinator.archive.Reconcile(t.Context())
+	g.Expect(store.objects).To(HaveLen(1))
+	clear(store.objects)
+	store.revision = objectapi.NewVersion(1, 0)
+	coordinator.now += reloadInterval
+	coordinator.archive.Reconcile(t.Context())
+	g.Expect(coordinator.announced[request].Quarantined).To(BeNumerically(">", 0))
+	g.Expect(store.objects).To(HaveLen(1), "written again")
+	clear(store.objects)
+	coordinator.now += reloadInterval
+	coordinator.archive.Reconcile(t.Context())
+	g.Expect(coordinator.announced[request].Status()).To(Equal(Status{}), "removed by an operator")
+}
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -86,7 +86,12 @@
 // reconcileArchive writes the quarantines to the store while this node coordinates them, until the
 // context ends.
 func (r *Router) reconcileArchive(ctx context.Context) {
+	epoch := r.storeEpoch.Load()
 	periodic.Run(ctx, archiveInterval, func(ctx context.Context) {
+		if newest := r.storeEpoch.Load(); newest != epoch {
+			epoch = newest
+			r.quarantineArchive.Reset()
+		}
 		if !r.quarantines.IsCoordinator() {
 			r.quarantineArchive.Reset()
 			return
