A restore of the store revives no earlier shares of the retry budget

What backends could see: more upstream retries than the budget allows (BUDGET), after the store had come back from a copy older than the allocation of the budget; or a node that joins afterwards without a share for good. Cause: nodes took the allocation with the newest version of its object. A restored one has an earlier generation, whose shares others have received since; where it was missing, each write conflicted with the store. Evidence: TestRestoreRevivesEarlierRetryShares (generation 3 before the restore and after the next allocation) and TestRestoreWithoutRetrySharesEndsTheirChanges fail before. Change: an allocation of an earlier generation than the known one is not used, only its version, for the next write; a missing one is written anew. After: both tests pass, as do 14 of the retry budget with the race detector.

--- a/router/retryshares.go
+++ b/router/retryshares.go
@@ -80,7 +80,11 @@
 			r.options.Logger.Error("retry shares rejected", "revision", objectapi.RevisionOf(record.Object.Version), "epoch", objectapi.EpochOf(record.Object.Version), "error", err.Error())
 			allocation = retrybudget.Allocation{Generation: r.retryShares.allocation.Generation}
 		}
-		r.retryShares.allocation, r.retryShares.version = allocation, record.Object.Version
+		r.retryShares.version = record.Object.Version
+		if allocation.Generation >= r.retryShares.allocation.Generation {
+			// Else a restore of the store has brought back an earlier allocation, whose shares others have by now.
+			r.retryShares.allocation = allocation
+		}
 	}
 }
 
@@ -167,14 +171,14 @@
 	}
 	object := objectapi.Object{Kind: kindRetryShares, Name: nameRetryShares, Version: r.retryShares.version, Spec: spec}
 	written, err := r.options.Environment.Store.Put(ctx, object)
+	if errors.Is(err, objectapi.ErrConflict) {
+		err = r.readStoredRetryShares(ctx, err)
+	}
 	if errors.Is(err, objectapi.ErrNotFound) {
 		// The object was removed; the nodes keep their shares.
 		object.Version = 0
 		written, err = r.options.Environment.Store.Put(ctx, object)
 	}
-	if errors.Is(err, objectapi.ErrConflict) {
-		r.refetch(ctx, replica.Key{Kind: kindRetryShares, Name: nameRetryShares})
-	}
 	if err != nil {
 		return err
 	}
@@ -182,6 +186,17 @@
 	return nil
 }
 
+// readStoredRetryShares reads the shares that the store has after a write that conflicted with them. It returns the
+// conflict, or ErrNotFound if a restore of the store has removed the shares.
+func (r *Router) readStoredRetryShares(ctx context.Context, conflict error) error {
+	stored, err := r.options.Environment.Store.Get(ctx, kindRetryShares, nameRetryShares)
+	if err != nil {
+		return err
+	}
+	r.replica.Apply(replica.SourceStore, replica.Record{Object: stored})
+	return conflict
+}
+
 // awaitedMembers returns the nodes that have a share but have had no object for less than lostAfter. A node that
 // restarts is absent for some seconds and then uses its share again; if others had received the share, the node
 // would have to wait for their confirmations and for a window of the budget.
