The soak restores the store from copies; the active revision follows a restore

Change: once the operator has written the active configuration again, its revision counts as the active one; a 404 was logged as if the node knew a newer configuration than it served by.

--- a/router/changes.go
+++ b/router/changes.go
@@ -68,6 +68,11 @@
 		r.options.Logger.Info("configuration in force", "version", decoded.Version, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version),
 			"routes", decoded.RouteCount(), "bytes", len(object.Spec), "decode_ms", time.Since(began).Milliseconds(),
 			"source", string(change.Source))
+		return
+	}
+	if decoded.Version == r.gateway.Configuration().Version {
+		// The operator has written the active configuration again, after a restore of the store.
+		r.recordActiveRevision(object)
 	}
 }
 
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -46,6 +46,7 @@
 	until := time.Now().Add(environmentDuration(t))
 	var running sync.WaitGroup
 	running.Go(func() { checks.addRoutes(rand.New(rand.NewPCG(seed, seed)), until) })
+	running.Go(func() { h.injectRestores(rand.New(rand.NewPCG(seed, restoreStream)), time.Until(until)) })
 	for time.Now().Before(until) {
 		inject := h.drawNodeFault(faults)
 		running.Go(inject)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -137,6 +137,7 @@
 	injecting.Go(func() { h.injectRegistryFaults(rand.New(rand.NewPCG(seed, registryStream)), duration) })
 	injecting.Go(func() { h.injectNoticeFaults(rand.New(rand.NewPCG(seed, noticeStream)), duration) })
 	injecting.Go(func() { h.injectLimits(rand.New(rand.NewPCG(seed, limitStream)), duration) })
+	injecting.Go(func() { h.injectRestores(rand.New(rand.NewPCG(seed, restoreStream)), duration) })
 	injecting.Go(func() { h.injectRejections(rand.New(rand.NewPCG(seed, rejectStream)), duration) })
 	h.injectFaults(random, duration)
 	injecting.Wait()
