--- a/soak/retries_test.go
+++ b/soak/retries_test.go
@@ -100,11 +100,21 @@
 		retries += len(standin.UpstreamRetries(arrivals))
 		if worst, exceeded := retryRule.Worst(h.requests.times(service), arrivals); exceeded {
 			violations = append(violations, fmt.Sprintf("%s got %v", service, worst))
+			h.logArrivals(worst, arrivals)
 		}
 	}
 	return violations, retries
 }
 
+// logArrivals logs the arrivals in a window with too many upstream retries, so that its requests can be traced.
+func (h *harness) logArrivals(excess standin.RetryExcess, arrivals []standin.Arrival) {
+	for _, arrival := range arrivals {
+		if since := arrival.At.Sub(excess.From); since >= 0 && since < retryRule.Window {
+			h.t.Logf("arrival %s %s %s, prefill %v, started %v", arrival.At.Format("15:04:05.000"), arrival.Request, arrival.Path, arrival.Prefill, arrival.PrefillStarted)
+		}
+	}
+}
+
 // TestChecksDetectUpstreamRetries has a backend get one upstream retry more than the rule allows.
 func TestChecksDetectUpstreamRetries(t *testing.T) {
 	g := NewWithT(t)
