--- a/backendlimit/bucket.go
+++ b/backendlimit/bucket.go
@@ -1,6 +1,7 @@
 package backendlimit
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -60,21 +61,39 @@
 	bucketLifetime = time.Minute
 )
 
-// buckets holds the buckets of backends by identifier.
-type buckets map[string]*bucket
+// buckets holds the buckets of backends by identifier. The zero value holds none.
+type buckets struct {
+	byBackend map[string]*bucket
+	// prunedAt is when unused buckets were last removed.
+	prunedAt time.Duration
+}
 
 // of returns the bucket of a backend. A new one is empty.
-func (b buckets) of(now time.Duration, backend string) *bucket {
-	current := b[backend]
+func (b *buckets) of(now time.Duration, backend string) *bucket {
+	if now-b.prunedAt > bucketLifetime {
+		b.prune(now)
+	}
+	current := b.byBackend[backend]
 	if current != nil {
 		return current
 	}
-	for id, unused := range b {
-		if now-unused.updatedAt > bucketLifetime {
-			delete(b, id)
-		}
+	if b.byBackend == nil {
+		b.byBackend = map[string]*bucket{}
 	}
 	current = &bucket{updatedAt: now}
-	b[backend] = current
+	b.byBackend[backend] = current
 	return current
 }
+
+// prune removes the buckets that have not been used for bucketLifetime.
+func (b *buckets) prune(now time.Duration) {
+	maps.DeleteFunc(b.byBackend, func(_ string, unused *bucket) bool { return now-unused.updatedAt > bucketLifetime })
+	b.prunedAt = now
+}
+
+// discard removes the credit of a backend, if it has a bucket.
+func (b *buckets) discard(now time.Duration, backend string) {
+	if current := b.byBackend[backend]; current != nil {
+		current.discard(now)
+	}
+}
--- a/backendlimit/coordinator.go
+++ b/backendlimit/coordinator.go
@@ -41,7 +41,7 @@
 
 // NewCoordinator returns a coordinator without credit.
 func NewCoordinator(nodes func() Nodes) *Coordinator {
-	return &Coordinator{nodes: nodes, buckets: buckets{}}
+	return &Coordinator{nodes: nodes}
 }
 
 // Decide decides on a charge.
--- a/backendlimit/local.go
+++ b/backendlimit/local.go
@@ -26,7 +26,7 @@
 
 // NewLocalLimiter returns a limiter without credit.
 func NewLocalLimiter(nodes func() Nodes, random func() float64) *LocalLimiter {
-	return &LocalLimiter{nodes: nodes, random: random, buckets: buckets{}}
+	return &LocalLimiter{nodes: nodes, random: random}
 }
 
 // Decide decides on a charge.
@@ -57,7 +57,5 @@
 func (l *LocalLimiter) Reset(now time.Duration, backend string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if current := l.buckets[backend]; current != nil {
-		current.discard(now)
-	}
+	l.buckets.discard(now, backend)
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -117,7 +117,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	takenOver := current.Holder != "" && current.Holder != proposed.Holder && !current.Idle
-	if takenOver || current.Epoch < proposed.Epoch {
+	isRestored := current.Epoch < proposed.Epoch
+	if takenOver || isRestored {
 		l.takenOverAt = l.options.Now()
 	}
 	l.observed, l.observedSince = proposed, l.options.Now()
@@ -160,17 +161,16 @@
 	proposed.DurationMillis = l.options.Duration.Milliseconds()
 	proposed.Idle = false
 	proposed.Epoch = l.epoch
+	duration := time.Duration(current.DurationMillis) * time.Millisecond
 	if current.Epoch < l.epoch {
-		// The restore may have removed the record of a later holder.
-		duration := max(l.options.Duration, time.Duration(current.DurationMillis)*time.Millisecond)
+		// A restore may have removed the record of a later holder.
 		proposed.Holder = l.options.Holder
 		proposed.FencingToken = max(current.FencingToken+1, firstToken(l.epoch))
-		return proposed, now.Sub(l.epochSince) > duration
+		return proposed, now.Sub(l.epochSince) > max(duration, l.options.Duration)
 	}
 	if current.Holder == l.options.Holder {
 		return proposed, true
 	}
-	duration := time.Duration(current.DurationMillis) * time.Millisecond
 	if current.Holder != "" && !current.Idle && now.Sub(l.observedSince) <= duration {
 		return Record{}, false
 	}
--- a/objectapi/version.go
+++ b/objectapi/version.go
@@ -4,6 +4,9 @@
 // seven years for as many.
 const revisionBits = 40
 
+// MaxEpoch is the highest epoch that a version holds.
+const MaxEpoch = 1<<(63-revisionBits) - 1
+
 // NewVersion returns the version of an object that a store wrote at a revision. The epoch counts how often the store has
 // been restored from a copy: it then gives out revisions again, so that these alone do not tell which object is newer.
 func NewVersion(epoch, revision int64) int64 { return epoch<<revisionBits + revision }
