Soak: requests of the recovery phase have identifiers of their own in each process

Two of about 200 seeds counted retries that no node had logged, in the phase whose identifiers were alike in all seeds. A request of another seed that runs beside, sent to a port which had belonged to a back end there, was counted as one more arrival of the request of the same name. No check or bound changes.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -243,7 +243,9 @@
 	served := 0
 	for i := range recoveryAttempts {
 		k := []kind{kindNonIdempotent, kindIdempotent, kindStream, kindResumable}[i%4]
-		if o := send(transport, n, k, fmt.Sprintf("after-%d-%d", n.index, i), true, steadyTenant); o.status == http.StatusOK && o.complete {
+		// Seeds that run at the same time may reuse each other's ports, so identifiers differ between processes.
+		id := fmt.Sprintf("after%d-%d-%d", os.Getpid(), n.index, i)
+		if o := send(transport, n, k, id, true, steadyTenant); o.status == http.StatusOK && o.complete {
 			served++
 		}
 	}
