Failing tests: callers of nodes that reach no back end are rejected

What callers saw: 503 within milliseconds, or after up to 0.9 s where calls hang, at nodes whose own links to the back ends are cut, while other nodes reach all of them. The stand-in's network learns refused and reset links.

--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -18,8 +18,10 @@
 
 	mu        sync.Mutex
 	listeners map[string]*listener
-	conns     map[*conn]struct{}
-	traffic   map[string]*traffic
+	// refused selects the links on which connections are refused.
+	refused func(Link) bool
+	conns   map[*conn]struct{}
+	traffic map[string]*traffic
 }
 
 // traffic counts the bytes and frames that a host has sent.
@@ -51,7 +53,7 @@
 func NewNetwork(filter *LinkFilter) *Network {
 	return &Network{
 		filter: filter, limited: limitedLinks{hosts: map[string]*limitedLink{}},
-		listeners: map[string]*listener{}, conns: map[*conn]struct{}{}, traffic: map[string]*traffic{},
+		listeners: map[string]*listener{}, refused: func(Link) bool { return false }, conns: map[*conn]struct{}{}, traffic: map[string]*traffic{},
 	}
 }
 
@@ -71,8 +73,9 @@
 	}
 	n.mu.Lock()
 	target, ok := n.listeners[to]
+	refused := n.refused(linkOf(from, to))
 	n.mu.Unlock()
-	if !ok {
+	if !ok || refused {
 		return nil, ErrRefused
 	}
 	clientEnd, serverEnd := net.Pipe()
@@ -87,6 +90,29 @@
 	}
 }
 
+// Refuse replaces the function that selects the links on which new connections are refused. Established connections
+// are not affected.
+func (n *Network) Refuse(selected func(Link) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refused = selected
+}
+
+// Reset closes the established connections of the selected links.
+func (n *Network) Reset(selected func(Link) bool) {
+	n.mu.Lock()
+	var ended []*conn
+	for open := range n.conns {
+		if selected(open.link) {
+			ended = append(ended, open)
+		}
+	}
+	n.mu.Unlock()
+	for _, open := range ended {
+		_ = open.Close()
+	}
+}
+
 func (n *Network) wrap(raw net.Conn, local, remote string) *conn {
 	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{}), sent: n.counter(hostOf(local))}
 	n.mu.Lock()
