Why a request was not sent is logged, and which nodes report failures of engines

What was missing in the incident of nodes without back ends: 'not sent' stood in the log without its cause (refused, reset, timed out), and a coordinator's line on failing engines did not tell who had reported them. Both are needed to tell the hypotheses apart: a node's own links, or the engines. No decision was changed.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -150,11 +150,21 @@
 		t.CloseIdle()
 	}
 	if used == nil || used.written.Load() == writtenBefore {
-		err = errors.CombineErrors(gateway.ErrNotSent, err)
+		err = notSentError{err}
 	}
 	return nil, used, err
 }
 
+// notSentError is a failure before the first byte of a request was sent. Of its cause it has only the text: whether
+// the cause was a timeout does not matter to the sender of a request that has certainly not run.
+type notSentError struct{ cause error }
+
+// Error implements error.
+func (e notSentError) Error() string { return gateway.ErrNotSent.Error() + ": " + e.cause.Error() }
+
+// Is marks the error by gateway.ErrNotSent.
+func (e notSentError) Is(target error) bool { return target == gateway.ErrNotSent }
+
 // Abandon closes a response and its connection, so that the connection is not reused.
 func Abandon(response *http.Response, conn *Conn) {
 	_ = response.Body.Close()
--- a/backendhttp/exchange_test.go
+++ b/backendhttp/exchange_test.go
@@ -49,7 +49,9 @@
 	g := NewWithT(t)
 	closed := listen(t)
 	g.Expect(closed.Close()).To(Succeed())
-	g.Expect(errors.Is(exchange(t, closed.Addr().String()), gateway.ErrNotSent)).To(BeTrue())
+	notSent := exchange(t, closed.Addr().String())
+	g.Expect(errors.Is(notSent, gateway.ErrNotSent)).To(BeTrue())
+	g.Expect(notSent).To(MatchError(ContainSubstring("connection refused")))
 
 	closing := listen(t)
 	received := make(chan []byte, 1)
--- a/router/engines.go
+++ b/router/engines.go
@@ -24,6 +24,7 @@
 		return r.syncer.Handle(ctx, request)
 	case *peerpb.Request_AssignEngines, *peerpb.Request_EndRun, *peerpb.Request_SyncRuns,
 		*peerpb.Request_PromptRead, *peerpb.Request_EngineFailed:
+		r.countReportedFailure(request)
 		return r.coordinator.Handle(ctx, request)
 	case *peerpb.Request_ChargeQuota:
 		return r.quotas.Handle(request)
--- a/router/router.go
+++ b/router/router.go
@@ -136,6 +136,8 @@
 	deniedCalls callCounts
 	// outdatedObjects counts the objects of the store that were ignored since the last summary, by kind and name.
 	outdatedObjects callCounts
+	// reportedFailures counts the failures of engines that nodes reported to this one since the last summary, by node.
+	reportedFailures callCounts
 	// traffic counts the bytes of calls to other nodes.
 	traffic  nodeTraffic
 	rejected rejectedEntries
--- a/router/summary.go
+++ b/router/summary.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/reelrun/reelrun/coordinator"
+	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/periodic"
 )
 
@@ -34,6 +36,7 @@
 		r.logLimitedResponses()
 		r.logDeniedCalls()
 		r.logOutdatedObjects()
+		r.logReportedFailures()
 	})
 }
 
@@ -53,3 +56,19 @@
 			"retry_after_ms", state.Plan.RetryAfter.Milliseconds(), "backends", state.Plan.Backends, "holders", state.Holders)
 	}
 }
+
+// countReportedFailure counts a failure of an engine that another node reports to this coordinator.
+func (r *Router) countReportedFailure(request *peerpb.Request) {
+	isRunFailed := coordinator.Rejection(request.GetEndRun().GetRefusal()) == coordinator.RejectionFailed
+	if request.GetEngineFailed() != nil || isRunFailed {
+		r.reportedFailures.add(request.GetNode())
+	}
+}
+
+// logReportedFailures logs how many failures of engines each node has reported since the last summary. If one node
+// reports most of them, its own connections may be at fault.
+func (r *Router) logReportedFailures() {
+	if counts := r.reportedFailures.take(); len(counts) > 0 {
+		r.options.Logger.Info("engine failures reported", "by_node", counts)
+	}
+}
