Connections to backends go through other nodes where the node's own link fails

Cause: a node knew one way to a back end, its own link. Class: a fault of the observer's link taken for a fault of what it observes.

Change: a connection that a node cannot open itself is opened by another node, as a tunnel on a lane of its own between the nodes. Failures of the own link that another node does not meet are evidence against the link (package backendpath, no I/O); several of them make the node count as cut off, and all connections are tunnelled until one check each half second finds the link again. A connection that ends irregularly behind a tunnel does not look complete. A refusal counts as the end of a back end's process only if another node meets it as well. Nodes that list no capability 'tunnels' are not asked.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -349,6 +349,48 @@
 	return shortest
 }
 
+// HasAddress reports whether a backend has an address.
+func (r *Registry) HasAddress(address string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, entry := range r.byID {
+		if entry.backend.Load().Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// SampleAddresses returns the addresses of up to count backends that take work, of any service.
+func (r *Registry) SampleAddresses(count int) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var addresses []string
+	// The iteration begins at a random entry.
+	for _, entry := range r.byID {
+		if len(addresses) == count {
+			break
+		}
+		if entry.TakesWork() {
+			addresses = append(addresses, entry.backend.Load().Address)
+		}
+	}
+	return addresses
+}
+
+// ServicesAt returns the services of the backends at the given addresses, sorted.
+func (r *Registry) ServicesAt(addresses []string) []string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	services := map[string]bool{}
+	for _, entry := range r.byID {
+		if described := entry.backend.Load(); slices.Contains(addresses, described.Address) {
+			services[described.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
 // CountReady returns how many backends of all services take new work in a role.
 func (r *Registry) CountReady(role Role) int {
 	r.mu.RLock()
--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -10,11 +10,11 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/reelrun/reelrun/backendpath"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/gateway"
 )
@@ -37,6 +37,27 @@
 type Conn struct {
 	net.Conn
 	written atomic.Int64
+	// via is the address of the node through which the connection was opened; empty for a direct one.
+	via string
+	// heard is called for each successful read; nil for nothing.
+	heard func()
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if n > 0 && c.heard != nil {
+		c.heard()
+	}
+	return n, err
+}
+
+// Via returns the address of the node through which the connection was opened, or "" for a direct one.
+func (c *Conn) Via() string {
+	if c == nil {
+		return ""
+	}
+	return c.via
 }
 
 // Write implements net.Conn.
@@ -48,8 +69,13 @@
 
 // Transport sends requests to backends. It is safe for concurrent use.
 type Transport struct {
-	http  *http.Transport
-	clock *clock.Clock
+	dial DialFunc
+	// direct opens connections over the node's own link, and tunnelled through other nodes; tunnelled is nil before
+	// UseTunnels.
+	direct, tunnelled *http.Transport
+	tunnels           Tunnels
+	tracker           *backendpath.Tracker
+	clock             *clock.Clock
 	// lastUsedAt is when a request was last sent, in nanoseconds of the clock since the Unix epoch.
 	lastUsedAt atomic.Int64
 }
@@ -57,40 +83,55 @@
 // NewTransport returns a transport that opens connections with dial and measures by connClock how long
 // they are idle.
 func NewTransport(dial DialFunc, connClock *clock.Clock) *Transport {
-	return &Transport{clock: connClock, http: &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &Conn{Conn: conn}, nil
-		},
+	t := &Transport{clock: connClock, dial: dial}
+	t.direct = newHTTPTransport(idleTimeout, func(ctx context.Context, _, address string) (net.Conn, error) {
+		return t.DialDirect(ctx, address)
+	})
+	return t
+}
+
+// newHTTPTransport returns a transport for one path.
+func newHTTPTransport(idleTimeout time.Duration, dial DialFunc) *http.Transport {
+	return &http.Transport{
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
-	}}
+	}
 }
 
-// Refuses reports whether nothing listens at an address. It is false if the connection is
-// established, or if the attempt times out.
-func (t *Transport) Refuses(ctx context.Context, address string) bool {
-	conn, err := t.http.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close()
-		return false
+// DialDirect opens a connection over the node's own link.
+func (t *Transport) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.directTimeout())
+	defer cancel()
+	conn, err := t.dial(ctx, "tcp", address)
+	if err != nil {
+		t.recordDirectFailure(ctx, address)
+		return nil, dialError{err}
+	}
+	opened := &Conn{Conn: conn}
+	if t.tracker != nil {
+		t.tracker.DirectOpened(address)
+		opened.heard = func() { t.tracker.Heard(backendpath.Direct) }
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return opened, nil
 }
 
-// CloseIdle closes the idle connections.
-func (t *Transport) CloseIdle() { t.http.CloseIdleConnections() }
+// CloseIdle closes the idle connections of all paths.
+func (t *Transport) CloseIdle() {
+	t.direct.CloseIdleConnections()
+	if t.tunnelled != nil {
+		t.tunnelled.CloseIdleConnections()
+	}
+}
 
 // singleUseBody is a request body that the transport cannot send again. With another body, it would
 // retry requests of some methods without being told to.
-type singleUseBody struct{ io.Reader }
+type singleUseBody struct {
+	io.Reader
+	content []byte
+}
 
 // Close implements io.Closer.
 func (singleUseBody) Close() error { return nil }
@@ -105,7 +146,7 @@
 	request := &http.Request{
 		Method: method, URL: target, Host: address, Header: http.Header{},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body: singleUseBody{bytes.NewReader(body)}, ContentLength: int64(len(body)),
+		Body: singleUseBody{bytes.NewReader(body), body}, ContentLength: int64(len(body)),
 	}
 	return request.WithContext(ctx), nil
 }
@@ -121,9 +162,31 @@
 }
 
 // Exchange sends a request and returns the response with the connection used. The error is
-// marked by gateway.ErrNotSent if no byte was written.
+// marked by gateway.ErrNotSent if no byte was written. A request that could not be sent over the node's own link is
+// sent through another node.
 func (t *Transport) Exchange(request *http.Request) (*http.Response, *Conn, error) {
+	if t.tracker == nil {
+		return t.ExchangeDirect(request)
+	}
+	if t.tracker.Choose(request.URL.Host) == backendpath.Tunnel {
+		return t.exchangeOn(t.tunnelled, request)
+	}
+	t.tracker.Called(request.URL.Host)
+	response, conn, err := t.ExchangeDirect(request)
+	if !isNotConnected(err) || request.Context().Err() != nil || !t.tunnels.Available() {
+		return response, conn, err
+	}
+	return t.exchangeOn(t.tunnelled, unsentCopy(request))
+}
+
+// ExchangeDirect is Exchange over the node's own link only.
+func (t *Transport) ExchangeDirect(request *http.Request) (*http.Response, *Conn, error) {
 	t.closeStaleIdle()
+	return t.exchangeOn(t.direct, request)
+}
+
+// exchangeOn sends a request over one path.
+func (t *Transport) exchangeOn(path *http.Transport, request *http.Request) (*http.Response, *Conn, error) {
 	var mu sync.Mutex
 	var used *Conn
 	var writtenBefore int64
@@ -138,7 +201,7 @@
 		}
 	}}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	response, err := t.http.RoundTrip(request)
+	response, err := path.RoundTrip(request)
 	mu.Lock()
 	defer mu.Unlock()
 	if err == nil {
@@ -147,7 +210,7 @@
 	if reused && errors.Is(err, context.DeadlineExceeded) {
 		// If one idle connection has become unresponsive, others may have as well. New connections
 		// are not affected.
-		t.CloseIdle()
+		path.CloseIdleConnections()
 	}
 	if used == nil || used.written.Load() == writtenBefore {
 		err = notSentError{err}
--- /dev/null
+++ b/backendpath/check.go
@@ -0,0 +1,116 @@
+package backendpath
+
+import (
+	"slices"
+	"time"
+)
+
+// Check is what to check next.
+type Check struct {
+	// Addresses are to be connected to over the node's own link, and through another node if that fails.
+	Addresses []string
+	// Next is the time until the next check; zero if none is needed before the tracker wakes its user.
+	Next time.Duration
+}
+
+// Due returns the checks that are due, which it takes for made.
+func (t *Tracker) Due() Check {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.options.Now()
+	t.expire(now)
+	var due Check
+	due.Addresses = t.dueLinks(now)
+	if t.spreadDue(now) {
+		t.spreadCheckedAt = now
+		due.Addresses = union(due.Addresses, t.options.Others(otherAddresses))
+	}
+	if t.silenceDue(now) {
+		t.silenceCheckedAt = now
+		due.Addresses = union(due.Addresses, t.silentAddresses())
+	}
+	for _, address := range due.Addresses {
+		if known := t.links[address]; known != nil {
+			known.checkedAt = now
+		}
+	}
+	due.Next = t.untilNext(now)
+	return due
+}
+
+// expire forgets failures that are no evidence any more, and faults of links that are not used; the lock is held.
+func (t *Tracker) expire(now time.Time) {
+	for address, known := range t.links {
+		isOld := now.Sub(known.failedAt) > failureWindow && now.Sub(known.failedElsewhereAt) > failureWindow
+		isUnused := now.Sub(known.usedAt) > unusedLifetime
+		if !known.isFaulty && isOld || known.isFaulty && isUnused && !t.cutOff {
+			delete(t.links, address)
+		}
+	}
+}
+
+// dueLinks returns links that have failed and must be checked, those that were not checked for longest first; the lock
+// is held.
+func (t *Tracker) dueLinks(now time.Time) []string {
+	var due []string
+	for address, known := range t.links {
+		isNew := !known.isFaulty && known.checkedAt.Before(known.failedAt) && known.failedElsewhereAt.Before(known.failedAt)
+		if isNew && now.Sub(known.checkedAt) >= checkInterval || known.isFaulty && now.Sub(known.checkedAt) >= checkInterval {
+			due = append(due, address)
+		}
+	}
+	slices.SortFunc(due, func(a, b string) int { return t.links[a].checkedAt.Compare(t.links[b].checkedAt) })
+	return due[:min(len(due), addressesPerCheck)]
+}
+
+// spreadDue reports whether it is time to check backends without a known fault: as long as some links are at fault, and
+// more often while the node is cut off, so that it notices soon that its link has recovered; the lock is held.
+func (t *Tracker) spreadDue(now time.Time) bool {
+	interval := spreadInterval
+	if t.cutOff {
+		interval = checkInterval
+	}
+	return len(t.faulty()) > 0 && now.Sub(t.spreadCheckedAt) >= interval
+}
+
+// silenceDue reports whether calls have been made and no backend has sent anything for too long; the lock is held.
+func (t *Tracker) silenceDue(now time.Time) bool {
+	since := t.unansweredSince.Load()
+	if since == 0 || t.cutOff || !t.options.MayTunnel() {
+		return false
+	}
+	return now.UnixNano()-since >= int64(silenceLimit) && now.Sub(t.silenceCheckedAt) >= silenceInterval
+}
+
+// silentAddresses returns the addresses that a check for silence covers; the lock is held.
+func (t *Tracker) silentAddresses() []string {
+	addresses := slices.Clone(t.unanswered)
+	if len(addresses) < cutOffAddresses {
+		addresses = union(addresses, t.options.Others(otherAddresses))
+	}
+	return addresses[:min(len(addresses), cutOffAddresses)]
+}
+
+// untilNext returns the time until a check may be due; the lock is held.
+func (t *Tracker) untilNext(now time.Time) time.Duration {
+	if len(t.links) > 0 {
+		return checkInterval
+	}
+	since := t.unansweredSince.Load()
+	if since == 0 || t.cutOff || !t.options.MayTunnel() {
+		return 0
+	}
+	untilSilent := silenceLimit - time.Duration(now.UnixNano()-since)
+	untilInterval := silenceInterval - now.Sub(t.silenceCheckedAt)
+	return max(untilSilent, untilInterval, time.Millisecond)
+}
+
+// union returns the addresses of both lists, each once.
+func union(a, b []string) []string {
+	for _, address := range b {
+		if !slices.Contains(a, address) {
+			a = append(a, address)
+		}
+	}
+	return a
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -23,6 +23,8 @@
 type Server struct {
 	handler Handler
 	clock   *timeline.Clock
+	// openTunnel connects to backends for other nodes; nil if tunnels are rejected.
+	openTunnel TunnelFunc
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -124,6 +126,10 @@
 		if err := readMessage(callStream.reader, request); err != nil {
 			return
 		}
+		if request.GetOpenTunnel() != nil && s.openTunnel != nil {
+			s.serveTunnel(callStream, request)
+			return
+		}
 		if err := writeMessage(callStream, s.answer(request)); err != nil {
 			return
 		}
--- a/router/capabilities.go
+++ b/router/capabilities.go
@@ -16,7 +16,8 @@
 // locally: it requests reservations from engines in turn for a bounded time, admits all requests to plain
 // services, limits tenants and its calls to backends by its equal share of each limit (see quota.LocalLimiter
 // and backendlimit.LocalLimiter), and quarantines requests
-// by the crashes that it saw and the statuses that it received earlier. Shares of the retry budget need no
+// by the crashes that it saw and the statuses that it received earlier. A node that reaches no backend rejects its
+// callers where no other node opens tunnels. Shares of the retry budget need no
 // coordinator: a node without a share sends only as many retries as the ratio allows.
 type capability string
 
@@ -31,12 +32,14 @@
 	capabilityRetryShares capability = "retryShares"
 	// capabilityBackendLimits is the enforcement of the limits that backends name.
 	capabilityBackendLimits capability = "backendLimits"
+	// capabilityTunnels is to connect to backends for nodes that have lost their own link to them.
+	capabilityTunnels capability = "tunnels"
 )
 
 // ownCapabilities returns the capabilities of this build.
 func ownCapabilities() []capability { return knownCapabilities[:] }
 
-var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares, capabilityBackendLimits}
+var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares, capabilityBackendLimits, capabilityTunnels}
 
 // unlistedCapabilities returns the capabilities of builds that do not list theirs: those of the last build
 // without a list.
--- a/router/fleetview.go
+++ b/router/fleetview.go
@@ -27,6 +27,8 @@
 	watchers []knownNode
 	// zoneRelays are the first responsive nodes of each zone, possibly including this one.
 	zoneRelays map[string][]knownNode
+	// tunnelNodes are the other responsive nodes that can open tunnels to backends.
+	tunnelNodes []knownNode
 	// candidates are the nodes that may coordinate, by the capability that this requires.
 	candidates map[capability][]coordinator.Node
 }
@@ -66,6 +68,9 @@
 		}
 		view.watchers = insertRanked(view.watchers, node, maxWatchers)
 		view.addZoneRelay(node)
+		if node.hasCapability(capabilityTunnels) {
+			view.tunnelNodes = append(view.tunnelNodes, node)
+		}
 	}
 	view.responsiveCount++
 	if 2*len(responsive) >= inputs.nodeCount {
--- a/router/router.go
+++ b/router/router.go
@@ -15,7 +15,9 @@
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/backendhttp"
 	"github.com/reelrun/reelrun/backendlimit"
+	"github.com/reelrun/reelrun/backendpath"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/gateway"
@@ -53,6 +55,15 @@
 	// Observe sets a function that is called with the notices in the backends' responses. It is called once, before all
 	// other calls.
 	Observe(observer backend.Observer)
+	// UseTunnels makes calls use tunnels through other nodes where the tracker says so. It is called once, before all
+	// other calls.
+	UseTunnels(tracker *backendpath.Tracker, tunnels backendhttp.Tunnels)
+	// DialDirect connects to a backend over this node's own link, and DialTunnel through another node.
+	DialDirect(ctx context.Context, address string) (net.Conn, error)
+	DialTunnel(ctx context.Context, address string) (net.Conn, error)
+	// CloseIdleDirect and CloseIdleTunnels close the idle connections of one of the paths.
+	CloseIdleDirect()
+	CloseIdleTunnels()
 }
 
 // Options are the parameters of a Router.
@@ -121,6 +132,7 @@
 	quarantineCoordinator *quarantine.Coordinator
 	quarantineArchive     *quarantine.Archive
 	roles                 *roles.Controller
+	tunnels               tunnels
 	// retryShares is the state of the retry budget's allocation.
 	retryShares retryShares
 	// started identifies this start of the node, and origin is the time at which now is zero.
@@ -228,6 +240,7 @@
 	r.newQuarantines()
 	r.retryShares.holder = retrybudget.NewHolder(options.Settings.RetryWindow, options.Clock.Now)
 	r.server = peer.NewServer(r.handlePeer, stamps)
+	r.newTunnels()
 	r.roles = r.newRoleController()
 	r.publishGauges()
 	r.publishFreshness()
@@ -341,6 +354,7 @@
 		func() { r.afterNodesKnown(untilStop, r.maintainRetryShares) },
 		func() { r.pollReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
+		func() { r.monitorLinks(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
 		func() { r.removeLost(untilStop) },
 		func() {
@@ -371,6 +385,7 @@
 		r.options.Logger.Warn("grace period over, requests in progress cut off", "error", err.Error())
 		_ = callerServer.Close()
 	}
+	r.stopTunnels(ctx)
 }
 
 func serve(server *http.Server, listener net.Listener) error {
