Failures of a node's own link do not make engines look failed to other nodes

Cause: the coordinator takes each node's failed calls as the engine's fault, and the plan of plain services their outcomes. Change: a failure is reported only if the node has heard from a back end since the call was sent, or another node has met the same failure; not if the call was sent before the node knew that it is cut off. A fleet of one node reports all, since nobody else could be misled. The engine that failed is avoided by the request itself.

--- a/admission/report.go
+++ b/admission/report.go
@@ -7,7 +7,8 @@
 
 // Outcomes of a request to a backend.
 const (
-	// OutcomeAbandoned is a request whose caller disconnected: it carries no information about the backend.
+	// OutcomeAbandoned is a request whose caller disconnected, or whose failure may be the node's own: it carries no
+	// information about the backend.
 	OutcomeAbandoned Outcome = iota
 	// OutcomeAnswered is a request with a successful response.
 	OutcomeAnswered
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -170,7 +170,7 @@
 		return nil, &attemptError{failure: notRun(ReasonBackendLimit, rejectedRetryAfter, err)}
 	}
 	if errors.Is(err, ErrNotSent) {
-		outcome = admission.OutcomeFailed
+		outcome = x.failureOutcome(entry, sent)
 		entry.RecordFailure()
 		return nil, &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
@@ -180,7 +180,7 @@
 	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
-			outcome = admission.OutcomeFailed
+			outcome = x.failureOutcome(entry, sent)
 		}
 		return nil, x.attemptFailed(ctx, entry, time.Since(sent), err)
 	}
@@ -210,6 +210,15 @@
 	return response, nil
 }
 
+// failureOutcome returns the outcome of a request without a response, sent at a time, for the admission plan of all
+// nodes.
+func (x *exchange) failureOutcome(entry *backend.Entry, sent time.Time) admission.Outcome {
+	if !x.handler.options.FailureCounts(entry.Backend(), sent) {
+		return admission.OutcomeAbandoned
+	}
+	return admission.OutcomeFailed
+}
+
 // promisesNotRun reports whether a status promises a caller that its request has not run and never will.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -46,7 +46,7 @@
 		}
 		err = stream.relay(ctx, response, reserved)
 		if err != nil && contextFailure(ctx) == nil && !isReason(err, ReasonCallerDisconnected) {
-			reserved.rejection = coordinator.RejectionFailed
+			reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
 			x.handler.logWasted(x, reserved.entry.Backend().ID, wasteStreamBroken)
 			x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent))
 		}
@@ -170,7 +170,7 @@
 		return failure
 	}
 	reserved.entry.RecordFailure()
-	reserved.rejection = coordinator.RejectionFailed
+	reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
 	if errors.Is(err, ErrNotSent) {
 		return &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
@@ -256,7 +256,7 @@
 		return nil, err
 	case err != nil:
 		entry.RecordFailure()
-		reserved.reportPrefillFailure(entry.Backend().ID, limited.Err() != nil)
+		reserved.reportPrefillFailure(entry, sent, limited.Err() != nil)
 		if limited.Err() != nil {
 			x.handler.logWasted(x, entry.Backend().ID, wastePrefillTimeout)
 		}
@@ -266,14 +266,14 @@
 		return nil, err
 	case result == nil && response.Misdirected:
 		x.recordMisdirected(entry, response)
-		reserved.reportPrefillFailure(entry.Backend().ID, false)
+		reserved.reportPrefillFailure(entry, sent, false)
 		return nil, errors.Newf("prefill rejected with status %d", response.Status)
 	case result == nil && response.NotRun:
 		entry.MarkFull(fullDuration)
 		return nil, errors.Newf("prefill rejected with status %d", response.Status)
 	case result == nil:
 		entry.RecordFailure()
-		reserved.reportPrefillFailure(entry.Backend().ID, false)
+		reserved.reportPrefillFailure(entry, sent, false)
 		return nil, errors.Newf("prefill failed with status %d", response.Status)
 	}
 	return result, nil
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -50,6 +50,9 @@
 	// Freshness describes how current the configuration of this node is, for the log. Default: the zero
 	// value.
 	Freshness func() Freshness
+	// FailureCounts reports whether a failed call to a backend, sent at a time, is evidence against the backend that
+	// other nodes should learn of, and not a fault of this node's own link. Default: always.
+	FailureCounts func(target backend.Backend, sent time.Time) bool
 	// Policy controls how engines are chosen; the zero value means the defaults.
 	Policy Policy
 }
@@ -99,6 +102,9 @@
 	if options.Freshness == nil {
 		options.Freshness = func() Freshness { return Freshness{} }
 	}
+	if options.FailureCounts == nil {
+		options.FailureCounts = func(backend.Backend, time.Time) bool { return true }
+	}
 	started := options.Clock.Now()
 	if options.Admission == nil {
 		options.Admission = admission.NewNode("", func() time.Duration { return options.Clock.Since(started) })
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -79,13 +79,14 @@
 	}
 }
 
-// reportPrefillFailure notifies the coordinator that an engine has not prefilled the prompt.
-func (s *reservedEngine) reportPrefillFailure(engine string, timedOut bool) {
-	if s.run != "" {
-		s.exchange.handler.options.Coordinator.EngineFailed(coordinator.EngineFailure{
-			Service: s.exchange.service, Engine: engine, ID: s.run, TimedOut: timedOut,
-		})
+// reportPrefillFailure notifies the coordinator that an engine has not prefilled the prompt, which was sent at a time.
+func (s *reservedEngine) reportPrefillFailure(engine *backend.Entry, sent time.Time, timedOut bool) {
+	if s.run == "" || !s.exchange.handler.options.FailureCounts(engine.Backend(), sent) {
+		return
 	}
+	s.exchange.handler.options.Coordinator.EngineFailed(coordinator.EngineFailure{
+		Service: s.exchange.service, Engine: engine.ID(), ID: s.run, TimedOut: timedOut,
+	})
 }
 
 // reserve reserves memory at a decode engine, waiting a bounded time for it.
@@ -158,6 +159,10 @@
 		return nil, err
 	}
 	if reservation == nil {
+		if rejection == coordinator.RejectionNone {
+			// The coordinator does not learn of it, and would assign the same engine again.
+			avoid[assigned.Decode] = true
+		}
 		x.handler.logAssignedFull(x, assigned.Decode)
 		x.endUnused(request.Run.ID, rejection)
 		return nil, nil
@@ -217,6 +222,7 @@
 	lifetime := min(max(policy.ReservationLifetime, prefillLimit(options.expectedPrefill)), profile.MaxReservationTime)
 	callContext, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
+	sent := time.Now()
 	reservation, err := x.handler.options.Dialect.Reserve(callContext, entry.Backend(), tokens, lifetime)
 	switch {
 	case ctx.Err() != nil:
@@ -226,7 +232,7 @@
 	case err != nil:
 		entry.RecordFailure()
 		x.handler.options.Metrics.Add("reservation_errors", 1)
-		return nil, coordinator.RejectionFailed, nil
+		return nil, x.failureRejection(entry, sent), nil
 	case reservation == nil && entry.BackoffRemaining() > 0:
 		// The engine has requested backoff from this node only, and may have capacity for others. If its
 		// backoff applied to all nodes and engines rejected one call in twenty, 0.44 of the streams were in
@@ -241,6 +247,14 @@
 	return reservation, coordinator.RejectionNone, nil
 }
 
+// failureRejection returns what a failed call to an engine, sent at a time, tells the coordinator.
+func (x *exchange) failureRejection(entry *backend.Entry, sent time.Time) coordinator.Rejection {
+	if !x.handler.options.FailureCounts(entry.Backend(), sent) {
+		return coordinator.RejectionNone
+	}
+	return coordinator.RejectionFailed
+}
+
 // decodeCandidates returns the usable engines in random order.
 func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
--- a/router/router.go
+++ b/router/router.go
@@ -261,8 +261,12 @@
 		Quarantine:  r.quarantines,
 		Admission:   r.admission,
 		Freshness:   r.freshness,
-		Metrics:     r.metrics,
-		Logger:      options.Logger,
+		// Failures of this node's own link must not exclude engines that other nodes reach.
+		FailureCounts: func(target backend.Backend, sent time.Time) bool {
+			return r.tunnels.tracker.FailureCounts(target.Address, sent)
+		},
+		Metrics: r.metrics,
+		Logger:  options.Logger,
 	})
 	return r
 }
