A node that reaches no back end changes no roles of engines

What was seen: a coordinator that is partitioned from all back ends announces changes of roles, so that all nodes withhold work from engines for orders that it cannot deliver. Through a tunnel they would arrive from another machine, which engines take for another holder of the lease, so orders never use one.

Cause: nothing told the controller of roles that its node reaches no engine. Change: it is responsible for no service while its node counts as cut off. Evidence: TestPartitionedNodeAnnouncesRoleChanges, announcements while partitioned for 15 s: above zero before, none with this change, and orders again after the partition.

--- a/router/rolechange.go
+++ b/router/rolechange.go
@@ -35,7 +35,7 @@
 			Epoch: r.storeEpoch.Load,
 		}),
 		Holder:   r.options.Settings.Name,
-		Services: r.coordinatedServices,
+		Services: r.orderedServices,
 		Demand:   r.demand,
 		Announce: r.announceRole,
 		Withdraw: r.withdrawRole,
--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -318,3 +318,12 @@
 	r.options.Logger.Info("back ends are reached again", "services", services, "after_ms", change.Lasted.Milliseconds())
 	go r.dialect.CloseIdleTunnels()
 }
+
+// orderedServices returns the engine services whose roles this node may change. A node that is cut off gives no orders:
+// it could not deliver them, and engines take the orders of each node for those of another holder of the lease.
+func (r *Router) orderedServices() []string {
+	if r.tunnels.tracker.CutOff() {
+		return nil
+	}
+	return r.coordinatedServices()
+}
