--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -215,6 +215,9 @@
 	if used == nil || used.written.Load() == writtenBefore {
 		err = notSentError{err}
 	}
+	if via := used.Via(); via != "" {
+		err = errors.Wrapf(err, "through %s", via)
+	}
 	return nil, used, err
 }
 
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -33,6 +33,8 @@
 	Misdirected bool
 	// Replaced is set if the response comes from another incarnation: the expected one has terminated.
 	Replaced bool
+	// Via is the address of the node through which the response came; empty for a direct connection.
+	Via string
 }
 
 // Reservation is memory and a slot reserved at a decode engine.
@@ -45,6 +47,8 @@
 	// Address is the address of the engine that keeps it.
 	Address string
 	Handle  string
+	// Via is the address of the node through which the prompt was sent; empty for a direct connection.
+	Via string
 }
 
 // DecodeOptions configure a decode call.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -176,6 +176,7 @@
 	}
 	x.countRun()
 	if err == nil {
+		x.recordVia(response.Via)
 		err = buffer(response)
 	}
 	if err != nil {
@@ -210,6 +211,14 @@
 	return response, nil
 }
 
+// recordVia records through which node a response has come.
+func (x *exchange) recordVia(via string) {
+	x.via = via
+	if via != "" {
+		x.handler.options.Metrics.Add("responses_through_other_nodes", 1)
+	}
+}
+
 // failureOutcome returns the outcome of a request without a response, sent at a time, for the admission plan of all
 // nodes.
 func (x *exchange) failureOutcome(entry *backend.Entry, sent time.Time) admission.Outcome {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -145,6 +145,7 @@
 		return nil, x.decodeFailed(ctx, reserved, err)
 	}
 	x.countRun()
+	x.recordVia(response.Via)
 	if response.Misdirected {
 		x.recordMisdirected(reserved.entry, response)
 	}
@@ -249,6 +250,9 @@
 	if !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrLimited) {
 		x.countPrefill(result != nil)
 	}
+	if result != nil {
+		x.recordVia(result.Via)
+	}
 	switch {
 	case errors.Is(err, ErrLimited):
 		return nil, err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -195,8 +195,10 @@
 	quota   quota.Decision
 	// shortRole is the role with too few engines, if the coordinator named one.
 	shortRole string
-	// target is the backend of the last send.
+	// target is the backend of the last send, and via the node through which the last response came; empty for a
+	// direct connection.
 	target  string
+	via     string
 	timings timings
 	// status is the status of the backend's response that was passed on.
 	status int
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -32,6 +32,9 @@
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name)
 	}
+	if x.via != "" {
+		attributes = append(attributes, "via", x.via)
+	}
 	if x.tenant != nil {
 		attributes = append(attributes, "tenant", x.tenant.Name)
 	}
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -68,8 +68,11 @@
 
 // Dial connects one host to another.
 func (n *Network) Dial(ctx context.Context, from, to string) (net.Conn, error) {
-	if err := n.filter.wait(linkOf(from, to), ctx.Done()); err != nil {
-		return nil, ctx.Err()
+	// A handshake needs both directions.
+	for _, direction := range []Link{linkOf(from, to), linkOf(to, from)} {
+		if err := n.filter.wait(direction, ctx.Done()); err != nil {
+			return nil, ctx.Err()
+		}
 	}
 	n.mu.Lock()
 	target, ok := n.listeners[to]
