The node's own link is not checked for silence; cut off is kept for services of many back ends

Idle connections expire after 2 s, and a call that times out closes the others, so that the check finds nothing that the next dial does not; it is gone with its connections to slow back ends.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -113,7 +113,7 @@
 	opened := &Conn{Conn: conn}
 	if t.tracker != nil {
 		t.tracker.DirectOpened(address)
-		opened.heard = func() { t.tracker.Heard(backendpath.Direct) }
+		opened.heard = t.tracker.Heard
 	}
 	return opened, nil
 }
@@ -171,7 +171,6 @@
 	if t.tracker.Choose(request.URL.Host) == backendpath.Tunnel {
 		return t.exchangeOn(t.tunnelled, request)
 	}
-	t.tracker.Called(request.URL.Host)
 	response, conn, err := t.ExchangeDirect(request)
 	if !isNotConnected(err) || request.Context().Err() != nil || !t.tunnels.Available() {
 		return response, conn, err
--- a/backendhttp/paths.go
+++ b/backendhttp/paths.go
@@ -75,7 +75,7 @@
 		return nil, dialError{err}
 	}
 	t.tracker.TunnelOpened(address)
-	return &Conn{Conn: conn, via: via, heard: func() { t.tracker.Heard(backendpath.Tunnel) }}, nil
+	return &Conn{Conn: conn, via: via, heard: t.tracker.Heard}, nil
 }
 
 // Refuses reports whether nothing listens at an address. It is false if the connection is
--- a/backendpath/check.go
+++ b/backendpath/check.go
@@ -21,20 +21,18 @@
 	t.expire(now)
 	var due Check
 	due.Addresses = t.dueLinks(now)
-	if t.spreadDue(now) {
-		t.spreadCheckedAt = now
+	if t.othersDue(now) {
+		t.othersCheckedAt = now
 		due.Addresses = union(due.Addresses, t.options.Others(otherAddresses))
 	}
-	if t.silenceDue(now) {
-		t.silenceCheckedAt = now
-		due.Addresses = union(due.Addresses, t.silentAddresses())
-	}
 	for _, address := range due.Addresses {
 		if known := t.links[address]; known != nil {
 			known.checkedAt = now
 		}
 	}
-	due.Next = t.untilNext(now)
+	if len(t.links) > 0 {
+		due.Next = checkInterval
+	}
 	return due
 }
 
@@ -63,46 +61,14 @@
 	return due[:min(len(due), addressesPerCheck)]
 }
 
-// spreadDue reports whether it is time to check backends without a known fault: as long as some links are at fault, and
+// othersDue reports whether it is time to check backends without a known fault: as long as some links are at fault, and
 // more often while the node is cut off, so that it notices soon that its link has recovered; the lock is held.
-func (t *Tracker) spreadDue(now time.Time) bool {
-	interval := spreadInterval
+func (t *Tracker) othersDue(now time.Time) bool {
+	interval := othersInterval
 	if t.cutOff {
 		interval = checkInterval
 	}
-	return len(t.faulty()) > 0 && now.Sub(t.spreadCheckedAt) >= interval
-}
-
-// silenceDue reports whether calls have been made and no backend has sent anything for too long; the lock is held.
-func (t *Tracker) silenceDue(now time.Time) bool {
-	since := t.unansweredSince.Load()
-	if since == 0 || t.cutOff || !t.options.MayTunnel() {
-		return false
-	}
-	return now.UnixNano()-since >= int64(silenceLimit) && now.Sub(t.silenceCheckedAt) >= silenceInterval
-}
-
-// silentAddresses returns the addresses that a check for silence covers; the lock is held.
-func (t *Tracker) silentAddresses() []string {
-	addresses := slices.Clone(t.unanswered)
-	if len(addresses) < cutOffAddresses {
-		addresses = union(addresses, t.options.Others(otherAddresses))
-	}
-	return addresses[:min(len(addresses), cutOffAddresses)]
-}
-
-// untilNext returns the time until a check may be due; the lock is held.
-func (t *Tracker) untilNext(now time.Time) time.Duration {
-	if len(t.links) > 0 {
-		return checkInterval
-	}
-	since := t.unansweredSince.Load()
-	if since == 0 || t.cutOff || !t.options.MayTunnel() {
-		return 0
-	}
-	untilSilent := silenceLimit - time.Duration(now.UnixNano()-since)
-	untilInterval := silenceInterval - now.Sub(t.silenceCheckedAt)
-	return max(untilSilent, untilInterval, time.Millisecond)
+	return len(t.faulty()) > 0 && now.Sub(t.othersCheckedAt) >= interval
 }
 
 // union returns the addresses of both lists, each once.
--- a/backendpath/tracker.go
+++ b/backendpath/tracker.go
@@ -20,17 +20,11 @@
 )
 
 const (
-	// silenceLimit is how long calls may stay without a byte from any backend before the node checks its link. It is
-	// longer than most prefills take, and short against the three seconds after which callers must be served again.
-	silenceLimit = 500 * time.Millisecond
-	// silenceInterval is the shortest time between two checks for silence: backends that are only slow are silent for
-	// longer, and each check opens connections to them.
-	silenceInterval = time.Second
 	// checkInterval is the interval between checks of a link that is at fault. Tunnels cost a second link, so
 	// they must end soon after the link has recovered.
 	checkInterval = 500 * time.Millisecond
-	// spreadInterval is the shortest time between checks whether backends fail whose link has not failed so far.
-	spreadInterval = 2 * time.Second
+	// othersInterval is the shortest time between checks of backends without a known fault, while others have one.
+	othersInterval = 2 * time.Second
 	// failureWindow is how long a failure of the node's own link is evidence.
 	failureWindow = 2 * time.Second
 	// unusedLifetime is how long a fault of a link is remembered after the address was last used.
@@ -69,23 +63,19 @@
 // Tracker tracks which backends the node reaches over its own link. It is safe for concurrent use.
 type Tracker struct {
 	options Options
-	// heardAt is when a backend last sent something, over any path. unansweredSince is the begin of the first call over
-	// the node's own link since a backend last sent something over it, or zero if there was none. Both are nanoseconds of
-	// the clock since the Unix epoch.
-	heardAt, unansweredSince atomic.Int64
+	// heardAt is when a backend last sent something, over any path, in nanoseconds of the clock since the Unix epoch.
+	heardAt atomic.Int64
 
 	mu sync.Mutex
 	// links holds the addresses at which the node's own link has failed.
 	links map[string]*link
-	// unanswered are the addresses of the last calls without a response.
-	unanswered []string
 	// cutOff is set while the node counts as cut off, and since when it has.
 	cutOff      bool
 	cutOffSince time.Time
 	// faultsInARow are the addresses that were found at fault since the node last opened a connection over its own link.
 	faultsInARow map[string]bool
-	// silenceCheckedAt and spreadCheckedAt are the times of the last checks of these kinds.
-	silenceCheckedAt, spreadCheckedAt time.Time
+	// othersCheckedAt is when backends without a known fault were last checked.
+	othersCheckedAt time.Time
 }
 
 // link is the state of the node's own link to one address.
@@ -133,43 +123,16 @@
 	return len(t.faulty())
 }
 
-// Called records the begin of a call over the node's own link.
-func (t *Tracker) Called(address string) {
-	t.recordUnanswered(address)
-	if t.unansweredSince.CompareAndSwap(0, t.options.Now().UnixNano()) {
-		t.options.Wake()
-	}
-}
-
-// recordUnanswered keeps the address of a call as one that a check for silence covers.
-func (t *Tracker) recordUnanswered(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if slices.Contains(t.unanswered, address) {
-		return
-	}
-	t.unanswered = append(t.unanswered, address)
-	if len(t.unanswered) > addressesPerCheck {
-		t.unanswered = t.unanswered[1:]
-	}
-}
-
-// Heard records that a backend has sent something over a path.
-func (t *Tracker) Heard(path Path) {
-	t.heardAt.Store(t.options.Now().UnixNano())
-	if path == Direct {
-		t.unansweredSince.Store(0)
-	}
-}
+// Heard records that a backend has sent something, over any path.
+func (t *Tracker) Heard() { t.heardAt.Store(t.options.Now().UnixNano()) }
 
 // DirectOpened records that the node's own link to an address works.
 func (t *Tracker) DirectOpened(address string) {
-	t.Heard(Direct)
+	t.Heard()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.links, address)
 	clear(t.faultsInARow)
-	t.unanswered = nil
 	if !t.cutOff {
 		return
 	}
