--- a/router/nodes.go
+++ b/router/nodes.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -38,10 +39,53 @@
 	// builds holds the commits of the nodes' builds by object name, or "" if a node does not report
 	// it. They are not part of knownNode because that is copied for each decision.
 	builds map[string]string
+	// withdrawnNodes are the nodes whose objects were removed within withdrawnLifetime, by object name.
+	withdrawnNodes map[string]withdrawnNode
+	// now is the clock for withdrawnNodes; nil for time.Now.
+	now func() time.Time
 	// changeCount is the number of applied changes.
 	changeCount uint64
 }
 
+// withdrawnNode is a node without an object, and when the object was removed.
+type withdrawnNode struct {
+	knownNode
+	at time.Time
+}
+
+// withdrawnLifetime is how long a node is remembered after its object was removed: nodes that stop as planned remove their
+// objects first and drain for a grace period of some seconds.
+const withdrawnLifetime = 10 * time.Second
+
+// withdrawn returns the nodes with a capability that have withdrawn within withdrawnLifetime.
+func (l *nodeList) withdrawn(required capability) []knownNode {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var withdrawn []knownNode
+	for _, node := range l.withdrawnNodes {
+		if node.hasCapability(required) && l.clock().Sub(node.at) <= withdrawnLifetime {
+			withdrawn = append(withdrawn, node.knownNode)
+		}
+	}
+	return withdrawn
+}
+
+func (l *nodeList) clock() time.Time {
+	if l.now == nil {
+		return time.Now()
+	}
+	return l.now()
+}
+
+// withdraw remembers a node whose object is removed; the lock is held.
+func (l *nodeList) withdraw(name string) {
+	now := l.clock()
+	maps.DeleteFunc(l.withdrawnNodes, func(_ string, node withdrawnNode) bool { return now.Sub(node.at) > withdrawnLifetime })
+	if node, known := l.byName[name]; known {
+		l.withdrawnNodes[name] = withdrawnNode{node, now}
+	}
+}
+
 // hashOf returns the hash of an address by which nodes are ranked.
 func hashOf(address string) uint64 { return xxhash.Sum64String(address) }
 
@@ -59,8 +103,10 @@
 	l.changeCount++
 	if l.byName == nil {
 		l.byName, l.zones, l.builds = map[string]knownNode{}, map[string]string{}, map[string]string{}
+		l.withdrawnNodes = map[string]withdrawnNode{}
 	}
 	if record.Deleted {
+		l.withdraw(record.Object.Name)
 		delete(l.byName, record.Object.Name)
 		delete(l.builds, record.Object.Name)
 		return nil
@@ -75,6 +121,7 @@
 		Node: coordinator.Node{Address: spec.Address, Incarnation: strconv.FormatInt(spec.Started, 10)},
 		zone: spec.Zone, capacity: spec.Capacity, linkBytes: spec.LinkBytes, addressHash: hashOf(spec.Address), capabilities: capabilitiesOf(spec.Capabilities),
 	}
+	delete(l.withdrawnNodes, record.Object.Name)
 	l.builds[record.Object.Name] = spec.Build
 	l.zones[spec.Address] = spec.Zone
 	return nil
--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -16,7 +16,6 @@
 	"github.com/reelrun/reelrun/backendpath"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
-	"github.com/reelrun/reelrun/periodic"
 )
 
 const (
@@ -27,17 +26,8 @@
 	maxUnansweredTunnels = 2
 	// tunnelTimeout bounds the wait for one node.
 	tunnelTimeout = 300 * time.Millisecond
-	// tunnelDialTimeout bounds the connection that a node opens for another one.
-	tunnelDialTimeout = 200 * time.Millisecond
 	// tunnelNodePause is how long a node that could not open a tunnel is asked last.
 	tunnelNodePause = time.Second
-	// maxServedTunnels bounds the tunnels that a node serves. Each takes a descriptor, two goroutines and up to 300 KB
-	// of buffers while its reader stalls, usually 20 KB.
-	maxServedTunnels = 128
-	// linkEvidenceLifetime is how long a connection to a backend shows that a node's own link works.
-	linkEvidenceLifetime = time.Second
-	// stopTunnelsInterval is the interval at which a stopping node checks whether its tunnels have ended.
-	stopTunnelsInterval = 50 * time.Millisecond
 )
 
 // tunnels is the state of a node's tunnels: those that it uses, and those that it serves.
@@ -68,7 +58,19 @@
 }
 
 // mayTunnel reports whether there is another node that can open tunnels.
-func (r *Router) mayTunnel() bool { return len(r.fleet().tunnelNodes) > 0 }
+func (r *Router) mayTunnel() bool {
+	return len(r.fleet().tunnelNodes) > 0 || len(r.nodes.withdrawn(capabilityTunnels)) > 0
+}
+
+// tunnelCandidates returns the nodes to ask for a tunnel, in this order. The last ones have withdrawn: a node that stops as
+// planned still drains, and may be the only one that reaches the backends.
+func (r *Router) tunnelCandidates() []string {
+	candidates := r.tunnels.nodes.order(r.fleet().tunnelNodes, r.options.Settings.Zone, time.Now())
+	for _, node := range r.nodes.withdrawn(capabilityTunnels) {
+		candidates = append(candidates, node.Address)
+	}
+	return candidates
+}
 
 // tunnelNodes tracks which nodes could not open a tunnel of late. It is safe for concurrent use.
 type tunnelNodes struct {
@@ -125,7 +127,7 @@
 func (t nodeTunnels) Open(ctx context.Context, address string) (net.Conn, string, error) {
 	r := t.router
 	unanswered := 0
-	for _, node := range r.tunnels.nodes.order(r.fleet().tunnelNodes, r.options.Settings.Zone, time.Now()) {
+	for _, node := range r.tunnelCandidates() {
 		conn, state, err := r.openTunnelAt(ctx, node, address)
 		switch {
 		case ctx.Err() != nil:
@@ -163,167 +165,3 @@
 	}
 	return conn, state, err
 }
-
-// serveTunnel connects to a backend for another node. It never uses a tunnel itself.
-func (r *Router) serveTunnel(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
-		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
-	}
-	if r.tunnels.served.Add(1) > maxServedTunnels {
-		r.tunnels.served.Add(-1)
-		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
-	}
-	conn, state := r.connectForNode(ctx, address)
-	if conn == nil {
-		r.tunnels.served.Add(-1)
-		return nil, state
-	}
-	r.metrics.Add("tunnels_served", 1)
-	return &servedTunnel{Conn: conn, end: func() { r.tunnels.served.Add(-1) }}, state
-}
-
-// connectForNode connects to a backend. A failure is reported only if this node's own link has shown that it works,
-// because it might be at fault as well.
-func (r *Router) connectForNode(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	conn, err := r.dialBackend(ctx, address)
-	if err == nil {
-		return conn, peerpb.TunnelState_TUNNEL_STATE_OPEN
-	}
-	if !r.linkWorks(ctx, address) {
-		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return nil, peerpb.TunnelState_TUNNEL_STATE_REFUSED
-	}
-	return nil, peerpb.TunnelState_TUNNEL_STATE_UNANSWERED
-}
-
-// dialBackend connects to a backend over this node's own link.
-func (r *Router) dialBackend(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
-	defer cancel()
-	conn, err := r.dialect.DialDirect(ctx, address)
-	if err == nil {
-		r.tunnels.linkWorkedAt.Store(time.Now().UnixNano())
-	}
-	return conn, err
-}
-
-// linkWorks reports whether this node has connected to a backend of late, or connects to one other than the given one
-// now.
-func (r *Router) linkWorks(ctx context.Context, except string) bool {
-	if time.Now().UnixNano()-r.tunnels.linkWorkedAt.Load() < int64(linkEvidenceLifetime) {
-		return true
-	}
-	for _, address := range r.backends.SampleAddresses(2) { //nolint:mnd // one of two is another address
-		if address == except {
-			continue
-		}
-		conn, err := r.dialBackend(ctx, address)
-		if err == nil {
-			_ = conn.Close()
-		}
-		return err == nil
-	}
-	return false
-}
-
-// servedTunnel is a connection to a backend that counts as a served tunnel until it is closed.
-type servedTunnel struct {
-	net.Conn
-	end  func()
-	once sync.Once
-}
-
-// Close implements net.Conn.
-func (c *servedTunnel) Close() error {
-	c.once.Do(c.end)
-	return c.Conn.Close()
-}
-
-// stopTunnels serves no new tunnels and waits until those that are open have ended, or the context ends.
-func (r *Router) stopTunnels(ctx context.Context) {
-	r.tunnels.isStopping.Store(true)
-	for r.tunnels.served.Load() > 0 {
-		if periodic.Pause(ctx, stopTunnelsInterval) != nil {
-			r.options.Logger.Warn("grace period over, tunnels of other nodes cut off", "tunnels", r.tunnels.served.Load())
-			return
-		}
-	}
-}
-
-// monitorLinks checks this node's own links to backends when that is due, until the context ends.
-func (r *Router) monitorLinks(ctx context.Context) {
-	for {
-		due := r.tunnels.tracker.Due()
-		r.checkLinks(ctx, due.Addresses)
-		if len(due.Addresses) > 0 {
-			continue
-		}
-		if !awaitCheck(ctx, r.tunnels.wake, due.Next) {
-			return
-		}
-	}
-}
-
-// awaitCheck waits until the next check may be due: after a time, unless it is zero, or after a signal. It reports false
-// once the context has ended.
-func awaitCheck(ctx context.Context, wake <-chan struct{}, next time.Duration) bool {
-	var elapsed <-chan time.Time
-	if next > 0 {
-		timer := time.NewTimer(next)
-		defer timer.Stop()
-		elapsed = timer.C
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-wake:
-	case <-elapsed:
-	}
-	return ctx.Err() == nil
-}
-
-// checkLinks connects to backends over this node's own link, and through another node where that fails.
-func (r *Router) checkLinks(ctx context.Context, addresses []string) {
-	var checks sync.WaitGroup
-	for _, address := range addresses {
-		checks.Go(func() { r.checkLink(ctx, address) })
-	}
-	checks.Wait()
-}
-
-func (r *Router) checkLink(ctx context.Context, address string) {
-	r.metrics.Add("link_checks", 1)
-	conn, err := r.dialect.DialDirect(ctx, address)
-	if err != nil && r.tunnels.tracker.Choose(address) == backendpath.Direct {
-		conn, err = r.dialect.DialTunnel(ctx, address)
-	}
-	if err == nil {
-		_ = conn.Close()
-	}
-}
-
-// cutOffChanged logs that this node has begun or ceased to count as cut off from the backends. Idle connections of the
-// path that is no longer used are closed, because they may be silent or cost a second link.
-func (r *Router) cutOffChanged(change backendpath.Change) {
-	services := r.backends.ServicesAt(change.Addresses)
-	if change.CutOff {
-		r.metrics.Add("cut_off_from_backends", 1)
-		r.options.Logger.Warn("back ends are reached through other nodes", "services", services, "backends", len(change.Addresses),
-			"evidence", "own link fails, other nodes connect", "addresses", change.Addresses)
-		go r.dialect.CloseIdleDirect()
-		return
-	}
-	r.options.Logger.Info("back ends are reached again", "services", services, "after_ms", change.Lasted.Milliseconds())
-	go r.dialect.CloseIdleTunnels()
-}
-
-// orderedServices returns the engine services whose roles this node may change. A node that is cut off gives no orders:
-// it could not deliver them, and engines take the orders of each node for those of another holder of the lease.
-func (r *Router) orderedServices() []string {
-	if r.tunnels.tracker.CutOff() {
-		return nil
-	}
-	return r.coordinatedServices()
-}
--- /dev/null
+++ b/router/tunnelserver.go
@@ -0,0 +1,115 @@
+package router
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/backendpath"
+	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/periodic"
+)
+
+const (
+	// tunnelDialTimeout bounds the connection that a node opens for another one.
+	tunnelDialTimeout = 200 * time.Millisecond
+	// maxServedTunnels bounds the tunnels that a node serves. Each takes a descriptor, two goroutines and up to 300 KB
+	// of buffers while its reader stalls, usually 20 KB.
+	maxServedTunnels = 128
+	// linkEvidenceLifetime is how long a connection to a backend shows that a node's own link works.
+	linkEvidenceLifetime = time.Second
+	// stopTunnelsInterval is the interval at which a stopping node checks whether its tunnels have ended.
+	stopTunnelsInterval = 50 * time.Millisecond
+)
+
+// serveTunnel connects to a backend for another node. It never uses a tunnel itself.
+func (r *Router) serveTunnel(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
+	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
+		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
+	}
+	if r.tunnels.served.Add(1) > maxServedTunnels {
+		r.tunnels.served.Add(-1)
+		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
+	}
+	conn, state := r.connectForNode(ctx, address)
+	if conn == nil {
+		r.tunnels.served.Add(-1)
+		return nil, state
+	}
+	r.metrics.Add("tunnels_served", 1)
+	return &servedTunnel{Conn: conn, end: func() { r.tunnels.served.Add(-1) }}, state
+}
+
+// connectForNode connects to a backend. A failure is reported only if this node's own link has shown that it works,
+// because it might be at fault as well.
+func (r *Router) connectForNode(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
+	conn, err := r.dialBackend(ctx, address)
+	if err == nil {
+		return conn, peerpb.TunnelState_TUNNEL_STATE_OPEN
+	}
+	if !r.linkWorks(ctx, address) {
+		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
+	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, peerpb.TunnelState_TUNNEL_STATE_REFUSED
+	}
+	return nil, peerpb.TunnelState_TUNNEL_STATE_UNANSWERED
+}
+
+// dialBackend connects to a backend over this node's own link.
+func (r *Router) dialBackend(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
+	defer cancel()
+	conn, err := r.dialect.DialDirect(ctx, address)
+	if err == nil {
+		r.tunnels.linkWorkedAt.Store(time.Now().UnixNano())
+	}
+	return conn, err
+}
+
+// linkWorks reports whether this node has connected to a backend of late, or connects to one other than the given one
+// now.
+func (r *Router) linkWorks(ctx context.Context, except string) bool {
+	if time.Now().UnixNano()-r.tunnels.linkWorkedAt.Load() < int64(linkEvidenceLifetime) {
+		return true
+	}
+	for _, address := range r.backends.SampleAddresses(2) { //nolint:mnd // one of two is another address
+		if address == except {
+			continue
+		}
+		conn, err := r.dialBackend(ctx, address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	}
+	return false
+}
+
+// servedTunnel is a connection to a backend that counts as a served tunnel until it is closed.
+type servedTunnel struct {
+	net.Conn
+	end  func()
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *servedTunnel) Close() error {
+	c.once.Do(c.end)
+	return c.Conn.Close()
+}
+
+// stopTunnels serves no new tunnels and waits until those that are open have ended, or the context ends.
+func (r *Router) stopTunnels(ctx context.Context) {
+	r.tunnels.isStopping.Store(true)
+	for r.tunnels.served.Load() > 0 {
+		if periodic.Pause(ctx, stopTunnelsInterval) != nil {
+			r.options.Logger.Warn("grace period over, tunnels of other nodes cut off", "tunnels", r.tunnels.served.Load())
+			return
+		}
+	}
+}
