--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -21,9 +21,6 @@
 const (
 	// maxTunnelNodes bounds how many nodes are asked for one tunnel.
 	maxTunnelNodes = 4
-	// maxUnansweredTunnels is the number of nodes that must have failed to connect before a backend counts as
-	// unresponsive: the first one may have lost its own link a moment ago.
-	maxUnansweredTunnels = 2
 	// tunnelTimeout bounds the wait for one node.
 	tunnelTimeout = 300 * time.Millisecond
 	// tunnelNodePause is how long a node that could not open a tunnel is asked last.
@@ -126,7 +123,6 @@
 // Open implements backendhttp.Tunnels.
 func (t nodeTunnels) Open(ctx context.Context, address string) (net.Conn, string, error) {
 	r := t.router
-	unanswered := 0
 	for _, node := range r.tunnelCandidates() {
 		conn, state, err := r.openTunnelAt(ctx, node, address)
 		switch {
@@ -140,14 +136,9 @@
 			return conn, node, nil
 		case state == peerpb.TunnelState_TUNNEL_STATE_REFUSED:
 			return nil, "", errors.Wrapf(syscall.ECONNREFUSED, "connect through %s", node)
+		default:
+			return nil, "", errors.Newf("connect through %s: no answer", node)
 		}
-		unanswered++
-		if unanswered >= maxUnansweredTunnels {
-			return nil, "", errors.Newf("backend does not answer %d other nodes", unanswered)
-		}
-	}
-	if unanswered > 0 {
-		return nil, "", errors.New("backend does not answer another node")
 	}
 	r.metrics.Add("tunnels_unavailable", 1)
 	return nil, "", backendhttp.ErrNoTunnel
