--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -234,3 +234,68 @@
 	g.Expect(conn).To(BeNil())
 	g.Expect(err).To(HaveOccurred())
 }
+
+// BenchmarkTunnelExchange sends a request of 1 KB and receives as much through an open tunnel.
+func BenchmarkTunnelExchange(b *testing.B) {
+	client, address, closeAll := benchmarkTunnel(b)
+	defer closeAll()
+	conn, _, err := client.OpenTunnel(context.Background(), address, echoBackend)
+	if err != nil {
+		b.Fatal(err)
+	}
+	message := make([]byte, 1<<10)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := conn.Write(message); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(conn, message); err != nil {
+			b.Fatal(err)
+		}
+	}
+	_ = conn.Close()
+}
+
+// BenchmarkTunnelOpen opens and closes tunnels.
+func BenchmarkTunnelOpen(b *testing.B) {
+	client, address, closeAll := benchmarkTunnel(b)
+	defer closeAll()
+	b.ReportAllocs()
+	for b.Loop() {
+		conn, _, err := client.OpenTunnel(context.Background(), address, echoBackend)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = conn.Close()
+	}
+}
+
+// echoBackend is the address of a backend in memory that echoes what it receives.
+const echoBackend = "10.0.0.1:80"
+
+// benchmarkTunnel starts a server whose backends echo, and a client.
+func benchmarkTunnel(b *testing.B) (client *Client, address string, closeAll func()) {
+	clock := timeline.NewClock(time.Now)
+	server := NewServer(echo, clock)
+	server.HandleTunnels(func(context.Context, string) (net.Conn, peerpb.TunnelState) {
+		near, far := net.Pipe()
+		go func() {
+			_, _ = io.Copy(far, far)
+			_ = far.Close()
+		}()
+		return near, peerpb.TunnelState_TUNNEL_STATE_OPEN
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	client = NewClient("caller", func(ctx context.Context, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", address)
+	}, clock)
+	return client, listener.Addr().String(), func() {
+		client.Close()
+		_ = listener.Close()
+		server.Close()
+	}
+}
