A node that reaches no back end hands the coordination of services to one that does

What was seen: a coordinator that is cut off from the back ends keeps coordinating, and nobody changes roles of engines for as long as that lasts. Cause: other nodes know who answers, not who reaches back ends. Change: a node that has been cut off for a second announces it by a record between nodes, as for role changes, and the end; services are coordinated by nodes that reach back ends, if there is one. Older builds pass the record on and ignore it; a restart ends it. Quotas, limits and quarantines stay where they are.

--- a/backendpath/tracker.go
+++ b/backendpath/tracker.go
@@ -116,6 +116,16 @@
 	return t.cutOff
 }
 
+// CutOffFor returns for how long the node has counted as cut off from all backends; zero if it does not.
+func (t *Tracker) CutOffFor() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.cutOff {
+		return 0
+	}
+	return t.options.Now().Sub(t.cutOffSince)
+}
+
 // FaultyLinks returns the number of addresses that other nodes reach and this one does not.
 func (t *Tracker) FaultyLinks() int {
 	t.mu.Lock()
--- a/router/changes.go
+++ b/router/changes.go
@@ -30,6 +30,8 @@
 		r.handleQuarantine(change)
 	case kindRoleChange:
 		r.handleRoleChange(change)
+	case kindCutOff:
+		r.handleCutOff(change)
 	}
 	if r.mustPush(change.Record.Key()) {
 		r.syncer.Changed(change)
--- a/router/fleetview.go
+++ b/router/fleetview.go
@@ -77,6 +77,8 @@
 		for _, required := range ownCapabilities() {
 			view.candidates[required] = strongest(responsive, required)
 		}
+		// Who coordinates a service decides by what its backends report.
+		view.candidates[capabilityServices] = strongest(reachingBackends(responsive), capabilityServices)
 	}
 	return view
 }
--- a/router/linkmonitor.go
+++ b/router/linkmonitor.go
@@ -13,6 +13,7 @@
 	for {
 		due := r.tunnels.tracker.Due()
 		r.checkLinks(ctx, due.Addresses)
+		r.announceCutOff()
 		if len(due.Addresses) > 0 {
 			continue
 		}
@@ -78,7 +79,8 @@
 }
 
 // orderedServices returns the engine services whose roles this node may change. A node that is cut off gives no orders:
-// it could not deliver them, and engines take the orders of each node for those of another holder of the lease.
+// it could not deliver them, and engines take the orders of each node for those of another holder of the lease. Another
+// node coordinates the services once it knows.
 func (r *Router) orderedServices() []string {
 	if r.tunnels.tracker.CutOff() {
 		return nil
--- a/router/nodes.go
+++ b/router/nodes.go
@@ -28,6 +28,8 @@
 	addressHash uint64
 	// capabilities are the roles that its build can take.
 	capabilities capabilitySet
+	// cutOff is set while the node reaches no backend.
+	cutOff bool
 }
 
 // nodeList holds the nodes that have an object, in decoded form. It is safe for concurrent use.
@@ -39,6 +41,8 @@
 	// builds holds the commits of the nodes' builds by object name, or "" if a node does not report
 	// it. They are not part of knownNode because that is copied for each decision.
 	builds map[string]string
+	// cutOffStarts holds, by name, the start of each node that has announced that it reaches no backend.
+	cutOffStarts map[string]string
 	// withdrawnNodes are the nodes whose objects were removed within withdrawnLifetime, by object name.
 	withdrawnNodes map[string]withdrawnNode
 	// now is the clock for withdrawnNodes; nil for time.Now.
@@ -147,6 +151,7 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	node, found := l.byName[name]
+	node.cutOff = l.isCutOff(name, node.Node)
 	return node, found
 }
 
@@ -164,8 +169,9 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	others := make([]knownNode, 0, len(l.byName))
-	for _, node := range l.byName {
+	for name, node := range l.byName {
 		if node.Address != own && node.Address != "" {
+			node.cutOff = l.isCutOff(name, node.Node)
 			others = append(others, node)
 		}
 	}
--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -35,6 +35,9 @@
 	nodes tunnelNodes
 	// wake signals that a check of the node's own link may be due.
 	wake chan struct{}
+	// isAnnounced is set while the other nodes know that this one is cut off from the backends. It is used by a single
+	// goroutine.
+	isAnnounced bool
 	// served is the number of tunnels that this node serves, and isStopping is set once it serves no more.
 	served     atomic.Int64
 	isStopping atomic.Bool
--- a/router/tunnels_test.go
+++ b/router/tunnels_test.go
@@ -59,6 +59,43 @@
 	g.Expect(nodes.order([]knownNode{candidates[0], candidates[10]}, "a", later)[0]).To(Equal(candidates[0].Address))
 }
 
+// TestCutOffNodesCoordinateNoService checks who coordinates services while nodes reach no backend. Other roles need none.
+func TestCutOffNodesCoordinateNoService(t *testing.T) {
+	g := NewWithT(t)
+	cutOff, reaching := tunnelNode(2, "a", ownCapabilities()), tunnelNode(3, "a", ownCapabilities())
+	cutOff.cutOff = true
+	own := tunnelNode(1, "a", ownCapabilities())
+	view := func(own knownNode, others ...knownNode) *fleetView {
+		return newFleetView(fleetInputs{own: own, registered: true, nodeCount: 3, others: others, isResponsive: func(string) bool { return true }})
+	}
+	g.Expect(view(own, cutOff, reaching).candidates[capabilityServices]).To(ConsistOf(own.Node, reaching.Node))
+	g.Expect(view(own, cutOff, reaching).candidates[capabilityQuotas]).To(ConsistOf(own.Node, cutOff.Node, reaching.Node))
+	own.cutOff, reaching.cutOff = true, true
+	g.Expect(view(own, cutOff, reaching).candidates[capabilityServices]).To(HaveLen(3), "nobody else is left")
+}
+
+// TestCutOffEndsWithTheStartThatAnnouncedIt starts a node again that had announced that it reaches no backend.
+func TestCutOffEndsWithTheStartThatAnnouncedIt(t *testing.T) {
+	g := NewWithT(t)
+	var list nodeList
+	start := func(number int) {
+		spec := fmt.Sprintf(`{"address":"10.0.0.2:7000","zone":"a","started":%d,"abilities":["services"]}`, number)
+		g.Expect(list.apply(replica.Record{Object: objectapi.Object{Kind: kindNode, Name: "n", Spec: []byte(spec)}})).To(Succeed())
+	}
+	start(1)
+	list.setCutOff("n", cutOffSpec{Incarnation: "1", CutOff: true})
+	node, _ := list.named("n")
+	g.Expect(node.cutOff).To(BeTrue())
+	g.Expect(list.others("")[0].cutOff).To(BeTrue())
+	start(2)
+	node, _ = list.named("n")
+	g.Expect(node.cutOff).To(BeFalse())
+	start(1)
+	list.setCutOff("n", cutOffSpec{Incarnation: "1"})
+	node, _ = list.named("n")
+	g.Expect(node.cutOff).To(BeFalse())
+}
+
 // TestWithdrawnNodeIsRemembered checks that a node that has withdrawn is known for as long as it may drain, and no longer
 // once it is registered again.
 func TestWithdrawnNodeIsRemembered(t *testing.T) {
