Faults of single links are kept when a node no longer counts as cut off

What callers of such a node met: with the links to 8 of 12 back ends lost, each connection to one of the other four ended the time in which the node counts as cut off and forgot all faults, so that requests met them anew, 0.25 s each. Now the other links are checked at once, and those that still fail stay tunnelled.

--- a/backendpath/tracker.go
+++ b/backendpath/tracker.go
@@ -149,8 +149,12 @@
 	t.cutOff = false
 	lasted := t.options.Now().Sub(t.cutOffSince)
 	t.options.Changed(Change{Addresses: t.faulty(), Lasted: lasted})
-	// The other links have probably recovered as well. Those that have not fail once more.
-	clear(t.links)
+	// The other links have probably recovered as well, and are checked at once. If the node has lost only most of its
+	// links, requests must not meet the same faults anew.
+	for _, other := range t.links {
+		other.checkedAt = time.Time{}
+	}
+	t.options.Wake()
 }
 
 // DirectFailed records that a connection over the node's own link could not be opened.
--- a/backendpath/tracker_test.go
+++ b/backendpath/tracker_test.go
@@ -187,6 +187,27 @@
 	g.Expect(s.tracker.Choose(s.backends[0])).To(Equal(backendpath.Direct))
 }
 
+// TestLossOfMostLinksSettles loses the links to most backends. Each success elsewhere ends the time in which the node counts as
+// cut off; requests must not meet the same faults anew each time.
+func TestLossOfMostLinksSettles(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(12)
+	for _, address := range s.backends[:8] {
+		s.cut[address] = true
+	}
+	failures := 0
+	for i := range 600 {
+		address := s.backends[i%len(s.backends)]
+		isDirect := s.tracker.Choose(address) == backendpath.Direct
+		g.Expect(s.request(address)).To(BeTrue())
+		if isDirect && s.cut[address] {
+			failures++
+		}
+		s.advance(50 * time.Millisecond)
+	}
+	g.Expect(failures).To(BeNumerically("<=", 2*8), "each fault is met once or twice")
+}
+
 func TestFailuresOfTheOwnLinkDoNotCount(t *testing.T) {
 	g := NewWithT(t)
 	s := newSimulation(12)
