Idle tunnels are closed after a suspension of the machine

What callers would have met: idle connections from before a suspension were closed on the node's own link alone; a request that may run once, sent on a tunnel that its back end had closed in the meantime, would be lost. Cause: the check stood in the path of direct calls. Evidence: TestIdleTunnelsAreClosedAfterSuspension fails without this change. With it, tests of the transport's paths: an unsent request goes through another node with its body, one of unknown outcome does not, a refusal needs another node.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -180,12 +180,12 @@
 
 // ExchangeDirect is Exchange over the node's own link only.
 func (t *Transport) ExchangeDirect(request *http.Request) (*http.Response, *Conn, error) {
-	t.closeStaleIdle()
 	return t.exchangeOn(t.direct, request)
 }
 
 // exchangeOn sends a request over one path.
 func (t *Transport) exchangeOn(path *http.Transport, request *http.Request) (*http.Response, *Conn, error) {
+	t.closeStaleIdle()
 	var mu sync.Mutex
 	var used *Conn
 	var writtenBefore int64
