--- a/router/cutoff.go
+++ b/router/cutoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/reelrun/reelrun/coordinator"
@@ -86,12 +87,11 @@
 
 // reachingBackends returns the nodes that reach backends, or all if none does.
 func reachingBackends(nodes []knownNode) []knownNode {
-	var reaching []knownNode
-	for _, node := range nodes {
-		if !node.cutOff {
-			reaching = append(reaching, node)
-		}
+	isCutOff := func(node knownNode) bool { return node.cutOff }
+	if !slices.ContainsFunc(nodes, isCutOff) {
+		return nodes
 	}
+	reaching := slices.DeleteFunc(slices.Clone(nodes), isCutOff)
 	if len(reaching) == 0 {
 		return nodes
 	}
--- a/router/fleetview.go
+++ b/router/fleetview.go
@@ -27,8 +27,8 @@
 	watchers []knownNode
 	// zoneRelays are the first responsive nodes of each zone, possibly including this one.
 	zoneRelays map[string][]knownNode
-	// tunnelNodes are the other responsive nodes that can open tunnels to backends.
-	tunnelNodes []knownNode
+	// tunnelNodeCount is the number of other responsive nodes that can open tunnels to backends.
+	tunnelNodeCount int
 	// candidates are the nodes that may coordinate, by the capability that this requires.
 	candidates map[capability][]coordinator.Node
 }
@@ -69,20 +69,35 @@
 		view.watchers = insertRanked(view.watchers, node, maxWatchers)
 		view.addZoneRelay(node)
 		if node.hasCapability(capabilityTunnels) {
-			view.tunnelNodes = append(view.tunnelNodes, node)
+			view.tunnelNodeCount++
 		}
 	}
 	view.responsiveCount++
 	if 2*len(responsive) >= inputs.nodeCount {
 		for _, required := range ownCapabilities() {
-			view.candidates[required] = strongest(responsive, required)
+			eligible := responsive
+			if required == capabilityServices {
+				// Who coordinates a service decides by what its backends report.
+				eligible = reachingBackends(responsive)
+			}
+			view.candidates[required] = strongest(eligible, required)
 		}
-		// Who coordinates a service decides by what its backends report.
-		view.candidates[capabilityServices] = strongest(reachingBackends(responsive), capabilityServices)
 	}
 	return view
 }
 
+// tunnelNodes returns the other responsive nodes that can open tunnels to backends. They are not part of the view, because
+// it is computed often, and tunnels are rare.
+func (v *fleetView) tunnelNodes(isResponsive func(address string) bool) []knownNode {
+	var able []knownNode
+	for _, node := range v.others {
+		if node.hasCapability(capabilityTunnels) && isResponsive(node.Address) {
+			able = append(able, node)
+		}
+	}
+	return able
+}
+
 // addZoneRelay adds a responsive node to the zone relays if it ranks high enough. A node whose zone is
 // not known is no zone relay.
 func (v *fleetView) addZoneRelay(node knownNode) {
--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -59,13 +59,14 @@
 
 // mayTunnel reports whether there is another node that can open tunnels.
 func (r *Router) mayTunnel() bool {
-	return len(r.fleet().tunnelNodes) > 0 || len(r.nodes.withdrawn(capabilityTunnels)) > 0
+	return r.fleet().tunnelNodeCount > 0 || len(r.nodes.withdrawn(capabilityTunnels)) > 0
 }
 
 // tunnelCandidates returns the nodes to ask for a tunnel, in this order. The last ones have withdrawn: a node that stops as
 // planned still drains, and may be the only one that reaches the backends.
 func (r *Router) tunnelCandidates() []string {
-	candidates := r.tunnels.nodes.order(r.fleet().tunnelNodes, r.options.Settings.Zone, time.Now())
+	able := r.fleet().tunnelNodes(r.syncer.Responsive)
+	candidates := r.tunnels.nodes.order(able, r.options.Settings.Zone, time.Now())
 	for _, node := range r.nodes.withdrawn(capabilityTunnels) {
 		candidates = append(candidates, node.Address)
 	}
--- a/router/tunnels_test.go
+++ b/router/tunnels_test.go
@@ -23,12 +23,13 @@
 	g := NewWithT(t)
 	able, unresponsive, older := tunnelNode(2, "a", ownCapabilities()), tunnelNode(3, "a", ownCapabilities()), tunnelNode(4, "a", nil)
 	listsOthers := tunnelNode(5, "a", []capability{capabilityServices, capabilityRetryShares})
+	isResponsive := func(address string) bool { return address != unresponsive.Address }
 	view := newFleetView(fleetInputs{
 		own: tunnelNode(1, "a", ownCapabilities()), registered: true, nodeCount: 5,
-		others:       []knownNode{able, unresponsive, older, listsOthers},
-		isResponsive: func(address string) bool { return address != unresponsive.Address },
+		others: []knownNode{able, unresponsive, older, listsOthers}, isResponsive: isResponsive,
 	})
-	g.Expect(view.tunnelNodes).To(ConsistOf(able))
+	g.Expect(view.tunnelNodeCount).To(Equal(1))
+	g.Expect(view.tunnelNodes(isResponsive)).To(ConsistOf(able))
 }
 
 // TestTunnelsAreSpread checks the order in which nodes are asked: those of the own zone first, those that could open none last,
