Stalled connections between nodes do not stop tunnels

What callers would have met: 0 of 80 served at nodes that reach no back end, once the connections between nodes had fallen silent while requests were in progress in tunnels. Cause: a session that is in use is not replaced after a timeout, as its own calls' timeouts are expected to show the fault; tunnels have none. Change: after a failed request for a tunnel the session is pinged, and closed if the node does not answer on it.

--- a/peer/client.go
+++ b/peer/client.go
@@ -191,6 +191,20 @@
 	_ = session.mux.Close()
 }
 
+// VerifyLane closes the session of one lane to an address, with all that is in progress on it, if the node does not answer
+// a ping on it. It is used after a timeout on a session that other calls keep in use.
+func (c *Client) VerifyLane(lane Lane, address string) {
+	key := sessionKey{address, lane}
+	c.mu.Lock()
+	session := c.sessions[key]
+	c.mu.Unlock()
+	if session == nil || session.answersPing() {
+		return
+	}
+	c.drop(key, session)
+	_ = session.mux.Close()
+}
+
 func (c *Client) drop(key sessionKey, session *clientSession) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/router/golden_test.go
+++ b/router/golden_test.go
@@ -54,6 +54,10 @@
 			"m": {Incarnation: "18", Units: 5, Initial: true},
 		}},
 	})
+	expectGolden(t, goldenObject[cutOffSpec]{
+		encoded: `{"start":"17","cutOff":true}`,
+		decoded: cutOffSpec{Incarnation: "17", CutOff: true},
+	})
 	expectGolden(t, goldenObject[retryConfirmationSpec]{
 		encoded: `{"start":"17","generation":6}`,
 		decoded: retryConfirmationSpec{Incarnation: "17", Generation: 6},
--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -150,13 +150,12 @@
 
 // openTunnelAt asks one node for a tunnel.
 func (r *Router) openTunnelAt(ctx context.Context, node, address string) (net.Conn, peerpb.TunnelState, error) {
-	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
 	defer cancel()
 	conn, state, err := r.client.OpenTunnel(ctx, node, address)
 	if err != nil {
-		// An open connection may have stopped to deliver, while new ones work.
-		r.client.ResetUnusedLane(peer.LaneTunnel, node, began)
+		// The connection to the node may have stopped to deliver, while new ones work.
+		go r.client.VerifyLane(peer.LaneTunnel, node)
 	}
 	return conn, state, err
 }
