--- a/backendhttp/paths_test.go
+++ b/backendhttp/paths_test.go
@@ -102,7 +102,7 @@
 	}()
 	node := &otherNode{address: closing.Addr().String()}
 	transport, _ := newTunnelledTransport(t, nil, clock.Runtime(), node)
-	_, _, err := send(t, transport, closing.Addr().String()) //nolint:bodyclose // there is no response
+	_, _, err := send(t, transport, closing.Addr().String())
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(errors.Is(err, gateway.ErrNotSent)).To(BeFalse())
 	g.Expect(node.opened.Load()).To(BeZero())
@@ -112,7 +112,7 @@
 func TestUnsentOverBothPaths(t *testing.T) {
 	g := NewWithT(t)
 	transport, _ := newTunnelledTransport(t, syscall.ECONNREFUSED, clock.Runtime(), &otherNode{err: backendhttp.ErrNoTunnel})
-	_, _, err := send(t, transport, "10.0.0.9:80") //nolint:bodyclose // there is no response
+	_, _, err := send(t, transport, "10.0.0.9:80")
 	g.Expect(errors.Is(err, gateway.ErrNotSent)).To(BeTrue())
 	g.Expect(err).To(MatchError(ContainSubstring(backendhttp.ErrNoTunnel.Error())))
 }
