Logs show the version of engines and where streams continue

Callers saw streams that hold events of two software versions. The logs could not tell whether a caller had resumed such a stream, or a node had continued it within one response, nor the version of any engine.

The entry's version is part of a back end's description, an attempt's Resumes of its request. Each run that continues a stream is logged with the attempt that began it, the last event and the engine's version, and counted (streams_continued). Nothing decides by them yet.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -36,6 +36,9 @@
 	Role    Role
 	// Slots is the number of requests that it runs concurrently.
 	Slots int
+	// SoftwareVersion is the version of its software. Versions have no order, and a stream that one version has begun
+	// cannot continue at another.
+	SoftwareVersion string
 }
 
 // name returns the identifier that the backend is registered under.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -158,6 +158,9 @@
 		return nil, &attemptError{failure: notRun(ReasonBackendRejected, rejectedRetryAfter, nil), arrived: true}
 	}
 	x.runs++
+	if lastID != "" {
+		x.handler.logContinued(x, reserved.entry.Backend(), lastID)
+	}
 	return response, nil
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/quarantine"
 )
 
@@ -81,6 +83,14 @@
 		"cause", err.Error(), "budget_left", int(h.options.Budget.Remaining(x.service)))...)
 }
 
+// logContinued logs that a stream continues at an engine, within the response of the request or from an earlier attempt
+// of its caller.
+func (h *Handler) logContinued(x *exchange, engine backend.Backend, lastEvent string) {
+	h.options.Metrics.Add("streams_continued", 1)
+	h.options.Logger.Info("stream continues", append(x.attributes(x.sinceArrival()),
+		"after_event", lastEvent, "begun_by", cmp.Or(x.request.Generation.Resumes, x.request.ID), "version", engine.SoftwareVersion)...)
+}
+
 // logBreak logs that a backend broke off a request, whether the backend has terminated, and the resulting
 // quarantine status of the request.
 func (h *Handler) logBreak(broken brokenRequest, crashed bool, quarantineStatus quarantine.Status) {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -36,6 +36,9 @@
 	MaxOutputTokens int
 	// ExpectedOutputTokens is the caller's estimate; zero if there is none.
 	ExpectedOutputTokens int
-	// LastEventID is set if the caller resumes a stream.
+	// LastEventID is the last event that the caller has received, if it resumes a stream.
 	LastEventID string
+	// Resumes identifies the attempt that brought the caller the first event of the stream that it resumes; empty if
+	// it resumes none, or does not state that attempt.
+	Resumes string
 }
--- a/router/changes.go
+++ b/router/changes.go
@@ -107,6 +107,6 @@
 	isNew := r.backends.Lookup(decoded.ID) == nil
 	if r.backends.Update(decoded) && r.isNotable(isNew, change.Source) {
 		r.options.Logger.Info("back end changed", "backend", decoded.ID, "service", decoded.Service, "state", string(decoded.State),
-			"role", string(decoded.Role), "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "source", string(change.Source))
+			"role", string(decoded.Role), "version", decoded.SoftwareVersion, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "source", string(change.Source))
 	}
 }
