A node continues a stream only at the software version that began it

Cause: engines of one service were taken for interchangeable; nothing outside the decoding of an entry read the version. Now the engine that sent the first event constrains all later runs of the request: the coordinator groups engines by version and serves a request within a group, as does a node that chooses engines itself, and a prompt is prefilled by an engine of the version that decodes, since what two versions write does not fit together. Where no engine of the version takes work, the stream ends. Coordinators of older builds ignore the constraint: the node checks what they assign and then chooses the engine itself.

With one version the group is the whole list, as before.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -248,6 +248,13 @@
 	return ready
 }
 
+// HasReady reports whether a backend of a service takes new work in a role and has an allowed software version.
+func (r *Registry) HasReady(service string, role Role, allowed VersionConstraint) bool {
+	return slices.ContainsFunc(r.Ready(service, role), func(entry *Entry) bool {
+		return allowed.Allows(entry.Backend().SoftwareVersion)
+	})
+}
+
 // Lookup returns a backend, or nil.
 func (r *Registry) Lookup(id string) *Entry {
 	r.mu.RLock()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -18,6 +18,8 @@
 	Complete bool
 	// ZoneOf returns the zone of an engine, empty if unknown. If ZoneOf is nil, zones are ignored.
 	ZoneOf func(engine string) string
+	// VersionOf returns the version of an engine's software. If it is nil, all engines have the same version.
+	VersionOf func(engine string) string
 }
 
 // zoneOf returns the zone of an engine, empty if unknown.
--- a/coordinator/messages.go
+++ b/coordinator/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/ledger"
 )
 
@@ -39,6 +40,8 @@
 	AboveUsual bool
 	// Avoid names engines that must not be assigned.
 	Avoid []string
+	// Version constrains the software of the engines: a stream continues only at the version that began it.
+	Version backend.VersionConstraint
 }
 
 // Assignment is the response to a Request.
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/ledger"
 )
 
@@ -45,17 +46,16 @@
 	current.decode.SetOutputDeviation(current.output.RelativeDeviation())
 	slices.SortStableFunc(current.waiting, compareRank)
 	var waiting []*waiter
-	var unassigned []ledger.Run
+	var unassigned []*Request
 	round := servingRound{coordinator: c, service: service, current: current, now: now}
 	for _, queued := range current.waiting {
-		run := queued.request.Run
-		if len(unassigned) >= attempts || len(queued.request.Avoid) == 0 && isLarger(run, unassigned) {
+		if len(unassigned) >= attempts || len(queued.request.Avoid) == 0 && isLarger(queued.request, unassigned) {
 			waiting = append(waiting, queued)
 			continue
 		}
 		assignment, ok := round.assign(queued)
 		if !ok {
-			unassigned = append(unassigned, run)
+			unassigned = append(unassigned, queued.request)
 			waiting = append(waiting, queued)
 			continue
 		}
@@ -71,9 +71,9 @@
 	service     string
 	current     *serviceState
 	now         time.Duration
-	// all is set to all engines once no engine of a shortlist fitted a request, or once a shortlist
+	// all is set to all engines, by version, once no engine of a shortlist fitted a request, or once a shortlist
 	// was complete.
-	all *Engines
+	all []versionGroup
 }
 
 // assign assigns engines to one request: from its shortlist, or from all engines if none of the
@@ -82,29 +82,40 @@
 func (r *servingRound) assign(queued *waiter) (Assignment, bool) {
 	options := r.coordinator.options
 	if r.all == nil && options.Shortlist != nil {
-		shortlist := r.healthyOf(options.Shortlist(r.service, options.ZoneOf(queued.request.Run.Holder)))
+		listed := options.Shortlist(r.service, options.ZoneOf(queued.request.Run.Holder))
+		shortlist := r.healthyGroups(listed)
 		assignment, ok := r.assignAmong(shortlist, queued)
-		if shortlist.Complete {
-			r.all = &shortlist
+		if listed.Complete {
+			r.all = shortlist
 		}
-		if ok || shortlist.Complete {
+		if ok || listed.Complete {
 			return assignment, ok
 		}
 	}
 	if r.all == nil {
-		all := r.healthyOf(options.Engines(r.service))
-		r.all = &all
+		r.all = r.healthyGroups(options.Engines(r.service))
 	}
-	return r.assignAmong(*r.all, queued)
+	return r.assignAmong(r.all, queued)
 }
 
-func (r *servingRound) healthyOf(engines Engines) Engines {
-	return healthyOf(r.now, &r.current.health, engines)
+// healthyGroups returns the engines that have not failed recently, by version. The result is not nil.
+func (r *servingRound) healthyGroups(engines Engines) []versionGroup {
+	return groupByVersion(healthyOf(r.now, &r.current.health, engines))
 }
 
-func (r *servingRound) assignAmong(engines Engines, queued *waiter) (Assignment, bool) {
-	r.current.decode.SetEngines(engines.Decode)
-	return r.coordinator.assign(r.now, r.current, engines, queued)
+// assignAmong assigns engines of one software version.
+func (r *servingRound) assignAmong(groups []versionGroup, queued *waiter) (Assignment, bool) {
+	candidates := candidateGroups(r.now, groups, r.current.decode, queued.request.Version)
+	if len(candidates) == 0 {
+		r.current.shortRole = backend.RoleDecode
+	}
+	for _, group := range candidates {
+		r.current.decode.SetEngines(group.engines.Decode)
+		if assignment, ok := r.coordinator.assign(r.now, r.current, group.engines, queued); ok {
+			return assignment, true
+		}
+	}
+	return Assignment{}, false
 }
 
 // compareRank orders waiting requests: first attempts, then higher tenant priority, then tenants
@@ -138,18 +149,16 @@
 	if len(health.engines) == 0 {
 		return all
 	}
-	return Engines{
-		Decode:   slices.DeleteFunc(all.Decode, func(engine ledger.Engine) bool { return !health.healthy(now, engine.ID) }),
-		Prefill:  slices.DeleteFunc(all.Prefill, func(id string) bool { return !health.healthy(now, id) }),
-		Complete: all.Complete,
-		ZoneOf:   all.ZoneOf,
-	}
+	healthy := all
+	healthy.Decode = slices.DeleteFunc(all.Decode, func(engine ledger.Engine) bool { return !health.healthy(now, engine.ID) })
+	healthy.Prefill = slices.DeleteFunc(all.Prefill, func(id string) bool { return !health.healthy(now, id) })
+	return healthy
 }
 
-// isLarger reports whether a run is at least as large as one that did not fit.
-func isLarger(run ledger.Run, unassigned []ledger.Run) bool {
+// isLarger reports whether the run of a request is at least as large as one that did not fit, at the same versions.
+func isLarger(request *Request, unassigned []*Request) bool {
 	for _, smaller := range unassigned {
-		if run.Prompt >= smaller.Prompt && run.Output >= smaller.Output {
+		if request.Version == smaller.Version && request.Run.Prompt >= smaller.Run.Prompt && request.Run.Output >= smaller.Run.Output {
 			return true
 		}
 	}
--- /dev/null
+++ b/coordinator/versions.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/ledger"
+)
+
+// versions returns the distinct software versions of the engines, sorted.
+func (e Engines) versions() []string {
+	if e.VersionOf == nil {
+		return []string{""}
+	}
+	var versions []string
+	note := func(engine string) {
+		if version := e.VersionOf(engine); !slices.Contains(versions, version) {
+			versions = append(versions, version)
+		}
+	}
+	for _, engine := range e.Decode {
+		note(engine.ID)
+	}
+	for _, engine := range e.Prefill {
+		note(engine)
+	}
+	slices.Sort(versions)
+	return versions
+}
+
+// ofVersion returns the engines of one software version.
+func (e Engines) ofVersion(version string) Engines {
+	selected := e
+	selected.Decode = make([]ledger.Engine, 0, len(e.Decode))
+	for _, engine := range e.Decode {
+		if e.VersionOf(engine.ID) == version {
+			selected.Decode = append(selected.Decode, engine)
+		}
+	}
+	selected.Prefill = make([]string, 0, len(e.Prefill))
+	for _, engine := range e.Prefill {
+		if e.VersionOf(engine) == version {
+			selected.Prefill = append(selected.Prefill, engine)
+		}
+	}
+	return selected
+}
+
+// versionGroup are the engines of a service that have one software version. What engines of two versions write does not
+// fit together, so a prompt is prefilled by an engine of the version that decodes.
+type versionGroup struct {
+	version string
+	engines Engines
+}
+
+// groupByVersion groups engines. If all have one version, which is the usual case, the group is the given list itself.
+func groupByVersion(engines Engines) []versionGroup {
+	versions := engines.versions()
+	if len(versions) == 1 {
+		return []versionGroup{{versions[0], engines}}
+	}
+	groups := make([]versionGroup, len(versions))
+	for i, version := range versions {
+		groups[i] = versionGroup{version, engines.ofVersion(version)}
+	}
+	return groups
+}
+
+// candidateGroups returns the groups in which a request may be served, in the order in which they are tried: those whose
+// decode engines have the largest share of free memory first.
+func candidateGroups(now time.Duration, groups []versionGroup, decode *ledger.Ledger, allowed backend.VersionConstraint) []versionGroup {
+	var candidates []versionGroup
+	for _, group := range groups {
+		if allowed.Allows(group.version) && len(group.engines.Decode) > 0 {
+			candidates = append(candidates, group)
+		}
+	}
+	if len(candidates) < 2 { //nolint:mnd // nothing to sort
+		return candidates
+	}
+	memoryShares := map[string]float64{}
+	for _, group := range candidates {
+		decode.SetEngines(group.engines.Decode)
+		memoryShares[group.version] = decode.MemoryShare(now)
+	}
+	slices.SortStableFunc(candidates, func(a, b versionGroup) int {
+		return cmp.Compare(memoryShares[a.version], memoryShares[b.version])
+	})
+	return candidates
+}
--- a/coordinator/wire.go
+++ b/coordinator/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/ledger"
 	"github.com/reelrun/reelrun/peer"
 	"github.com/reelrun/reelrun/peer/peerpb"
@@ -51,6 +52,9 @@
 		Priority: int32(request.Priority), Again: request.AfterProbe,
 		TenantPriority: int32(request.TenantPriority), AboveUsual: request.AboveUsual,
 	}
+	if version, required := request.Version.Version(); required {
+		encoded.SoftwareVersion = &version
+	}
 	if request.Probe {
 		// Coordinators of builds without later_wait_ms must not wait for a probe.
 		encoded.WaitMs, encoded.LaterWaitMs = 0, encoded.GetWaitMs()
@@ -59,12 +63,16 @@
 }
 
 func decodeRequest(encoded *peerpb.AssignEngines, now time.Duration) *Request {
-	return &Request{
+	request := &Request{
 		Service: encoded.GetService(), Run: decodeRun(encoded.GetRun(), now), Wait: peer.Millis(encoded.GetWaitMs() + encoded.GetLaterWaitMs()),
 		Avoid: encoded.GetAvoid(), Late: encoded.GetReturning(), Objective: peer.Millis(encoded.GetWithinMs()), Probe: encoded.GetProbe(),
 		Priority: int(encoded.GetPriority()), AfterProbe: encoded.GetAgain(),
 		TenantPriority: int(encoded.GetTenantPriority()), AboveUsual: encoded.GetAboveUsual(),
 	}
+	if encoded.SoftwareVersion != nil {
+		request.Version = backend.RequireVersion(encoded.GetSoftwareVersion())
+	}
+	return request
 }
 
 func encodeRunResult(result RunResult) *peerpb.EndRun {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -15,28 +15,39 @@
 	zoneSampleSize = 16
 )
 
-// pick chooses a backend of a service, or returns nil. Backends that were attempted and those in backoff
-// are excluded. It examines a random sample, and all backends if none in the sample can take the request.
-func (h *Handler) pick(service string, role backend.Role, attempted map[string]bool) *backend.Entry {
+// exclusions are the backends that may not be chosen.
+type exclusions struct {
+	attempted map[string]bool
+	// version is the constraint on the software of the others.
+	version backend.VersionConstraint
+}
+
+func (e exclusions) contains(entry *backend.Entry) bool {
+	return e.attempted[entry.ID()] || !e.version.Allows(entry.Backend().SoftwareVersion)
+}
+
+// pick chooses a backend of a service, or returns nil. Excluded backends and those in backoff are not chosen.
+// It examines a random sample, and all backends if none in the sample can take the request.
+func (h *Handler) pick(service string, role backend.Role, excluded exclusions) *backend.Entry {
 	options := backend.SampleOptions{Service: service, Role: role, Count: sampleSize}
 	sampled, complete := h.options.Backends.Sample(options, rand.IntN)
 	if complete {
-		return h.choose(service, sampled, nil, attempted)
+		return h.choose(service, sampled, nil, excluded)
 	}
 	options.Zone, options.Count = h.options.Zone, zoneSampleSize
 	zoneLocal, _ := h.options.Backends.Sample(options, rand.IntN)
-	if chosen := h.choose(service, sampled, zoneLocal, attempted); chosen != nil {
+	if chosen := h.choose(service, sampled, zoneLocal, excluded); chosen != nil {
 		return chosen
 	}
-	return h.choose(service, h.options.Backends.Ready(service, role), nil, attempted)
+	return h.choose(service, h.options.Backends.Ready(service, role), nil, excluded)
 }
 
 // choose chooses among sampled backends, and others that were sampled for being in the node's zone.
-func (h *Handler) choose(service string, sampled, zoneLocal []*backend.Entry, attempted map[string]bool) *backend.Entry {
+func (h *Handler) choose(service string, sampled, zoneLocal []*backend.Entry, excluded exclusions) *backend.Entry {
 	entries := make([]*backend.Entry, 0, len(sampled)+len(zoneLocal))
 	candidates := make([]admission.Candidate, 0, len(sampled)+len(zoneLocal))
 	add := func(entry *backend.Entry, zoneOnly bool) {
-		if attempted[entry.ID()] || entry.BackoffRemaining() > 0 || !h.options.Assignable(entry) {
+		if excluded.contains(entry) || entry.BackoffRemaining() > 0 || !h.options.Assignable(entry) {
 			return
 		}
 		candidate := h.candidate(entry)
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -18,7 +18,7 @@
 			handler := newPickHandler(count)
 			b.ReportAllocs()
 			for b.Loop() {
-				if handler.pick("s", backend.RoleNone, nil) == nil {
+				if handler.pick("s", backend.RoleNone, exclusions{}) == nil {
 					b.Fatal("no backend was picked")
 				}
 			}
@@ -32,7 +32,7 @@
 	g := NewWithT(t)
 	allocations := func(count int) float64 {
 		handler := newPickHandler(count)
-		return testing.AllocsPerRun(100, func() { handler.pick("s", backend.RoleNone, nil) })
+		return testing.AllocsPerRun(100, func() { handler.pick("s", backend.RoleNone, exclusions{}) })
 	}
 	g.Expect(allocations(10_000)).To(BeNumerically("<=", allocations(200)))
 	g.Expect(allocations(20_000)).To(BeNumerically("<=", allocations(200)))
@@ -51,7 +51,7 @@
 		handler := newPickHandler(backends)
 		handler.options.Zone = zone
 		for range picks / 5 {
-			counts[handler.pick("s", backend.RoleNone, nil).ID()]++
+			counts[handler.pick("s", backend.RoleNone, exclusions{}).ID()]++
 		}
 	}
 	g := NewWithT(t)
@@ -73,9 +73,9 @@
 		attempted[entry.ID()] = true
 	}
 	delete(attempted, "server-00123")
-	g.Expect(handler.pick("s", backend.RoleNone, attempted).ID()).To(Equal("server-00123"))
+	g.Expect(handler.pick("s", backend.RoleNone, exclusions{attempted: attempted}).ID()).To(Equal("server-00123"))
 	attempted["server-00123"] = true
-	g.Expect(handler.pick("s", backend.RoleNone, attempted)).To(BeNil())
+	g.Expect(handler.pick("s", backend.RoleNone, exclusions{attempted: attempted})).To(BeNil())
 }
 
 // newPickHandler returns a handler of a node in zone a with the given number of plain backends in five
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -34,7 +34,7 @@
 )
 
 // generate serves a request at engines: memory is reserved, the prompt is prefilled, and the output of the
-// decode engine is relayed. If a stream breaks off and may be resumed, another engine continues it.
+// decode engine is relayed. If a stream breaks off and may be resumed, another engine of its version continues it.
 func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
 	defer func() { x.freeKeptPrompt(ctx) }()
 	stream := &streamRelay{exchange: x, lastID: x.request.Generation.LastEventID}
@@ -214,15 +214,16 @@
 }
 
 // prefillEngine returns the assigned prefill engine, or another one if that engine cannot be used or has been
-// attempted.
+// attempted. The engine has the software version of the decode engine: what two versions write does not fit together.
 func (x *exchange) prefillEngine(reserved *reservedEngine, attempted map[string]bool) *backend.Entry {
+	excluded := exclusions{attempted, backend.RequireVersion(reserved.version)}
 	if len(attempted) == 0 && reserved.prefillEngine != "" {
 		entry := x.handler.options.Backends.Lookup(reserved.prefillEngine)
-		if entry != nil && entry.TakesWork() && entry.BackoffRemaining() == 0 {
+		if entry != nil && entry.TakesWork() && entry.BackoffRemaining() == 0 && !excluded.contains(entry) {
 			return entry
 		}
 	}
-	return x.handler.pick(x.service, backend.RolePrefill, attempted)
+	return x.handler.pick(x.service, backend.RolePrefill, excluded)
 }
 
 // prefillLimit returns how long a prefill may take, given its expected duration.
@@ -313,6 +314,7 @@
 	now := s.exchange.sinceArrival()
 	if timings.firstEvent == 0 {
 		timings.firstEvent = now
+		s.exchange.version = backend.RequireVersion(reserved.version)
 	} else {
 		timings.pause = max(timings.pause, now-s.lastAt)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -186,6 +186,8 @@
 	runs     int
 	// retryGrant is what the retry budget has granted to the request.
 	retryGrant *retrybudget.Grant
+	// version constrains the software of the engines that may run the request.
+	version backend.VersionConstraint
 	// keptPrompt is a prompt that was prefilled for a run which the decode engine did not take; nil for none.
 	keptPrompt *prefilledPrompt
 	// admission is the decision on a request to a plain service.
--- a/gateway/prompt.go
+++ b/gateway/prompt.go
@@ -23,7 +23,7 @@
 // promptFor returns the prompt for a run at a reserved engine: one that is kept, or one that is prefilled
 // now. It is nil for a local prefill.
 func (x *exchange) promptFor(ctx context.Context, reserved *reservedEngine) (*prefilledPrompt, error) {
-	if keptPrompt := x.takeKeptPrompt(ctx); keptPrompt != nil {
+	if keptPrompt := x.takeKeptPrompt(ctx, reserved.version); keptPrompt != nil {
 		reserved.localPrefill = false
 		reserved.reportPrefilled(keptPrompt.source.Backend().ID)
 		return keptPrompt, nil
@@ -70,11 +70,14 @@
 	x.keptPrompt = prompt
 }
 
-// takeKeptPrompt returns the kept prompt, if it can still be fetched.
-func (x *exchange) takeKeptPrompt(ctx context.Context) *prefilledPrompt {
+// takeKeptPrompt returns the kept prompt, if it can still be fetched and was prefilled by the given software version.
+func (x *exchange) takeKeptPrompt(ctx context.Context, version string) *prefilledPrompt {
 	keptPrompt := x.keptPrompt
 	x.keptPrompt = nil
-	if keptPrompt != nil && time.Since(keptPrompt.prefilledAt) > maxKeptPromptAge {
+	if keptPrompt == nil {
+		return nil
+	}
+	if time.Since(keptPrompt.prefilledAt) > maxKeptPromptAge || keptPrompt.source.Backend().SoftwareVersion != version {
 		x.discard(ctx, keptPrompt, wasteDecodeRejected)
 		return nil
 	}
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -35,6 +35,8 @@
 	exchange    *exchange
 	entry       *backend.Entry
 	reservation Reservation
+	// version is the version of the engine's software.
+	version string
 	// prefillEngine is the engine assigned to prefill the prompt; empty for any.
 	prefillEngine string
 	// localPrefill is set if the decode engine is to prefill the prompt.
@@ -94,6 +96,9 @@
 	if rejection := x.allBackingOff(backend.RoleDecode, nil); rejection != nil {
 		return nil, rejection
 	}
+	if rejection := x.versionRejection(); rejection != nil {
+		return nil, rejection
+	}
 	if x.handler.options.Coordinator == nil {
 		return x.reserveUncoordinated(ctx, profile, avoid)
 	}
@@ -117,6 +122,7 @@
 		Wait:      x.coordinatedWait(),
 		Objective: x.firstTokenBudget(),
 		Late:      x.isLate(),
+		Version:   x.version,
 		Priority:  x.route.Priority, AboveUsual: x.quota.AboveUsual,
 		Run: ledger.Run{
 			ID:        x.handler.runNames.next(),
@@ -149,6 +155,10 @@
 		return nil, x.noCapacity(assigned.RetryAfter)
 	}
 	entry := x.handler.options.Backends.Lookup(assigned.Decode)
+	if entry != nil && !x.version.Allows(entry.Backend().SoftwareVersion) {
+		x.endUnused(request.Run.ID, coordinator.RejectionNone)
+		return nil, errors.Wrapf(coordinator.ErrNoCoordinator, "version %s was assigned", entry.Backend().SoftwareVersion)
+	}
 	var reservation *Reservation
 	rejection := coordinator.RejectionFull
 	if entry != nil && entry.TakesWork() && entry.BackoffRemaining() == 0 {
@@ -168,7 +178,7 @@
 		return nil, nil
 	}
 	return &reservedEngine{
-		exchange: x, entry: entry, reservation: *reservation,
+		exchange: x, entry: entry, reservation: *reservation, version: entry.Backend().SoftwareVersion,
 		prefillEngine: assigned.Prefill, localPrefill: assigned.LocalPrefill, expectedPrefill: assigned.PromptReady,
 		run: request.Run.ID, reservedAt: time.Now(), end: entry.Begin(),
 	}, nil
@@ -188,13 +198,16 @@
 func (x *exchange) reserveUncoordinated(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	until := time.Now().Add(x.uncoordinatedWait())
 	for {
-		for _, entry := range x.handler.decodeCandidates(x.service, avoid) {
+		for _, entry := range x.decodeCandidates(avoid) {
 			reservation, _, err := x.reserveAt(ctx, entry, profile, reservationOptions{})
 			if err != nil {
 				return nil, err
 			}
 			if reservation != nil {
-				return &reservedEngine{exchange: x, entry: entry, reservation: *reservation, reservedAt: time.Now(), end: entry.Begin()}, nil
+				return &reservedEngine{
+					exchange: x, entry: entry, reservation: *reservation, version: entry.Backend().SoftwareVersion,
+					reservedAt: time.Now(), end: entry.Begin(),
+				}, nil
 			}
 		}
 		if time.Now().Add(reserveInterval).After(until) {
@@ -256,10 +269,14 @@
 }
 
 // decodeCandidates returns the usable engines in random order.
-func (h *Handler) decodeCandidates(service string, avoid map[string]bool) []*backend.Entry {
+func (x *exchange) decodeCandidates(avoid map[string]bool) []*backend.Entry {
 	var candidates []*backend.Entry
-	for _, entry := range h.options.Backends.Ready(service, backend.RoleDecode) {
-		if !avoid[entry.Backend().ID] && entry.Healthy() && entry.BackoffRemaining() == 0 && h.options.Assignable(entry) {
+	for _, entry := range x.handler.options.Backends.Ready(x.service, backend.RoleDecode) {
+		described := entry.Backend()
+		if avoid[described.ID] || !x.version.Allows(described.SoftwareVersion) {
+			continue
+		}
+		if entry.Healthy() && entry.BackoffRemaining() == 0 && x.handler.options.Assignable(entry) {
 			candidates = append(candidates, entry)
 		}
 	}
--- a/router/engines.go
+++ b/router/engines.go
@@ -98,7 +98,7 @@
 // describeEngines describes engines of a service, given the backends of each role and whether these are all of
 // them.
 func (r *Router) describeEngines(service string, readyIn func(role backend.Role) ([]*backend.Entry, bool)) coordinator.Engines {
-	engines := coordinator.Engines{ZoneOf: r.zoneOfBackend}
+	engines := coordinator.Engines{ZoneOf: r.zoneOfBackend, VersionOf: r.versionOfBackend}
 	configuration := r.gateway.Configuration()
 	if configuration == nil || configuration.Services[service] == nil || configuration.Services[service].Engine == nil {
 		return engines
@@ -131,6 +131,15 @@
 	return entry.Backend().Zone
 }
 
+// versionOfBackend returns the version of a backend's software, or "" if it is not known.
+func (r *Router) versionOfBackend(id string) string {
+	entry := r.backends.Lookup(id)
+	if entry == nil {
+		return ""
+	}
+	return entry.Backend().SoftwareVersion
+}
+
 // assignable reports whether an engine may be given new work. Failing engines are excluded by the coordinator,
 // which has the failures that all nodes report.
 func (r *Router) assignable(entry *backend.Entry) bool {
