A resumed stream continues only at the software version that began it

Nodes record where streams begin (package streamorigin): the node that passes on the first event keeps the record and sends it to two others; whoever resumes asks the nodes that should have it. The attempt is served at that service and version. If nobody knows, it is rejected at once with 503, typed, not run.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -314,7 +314,6 @@
 	now := s.exchange.sinceArrival()
 	if timings.firstEvent == 0 {
 		timings.firstEvent = now
-		s.exchange.version = backend.RequireVersion(reserved.version)
 	} else {
 		timings.pause = max(timings.pause, now-s.lastAt)
 	}
@@ -363,6 +362,9 @@
 		if !x.answered {
 			x.writeHead(response)
 		}
+		if s.events == 0 {
+			x.beginStream(reserved)
+		}
 		if _, err := x.writer.Write(event.bytes); err != nil {
 			return unknown(ReasonCallerDisconnected, err)
 		}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -20,6 +20,7 @@
 	"github.com/reelrun/reelrun/quota"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
+	"github.com/reelrun/reelrun/streamorigin"
 	"github.com/reelrun/reelrun/tenant"
 )
 
@@ -50,6 +51,9 @@
 	// Freshness describes how current the configuration of this node is, for the log. Default: the zero
 	// value.
 	Freshness func() Freshness
+	// Streams records where streams begin, for the nodes at which their callers resume them. Without it, streams that are
+	// resumed are served like new ones.
+	Streams StreamOrigins
 	// FailureCounts reports whether a failed call to a backend, sent at a time, is evidence against the backend that
 	// other nodes should learn of, and not a fault of this node's own link. Default: always.
 	FailureCounts func(target backend.Backend, sent time.Time) bool
@@ -69,6 +73,15 @@
 	End(result coordinator.RunResult)
 }
 
+// StreamOrigins records and finds where streams begin, over all nodes.
+type StreamOrigins interface {
+	// Record records where a stream began.
+	Record(key streamorigin.Key, origin streamorigin.Origin)
+	// Find returns where a stream began, and which node knew it. It reports false if none of the nodes that answer in time
+	// knows.
+	Find(ctx context.Context, key streamorigin.Key) (origin streamorigin.Origin, source string, found bool)
+}
+
 // Quotas enforces the quotas of tenants over all nodes.
 type Quotas interface {
 	// Charge decides on a request of a tenant that costs the given units.
@@ -186,8 +199,11 @@
 	runs     int
 	// retryGrant is what the retry budget has granted to the request.
 	retryGrant *retrybudget.Grant
-	// version constrains the software of the engines that may run the request.
+	// version constrains the software of the backends that may run the request.
 	version backend.VersionConstraint
+	// origin is where the request's stream began, and originSource where that is known from; zero before it has begun.
+	origin       streamorigin.Origin
+	originSource string
 	// keptPrompt is a prompt that was prefilled for a run which the decode engine did not take; nil for none.
 	keptPrompt *prefilledPrompt
 	// admission is the decision on a request to a plain service.
@@ -240,6 +256,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), x.left())
 	defer cancel()
 	x.service = x.route.Target(rand.Float64())
+	if err := x.resumeAtOrigin(ctx); err != nil {
+		return err
+	}
 	service := x.configuration.Services[x.service]
 	generates := service != nil && service.Engine != nil && x.route.Kind == routing.KindStream
 	if generates {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,9 @@
 	if x.request != nil {
 		attributes = append(attributes, "request", x.request.ID, "wait_ms", x.request.Timeout.Milliseconds())
 	}
+	if x.request != nil && x.request.Generation.Resumes != "" {
+		attributes = append(attributes, "resumes", x.request.Generation.Resumes)
+	}
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name)
 	}
@@ -88,7 +91,8 @@
 func (h *Handler) logContinued(x *exchange, engine backend.Backend, lastEvent string) {
 	h.options.Metrics.Add("streams_continued", 1)
 	h.options.Logger.Info("stream continues", append(x.attributes(x.sinceArrival()),
-		"after_event", lastEvent, "begun_by", cmp.Or(x.request.Generation.Resumes, x.request.ID), "version", engine.SoftwareVersion)...)
+		"after_event", lastEvent, "begun_by", cmp.Or(x.request.Generation.Resumes, x.request.ID), "version", engine.SoftwareVersion,
+		"origin_source", x.originSource)...)
 }
 
 // logBreak logs that a backend broke off a request, whether the backend has terminated, and the resulting
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -42,3 +42,6 @@
 	// it resumes none, or does not state that attempt.
 	Resumes string
 }
+
+// resumesStream reports whether the caller resumes a stream that an earlier attempt began.
+func (g Generation) resumesStream() bool { return g.Resumes != "" || g.LastEventID != "" }
--- a/router/capabilities.go
+++ b/router/capabilities.go
@@ -17,7 +17,8 @@
 // services, limits tenants and its calls to backends by its equal share of each limit (see quota.LocalLimiter
 // and backendlimit.LocalLimiter), and quarantines requests
 // by the crashes that it saw and the statuses that it received earlier. A node that reaches no backend rejects its
-// callers where no other node opens tunnels. Shares of the retry budget need no
+// callers where no other node opens tunnels, and a node that resumes a stream of which no supporting node has a record
+// rejects it. Shares of the retry budget need no
 // coordinator: a node without a share sends only as many retries as the ratio allows.
 type capability string
 
@@ -34,12 +35,14 @@
 	capabilityBackendLimits capability = "backendLimits"
 	// capabilityTunnels is to connect to backends for nodes that have lost their own link to them.
 	capabilityTunnels capability = "tunnels"
+	// capabilityStreams is to keep records of where streams began.
+	capabilityStreams capability = "streams"
 )
 
 // ownCapabilities returns the capabilities of this build.
 func ownCapabilities() []capability { return knownCapabilities[:] }
 
-var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares, capabilityBackendLimits, capabilityTunnels}
+var knownCapabilities = [...]capability{capabilityServices, capabilityQuotas, capabilityQuarantines, capabilityRetryShares, capabilityBackendLimits, capabilityTunnels, capabilityStreams}
 
 // unlistedCapabilities returns the capabilities of builds that do not list theirs: those of the last build
 // without a list.
--- a/router/engines.go
+++ b/router/engines.go
@@ -32,6 +32,8 @@
 		return r.limits.Handle(request)
 	case *peerpb.Request_ReportCrashes, *peerpb.Request_AnnounceCrashes:
 		return r.quarantines.Handle(request)
+	case *peerpb.Request_RecordStream, *peerpb.Request_FindStream:
+		return r.streams.Handle(request)
 	case *peerpb.Request_ReportLoad:
 		return r.admissions.Handle(request)
 	default:
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -24,6 +24,7 @@
 	r.metrics.Gauge("nodes_of_other_builds", func() float64 { return float64(r.nodes.countOtherBuilds(buildName())) })
 	r.metrics.Gauge("tunnels_being_served", func() float64 { return float64(r.tunnels.served.Load()) })
 	r.metrics.Gauge("backends_tunnelled", func() float64 { return float64(r.tunnels.tracker.FaultyLinks()) })
+	r.metrics.Gauge("stream_origins", func() float64 { return float64(r.streams.Size()) })
 	r.metrics.Gauge("retry_share", func() float64 { return float64(r.retryShares.holder.Usable()) })
 	r.metrics.Gauge("services_coordinated", func() float64 { return float64(len(r.coordinatedServices())) })
 	for _, role := range []backend.Role{backend.RoleNone, backend.RolePrefill, backend.RoleDecode} {
--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/reelrun/reelrun/roles"
 	"github.com/reelrun/reelrun/routing"
 	"github.com/reelrun/reelrun/settings"
+	"github.com/reelrun/reelrun/streamorigin"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -131,8 +132,10 @@
 	quarantines           *quarantine.Client
 	quarantineCoordinator *quarantine.Coordinator
 	quarantineArchive     *quarantine.Archive
-	roles                 *roles.Controller
-	tunnels               tunnels
+	// streams records and finds where streams began.
+	streams *streamorigin.Client
+	roles   *roles.Controller
+	tunnels tunnels
 	// retryShares is the state of the retry budget's allocation.
 	retryShares retryShares
 	// started identifies this start of the node, and origin is the time at which now is zero.
@@ -238,6 +241,7 @@
 		LocalLimiter: backendlimit.NewLocalLimiter(r.limitNodes, rand.Float64), Now: r.now,
 	})
 	r.newQuarantines()
+	r.streams = streamorigin.NewClient(streamorigin.ClientOptions{Own: r.Own(), Nodes: r.streamKeepers, Peers: r.client, Now: r.now})
 	r.retryShares.holder = retrybudget.NewHolder(options.Settings.RetryWindow, options.Clock.Now)
 	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.newTunnels()
@@ -259,6 +263,7 @@
 		Assignable:  func(entry *backend.Entry) bool { return !r.roles.Changing(entry.Backend().ID) },
 		Quotas:      r.quotas,
 		Quarantine:  r.quarantines,
+		Streams:     r.streams,
 		Admission:   r.admission,
 		Freshness:   r.freshness,
 		// Failures of this node's own link must not exclude engines that other nodes reach.
--- a/routing/route.go
+++ b/routing/route.go
@@ -1,6 +1,9 @@
 package routing
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Kind states how often the requests of a route may run.
 type Kind string
@@ -58,6 +61,11 @@
 	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
 }
 
+// HasTarget reports whether a service takes a share of the route's requests.
+func (r *Route) HasTarget(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service && target.Weight > 0 })
+}
+
 // Target picks the service of a request. The draw is a number in [0, 1).
 func (r *Route) Target(draw float64) string {
 	total := 0
