Streams without a record continue where their service has had a single version

Callers were rejected after the loss of all nodes that knew where their streams began, also where a service has one software version only, which is the usual case.

Cause: records are in memory, and nothing else told at which version a stream began. Nodes that watch the store publish in it which versions the back ends of each service have had of late (package softwareversions). A node that finds no record reads this object, by a read that begins after the attempt has arrived, adds the versions that it knows itself, and continues the stream if there is one version. Two versions, or no answer: 503 as before.

Registries group back ends by version too, so that the versions of a service are found without a pass over its back ends.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -21,7 +21,7 @@
 	currentByName map[string]*Entry
 	// services holds the entries of each service, sorted by identifier.
 	services map[string][]*Entry
-	// groups holds the same entries by service, role and zone, so that a few can be found without iterating
+	// groups holds the same entries by service, role, zone and software version, so that a few can be found without iterating
 	// over all.
 	groups map[group][]*Entry
 	// notices are the entries of backends that have sent a notice.
@@ -248,13 +248,6 @@
 	return ready
 }
 
-// HasReady reports whether a backend of a service takes new work in a role and has an allowed software version.
-func (r *Registry) HasReady(service string, role Role, allowed VersionConstraint) bool {
-	return slices.ContainsFunc(r.Ready(service, role), func(entry *Entry) bool {
-		return allowed.Allows(entry.Backend().SoftwareVersion)
-	})
-}
-
 // Lookup returns a backend, or nil.
 func (r *Registry) Lookup(id string) *Entry {
 	r.mu.RLock()
--- a/backend/sample.go
+++ b/backend/sample.go
@@ -5,15 +5,16 @@
 	"slices"
 )
 
-// group identifies the backends of a service with one role in one zone.
+// group identifies the backends of a service with one role and software version in one zone.
 type group struct {
 	service string
 	role    Role
 	zone    string
+	version string
 }
 
 func groupOf(described Backend) group {
-	return group{described.Service, described.Role, described.Zone}
+	return group{described.Service, described.Role, described.Zone, described.SoftwareVersion}
 }
 
 // SampleOptions describes a sample of backends.
@@ -77,6 +78,33 @@
 	return nil
 }
 
+// HasReady reports whether a backend of a service takes new work in a role and has an allowed software version.
+func (r *Registry) HasReady(service string, role Role, allowed VersionConstraint) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for key, entries := range r.groups {
+		if key.service == service && key.role == role && allowed.Allows(key.version) && slices.ContainsFunc(entries, (*Entry).TakesWork) {
+			return true
+		}
+	}
+	return false
+}
+
+// SoftwareVersions returns the software versions of the backends of each service, sorted.
+func (r *Registry) SoftwareVersions() map[string][]string {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	versions := map[string][]string{}
+	for key := range r.groups {
+		versions[key.service] = append(versions[key.service], key.version)
+	}
+	for service, found := range versions {
+		slices.Sort(found)
+		versions[service] = slices.Compact(found)
+	}
+	return versions
+}
+
 // Union returns the backends of two samples, each once and sorted by identifier.
 func Union(first, second []*Entry) []*Entry { return ready(slices.Concat(first, second)) }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -54,6 +54,8 @@
 	// Streams records where streams begin, for the nodes at which their callers resume them. Without it, streams that are
 	// resumed are served like new ones.
 	Streams StreamOrigins
+	// SoftwareVersions proves at which version a stream of unknown origin began. Without it, none is known.
+	SoftwareVersions SoftwareVersions
 	// FailureCounts reports whether a failed call to a backend, sent at a time, is evidence against the backend that
 	// other nodes should learn of, and not a fault of this node's own link. Default: always.
 	FailureCounts func(target backend.Backend, sent time.Time) bool
@@ -82,6 +84,13 @@
 	Find(ctx context.Context, key streamorigin.Key) (origin streamorigin.Origin, source string, found bool)
 }
 
+// SoftwareVersions knows which software versions the backends of each service have had.
+type SoftwareVersions interface {
+	// Single returns the only version that a service has had for longer than callers wait for streams, or an error that says
+	// why that is not known.
+	Single(ctx context.Context, service string) (string, error)
+}
+
 // Quotas enforces the quotas of tenants over all nodes.
 type Quotas interface {
 	// Charge decides on a request of a tenant that costs the given units.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -10,11 +10,16 @@
 	"github.com/reelrun/reelrun/streamorigin"
 )
 
-// sourceResponse is the source of the origin of a stream that began within the response of the request.
-const sourceResponse = "response"
+// Sources of an origin that is not from a record.
+const (
+	// sourceResponse means that the stream began within the response of the request.
+	sourceResponse = "response"
+	// sourceSingleVersion means that the service has had a single version.
+	sourceSingleVersion = "single version"
+)
 
-// errNoAttemptNamed means that a caller resumes a stream without naming the attempt that began it.
-var errNoAttemptNamed = errors.New("gateway: the request does not name the attempt that began its stream")
+// errNoRecord means that no node has a record of the stream, and nothing else tells where it began.
+var errNoRecord = errors.New("gateway: no record of the stream")
 
 // errServiceNotTarget means that a stream began at a service that its route no longer has.
 var errServiceNotTarget = errors.New("gateway: the stream began at a service that is no target of its route")
@@ -26,15 +31,9 @@
 	if streams == nil || x.route.Kind != routing.KindStream || !x.request.Generation.resumesStream() {
 		return nil
 	}
-	if x.request.Generation.Resumes == "" {
-		return x.originUnknown(errNoAttemptNamed)
-	}
-	origin, source, found := streams.Find(ctx, x.streamKey())
-	if !found {
-		return x.originUnknown(nil)
-	}
-	if !x.route.HasTarget(origin.Service) {
-		return x.originUnknown(errServiceNotTarget)
+	origin, source, err := x.findOrigin(ctx)
+	if err != nil {
+		return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, err)
 	}
 	x.origin, x.originSource = origin, source
 	x.service = origin.Service
@@ -43,9 +42,27 @@
 	return nil
 }
 
-// originUnknown is the rejection of a request that resumes a stream of which this node cannot know where it began.
-func (x *exchange) originUnknown(cause error) error {
-	return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, cause)
+// findOrigin returns where the stream that the request resumes began, and the source of this knowledge: a record of a
+// node, or that the service has had a single version.
+func (x *exchange) findOrigin(ctx context.Context) (origin streamorigin.Origin, source string, err error) {
+	if x.request.Generation.Resumes != "" {
+		origin, source, found := x.handler.options.Streams.Find(ctx, x.streamKey())
+		if found && !x.route.HasTarget(origin.Service) {
+			return streamorigin.Origin{}, "", errServiceNotTarget
+		}
+		if found {
+			return origin, source, nil
+		}
+	}
+	versions := x.handler.options.SoftwareVersions
+	if versions == nil || len(x.route.Targets) != 1 {
+		return streamorigin.Origin{}, "", errNoRecord
+	}
+	version, err := versions.Single(ctx, x.service)
+	if err != nil {
+		return streamorigin.Origin{}, "", err
+	}
+	return streamorigin.Origin{Service: x.service, Version: version}, sourceSingleVersion, nil
 }
 
 // beginningAttempt identifies the attempt that brought the first event of the request's stream; empty if unknown.
--- a/router/changes.go
+++ b/router/changes.go
@@ -6,6 +6,7 @@
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/replica"
+	"github.com/reelrun/reelrun/softwareversions"
 )
 
 // changed applies a newer version of an object. The replica calls it, one change at a time.
@@ -28,6 +29,8 @@
 		r.logOtherBuild(change.Record.Object.Name)
 	case quarantine.Kind:
 		r.handleQuarantine(change)
+	case softwareversions.Kind:
+		r.handleVersions(change)
 	case kindRoleChange:
 		r.handleRoleChange(change)
 	case kindCutOff:
--- a/router/router.go
+++ b/router/router.go
@@ -32,6 +32,7 @@
 	"github.com/reelrun/reelrun/roles"
 	"github.com/reelrun/reelrun/routing"
 	"github.com/reelrun/reelrun/settings"
+	"github.com/reelrun/reelrun/softwareversions"
 	"github.com/reelrun/reelrun/streamorigin"
 	"github.com/reelrun/reelrun/timeline"
 )
@@ -134,8 +135,11 @@
 	quarantineArchive     *quarantine.Archive
 	// streams records and finds where streams began.
 	streams *streamorigin.Client
-	roles   *roles.Controller
-	tunnels tunnels
+	// versionPublisher publishes the software versions of the backends, and versionProver reads what is published.
+	versionPublisher *softwareversions.Publisher
+	versionProver    *softwareversions.Prover
+	roles            *roles.Controller
+	tunnels          tunnels
 	// retryShares is the state of the retry budget's allocation.
 	retryShares retryShares
 	// started identifies this start of the node, and origin is the time at which now is zero.
@@ -241,7 +245,7 @@
 		LocalLimiter: backendlimit.NewLocalLimiter(r.limitNodes, rand.Float64), Now: r.now,
 	})
 	r.newQuarantines()
-	r.streams = streamorigin.NewClient(streamorigin.ClientOptions{Own: r.Own(), Nodes: r.streamKeepers, Peers: r.client, Now: r.now})
+	r.newStreams()
 	r.retryShares.holder = retrybudget.NewHolder(options.Settings.RetryWindow, options.Clock.Now)
 	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.newTunnels()
@@ -264,8 +268,10 @@
 		Quotas:      r.quotas,
 		Quarantine:  r.quarantines,
 		Streams:     r.streams,
-		Admission:   r.admission,
-		Freshness:   r.freshness,
+		// The origin of a stream without a record is known if its service has had a single version.
+		SoftwareVersions: r.versionProver,
+		Admission:        r.admission,
+		Freshness:        r.freshness,
 		// Failures of this node's own link must not exclude engines that other nodes reach.
 		FailureCounts: func(target backend.Backend, sent time.Time) bool {
 			return r.tunnels.tracker.FailureCounts(target.Address, sent)
@@ -360,6 +366,7 @@
 		func() { r.quotas.Run(untilDrained) },
 		func() { r.quarantines.Run(untilDrained) },
 		func() { r.afterNodesKnown(untilStop, r.reconcileArchive) },
+		func() { r.afterNodesKnown(untilDrained, r.publishVersions) },
 		func() { r.afterNodesKnown(untilStop, r.maintainRetryShares) },
 		func() { r.pollReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
--- a/streamorigin/streamorigin_test.go
+++ b/streamorigin/streamorigin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,7 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newNetwork(9, 3, func() time.Duration { return 0 })
 		for i := range 200 {
-			fleet.clients[fmt.Sprintf("node-%d", i%9)].Record(NewKey("t", fmt.Sprint(i)), exampleOrigin)
+			fleet.clients[fmt.Sprintf("node-%d", i%9)].Record(NewKey("t", strconv.Itoa(i)), exampleOrigin)
 		}
 		synctest.Wait()
 		expectFound := func(lost ...string) {
@@ -64,7 +65,7 @@
 			}
 			for _, node := range fleet.live() {
 				for i := range 200 {
-					origin, _, found := fleet.clients[node.Address].Find(t.Context(), NewKey("t", fmt.Sprint(i)))
+					origin, _, found := fleet.clients[node.Address].Find(t.Context(), NewKey("t", strconv.Itoa(i)))
 					if !found || origin != exampleOrigin {
 						t.Fatalf("%s does not find stream %d after the loss of %v", node.Address, i, lost)
 					}
@@ -88,7 +89,7 @@
 			fleet.lost[address] = true
 		}
 		for i := range 100 {
-			sender.Record(NewKey("t", fmt.Sprint(i)), exampleOrigin)
+			sender.Record(NewKey("t", strconv.Itoa(i)), exampleOrigin)
 		}
 		synctest.Wait()
 		copies := 0
@@ -134,17 +135,17 @@
 		const count = maxRecords + 2000
 		for i := range count {
 			now += interval
-			records.put(NewKey("t", fmt.Sprint(i)), exampleOrigin)
+			records.put(NewKey("t", strconv.Itoa(i)), exampleOrigin)
 			if i%3 == 0 {
-				records.put(NewKey("t", fmt.Sprint(i/2)), exampleOrigin)
+				records.put(NewKey("t", strconv.Itoa(i/2)), exampleOrigin)
 			}
 		}
 		g.Expect(records.size()).To(BeNumerically("<=", maxRecords))
 		g.Expect(len(records.written)).To(BeNumerically("<=", maxRecords))
-		_, found := records.find(NewKey("t", fmt.Sprint(count-1)))
+		_, found := records.find(NewKey("t", strconv.Itoa(count-1)))
 		g.Expect(found).To(BeTrue(), "the last record")
 		now += lifetime + time.Second
-		_, found = records.find(NewKey("t", fmt.Sprint(count-1)))
+		_, found = records.find(NewKey("t", strconv.Itoa(count-1)))
 		g.Expect(found).To(BeFalse(), "an expired record")
 	}
 }
@@ -155,7 +156,7 @@
 	fleet := newNetwork(nodes, 4, func() time.Duration { return 0 })
 	counts := map[string]int{}
 	for i := range streams {
-		for _, address := range ordered(NewKey("t", fmt.Sprint(i)), fleet.nodes, keeperCount) {
+		for _, address := range ordered(NewKey("t", strconv.Itoa(i)), fleet.nodes, keeperCount) {
 			counts[address]++
 		}
 	}
