The start of a server, not its entry, tells the version of a stream

Streams joined two versions where servers restarted under their ids with another version, or a store restored from a copy had their entries of earlier starts.

Cause: the version of a run was taken from the entry, which lags. Now the start in the entry is compared with the time at which the run was sent, and whoever resumes a stream asks the server where it began and the one where it is to continue when they started. A start that no entry describes makes the origin unknown, or another engine be chosen; a server that does not answer is not given the stream.

--- a/backend/registry.go
+++ b/backend/registry.go
@@ -248,6 +248,13 @@
 	return ready
 }
 
+// Registered returns the current incarnation of a backend by the name that it is registered under, or nil.
+func (r *Registry) Registered(name string) *Entry {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.current(name)
+}
+
 // Lookup returns a backend, or nil.
 func (r *Registry) Lookup(id string) *Entry {
 	r.mu.RLock()
--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -154,6 +154,9 @@
 	return &gateway.Response{Status: response.StatusCode, Header: httpheader.EndToEnd(response.Header), Body: response.Body}, nil
 }
 
+// StartedAt implements gateway.Dialect. These engines do not state it.
+func (d *Dialect) StartedAt(context.Context, backend.Backend) (int64, error) { return 0, nil }
+
 // Reserve implements gateway.Dialect. These engines have no reservations: whether they have
 // capacity is known only when they respond to the call.
 func (d *Dialect) Reserve(context.Context, backend.Backend, int, time.Duration) (*gateway.Reservation, error) {
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -75,6 +75,8 @@
 	// Ended reports whether the process of a backend is known to have terminated: nothing listens at its
 	// address any more. It is false if that cannot be determined in time.
 	Ended(ctx context.Context, target backend.Backend) bool
+	// StartedAt asks a backend when its process started, in Unix milliseconds; zero if the backend does not state it.
+	StartedAt(ctx context.Context, target backend.Backend) (int64, error)
 	// Reserve reserves memory at a decode engine for the lifetime. The result is nil if the engine has no
 	// capacity.
 	Reserve(ctx context.Context, target backend.Backend, tokens int, lifetime time.Duration) (*Reservation, error)
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -59,10 +59,26 @@
 		if !x.mayResume() {
 			return err
 		}
+		if unknown := x.confirmOrigin(ctx, stream); unknown != nil {
+			return errors.CombineErrors(err, unknown)
+		}
 		x.handler.logRetry(x, err)
 	}
 }
 
+// confirmOrigin checks at which version a stream that broke off began, if any of its events has been passed on.
+func (x *exchange) confirmOrigin(ctx context.Context, stream *streamRelay) error {
+	if stream.events == 0 {
+		return nil
+	}
+	version, err := x.versionOf(ctx, x.origin)
+	if err != nil {
+		return err
+	}
+	x.version = backend.RequireVersion(version)
+	return nil
+}
+
 // mayResume reports whether a stream that broke off may continue at another engine.
 func (x *exchange) mayResume() bool {
 	if !x.route.Resumable || x.runs >= x.route.MaxAttempts {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/logging"
 	"github.com/reelrun/reelrun/quarantine"
 )
 
@@ -95,6 +96,15 @@
 		"origin_source", x.originSource)...)
 }
 
+// logUnconfirmed logs that an engine is not given a stream of a version because it has restarted since its entry was
+// written, or does not say when it started.
+func (h *Handler) logUnconfirmed(x *exchange, described backend.Backend, startedAt int64, err error) {
+	h.options.Metrics.Add("engines_unconfirmed", 1)
+	h.options.Logger.Info("version of engine not confirmed", append(x.attributes(x.sinceArrival()), "engine", described.ID,
+		"version", described.SoftwareVersion, "started_at", described.StartedAt, "reported_start", startedAt,
+		"error", logging.ErrorText(err))...)
+}
+
 // logBreak logs that a backend broke off a request, whether the backend has terminated, and the resulting
 // quarantine status of the request.
 func (h *Handler) logBreak(broken brokenRequest, crashed bool, quarantineStatus quarantine.Status) {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -99,6 +99,18 @@
 	if rejection := x.versionRejection(); rejection != nil {
 		return nil, rejection
 	}
+	for {
+		reserved, err := x.reserveAny(ctx, profile, avoid)
+		if err != nil || x.confirmIncarnation(ctx, reserved) {
+			return reserved, err
+		}
+		avoid[reserved.entry.ID()] = true
+		x.release(ctx, reserved)
+	}
+}
+
+// reserveAny reserves memory at a decode engine that the coordinator assigns or, if there is none, that this node chooses.
+func (x *exchange) reserveAny(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*reservedEngine, error) {
 	if x.handler.options.Coordinator == nil {
 		return x.reserveUncoordinated(ctx, profile, avoid)
 	}
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -35,9 +35,13 @@
 	if err != nil {
 		return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, err)
 	}
+	version, err := x.versionOf(ctx, origin)
+	if err != nil {
+		return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, err)
+	}
 	x.origin, x.originSource = origin, source
 	x.service = origin.Service
-	x.version = backend.RequireVersion(origin.Version)
+	x.version = backend.RequireVersion(version)
 	x.handler.options.Metrics.Add("streams_resumed", 1)
 	return nil
 }
--- a/router/limitedcalls.go
+++ b/router/limitedcalls.go
@@ -58,6 +58,14 @@
 	return d.Dialect.Send(ctx, target, request, left)
 }
 
+// StartedAt implements gateway.Dialect.
+func (d limitedDialect) StartedAt(ctx context.Context, target backend.Backend) (int64, error) {
+	if err := d.permit(ctx, target, singleCall); err != nil {
+		return 0, err
+	}
+	return d.Dialect.StartedAt(ctx, target)
+}
+
 // Reserve implements gateway.Dialect.
 func (d limitedDialect) Reserve(ctx context.Context, target backend.Backend, tokens int, lifetime time.Duration) (*gateway.Reservation, error) {
 	if err := d.permit(ctx, target, reservedRun); err != nil {
