Streams that need one of several versions are not filled out by new ones

While a service has several versions, the coordinator's queue serves requests that need one of them before the others of the same tenant rank, late ones as first attempts. With one version nothing changes.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	retries retrySchedule
 	// completions counts runs that end, and arrivals counts first attempts.
 	completions, arrivals rateMeter
+	// hasVersions is set while the engines have several software versions.
+	hasVersions bool
 	// serveScheduled is set while a timer is set to serve waiting requests.
 	serveScheduled bool
 	// demand measures how many engines of each role recent requests keep busy.
@@ -183,7 +185,7 @@
 		return queued
 	}
 	maxWait := c.maxWait(current, request)
-	queued.unservable = current.load(now, queued).unservable(request.Late, maxWait)
+	queued.unservable = current.load(now, queued).unservable(current.ranksLate(request), maxWait)
 	if !queued.unservable && !request.Probe {
 		queued.maxWait = maxWait
 		c.scheduleServe(request.Service, current)
--- a/coordinator/overload_replay_test.go
+++ b/coordinator/overload_replay_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/reelrun/reelrun/backend"
 	"github.com/reelrun/reelrun/ledger"
 )
 
@@ -256,21 +257,28 @@
 func TestRankOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
+		state := &serviceState{hasVersions: rapid.Bool().Draw(t, "several versions")}
 		draw := func(name string) *waiter {
 			small := rapid.IntRange(0, 1)
-			return &waiter{since: time.Duration(small.Draw(t, name+" since")), request: &Request{
+			drawn := &waiter{since: time.Duration(small.Draw(t, name+" since")), request: &Request{
 				Late: rapid.Bool().Draw(t, name+" late"), AboveUsual: rapid.Bool().Draw(t, name+" above"),
 				TenantPriority: small.Draw(t, name+" tenant"), Priority: small.Draw(t, name+" route"),
 			}}
+			if rapid.Bool().Draw(t, name+" needs a version") {
+				drawn.request.Version = backend.RequireVersion("v1")
+			}
+			return drawn
 		}
 		ranks := func(w *waiter) []int {
 			ofBool := map[bool]int{true: 1}
+			needsOne := state.hasVersions && w.request.Version == backend.RequireVersion("v1")
 			return []int{
-				ofBool[w.request.Late], w.request.TenantPriority, ofBool[w.request.AboveUsual], w.request.Priority, int(w.since),
+				ofBool[w.request.Late && !needsOne], w.request.TenantPriority, ofBool[w.request.AboveUsual], ofBool[!needsOne],
+				w.request.Priority, int(w.since),
 			}
 		}
 		a, b := draw("a"), draw("b")
-		g.Expect(compareRank(a, b)).To(Equal(slices.Compare(ranks(a), ranks(b))))
-		g.Expect(compareRank(b, a)).To(Equal(-compareRank(a, b)))
+		g.Expect(state.compareRank(a, b)).To(Equal(slices.Compare(ranks(a), ranks(b))))
+		g.Expect(state.compareRank(b, a)).To(Equal(-state.compareRank(a, b)))
 	})
 }
--- a/coordinator/queue.go
+++ b/coordinator/queue.go
@@ -49,10 +49,10 @@
 	found := queueLoad{completions: s.completions.perSecond(now), arrivals: s.arrivals.perSecond(now)}
 	found.known = s.completions.events >= minCompletions && found.completions >= minCompletionRate
 	for _, queued := range s.waiting {
-		if compareRank(queued, arrived) > 0 {
+		if s.compareRank(queued, arrived) > 0 {
 			continue
 		}
-		if queued.request.Late {
+		if s.ranksLate(queued.request) {
 			found.retries++
 		} else {
 			found.firstAttempts++
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -44,7 +44,7 @@
 	now := c.options.Now()
 	current.decode.SetCoverage(c.coverage(now, current))
 	current.decode.SetOutputDeviation(current.output.RelativeDeviation())
-	slices.SortStableFunc(current.waiting, compareRank)
+	slices.SortStableFunc(current.waiting, current.compareRank)
 	var waiting []*waiter
 	var unassigned []*Request
 	round := servingRound{coordinator: c, service: service, current: current, now: now}
@@ -100,7 +100,9 @@
 
 // healthyGroups returns the engines that have not failed recently, by version. The result is not nil.
 func (r *servingRound) healthyGroups(engines Engines) []versionGroup {
-	return groupByVersion(healthyOf(r.now, &r.current.health, engines))
+	groups := groupByVersion(healthyOf(r.now, &r.current.health, engines))
+	r.current.hasVersions = len(groups) > 1
+	return groups
 }
 
 // assignAmong assigns engines of one software version.
@@ -119,19 +121,34 @@
 }
 
 // compareRank orders waiting requests: first attempts, then higher tenant priority, then tenants
-// that are not near their limit, then higher route priority, then earlier arrivals. A tenant that
-// sends many times its usual load fills the queue up to its limit, so the requests of other tenants
-// pass its requests.
-func compareRank(a, b *waiter) int {
+// that are not near their limit, then requests that only one of several software versions can
+// serve, then higher route priority, then earlier arrivals. A tenant that sends many times its
+// usual load fills the queue up to its limit, so the requests of other tenants pass its requests. A
+// request that needs one version can use a part of the capacity only, which others would take too.
+func (s *serviceState) compareRank(a, b *waiter) int {
 	return cmp.Or(
-		trueLast(a.request.Late, b.request.Late),
+		trueLast(s.ranksLate(a.request), s.ranksLate(b.request)),
 		cmp.Compare(a.request.TenantPriority, b.request.TenantPriority),
 		trueLast(a.request.AboveUsual, b.request.AboveUsual),
+		trueLast(!s.needsOneOfSeveral(a.request), !s.needsOneOfSeveral(b.request)),
 		cmp.Compare(a.request.Priority, b.request.Priority),
 		cmp.Compare(a.since, b.since),
 	)
 }
 
+// ranksLate reports whether a request is served after the first attempts. One that needs one of
+// several versions is not: the first attempts would fill the engines of its version, although they
+// can be served by others.
+func (s *serviceState) ranksLate(request *Request) bool {
+	return request.Late && !s.needsOneOfSeveral(request)
+}
+
+// needsOneOfSeveral reports whether a request can only be served at one of several versions.
+func (s *serviceState) needsOneOfSeveral(request *Request) bool {
+	_, required := request.Version.Version()
+	return required && s.hasVersions
+}
+
 // trueLast compares two booleans; false is less than true.
 func trueLast(a, b bool) int {
 	switch {
