Role changes leave each software version a decode engine

Streams of a version could not continue after a role change had taken its last decode engine (found by reading): roles were planned as if all engines could replace each other. A change to prefill now leaves one decode engine of each version.

TestRoleChangeTakesLastDecodeEngineOfAVersion fails on the plan of before (decode engines of v1 are left, of v1 and v2 there were some).

--- a/roles/controller.go
+++ b/roles/controller.go
@@ -200,6 +200,7 @@
 	allocation.Demand, allocation.Runs = c.options.Demand(service)
 	allocation.Prefill = c.unchanging(service, backend.RolePrefill)
 	allocation.Decode = c.unchanging(service, backend.RoleDecode)
+	allocation.Versions = c.versionsOf(allocation.Decode)
 	for _, role := range c.pendingRoles(service) {
 		if role == backend.RolePrefill {
 			allocation.PendingPrefill++
@@ -221,6 +222,17 @@
 	return ids
 }
 
+// versionsOf returns the software versions of engines.
+func (c *Controller) versionsOf(ids []string) map[string]string {
+	versions := make(map[string]string, len(ids))
+	for _, id := range ids {
+		if entry := c.options.Backends.Lookup(id); entry != nil {
+			versions[id] = entry.Backend().SoftwareVersion
+		}
+	}
+	return versions
+}
+
 // pendingRoles returns the new roles of the engines that are changing.
 func (c *Controller) pendingRoles(service string) map[string]backend.Role {
 	c.mu.Lock()
--- a/roles/plan.go
+++ b/roles/plan.go
@@ -19,6 +19,25 @@
 	Demand *Demand
 	// Runs is the number of runs of each engine; engines without runs are omitted.
 	Runs map[string]int
+	// Versions is the software version of each engine. An engine without one has the empty version.
+	Versions map[string]string
+}
+
+// decodeEnginesToSpare returns the decode engines that may take the other role, in the given order: each software version
+// keeps one, since its streams can continue nowhere else.
+func (a Allocation) decodeEnginesToSpare() []string {
+	left := map[string]int{}
+	for _, id := range a.Decode {
+		left[a.Versions[id]]++
+	}
+	var spare []string
+	for _, id := range byIdleness(a.Decode, a.Runs) {
+		if version := a.Versions[id]; left[version] > 1 {
+			left[version]--
+			spare = append(spare, id)
+		}
+	}
+	return spare
 }
 
 // total returns the number of all engines.
@@ -101,7 +120,7 @@
 )
 
 // Plan returns the changes that bring an allocation closer to the policy, or none if it is close
-// enough. Each role keeps at least one engine.
+// enough. Each role keeps at least one engine, and the decode role one of each software version.
 //
 // If the demand were certain, all surplus engines of a role could change at once, because the best
 // allocation has fewer of them anyway. The demand is an estimate, so only a part of the engines of
@@ -115,21 +134,24 @@
 	target, urgent := p.target(allocation, total)
 	switch {
 	case current > target:
-		return changes(allocation.Prefill, allocation.Runs, current-target, backend.RoleDecode, urgent)
+		spare := byIdleness(allocation.Prefill, allocation.Runs)
+		return changes(spare[:max(0, len(spare)-1)], maxChanges(allocation.Prefill, current-target), backend.RoleDecode, urgent)
 	case current < target:
-		return changes(allocation.Decode, allocation.Runs, target-current, backend.RolePrefill, urgent)
+		return changes(allocation.decodeEnginesToSpare(), maxChanges(allocation.Decode, target-current), backend.RolePrefill, urgent)
 	default:
 		return nil
 	}
 }
 
-// changes returns the given number of changes of engines of one role, or as many as may change at
-// once.
-func changes(from []string, runs map[string]int, count int, to backend.Role, urgent bool) []Change {
-	maxChanges := max(1, int(float64(len(from))*maxChangeShare))
-	count = min(count, maxChanges, len(from)-1)
+// maxChanges returns how many engines of a role may change at once, of the number that should.
+func maxChanges(from []string, wanted int) int {
+	return min(wanted, max(1, int(float64(len(from))*maxChangeShare)))
+}
+
+// changes returns the changes of the first of the spare engines, up to a number.
+func changes(spare []string, count int, to backend.Role, urgent bool) []Change {
 	var planned []Change
-	for _, id := range byIdleness(from, runs)[:max(0, count)] {
+	for _, id := range spare[:min(count, len(spare))] {
 		planned = append(planned, Change{Engine: id, Role: to, Urgent: urgent})
 	}
 	return planned
--- a/roles/plan_test.go
+++ b/roles/plan_test.go
@@ -1,6 +1,7 @@
 package roles_test
 
 import (
+	"slices"
 	"strconv"
 	"testing"
 
@@ -49,6 +50,43 @@
 	})
 }
 
+// TestRoleChangeTakesLastDecodeEngineOfAVersion applies planned changes to engines of several versions: each version keeps
+// a decode engine that it had.
+func TestRoleChangeTakesLastDecodeEngineOfAVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		policy := roles.Policy{PrefillShare: rapid.Float64Range(0.3, 0.99).Draw(t, "share")}
+		allocation := roles.Allocation{Versions: map[string]string{}, Runs: map[string]int{}}
+		hasDecode := map[string]bool{}
+		for i := range rapid.IntRange(2, 20).Draw(t, "engines") {
+			id, version := strconv.Itoa(i), rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")
+			allocation.Versions[id], allocation.Runs[id] = version, rapid.IntRange(0, 3).Draw(t, "runs")
+			if rapid.Bool().Draw(t, "prefill") {
+				allocation.Prefill = append(allocation.Prefill, id)
+				continue
+			}
+			allocation.Decode = append(allocation.Decode, id)
+			hasDecode[version] = true
+		}
+		for planned := policy.Plan(allocation); len(planned) > 0; planned = policy.Plan(allocation) {
+			if planned[0].Role == backend.RoleDecode {
+				return
+			}
+			for _, change := range planned {
+				at := slices.Index(allocation.Decode, change.Engine)
+				allocation.Decode = slices.Delete(allocation.Decode, at, at+1)
+				allocation.Prefill = append(allocation.Prefill, change.Engine)
+			}
+			kept := map[string]bool{}
+			for _, id := range allocation.Decode {
+				kept[allocation.Versions[id]] = true
+			}
+			if len(kept) != len(hasDecode) {
+				t.Fatalf("decode engines of %v are left, of %v there were some", kept, hasDecode)
+			}
+		}
+	})
+}
+
 func TestNineEnginesKeepThreeForPrefill(t *testing.T) {
 	g := NewWithT(t)
 	allocation := roles.Allocation{Prefill: []string{"a", "b", "c", "d"}, Decode: []string{"e", "f", "g", "h", "i"}}
