reelrunctl explain follows resumed streams from attempt to attempt

An operator who asks for one attempt of a caller gets the lines of all attempts to receive the same stream: the one that began it and those that resume it. Lines about a request that needs one software version name it and the source of its origin.

--- a/cmd/reelrunctl/explain.go
+++ b/cmd/reelrunctl/explain.go
@@ -19,7 +19,7 @@
 	return &ffcli.Command{
 		Name:       "explain",
 		ShortUsage: "reelrunctl explain -request ID [LOG ...]",
-		ShortHelp:  "Show the log lines of several nodes about a request, in order; without files, standard input.",
+		ShortHelp:  "Show the log lines of several nodes about a request and the attempts that resume its stream, in order; without files, standard input.",
 		FlagSet:    flags,
 		Exec: func(_ context.Context, files []string) error {
 			if *request == "" {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -34,34 +34,72 @@
 	fieldMessage = "msg"
 	fieldNode    = "node"
 	fieldRequest = "request"
+	fieldResumes = "resumes"
 )
 
-// Read returns the lines about a request ordered by time. It ignores lines that are
-// not JSON and any text before the JSON of a line.
+// Read returns the lines about a request ordered by time, and those about the other attempts to receive its stream: the one
+// that it resumes, and all that resume the same one. It ignores lines that are not JSON and any text before the JSON of a
+// line.
 func Read(request string, logs ...io.Reader) ([]Line, error) {
-	var lines []Line
+	var attempts []attemptLine
 	for _, log := range logs {
 		err := loglines.Each(log, func(text []byte) {
-			if line, ok := parse(request, text); ok {
-				lines = append(lines, line)
+			if attempt, ok := parse(text); ok {
+				attempts = append(attempts, attempt)
 			}
 		})
 		if err != nil {
 			return nil, err
 		}
 	}
+	related := relatedTo(request, attempts)
+	var lines []Line
+	for _, attempt := range attempts {
+		if related[attempt.request] {
+			lines = append(lines, attempt.line)
+		}
+	}
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
 	return lines, nil
 }
 
-// parse returns a line if it is about the request.
-func parse(request string, text []byte) (Line, bool) {
-	if !bytes.Contains(text, []byte(request)) {
-		return Line{}, false
+// attemptLine is a line about one attempt.
+type attemptLine struct {
+	request string
+	// resumes is the attempt that began the stream which this one resumes; empty for none.
+	resumes string
+	line    Line
+}
+
+// relatedTo returns the attempts to receive the stream of a request.
+func relatedTo(request string, attempts []attemptLine) map[string]bool {
+	first := request
+	for _, attempt := range attempts {
+		if attempt.request == request && attempt.resumes != "" {
+			first = attempt.resumes
+		}
+	}
+	related := map[string]bool{request: true, first: true}
+	for _, attempt := range attempts {
+		if attempt.resumes == first {
+			related[attempt.request] = true
+		}
+	}
+	return related
+}
+
+// parse returns a line if it is about an attempt.
+func parse(text []byte) (attemptLine, bool) {
+	if !bytes.Contains(text, []byte(`"`+fieldRequest+`"`)) {
+		return attemptLine{}, false
 	}
 	var fields map[string]any
-	if err := json.Unmarshal(text, &fields); err != nil || fields[fieldRequest] != request {
-		return Line{}, false
+	if err := json.Unmarshal(text, &fields); err != nil {
+		return attemptLine{}, false
+	}
+	request, isText := fields[fieldRequest].(string)
+	if !isText {
+		return attemptLine{}, false
 	}
 	line := Line{Node: textOf(fields[fieldNode]), Message: textOf(fields[fieldMessage])}
 	line.Time, _ = time.Parse(time.RFC3339Nano, textOf(fields[fieldTime])) // A line without a time sorts first.
@@ -73,7 +111,7 @@
 		}
 	}
 	sort.Slice(line.Fields, func(i, j int) bool { return line.Fields[i].Name < line.Fields[j].Name })
-	return line, true
+	return attemptLine{request: request, resumes: textOf(fields[fieldResumes]), line: line}, true
 }
 
 func textOf(value any) string {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -28,6 +28,27 @@
 `))
 }
 
+// TestReadFollowsResumedStreams has a stream be resumed twice, each time at another node.
+func TestReadFollowsResumedStreams(t *testing.T) {
+	log := `{"time":"2026-05-19T03:26:31Z","msg":"request not answered","node":"node-a","request":"r1","reason":"caller_left"}
+{"time":"2026-05-19T03:26:32Z","msg":"request not answered","node":"node-b","request":"r2","resumes":"r1","reason":"stream_origin_unknown"}
+{"time":"2026-05-19T03:26:33Z","msg":"stream continues","node":"node-c","request":"r3","resumes":"r1","version":"v1"}
+{"time":"2026-05-19T03:26:34Z","msg":"stream continues","node":"node-c","request":"r5","resumes":"r4","version":"v2"}
+`
+	want := `03:26:31.000 node-a: request not answered reason=caller_left
+03:26:32.000 node-b: request not answered reason=stream_origin_unknown resumes=r1
+03:26:33.000 node-c: stream continues resumes=r1 version=v1
+`
+	g := NewWithT(t)
+	for _, request := range []string{"r1", "r2", "r3"} {
+		lines, err := explain.Read(request, strings.NewReader(log))
+		g.Expect(err).NotTo(HaveOccurred())
+		var printed bytes.Buffer
+		g.Expect(explain.Write(&printed, lines)).To(Succeed())
+		g.Expect(printed.String()).To(Equal(want), request)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("r1", `{"request":"r1","time":3,"node":[1]}`)
 	f.Fuzz(func(t *testing.T, request, log string) {
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -35,6 +35,9 @@
 	if x.request != nil && x.request.Generation.Resumes != "" {
 		attributes = append(attributes, "resumes", x.request.Generation.Resumes)
 	}
+	if version, required := x.version.Version(); required {
+		attributes = append(attributes, "version_required", version, "origin_source", x.originSource)
+	}
 	if x.route != nil {
 		attributes = append(attributes, "route", x.route.Name)
 	}
@@ -92,8 +95,7 @@
 func (h *Handler) logContinued(x *exchange, engine backend.Backend, lastEvent string) {
 	h.options.Metrics.Add("streams_continued", 1)
 	h.options.Logger.Info("stream continues", append(x.attributes(x.sinceArrival()),
-		"after_event", lastEvent, "begun_by", cmp.Or(x.request.Generation.Resumes, x.request.ID), "version", engine.SoftwareVersion,
-		"origin_source", x.originSource)...)
+		"after_event", lastEvent, "begun_by", cmp.Or(x.request.Generation.Resumes, x.request.ID), "version", engine.SoftwareVersion)...)
 }
 
 // logUnconfirmed logs that an engine is not given a stream of a version because it has restarted since its entry was
