The model of the sites' engines has software versions and resumed streams

The model could not show what constraints on versions cost. Its decode engines have versions by turns now, and a share of the callers break off their streams in the middle and resume them; a resumed stream needs an engine of its version.

Without these options, outcomes are those of before.

--- a/sim/sitemodel/policy.go
+++ b/sim/sitemodel/policy.go
@@ -92,7 +92,13 @@
 	p.start(s)
 	p.next++
 	p.names[incoming] = strconv.Itoa(p.next)
-	assigned, found := p.ledger.Assign(s.Now(), p.runOf(s, incoming), nil)
+	otherVersions := map[string]bool{}
+	for _, engine := range s.decodes {
+		if !s.mayServe(engine, incoming) {
+			otherVersions[strconv.Itoa(engine.id)] = true
+		}
+	}
+	assigned, found := p.ledger.Assign(s.Now(), p.runOf(s, incoming), otherVersions)
 	if !found {
 		return nil
 	}
@@ -136,7 +142,7 @@
 	reservation := p.reservation(incoming)
 	for _, i := range p.random.Perm(len(s.decodes)) {
 		engine := s.decodes[i]
-		if engine.fits(reservation) {
+		if s.mayServe(engine, incoming) && engine.fits(reservation) {
 			return engine
 		}
 	}
@@ -154,8 +160,8 @@
 // leastLoadedPolicy takes the engine with the fewest runs.
 type leastLoadedPolicy struct{ random *rand.Rand }
 
-func (p leastLoadedPolicy) place(s *simulation, _ *request) *decodeEngine {
-	order := p.random.Perm(len(s.decodes))
+func (p leastLoadedPolicy) place(s *simulation, incoming *request) *decodeEngine {
+	order := s.enginesFor(incoming, p.random)
 	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(s.pending[a], s.pending[b]) })
 	return s.decodes[order[0]]
 }
@@ -168,8 +174,8 @@
 // randomPolicy takes a random engine.
 type randomPolicy struct{ random *rand.Rand }
 
-func (p randomPolicy) place(s *simulation, _ *request) *decodeEngine {
-	return s.decodes[p.random.IntN(len(s.decodes))]
+func (p randomPolicy) place(s *simulation, incoming *request) *decodeEngine {
+	return s.decodes[s.enginesFor(incoming, p.random)[0]]
 }
 
 func (randomPolicy) reservation(*request) float64 { return 0 }
--- a/sim/sitemodel/run.go
+++ b/sim/sitemodel/run.go
@@ -40,6 +40,10 @@
 	Length time.Duration
 	// Prefill is the number of prefill engines; zero means the number of the site.
 	Prefill int
+	// Versions is the number of software versions among the decode engines, by turns. Default 1.
+	Versions int
+	// BreakShare is the share of the callers that break off their streams in the middle and resume them at once.
+	BreakShare float64
 }
 
 // Outcome is the result of one run.
@@ -61,6 +65,9 @@
 	Preemptions   int     `json:"preemptions"`
 	// Offered is the number of requests.
 	Offered int `json:"offered"`
+	// Resumed is the number of streams that were resumed, and Continued the share of them that were served to the end.
+	Resumed   int     `json:"resumed,omitempty"`
+	Continued float64 `json:"continued,omitempty"`
 }
 
 // simulation is one run of the model.
@@ -72,6 +79,8 @@
 	// pending counts the requests assigned to each decode engine.
 	pending []int
 	policy  policy
+	// versions is the number of software versions among the decode engines.
+	versions int
 
 	// wastedTokens are the prefilled tokens that were wasted or recomputed.
 	prefilledTokens, wastedTokens float64
@@ -88,13 +97,15 @@
 		site.Decode += site.Prefill - options.Prefill
 		site.Prefill = options.Prefill
 	}
-	const requestStream, policyStream = 1, 2
+	const requestStream, policyStream, breakStream = 1, 2, 3
 	chosen, err := newPolicy(options.Policy, rand.New(rand.NewPCG(options.Seed, policyStream)))
 	if err != nil {
 		return Outcome{}, err
 	}
 	s := newSimulation(site, chosen)
+	s.versions = max(1, options.Versions)
 	requests := site.generate(rand.New(rand.NewPCG(options.Seed, requestStream)), options.Load, options.Length)
+	drawBreaks(requests, options.BreakShare, rand.New(rand.NewPCG(options.Seed, breakStream)))
 	for _, arriving := range requests {
 		s.After(arriving.arrival, func() { s.arrive(arriving) })
 	}
@@ -214,8 +225,12 @@
 // served ends a request with a complete output.
 func (s *simulation) served(engine *decodeEngine, finished *run) {
 	s.pending[engine.id]--
-	finished.request.outcome = outcomeServed
 	s.policy.ended(s, engine, finished.request, s.Now()-finished.request.attemptedAt, true)
+	if finished.request.rest > 0 {
+		s.resume(engine, finished.request)
+		return
+	}
+	finished.request.outcome = outcomeServed
 }
 
 func (s *simulation) outcome(options Options, requests []*request) Outcome {
@@ -224,7 +239,13 @@
 		Offered: len(requests), Preemptions: s.preemptions,
 	}
 	for _, ended := range requests {
-		inTime := ended.firstEventAt-ended.attemptedAt <= s.site.Objective && !ended.paused
+		inTime := s.isInTime(ended) && !ended.isLate
+		if ended.resumed {
+			result.Resumed++
+			if ended.outcome == outcomeServed {
+				result.Continued++
+			}
+		}
 		switch {
 		case ended.outcome == outcomeRejected:
 			result.Rejected++
@@ -245,6 +266,7 @@
 	for _, share := range []*float64{&result.Score, &result.InTime, &result.Late, &result.Rejected, &result.Failed} {
 		*share = round(*share / offered)
 	}
+	result.Continued = round(result.Continued / float64(max(1, result.Resumed)))
 	result.WastedPrefill = round(s.wastedTokens / max(1, s.prefilledTokens))
 	result.Score = round(result.Score - wastedPrefillCost*result.WastedPrefill)
 	return result
--- a/sim/sitemodel/run_test.go
+++ b/sim/sitemodel/run_test.go
@@ -46,6 +46,23 @@
 	g.Expect(first).To(Equal(second))
 }
 
+// TestResumedStreamsAreLostBesideOtherVersions has callers break off and resume every fifth stream while two and three
+// versions of the decode engines' software serve: about as many streams continue as new ones are served.
+func TestResumedStreamsAreLostBesideOtherVersions(t *testing.T) {
+	for _, site := range Sites() {
+		for _, versions := range []int{1, 2, 3} {
+			g := NewWithT(t)
+			outcome, err := Run(Options{
+				Site: site, Policy: PolicyCoordinator, Seed: 1, Load: 1.4, Length: 2 * time.Minute, Versions: versions, BreakShare: 0.2,
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			t.Logf("%s, %d versions: worth %.3f, rejected %.3f, %d resumed, %.3f continued", site, versions, outcome.Score, outcome.Rejected, outcome.Resumed, outcome.Continued)
+			g.Expect(outcome.Resumed).To(BeNumerically(">", 100))
+			g.Expect(outcome.Continued).To(BeNumerically(">=", 0.9*(1-outcome.Rejected)))
+		}
+	}
+}
+
 // TestNothingIsLost checks that every request ends exactly once, at any load and with any policy.
 func TestNothingIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -53,6 +70,7 @@
 			Site: rapid.SampledFrom(Sites()).Draw(t, "site"), Policy: rapid.SampledFrom(Policies()).Draw(t, "policy"),
 			Seed: rapid.Uint64().Draw(t, "seed"), Load: rapid.Float64Range(0.1, 3).Draw(t, "load"),
 			Length: 5 * time.Second, Prefill: rapid.IntRange(1, 8).Draw(t, "prefill"),
+			BreakShare: rapid.Float64Range(0, 1).Draw(t, "breaks"),
 		}
 		outcome, err := Run(options)
 		if err != nil {
--- a/sim/sitemodel/site.go
+++ b/sim/sitemodel/site.go
@@ -118,6 +118,12 @@
 	outcome  outcome
 	// firstEventAt is when the first event of the output is sent.
 	firstEventAt time.Duration
+	// rest is the number of output tokens after the point at which the caller breaks off the stream; zero if it does not.
+	rest int
+	// resumed is set once the caller has resumed the stream, at the given software version of the decode engines, and isLate
+	// if the stream was late before that.
+	resumed, isLate bool
+	version         int
 	// paused is set once the output was interrupted for longer than the site's MaxPause.
 	paused bool
 }
