The server of a stream confirms its start while it can still be asked

Cause: a missing answer was taken for the start that the entry named. The node that begins a stream asks the server at once, without the caller waiting, and sends the record to other nodes with the answer. Without a confirmed origin, and without an answer later, the origin counts as unknown.

Servers whose entries name no start are not asked.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -59,19 +59,22 @@
 		if !x.mayResume() {
 			return err
 		}
-		if unknown := x.confirmOrigin(ctx, stream); unknown != nil {
+		if unknown := x.requireVersionOf(ctx, stream); unknown != nil {
 			return errors.CombineErrors(err, unknown)
 		}
 		x.handler.logRetry(x, err)
 	}
 }
 
-// confirmOrigin checks at which version a stream that broke off began, if any of its events has been passed on.
-func (x *exchange) confirmOrigin(ctx context.Context, stream *streamRelay) error {
+// requireVersionOf constrains the next run to the version at which a stream that broke off began, if any of its events has
+// been passed on.
+func (x *exchange) requireVersionOf(ctx context.Context, stream *streamRelay) error {
 	if stream.events == 0 {
 		return nil
 	}
-	version, err := x.versionOf(ctx, x.origin)
+	origin := x.origin
+	origin.IsConfirmed = origin.IsConfirmed || x.isOriginConfirmed.Load()
+	version, err := x.versionOf(ctx, origin)
 	if err != nil {
 		return err
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -77,7 +77,8 @@
 
 // StreamOrigins records and finds where streams begin, over all nodes.
 type StreamOrigins interface {
-	// Record records where a stream began.
+	// Keep records where a stream began at this node, and Record at other nodes too.
+	Keep(key streamorigin.Key, origin streamorigin.Origin)
 	Record(key streamorigin.Key, origin streamorigin.Origin)
 	// Find returns where a stream began, and which node knew it. It reports false if none of the nodes that answer in time
 	// knows.
@@ -213,6 +214,8 @@
 	// origin is where the request's stream began, and originSource where that is known from; zero before it has begun.
 	origin       streamorigin.Origin
 	originSource string
+	// isOriginConfirmed is set once the engine has confirmed the origin of a stream that began within the response.
+	isOriginConfirmed atomic.Bool
 	// keptPrompt is a prompt that was prefilled for a run which the decode engine did not take; nil for none.
 	keptPrompt *prefilledPrompt
 	// admission is the decision on a request to a plain service.
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -27,10 +27,13 @@
 // versionOf returns the software version of the incarnation that ran the first run of a stream. The origin has the version
 // that discovery described then, and the entry of a backend may lag behind its restarts.
 func (x *exchange) versionOf(ctx context.Context, origin streamorigin.Origin) (string, error) {
-	entry := x.handler.options.Backends.Registered(origin.Backend)
-	if origin.Backend == "" || entry == nil {
+	if origin.Backend == "" || origin.IsConfirmed {
 		return origin.Version, nil
 	}
+	entry := x.handler.options.Backends.Registered(origin.Backend)
+	if entry == nil {
+		return x.versionWithoutEntry(origin)
+	}
 	described := entry.Backend()
 	if described.StartedAt == 0 || origin.StartedAt == 0 {
 		if described.SoftwareVersion != origin.Version {
@@ -54,12 +57,34 @@
 	}
 }
 
+// versionWithoutEntry returns the version of a stream whose backend is gone, and has not confirmed its incarnation.
+func (*exchange) versionWithoutEntry(origin streamorigin.Origin) (string, error) {
+	if origin.StartedAt != 0 {
+		return "", errOutdatedEntry
+	}
+	return origin.Version, nil
+}
+
+// confirmOrigin asks the engine of a stream that has begun whether the described incarnation is the running one, and then
+// sends the origin to other nodes. Later the engine may be gone, and its entry no longer be the one of then.
+func (x *exchange) confirmOrigin(key streamorigin.Key, origin streamorigin.Origin, entry *backend.Entry) {
+	if _, limited := entry.RequestLimit(); !limited {
+		// The question would use up a small limit.
+		startedAt, err := x.startOf(context.Background(), entry)
+		origin.IsConfirmed = err == nil && startedAt == origin.StartedAt
+	}
+	x.isOriginConfirmed.Store(origin.IsConfirmed)
+	x.handler.options.Streams.Record(key, origin)
+}
+
 // checkUnknownStart returns an error if the backend has started later than discovery describes, and possibly before the
 // stream began. The version of that start is not known.
 func (x *exchange) checkUnknownStart(ctx context.Context, entry *backend.Entry, origin streamorigin.Origin) error {
 	startedAt, err := x.startOf(ctx, entry)
-	if err != nil || startedAt <= origin.StartedAt {
-		// A backend that does not answer has most likely failed, which is why its stream is resumed.
+	if err != nil {
+		return errors.CombineErrors(errOutdatedEntry, err)
+	}
+	if startedAt <= origin.StartedAt {
 		return nil
 	}
 	if time.Duration(origin.BeganAt-startedAt)*time.Millisecond < -startTolerance {
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -94,9 +94,15 @@
 		x.originSource = sourceResponse
 		x.version = backend.RequireVersion(reserved.version)
 	}
-	if streams := x.handler.options.Streams; streams != nil && x.route.Resumable && x.beginningAttempt() != "" {
-		streams.Record(x.streamKey(), x.origin)
+	if streams := x.handler.options.Streams; streams == nil || !x.route.Resumable || x.beginningAttempt() == "" {
+		return
 	}
+	if x.originSource == sourceResponse && x.origin.StartedAt != 0 {
+		x.handler.options.Streams.Keep(x.streamKey(), x.origin)
+		go x.confirmOrigin(x.streamKey(), x.origin, reserved.entry)
+		return
+	}
+	x.handler.options.Streams.Record(x.streamKey(), x.origin)
 }
 
 // versionRejection returns the rejection of a request that can run at one software version only if no engine has it.
--- a/streamorigin/client.go
+++ b/streamorigin/client.go
@@ -59,6 +59,9 @@
 // Size returns the number of records that this node keeps.
 func (c *Client) Size() int { return c.table.size() }
 
+// Keep records where a stream began at this node only.
+func (c *Client) Keep(key Key, origin Origin) { c.table.put(key, origin) }
+
 // Record records where a stream began, and sends the record to other nodes without waiting for them.
 func (c *Client) Record(key Key, origin Origin) {
 	c.table.put(key, origin)
--- a/streamorigin/origin.go
+++ b/streamorigin/origin.go
@@ -29,4 +29,6 @@
 	StartedAt int64
 	// BeganAt is when the request was sent to the backend, in Unix milliseconds by the node's clock.
 	BeganAt int64
+	// IsConfirmed is set if the backend itself has stated, after BeganAt, that the described incarnation is the running one.
+	IsConfirmed bool
 }
--- a/streamorigin/wire.go
+++ b/streamorigin/wire.go
@@ -11,7 +11,7 @@
 func encodeOrigin(origin Origin) *peerpb.StreamOrigin {
 	return &peerpb.StreamOrigin{
 		Service: origin.Service, SoftwareVersion: origin.Version, Backend: origin.Backend,
-		StartedMs: origin.StartedAt, BeganMs: origin.BeganAt,
+		StartedMs: origin.StartedAt, BeganMs: origin.BeganAt, Confirmed: origin.IsConfirmed,
 	}
 }
 
@@ -20,7 +20,7 @@
 func decodeOrigin(encoded *peerpb.StreamOrigin) Origin {
 	return Origin{
 		Service: interned(encoded.GetService()), Version: interned(encoded.GetSoftwareVersion()), Backend: interned(encoded.GetBackend()),
-		StartedAt: encoded.GetStartedMs(), BeganAt: encoded.GetBeganMs(),
+		StartedAt: encoded.GetStartedMs(), BeganAt: encoded.GetBeganMs(), IsConfirmed: encoded.GetConfirmed(),
 	}
 }
 
