The soak has roll-outs of several versions and callers that resume streams

Soak and stand-ins had one version of the engines' software and no caller that resumed a stream. Engines restart under their ids with another version while their entries lag, or are replaced, back and forth and overlapping; events name the version that sent them, and the judge checks each response and each stream over all attempts: no two versions, no event missing or twice, rejected attempts have not run, and after the faults half of the share that begins continues at least. With nodes of an older build all engines have one version.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -36,8 +36,11 @@
 	// status is 0 if there was no response.
 	status int
 	// complete is set if the response was read to its regular end.
-	complete  bool
-	body      string
+	complete bool
+	body     string
+	// events are the numbers of the complete events of a stream, and versions the software versions of their engines.
+	events    []int
+	versions  []string
 	signature string
 	requestID string
 	// leaving is set if the backend announced in the response that it is leaving.
@@ -94,6 +97,8 @@
 	switch {
 	case o.requestID != o.id || o.signature == "":
 		report(o, "got a success with another request's ID or without a signature")
+	case len(o.versions) > 1:
+		report(o, fmt.Sprintf("got events of the versions %v", o.versions))
 	case !strings.HasPrefix(want, o.body):
 		report(o, "got other bytes than its backend sends")
 	case o.complete && o.body != want:
@@ -136,6 +141,9 @@
 		"joined streams": {func(o *observation) {
 			o.kind, o.body = kindResumable, standin.EventText("r", 1)+standin.EventText("r", 1)
 		}, 2, "other bytes"},
+		"joined versions": {func(o *observation) {
+			o.kind, o.body, o.versions = kindResumable, standin.StreamText("r", eventCount), []string{"v1", "v2"}
+		}, 2, "versions"},
 		"resumed": {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", eventCount) }, 2, ""},
 	}
 	for name, c := range cases {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -79,6 +79,8 @@
 	requests requestLog
 	// older is another build of the daemon, with which nodes alternate; empty for none.
 	older string
+	// rollOut is the software version of the engines that are added; empty while it alternates.
+	rollOut string
 	// zones is the number of zones, and firstStart is set while all nodes start together for the first time.
 	zones      int
 	firstStart bool
@@ -270,6 +272,8 @@
 		b.engine.EventCount, b.engine.EventInterval, b.engine.StageSwitchTime = eventCount, eventInterval, time.Second
 		b.engine.OnStageChange = func(stage string) { h.announce(b, "ready", stage) }
 		b.engine.CrashTrigger = crashTrigger
+		b.engine.MarkVersions = true
+		b.engine.RestartWith(h.versionOfNext(), b.startedMillis.Load())
 		handler = b.engine
 	} else {
 		b.server = standin.NewServer(b.id)
@@ -294,8 +298,13 @@
 }
 
 func (h *harness) announce(b *backend, state, stage string) {
+	version := softwareVersions[0]
+	if b.engine != nil {
+		version = b.engine.SoftwareVersion()
+	}
 	h.store.Put("servers", b.id, map[string]any{
 		"service": b.service, "address": b.proxy.address(), "zone": b.zone, "slots": 32, "state": state, "stage": stage, "born": b.startedMillis.Load(),
+		"version": version,
 	})
 }
 
--- a/soak/load_test.go
+++ b/soak/load_test.go
@@ -81,6 +81,13 @@
 
 // sendUntil is send for a caller that disconnects when the context ends.
 func sendUntil(ctx context.Context, transport http.RoundTripper, n *node, k kind, id string, lastOnConnection bool, tenant string) observation {
+	caller := standin.CallerHeaders{ID: id, Wait: 4 * time.Second, PromptTokens: 3000, MaxOutputTokens: 2000, LengthHint: 600, Key: keyOf(tenant), Tenant: "forged"}
+	return sendAs(ctx, transport, n, k, caller, lastOnConnection, tenant)
+}
+
+// sendAs is sendUntil for a caller with the given headers.
+func sendAs(ctx context.Context, transport http.RoundTripper, n *node, k kind, caller standin.CallerHeaders, lastOnConnection bool, tenant string) observation {
+	id := caller.ID
 	o := observation{id: id, kind: k, node: n.index, tenant: tenant, began: time.Now()}
 	n.requests.add(k, o.began)
 	defer func() { o.ended = time.Now() }()
@@ -91,7 +98,6 @@
 		return o
 	}
 	request.Host, request.Close, request.GetBody = routeHost, lastOnConnection, nil
-	caller := standin.CallerHeaders{ID: id, Wait: 4 * time.Second, PromptTokens: 3000, MaxOutputTokens: 2000, LengthHint: 600, Key: keyOf(tenant), Tenant: "forged"}
 	caller.Set(request.Header)
 	response, err := transport.RoundTrip(request)
 	o.sent = sent.Load()
@@ -100,7 +106,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	o.sent, o.status, o.complete, o.body = true, response.StatusCode, err == nil, string(body)
+	received := standin.ReadStream(string(body))
+	o.sent, o.status, o.complete, o.body = true, response.StatusCode, err == nil, received.Text
+	o.events, o.versions = received.Events, received.Versions
 	o.requestID, o.signature = standin.ResponseIdentity(response.Header)
 	o.leaving = standin.AnnouncesLeaving(response.Header)
 	return withEnd(o)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,6 +45,9 @@
 	56049,
 	// Processes did not run for four to five seconds under parallel load, while callers wait at most six seconds.
 	91005, 91007, 91008,
+	// An engine had restarted with another version while its entry lagged, and did not answer when its stream broke off:
+	// the stream continued at the version of the entry.
+	64009,
 }
 
 // quotaSeed is a regression seed of the same fault as 56049. A tenant's limit was exceeded under parallel load, while two of
@@ -139,6 +142,7 @@
 	load := startLoad(h, seed)
 	disconnecting := startDisconnectingCallers(h, seed)
 	crashCaller := startCrashCaller(h, seed)
+	resuming := startResumingCallers(h, seed)
 	var injecting sync.WaitGroup
 	injecting.Go(func() { h.injectStallFaults(rand.New(rand.NewPCG(seed, stallStream)), duration) })
 	injecting.Go(func() { h.injectRegistryFaults(rand.New(rand.NewPCG(seed, registryStream)), duration) })
@@ -146,10 +150,15 @@
 	injecting.Go(func() { h.injectLimits(rand.New(rand.NewPCG(seed, limitStream)), duration) })
 	injecting.Go(func() { h.injectRestores(rand.New(rand.NewPCG(seed, restoreStream)), duration) })
 	injecting.Go(func() { h.injectRejections(rand.New(rand.NewPCG(seed, rejectStream)), duration) })
+	if older == "" {
+		// Older builds do not know the versions of engines.
+		injecting.Go(func() { h.injectVersions(rand.New(rand.NewPCG(seed, versionStream)), duration) })
+	}
 	h.injectFaults(random, duration)
 	injecting.Wait()
 	time.Sleep(recoveryTime)
 	disconnecting.stop()
+	resumedStreams := resuming.stop()
 	load.stop()
 	crashRetries := crashCaller.stop()
 	h.backendFaults.Wait()
@@ -164,15 +173,17 @@
 	violations = append(violations, append(ignoredNotices, ignoredBackoffs...)...)
 	excessCalls, limitedCalls := checkLimits(record)
 	violations = append(violations, excessCalls...)
+	violations = append(violations, checkResumed(resumedStreams, h.runs())...)
 	violations = append(violations, h.checkRecovery()...)
+	violations = append(violations, h.checkResumption(older)...)
 	excessRetries, retries := h.checkUpstreamRetries()
 	violations = append(violations, excessRetries...)
 	statuses := map[int]int{}
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs, %d requests to limited backends and %d upstream retries checked",
-		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, limitedCalls, retries)
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs, %d requests to limited backends, %d upstream retries and %s checked",
+		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, limitedCalls, retries, describeResumed(resumedStreams))
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -78,17 +78,35 @@
 // restartBackend restarts a backend under the same identifier: its connections are closed, and its state is
 // lost.
 func (h *harness) restartBackend(b *backend) {
+	version := ""
+	if b.engine != nil {
+		version = b.engine.SoftwareVersion()
+	}
+	h.restartWith(b, version)
+	h.announceReady(b)
+}
+
+// restartWith restarts a backend under the same identifier, an engine with a version of its software. Its entry is not
+// updated.
+func (h *harness) restartWith(b *backend, version string) {
 	h.recordInterruption(time.Now(), time.Now().Add(time.Second))
+	h.mu.Lock()
+	b.recordStart()
+	h.mu.Unlock()
+	if b.engine != nil {
+		b.engine.RestartWith(version, b.startedMillis.Load())
+	}
+	// Connections end after that: no run of the earlier version goes on.
 	b.proxy.reset()
+	b.setCondition(standin.Condition{})
+}
+
+// announceReady updates the entry of a backend that has restarted, if it has one.
+func (h *harness) announceReady(b *backend) {
 	stage := b.stage
 	if b.engine != nil {
-		b.engine.Restart()
 		stage = b.engine.Stage()
 	}
-	b.setCondition(standin.Condition{})
-	h.mu.Lock()
-	b.recordStart()
-	h.mu.Unlock()
 	if slices.Contains(h.store.Names("servers"), b.id) {
 		h.announce(b, "ready", stage)
 	}
