--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -36,7 +36,7 @@
 		return notRun(ReasonOverloaded, x.admission.RetryAfter, nil)
 	}
 	attempted := map[string]bool{}
-	entry := x.handler.pick(x.service, backend.RoleNone, exclusions{attempted: attempted})
+	entry := x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version})
 	if entry == nil {
 		return x.allBackingOff(backend.RoleNone, notRun(ReasonNoBackend, noBackendRetryAfter, nil))
 	}
@@ -61,7 +61,7 @@
 		}
 		// The check for another backend comes first. Otherwise the last backend's own response would be
 		// dropped, and a retry charged to the budget, although no backend is left to retry at.
-		next := x.handler.pick(x.service, backend.RoleNone, exclusions{attempted: attempted})
+		next := x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version})
 		if next == nil || !x.mayRetry(last.err) {
 			return x.finalResponse(last.response, last.err)
 		}
