Streams of unknown origin are rejected without a read where several versions serve

A caller whose stream had no record waited for a read of the store although the node knows back ends of several versions, which no record can disprove. It is rejected at once now.

--- a/softwareversions/prover.go
+++ b/softwareversions/prover.go
@@ -58,6 +58,9 @@
 
 // Single returns the only version that a service has had of late, or an error that says why that is not known.
 func (p *Prover) Single(ctx context.Context, service string) (string, error) {
+	if present := p.options.Present()[service]; len(present) > 1 {
+		return "", errors.Wrapf(ErrSeveral, "%d versions", len(present))
+	}
 	object, err := p.record(ctx)
 	if errors.Is(err, objectapi.ErrNotFound) {
 		return "", ErrIncomplete
