A software version with prefill engines alone gets a decode engine

Prompts stay within a software version, so the prefill engines of a version without a decode engine serve nobody (found by reading): during a roll-out new servers begin in either role. The plan of roles orders one of them to decode, before anything else.

TestVersionWithPrefillEnginesAloneServesNobody: no change was planned before. Services with one version are planned as before. A finding of the linter in the soak is mended.

--- a/roles/controller.go
+++ b/roles/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,13 +201,14 @@
 	allocation.Demand, allocation.Runs = c.options.Demand(service)
 	allocation.Prefill = c.unchanging(service, backend.RolePrefill)
 	allocation.Decode = c.unchanging(service, backend.RoleDecode)
-	allocation.Versions = c.versionsOf(allocation.Decode)
-	for _, role := range c.pendingRoles(service) {
+	allocation.Versions = c.versionsOf(slices.Concat(allocation.Prefill, allocation.Decode))
+	for id, role := range c.pendingRoles(service) {
 		if role == backend.RolePrefill {
 			allocation.PendingPrefill++
-		} else {
-			allocation.PendingDecode++
+			continue
 		}
+		allocation.PendingDecode++
+		allocation.PendingDecodeVersions = append(allocation.PendingDecodeVersions, c.versionsOf([]string{id})[id])
 	}
 	return allocation
 }
--- a/roles/plan.go
+++ b/roles/plan.go
@@ -21,6 +21,26 @@
 	Runs map[string]int
 	// Versions is the software version of each engine. An engine without one has the empty version.
 	Versions map[string]string
+	// PendingDecodeVersions are the versions of the engines that are changing to the decode role.
+	PendingDecodeVersions []string
+}
+
+// prefillEngineAlone returns the idlest prefill engine of a software version that has no decode engine, or "". What such
+// engines prefill, no engine can decode.
+func (a Allocation) prefillEngineAlone() string {
+	hasDecode := map[string]bool{}
+	for _, id := range a.Decode {
+		hasDecode[a.Versions[id]] = true
+	}
+	for _, version := range a.PendingDecodeVersions {
+		hasDecode[version] = true
+	}
+	for _, id := range byIdleness(a.Prefill, a.Runs) {
+		if !hasDecode[a.Versions[id]] {
+			return id
+		}
+	}
+	return ""
 }
 
 // decodeEnginesToSpare returns the decode engines that may take the other role, in the given order: each software version
@@ -120,7 +140,8 @@
 )
 
 // Plan returns the changes that bring an allocation closer to the policy, or none if it is close
-// enough. Each role keeps at least one engine, and the decode role one of each software version.
+// enough. Each role keeps at least one engine, and the decode role one of each software version. A
+// version that has prefill engines alone gets a decode engine first.
 //
 // If the demand were certain, all surplus engines of a role could change at once, because the best
 // allocation has fewer of them anyway. The demand is an estimate, so only a part of the engines of
@@ -130,6 +151,9 @@
 	if total < minEngines {
 		return nil
 	}
+	if alone := allocation.prefillEngineAlone(); alone != "" && len(allocation.Decode) > 0 {
+		return []Change{{Engine: alone, Role: backend.RoleDecode, Urgent: true}}
+	}
 	current := len(allocation.Prefill) + allocation.PendingPrefill
 	target, urgent := p.target(allocation, total)
 	switch {
--- a/roles/plan_test.go
+++ b/roles/plan_test.go
@@ -87,6 +87,18 @@
 	})
 }
 
+// TestVersionWithPrefillEnginesAloneServesNobody has a version whose engines all have the prefill role.
+func TestVersionWithPrefillEnginesAloneServesNobody(t *testing.T) {
+	g := NewWithT(t)
+	allocation := roles.Allocation{
+		Prefill: []string{"a", "b", "c"}, Decode: []string{"d", "e", "f", "g"},
+		Versions: map[string]string{"a": "v2", "b": "v2", "c": "v1", "d": "v1", "e": "v1", "f": "v1", "g": "v1"},
+	}
+	g.Expect(roles.Policy{}.Plan(allocation)).To(Equal([]roles.Change{{Engine: "b", Role: backend.RoleDecode, Urgent: true}}))
+	allocation.Prefill, allocation.PendingDecode, allocation.PendingDecodeVersions = []string{"a", "c"}, 1, []string{"v2"}
+	g.Expect(roles.Policy{}.Plan(allocation)).To(BeEmpty())
+}
+
 func TestNineEnginesKeepThreeForPrefill(t *testing.T) {
 	g := NewWithT(t)
 	allocation := roles.Allocation{Prefill: []string{"a", "b", "c", "d"}, Decode: []string{"e", "f", "g", "h", "i"}}
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -206,12 +207,12 @@
 
 // describe returns the attempts of a stream for a report.
 func (s *resumedStream) describe() string {
-	text := ""
+	var text strings.Builder
 	for _, attempt := range s.attempts {
-		text += fmt.Sprintf("[%s at node %d from %s for %v: status %d, %d events of %v]", attempt.id, attempt.node,
+		fmt.Fprintf(&text, "[%s at node %d from %s for %v: status %d, %d events of %v]", attempt.id, attempt.node,
 			attempt.began.Format("15:04:05.000"), attempt.ended.Sub(attempt.began).Round(time.Millisecond), attempt.status, len(attempt.events), attempt.versions)
 	}
-	return text
+	return text.String()
 }
 
 // describeResumed counts the streams that began, were resumed, and continued.
