Streams whose engine confirmed no start continue where their service has one version

Streams ended, or were rejected when resumed, although their service has had a single software version: their engines limit their requests or were lost at once, and had not confirmed their starts, so that the version of the run counted as unknown.

Where nobody can say any more which start ran a stream, the published versions decide, as for streams without a record. A start that is known to be missing in the entry still makes the origin unknown.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -74,7 +74,7 @@
 	}
 	origin := x.origin
 	origin.IsConfirmed = origin.IsConfirmed || x.isOriginConfirmed.Load()
-	version, err := x.versionOf(ctx, origin)
+	version, err := x.knownVersionOf(ctx, origin)
 	if err != nil {
 		return err
 	}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -21,9 +21,22 @@
 // described, which may have another version of the software.
 var errOutdatedEntry = errors.New("gateway: the backend has restarted about when the stream began")
 
+// errUnconfirmed means that nobody can say any more which start of its backend ran a stream.
+var errUnconfirmed = errors.New("gateway: the backend has not confirmed its start")
+
 // errBackingOff means that a backend must receive no calls now.
 var errBackingOff = errors.New("gateway: the backend has requested backoff")
 
+// knownVersionOf returns the software version at which a stream began. Where nobody can say any more which start of its
+// backend ran it, the version is still known if the service has had a single one.
+func (x *exchange) knownVersionOf(ctx context.Context, origin streamorigin.Origin) (string, error) {
+	version, err := x.versionOf(ctx, origin)
+	if !errors.Is(err, errUnconfirmed) || x.handler.options.SoftwareVersions == nil {
+		return version, err
+	}
+	return x.handler.options.SoftwareVersions.Single(ctx, origin.Service)
+}
+
 // versionOf returns the software version of the incarnation that ran the first run of a stream. The origin has the version
 // that discovery described then, and the entry of a backend may lag behind its restarts.
 func (x *exchange) versionOf(ctx context.Context, origin streamorigin.Origin) (string, error) {
@@ -60,7 +73,7 @@
 // versionWithoutEntry returns the version of a stream whose backend is gone, and has not confirmed its incarnation.
 func (*exchange) versionWithoutEntry(origin streamorigin.Origin) (string, error) {
 	if origin.StartedAt != 0 {
-		return "", errOutdatedEntry
+		return "", errUnconfirmed
 	}
 	return origin.Version, nil
 }
@@ -82,7 +95,7 @@
 func (x *exchange) checkUnknownStart(ctx context.Context, entry *backend.Entry, origin streamorigin.Origin) error {
 	startedAt, err := x.startOf(ctx, entry)
 	if err != nil {
-		return errors.CombineErrors(errOutdatedEntry, err)
+		return errors.CombineErrors(errUnconfirmed, err)
 	}
 	if startedAt <= origin.StartedAt {
 		return nil
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, err)
 	}
-	version, err := x.versionOf(ctx, origin)
+	version, err := x.knownVersionOf(ctx, origin)
 	if err != nil {
 		return notRun(ReasonStreamOriginUnknown, noBackendRetryAfter, err)
 	}
