The coordinator looks up versions of engines only where a service has several

The list names its distinct versions now, which are noted while it is made, and with one version nothing is looked up.

A sample that lacks the version of few engines no longer ends the precedence of requests that need it: only a complete list does.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -18,7 +18,9 @@
 	Complete bool
 	// ZoneOf returns the zone of an engine, empty if unknown. If ZoneOf is nil, zones are ignored.
 	ZoneOf func(engine string) string
-	// VersionOf returns the version of an engine's software. If it is nil, all engines have the same version.
+	// Versions are the distinct versions of the engines' software, sorted, and VersionOf returns that of an engine. If
+	// Versions is empty, all engines have the empty version.
+	Versions  []string
 	VersionOf func(engine string) string
 }
 
--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -101,7 +101,10 @@
 // healthyGroups returns the engines that have not failed recently, by version. The result is not nil.
 func (r *servingRound) healthyGroups(engines Engines) []versionGroup {
 	groups := groupByVersion(healthyOf(r.now, &r.current.health, engines))
-	r.current.hasVersions = len(groups) > 1
+	if len(groups) > 1 || engines.Complete {
+		// A sample may lack the version that few engines have.
+		r.current.hasVersions = len(groups) > 1
+	}
 	return groups
 }
 
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -9,27 +9,6 @@
 	"github.com/reelrun/reelrun/ledger"
 )
 
-// versions returns the distinct software versions of the engines, sorted.
-func (e Engines) versions() []string {
-	if e.VersionOf == nil {
-		return []string{""}
-	}
-	var versions []string
-	note := func(engine string) {
-		if version := e.VersionOf(engine); !slices.Contains(versions, version) {
-			versions = append(versions, version)
-		}
-	}
-	for _, engine := range e.Decode {
-		note(engine.ID)
-	}
-	for _, engine := range e.Prefill {
-		note(engine)
-	}
-	slices.Sort(versions)
-	return versions
-}
-
 // ofVersion returns the engines of one software version.
 func (e Engines) ofVersion(version string) Engines {
 	selected := e
@@ -57,12 +36,14 @@
 
 // groupByVersion groups engines. If all have one version, which is the usual case, the group is the given list itself.
 func groupByVersion(engines Engines) []versionGroup {
-	versions := engines.versions()
-	if len(versions) == 1 {
-		return []versionGroup{{versions[0], engines}}
+	switch len(engines.Versions) {
+	case 0:
+		return []versionGroup{{engines: engines}}
+	case 1:
+		return []versionGroup{{engines.Versions[0], engines}}
 	}
-	groups := make([]versionGroup, len(versions))
-	for i, version := range versions {
+	groups := make([]versionGroup, len(engines.Versions))
+	for i, version := range engines.Versions {
 		groups[i] = versionGroup{version, engines.ofVersion(version)}
 	}
 	return groups
--- a/coordinator/versions_test.go
+++ b/coordinator/versions_test.go
@@ -26,7 +26,7 @@
 			return rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1-" + role + "1", "v1-" + role + "2", "v2-" + role + "1", "v2-" + role + "2", "v3-" + role + "1"}),
 				0, 5, rapid.ID[string]).Draw(t, role)
 		}
-		engines := Engines{Prefill: names("p"), VersionOf: versionOfEngine}
+		engines := Engines{Prefill: names("p"), Versions: []string{"v1", "v2", "v3"}, VersionOf: versionOfEngine}
 		for _, id := range names("d") {
 			engines.Decode = append(engines.Decode, ledger.Engine{ID: id, Memory: rapid.SampledFrom([]int{100, 12_000, 60_000}).Draw(t, id), Slots: 8})
 		}
@@ -59,7 +59,7 @@
 	g := NewWithT(t)
 	engines := Engines{
 		Decode:  []ledger.Engine{{ID: "v1-d", Memory: 200_000, Slots: 64}, {ID: "v2-d", Memory: 200_000, Slots: 64}},
-		Prefill: []string{"v1-p", "v2-p"}, VersionOf: versionOfEngine,
+		Prefill: []string{"v1-p", "v2-p"}, Versions: []string{"v1", "v2"}, VersionOf: versionOfEngine,
 	}
 	now := time.Duration(0)
 	versioned := New(Options{Engines: func(string) Engines { return engines }, Nodes: func() int { return 1 }, Now: func() time.Duration { return now }})
--- a/router/engines.go
+++ b/router/engines.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/reelrun/reelrun/backend"
@@ -106,10 +108,12 @@
 		return engines
 	}
 	profile := configuration.Services[service].Engine
+	versions := distinctVersions{}
 	decode, allDecode := readyIn(backend.RoleDecode)
 	engines.Decode = make([]ledger.Engine, 0, len(decode))
 	for _, entry := range decode {
 		if r.assignable(entry) {
+			versions.note(entry)
 			engines.Decode = append(engines.Decode, ledger.Engine{ID: entry.ID(), Memory: profile.MemoryTokens, Slots: profile.Slots})
 		}
 	}
@@ -117,13 +121,20 @@
 	engines.Prefill = make([]string, 0, len(prefill))
 	for _, entry := range prefill {
 		if r.assignable(entry) {
+			versions.note(entry)
 			engines.Prefill = append(engines.Prefill, entry.ID())
 		}
 	}
+	engines.Versions = slices.Sorted(maps.Keys(versions))
 	engines.Complete = allDecode && allPrefill
 	return engines
 }
 
+// distinctVersions are the software versions of some backends.
+type distinctVersions map[string]struct{}
+
+func (v distinctVersions) note(entry *backend.Entry) { v[entry.Backend().SoftwareVersion] = struct{}{} }
+
 // zoneOfBackend returns the zone of a backend, or "" if it is not known.
 func (r *Router) zoneOfBackend(id string) string {
 	entry := r.backends.Lookup(id)
