An engine that continues a stream confirms its start again once the run has started

The engine is asked once more when its response begins; if it has restarted, none of its events is passed on.

Events that nodes do not pass on are not part of a stream, so the tests judge what callers have received, as the soak does: events name the version of their engine.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -177,6 +177,11 @@
 		return nil, &attemptError{failure: notRun(ReasonBackendRejected, rejectedRetryAfter, nil), arrived: true}
 	}
 	x.runs++
+	if !x.confirmIncarnation(ctx, reserved) {
+		// The engine may have restarted while the prompt was prefilled. None of its events has been passed on.
+		_ = response.Body.Close()
+		return nil, &attemptError{failure: unknown(ReasonVersionUnavailable, errOutdatedEntry), arrived: true, ran: true}
+	}
 	if lastID != "" {
 		x.handler.logContinued(x, reserved.entry.Backend(), lastID)
 	}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -117,7 +117,8 @@
 }
 
 // confirmIncarnation reports whether a reserved engine is known to have the version that the request requires: that it has
-// not restarted since its entry was written.
+// not restarted since its entry was written. It is called before the prompt is prefilled, which would be in vain otherwise,
+// and once the run has started.
 func (x *exchange) confirmIncarnation(ctx context.Context, reserved *reservedEngine) bool {
 	described := reserved.entry.Backend()
 	if _, required := x.version.Version(); !required || described.StartedAt == 0 {
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -52,6 +52,9 @@
 	service string
 	stage   string
 	zone    string
+	// entryMu is held while it restarts, and while its entry is written: an entry names the version and the start of one
+	// incarnation.
+	entryMu sync.Mutex
 	// startedMillis is the start of its current incarnation, in Unix milliseconds.
 	startedMillis atomic.Int64
 	// incarnations are the starts of its incarnations; guarded by the harness's mutex.
@@ -298,6 +301,8 @@
 }
 
 func (h *harness) announce(b *backend, state, stage string) {
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
 	version := softwareVersions[0]
 	if b.engine != nil {
 		version = b.engine.SoftwareVersion()
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -90,12 +90,14 @@
 // updated.
 func (h *harness) restartWith(b *backend, version string) {
 	h.recordInterruption(time.Now(), time.Now().Add(time.Second))
+	b.entryMu.Lock()
 	h.mu.Lock()
 	b.recordStart()
 	h.mu.Unlock()
 	if b.engine != nil {
 		b.engine.RestartWith(version, b.startedMillis.Load())
 	}
+	b.entryMu.Unlock()
 	// Connections end after that: no run of the earlier version goes on.
 	b.proxy.reset()
 	b.setCondition(standin.Condition{})
--- a/streamorigin/streamorigin_test.go
+++ b/streamorigin/streamorigin_test.go
@@ -71,6 +71,8 @@
 					}
 				}
 			}
+			// Questions whose answers nobody waits for any more end first.
+			synctest.Wait()
 			clear(fleet.lost)
 		}
 		expectFound("node-0", "node-4")
