--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -116,6 +116,9 @@
 	}
 	for _, group := range candidates {
 		r.current.decode.SetEngines(group.engines.Decode)
+		if group.isScarce && !r.current.decode.Fits(r.now, withRoomForAnother(queued.request.Run)) {
+			continue
+		}
 		if assignment, ok := r.coordinator.assign(r.now, r.current, group.engines, queued); ok {
 			return assignment, true
 		}
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -32,6 +32,10 @@
 type versionGroup struct {
 	version string
 	engines Engines
+	// isScarce is set if another version has more decode engines, for a request that both can serve. Such a request leaves
+	// room for another one: streams of the scarce version can continue nowhere else, and few of its runs end in the time
+	// that they wait.
+	isScarce bool
 }
 
 // groupByVersion groups engines. If all have one version, which is the usual case, the group is the given list itself.
@@ -40,29 +44,32 @@
 	case 0:
 		return []versionGroup{{engines: engines}}
 	case 1:
-		return []versionGroup{{engines.Versions[0], engines}}
+		return []versionGroup{{version: engines.Versions[0], engines: engines}}
 	}
 	groups := make([]versionGroup, len(engines.Versions))
 	for i, version := range engines.Versions {
-		groups[i] = versionGroup{version, engines.ofVersion(version)}
+		groups[i] = versionGroup{version: version, engines: engines.ofVersion(version)}
 	}
 	return groups
 }
 
 // candidateGroups returns the groups in which a request may be served, in the order in which they are tried: those whose
-// decode engines have the largest share of free memory first.
+// decode engines have the largest share of free memory first. Those with fewer engines than another one are scarce.
 func candidateGroups(now time.Duration, groups []versionGroup, decode *ledger.Ledger, allowed backend.VersionConstraint) []versionGroup {
 	var candidates []versionGroup
+	most := 0
 	for _, group := range groups {
 		if allowed.Allows(group.version) && len(group.engines.Decode) > 0 {
 			candidates = append(candidates, group)
+			most = max(most, len(group.engines.Decode))
 		}
 	}
 	if len(candidates) < 2 { //nolint:mnd // nothing to sort
 		return candidates
 	}
 	memoryShares := map[string]float64{}
-	for _, group := range candidates {
+	for i, group := range candidates {
+		candidates[i].isScarce = len(group.engines.Decode) < most
 		decode.SetEngines(group.engines.Decode)
 		memoryShares[group.version] = decode.MemoryShare(now)
 	}
@@ -71,3 +78,12 @@
 	})
 	return candidates
 }
+
+// withRoomForAnother returns a run that fits where the given one and another one like it do.
+func withRoomForAnother(run ledger.Run) ledger.Run {
+	const both = 2
+	run.Prompt *= both
+	run.Output *= both
+	run.MaxOutput *= both
+	return run
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -214,6 +214,17 @@
 	return best.engine, true
 }
 
+// Fits reports whether a run fits on an engine.
+func (l *Ledger) Fits(now time.Duration, run Run) bool {
+	return slices.ContainsFunc(l.engines, func(engine Engine) bool {
+		if now < l.rejectedUntil[engine.ID] {
+			return false
+		}
+		_, fits := l.peakWith(now, engine, run)
+		return fits
+	})
+}
+
 // choice is the candidate with the lowest peak so far.
 type choice struct {
 	engine string
