A stream's origin is the start that its server states, not one that clocks compare

The start that the server states when the stream begins is part of the record now. Its version is that of the entry that describes this start; if there is none, the origin is unknown. Times of runs are no longer compared or sent.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -73,7 +73,9 @@
 		return nil
 	}
 	origin := x.origin
-	origin.IsConfirmed = origin.IsConfirmed || x.isOriginConfirmed.Load()
+	if confirmed := x.confirmedOrigin.Load(); confirmed != nil {
+		origin = *confirmed
+	}
 	version, err := x.knownVersionOf(ctx, origin)
 	if err != nil {
 		return err
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -214,8 +214,8 @@
 	// origin is where the request's stream began, and originSource where that is known from; zero before it has begun.
 	origin       streamorigin.Origin
 	originSource string
-	// isOriginConfirmed is set once the engine has confirmed the origin of a stream that began within the response.
-	isOriginConfirmed atomic.Bool
+	// confirmedOrigin is the origin of a stream that began within the response, once its engine has been asked for its start.
+	confirmedOrigin atomic.Pointer[streamorigin.Origin]
 	// keptPrompt is a prompt that was prefilled for a run which the decode engine did not take; nil for none.
 	keptPrompt *prefilledPrompt
 	// admission is the decision on a request to a plain service.
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -10,16 +10,12 @@
 	"github.com/reelrun/reelrun/streamorigin"
 )
 
-const (
-	// startTimeout bounds the question to a backend when it started. Backends answer it at once, also at capacity.
-	startTimeout = 100 * time.Millisecond
-	// startTolerance is by how much the clocks of nodes and backends may differ.
-	startTolerance = 2 * time.Second
-)
+// startTimeout bounds the question to a backend when it started. Backends answer it at once, also at capacity.
+const startTimeout = 100 * time.Millisecond
 
-// errOutdatedEntry means that a stream may have begun at a later start of its backend than the one that discovery
-// described, which may have another version of the software.
-var errOutdatedEntry = errors.New("gateway: the backend has restarted about when the stream began")
+// errOutdatedEntry means that a stream began, or may have begun, at a start of its backend that discovery does not describe.
+// It may have another version of the software.
+var errOutdatedEntry = errors.New("gateway: the entry of the backend is not that of the start that ran the stream")
 
 // errUnconfirmed means that nobody can say any more which start of its backend ran a stream.
 var errUnconfirmed = errors.New("gateway: the backend has not confirmed its start")
@@ -44,66 +40,59 @@
 		return origin.Version, nil
 	}
 	entry := x.handler.options.Backends.Registered(origin.Backend)
-	if entry == nil {
-		return x.versionWithoutEntry(origin)
-	}
-	described := entry.Backend()
-	if described.StartedAt == 0 || origin.StartedAt == 0 {
-		if described.SoftwareVersion != origin.Version {
-			return "", errOutdatedEntry
-		}
-		return origin.Version, nil
-	}
-	if described.StartedAt <= origin.StartedAt {
-		return origin.Version, x.checkUnknownStart(ctx, entry, origin)
-	}
-	if described.SoftwareVersion == origin.Version {
-		return origin.Version, nil
-	}
-	switch startedBefore := time.Duration(origin.BeganAt-described.StartedAt) * time.Millisecond; {
-	case startedBefore > startTolerance:
-		return described.SoftwareVersion, nil
-	case startedBefore < -startTolerance:
-		return origin.Version, nil
+	switch {
+	case origin.StartedAt == 0:
+		return versionWithoutStart(origin, entry)
+	case origin.IsUndescribed:
+		return versionOfStart(origin, entry)
+	case entry == nil:
+		return "", errUnconfirmed
 	default:
-		return "", errOutdatedEntry
+		return origin.Version, x.confirmLater(ctx, entry, origin)
 	}
 }
 
-// versionWithoutEntry returns the version of a stream whose backend is gone, and has not confirmed its incarnation.
-func (*exchange) versionWithoutEntry(origin streamorigin.Origin) (string, error) {
-	if origin.StartedAt != 0 {
-		return "", errUnconfirmed
+// versionWithoutStart returns the version of a stream whose backend does not state its start, and thus has a new identifier
+// with each.
+func versionWithoutStart(origin streamorigin.Origin, entry *backend.Entry) (string, error) {
+	if entry != nil && entry.Backend().SoftwareVersion != origin.Version {
+		return "", errOutdatedEntry
 	}
 	return origin.Version, nil
 }
 
-// confirmOrigin asks the engine of a stream that has begun whether the described incarnation is the running one, and then
-// sends the origin to other nodes. Later the engine may be gone, and its entry no longer be the one of then.
-func (x *exchange) confirmOrigin(key streamorigin.Key, origin streamorigin.Origin, entry *backend.Entry) {
-	if _, limited := entry.RequestLimit(); !limited {
-		// The question would use up a small limit.
-		startedAt, err := x.startOf(context.Background(), entry)
-		origin.IsConfirmed = err == nil && startedAt == origin.StartedAt
+// versionOfStart returns the version of a stream that began at a start which had no entry yet: that of the entry, if this
+// describes the start by now.
+func versionOfStart(origin streamorigin.Origin, entry *backend.Entry) (string, error) {
+	if entry == nil || entry.Backend().StartedAt != origin.StartedAt {
+		return "", errOutdatedEntry
 	}
-	x.isOriginConfirmed.Store(origin.IsConfirmed)
-	x.handler.options.Streams.Record(key, origin)
+	return entry.Backend().SoftwareVersion, nil
 }
 
-// checkUnknownStart returns an error if the backend has started later than discovery describes, and possibly before the
-// stream began. The version of that start is not known.
-func (x *exchange) checkUnknownStart(ctx context.Context, entry *backend.Entry, origin streamorigin.Origin) error {
+// confirmLater asks the backend of a stream that has not confirmed its start whether it still runs since that start.
+func (x *exchange) confirmLater(ctx context.Context, entry *backend.Entry, origin streamorigin.Origin) error {
 	startedAt, err := x.startOf(ctx, entry)
-	if err != nil {
+	switch {
+	case err != nil:
 		return errors.CombineErrors(errUnconfirmed, err)
-	}
-	if startedAt <= origin.StartedAt {
+	case startedAt != 0 && startedAt != origin.StartedAt:
+		return errOutdatedEntry
+	default:
 		return nil
 	}
-	if time.Duration(origin.BeganAt-startedAt)*time.Millisecond < -startTolerance {
-		return nil
+}
+
+// confirmOrigin asks the engine of a stream that has begun for its start, and then sends the origin to other nodes. Later the
+// engine may be gone, and its entry no longer be the one of then.
+func (x *exchange) confirmOrigin(key streamorigin.Key, origin streamorigin.Origin, entry *backend.Entry) {
+	if _, limited := entry.RequestLimit(); !limited {
+		// The question would use up a small limit.
+		startedAt, err := x.startOf(context.Background(), entry)
+		origin = origin.Started(startedAt, err == nil)
 	}
-	return errOutdatedEntry
+	x.confirmedOrigin.Store(&origin)
+	x.handler.options.Streams.Record(key, origin)
 }
 
 // startOf asks a backend when it started, in Unix milliseconds; zero if the backend does not state it.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -89,7 +89,6 @@
 		engine := reserved.entry.Backend()
 		x.origin = streamorigin.Origin{
 			Service: x.service, Version: reserved.version, Backend: engine.RegisteredAs, StartedAt: engine.StartedAt,
-			BeganAt: reserved.sent.UnixMilli(),
 		}
 		x.originSource = sourceResponse
 		x.version = backend.RequireVersion(reserved.version)
--- a/streamorigin/origin.go
+++ b/streamorigin/origin.go
@@ -23,12 +23,25 @@
 	Service string
 	// Version is the software version of the backend that sent the first event, as discovery described it then.
 	Version string
-	// Backend is the identifier that this backend keeps over its incarnations, and StartedAt when the described
-	// incarnation started, in Unix milliseconds; empty and zero if unknown.
+	// Backend is the identifier that this backend keeps over its incarnations, and StartedAt when the incarnation started, in
+	// Unix milliseconds; empty and zero if unknown.
 	Backend   string
 	StartedAt int64
-	// BeganAt is when the request was sent to the backend, in Unix milliseconds by the node's clock.
-	BeganAt int64
-	// IsConfirmed is set if the backend itself has stated, after BeganAt, that the described incarnation is the running one.
+	// IsConfirmed is set if the backend itself has stated, after the stream had begun, that it runs since StartedAt.
 	IsConfirmed bool
+	// IsUndescribed is set if the backend has stated a start that discovery did not describe then. Version is that of
+	// an earlier one.
+	IsUndescribed bool
+}
+
+// Started returns the origin after the backend has been asked for its start, which is zero if it does not state it.
+func (o Origin) Started(startedAt int64, hasAnswered bool) Origin {
+	switch {
+	case !hasAnswered || startedAt == 0:
+	case startedAt == o.StartedAt:
+		o.IsConfirmed = true
+	default:
+		o.StartedAt, o.IsUndescribed = startedAt, true
+	}
+	return o
 }
--- a/streamorigin/streamorigin_test.go
+++ b/streamorigin/streamorigin_test.go
@@ -48,7 +48,7 @@
 	return slices.DeleteFunc(slices.Clone(n.nodes), func(node Node) bool { return n.lost[node.Address] })
 }
 
-var exampleOrigin = Origin{Service: "s", Version: "v1", Backend: "b", StartedAt: 5, BeganAt: 9, IsConfirmed: true}
+var exampleOrigin = Origin{Service: "s", Version: "v1", Backend: "b", StartedAt: 5, IsConfirmed: true, IsUndescribed: true}
 
 // TestOriginsAreLostWithAnyTwoNodes records streams and has any two nodes or any zone be lost: all others must find each
 // origin.
--- a/streamorigin/wire.go
+++ b/streamorigin/wire.go
@@ -11,7 +11,7 @@
 func encodeOrigin(origin Origin) *peerpb.StreamOrigin {
 	return &peerpb.StreamOrigin{
 		Service: origin.Service, SoftwareVersion: origin.Version, Backend: origin.Backend,
-		StartedMs: origin.StartedAt, BeganMs: origin.BeganAt, Confirmed: origin.IsConfirmed,
+		StartedMs: origin.StartedAt, Confirmed: origin.IsConfirmed, Undescribed: origin.IsUndescribed,
 	}
 }
 
@@ -20,7 +20,7 @@
 func decodeOrigin(encoded *peerpb.StreamOrigin) Origin {
 	return Origin{
 		Service: interned(encoded.GetService()), Version: interned(encoded.GetSoftwareVersion()), Backend: interned(encoded.GetBackend()),
-		StartedAt: encoded.GetStartedMs(), BeganAt: encoded.GetBeganMs(), IsConfirmed: encoded.GetConfirmed(),
+		StartedAt: encoded.GetStartedMs(), IsConfirmed: encoded.GetConfirmed(), IsUndescribed: encoded.GetUndescribed(),
 	}
 }
 
