Live servers of the soak renew their entries after a restore

A live server writes its entry with each heartbeat, so the soak's servers do that now after a restore and before the recovery. Bounds and checks are unchanged.

--- a/soak/restores_test.go
+++ b/soak/restores_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -26,7 +27,28 @@
 		h.store.Restore()
 		time.Sleep(rewriteAfter)
 		h.store.Rewrite("config", "servers")
+		h.renewEntries()
 		outages.Wait()
 		time.Sleep(time.Duration(random.IntN(2000)) * time.Millisecond)
 	}
 }
+
+// renewEntries has the backends whose entries are those of an earlier start write them again, as live servers do with each
+// heartbeat.
+func (h *harness) renewEntries() {
+	for _, b := range h.registered() {
+		spec, found := h.store.Spec("servers", b.id)
+		var entry struct {
+			StartedMillis int64  `json:"born"`
+			State         string `json:"state"`
+		}
+		if !found || json.Unmarshal(spec, &entry) != nil || entry.StartedMillis == b.startedMillis.Load() {
+			continue
+		}
+		stage := b.stage
+		if b.engine != nil {
+			stage = b.engine.Stage()
+		}
+		h.announce(b, entry.State, stage)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,6 +48,8 @@
 	// An engine had restarted with another version while its entry lagged, and did not answer when its stream broke off:
 	// the stream continued at the version of the entry.
 	64009,
+	// An engine restarted with another version after it had been chosen to continue a stream, while the prompt was prefilled.
+	64123, 64128,
 }
 
 // quotaSeed is a regression seed of the same fault as 56049. A tenant's limit was exceeded under parallel load, while two of
@@ -156,6 +158,7 @@
 	}
 	h.injectFaults(random, duration)
 	injecting.Wait()
+	h.renewEntries()
 	time.Sleep(recoveryTime)
 	disconnecting.stop()
 	resumedStreams := resuming.stop()
