--- a/coordinator/serve.go
+++ b/coordinator/serve.go
@@ -116,7 +116,7 @@
 	}
 	for _, group := range candidates {
 		r.current.decode.SetEngines(group.engines.Decode)
-		if group.isScarce && !r.current.decode.Fits(r.now, withRoomForAnother(queued.request.Run)) {
+		if group.isScarce && !r.current.decode.Fits(r.now, withCapacityForAnother(queued.request.Run)) {
 			continue
 		}
 		if assignment, ok := r.coordinator.assign(r.now, r.current, group.engines, queued); ok {
--- a/coordinator/versions.go
+++ b/coordinator/versions.go
@@ -33,8 +33,8 @@
 	version string
 	engines Engines
 	// isScarce is set if another version has more decode engines, for a request that both can serve. Such a request leaves
-	// room for another one: streams of the scarce version can continue nowhere else, and few of its runs end in the time
-	// that they wait.
+	// capacity for another one: streams of the scarce version can continue nowhere else, and few of its runs end in the
+	// time that they wait.
 	isScarce bool
 }
 
@@ -79,8 +79,8 @@
 	return candidates
 }
 
-// withRoomForAnother returns a run that fits where the given one and another one like it do.
-func withRoomForAnother(run ledger.Run) ledger.Run {
+// withCapacityForAnother returns a run that fits where the given one and another one like it do.
+func withCapacityForAnother(run ledger.Run) ledger.Run {
 	const both = 2
 	run.Prompt *= both
 	run.Output *= both
--- a/soak/tenants_test.go
+++ b/soak/tenants_test.go
@@ -98,7 +98,7 @@
 		b.engine.RestartWith(version, b.startedMillis.Load())
 	}
 	b.entryMu.Unlock()
-	// Connections end after that: no run of the earlier version goes on.
+	// Connections end after that: no run of the earlier version continues.
 	b.proxy.reset()
 	b.setCondition(standin.Condition{})
 }
