--- a/streamorigin/client.go
+++ b/streamorigin/client.go
@@ -66,20 +66,21 @@
 func (c *Client) Record(key Key, origin Origin) {
 	c.table.put(key, origin)
 	receivers := c.others(key, maxRecordCalls)
-	request := &peerpb.Request{Body: &peerpb.Request_RecordStream{RecordStream: &peerpb.RecordStream{Key: key[:], Origin: encodeOrigin(origin)}}}
 	next := make(chan string, len(receivers))
 	for _, address := range receivers {
 		next <- address
 	}
 	close(next)
 	for range min(keeperCount, len(receivers)) {
-		go c.sendRecord(next, request)
+		go c.sendRecord(next, key, origin)
 	}
 }
 
 // sendRecord sends a record to one node, trying the next one after each failure.
-func (c *Client) sendRecord(next <-chan string, request *peerpb.Request) {
+func (c *Client) sendRecord(next <-chan string, key Key, origin Origin) {
 	for address := range next {
+		// Each call stamps its request, so none is shared between calls.
+		request := &peerpb.Request{Body: &peerpb.Request_RecordStream{RecordStream: &peerpb.RecordStream{Key: key[:], Origin: encodeOrigin(origin)}}}
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		_, err := c.options.Peers.Call(ctx, address, request)
 		cancel()
--- a/streamorigin/streamorigin_test.go
+++ b/streamorigin/streamorigin_test.go
@@ -26,6 +26,7 @@
 
 // Call implements Caller.
 func (n *network) Call(_ context.Context, address string, request *peerpb.Request) (*peerpb.Response, error) {
+	request.Stamp++ // As peer.Client does.
 	if n.lost[address] {
 		return nil, errLost
 	}
