Requests that no node can open a tunnel for say which nodes were asked

The log said only that no node could open a tunnel.

Change: the error names the nodes that were asked, what each answered and how long that took; the counter tunnel_nodes_asked, beside tunnels_opened, gives how many are asked for one. No decision changes.

--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -127,11 +129,15 @@
 // Open implements backendhttp.Tunnels.
 func (t nodeTunnels) Open(ctx context.Context, address string) (net.Conn, string, error) {
 	r := t.router
+	var asked []askedNode
 	for _, node := range r.tunnelCandidates() {
+		began := time.Now()
 		conn, state, err := r.openTunnelAt(ctx, node, address)
+		asked = append(asked, askedNode{address: node, state: state, err: err, took: time.Since(began)})
+		r.metrics.Add("tunnel_nodes_asked", 1)
 		switch {
 		case ctx.Err() != nil:
-			return nil, "", errors.CombineErrors(backendhttp.ErrNoTunnel, ctx.Err())
+			return nil, "", errors.CombineErrors(noTunnel(asked), ctx.Err())
 		case err != nil || state == peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE:
 			r.tunnels.nodes.pause(node, time.Now())
 			continue
@@ -145,7 +151,33 @@
 		}
 	}
 	r.metrics.Add("tunnels_unavailable", 1)
-	return nil, "", backendhttp.ErrNoTunnel
+	return nil, "", noTunnel(asked)
+}
+
+// askedNode is a node that was asked for a tunnel, and what it answered.
+type askedNode struct {
+	address string
+	state   peerpb.TunnelState
+	err     error
+	took    time.Duration
+}
+
+// String returns the description of the node in errors.
+func (n askedNode) String() string {
+	outcome := "cannot connect"
+	if n.err != nil {
+		outcome = n.err.Error()
+	}
+	return fmt.Sprintf("%s after %d ms: %s", n.address, n.took.Milliseconds(), outcome)
+}
+
+// noTunnel returns the error for a tunnel that none of the nodes has opened.
+func noTunnel(asked []askedNode) error {
+	descriptions := make([]string, len(asked))
+	for i, node := range asked {
+		descriptions[i] = node.String()
+	}
+	return errors.Wrapf(backendhttp.ErrNoTunnel, "asked %d nodes [%s]", len(asked), strings.Join(descriptions, "; "))
 }
 
 // openTunnelAt asks one node for a tunnel.
