Nodes of other zones are asked for tunnels where a zone has lost the backends

Cause: at most four nodes are asked for a tunnel, all of the own zone while it has that many nodes, and also those that have announced that they are cut off. A zone loses the backends as a whole, so the candidates share the fault of the node that asks them. Class: fallbacks that are chosen by what is cheap and fail together with what they stand in for.

Change: the first node is of the own zone, the next ones of other zones in turn. A zone comes behind the others while two of its nodes were unable to help within the last second or have announced that they are cut off; such nodes are asked last.

--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -27,6 +28,9 @@
 	tunnelTimeout = 300 * time.Millisecond
 	// tunnelNodePause is how long a node that could not open a tunnel is asked last.
 	tunnelNodePause = time.Second
+	// doubtfulZoneNodes is how many nodes of a zone must be unlikely to open a tunnel until the zone comes behind the others.
+	// A single one may have restarted.
+	doubtfulZoneNodes = 2
 )
 
 // tunnels is the state of a node's tunnels: those that it uses, and those that it serves.
@@ -93,29 +97,73 @@
 	n.pausedUntil[address] = now.Add(tunnelNodePause)
 }
 
-// order returns the nodes to ask for a tunnel, in random order: first those that could open one, and among these the ones
-// of the given zone, because bytes within a zone cost less.
+// order returns the nodes to ask for a tunnel. The first one is of the given zone, because bytes within a zone cost less. The
+// next ones are of other zones in turn, because a zone may lose the backends as a whole; for the same reason a zone comes
+// behind the others once several of its nodes are unlikely to help. Such nodes are asked last. Otherwise the order is random.
 func (n *tunnelNodes) order(candidates []knownNode, zone string, now time.Time) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	rank := func(node knownNode) int {
+	zones := map[string]*tunnelZone{}
+	var unlikely []string
+	for _, i := range rand.Perm(len(candidates)) {
+		node := candidates[i]
+		if zones[node.zone] == nil {
+			zones[node.zone] = &tunnelZone{isOwn: node.zone == zone}
+		}
+		if node.cutOff || now.Before(n.pausedUntil[node.Address]) {
+			zones[node.zone].unlikely++
+			unlikely = append(unlikely, node.Address)
+			continue
+		}
+		zones[node.zone].likely = append(zones[node.zone].likely, node.Address)
+	}
+	ordered := append(inTurn(rankZones(zones)), unlikely...)
+	return ordered[:min(len(ordered), maxTunnelNodes)]
+}
+
+// tunnelZone is a zone whose nodes may be asked for a tunnel.
+type tunnelZone struct {
+	isOwn bool
+	// likely are the nodes that can probably open a tunnel, and unlikely is the number of the others.
+	likely   []string
+	unlikely int
+}
+
+// isDoubtful reports whether the whole zone may have lost the backends.
+func (z *tunnelZone) isDoubtful() bool { return z.unlikely >= doubtfulZoneNodes }
+
+// rankZones returns the zones in the order in which their nodes are asked.
+func rankZones(zones map[string]*tunnelZone) []*tunnelZone {
+	rank := func(zone *tunnelZone) int {
 		switch {
-		case now.Before(n.pausedUntil[node.Address]):
+		case zone.isDoubtful():
 			return 2
-		case node.zone != zone:
-			return 1
-		default:
+		case zone.isOwn:
 			return 0
+		default:
+			return 1
 		}
 	}
-	ordered := slices.Clone(candidates)
-	rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
-	slices.SortStableFunc(ordered, func(a, b knownNode) int { return rank(a) - rank(b) })
-	var addresses []string
-	for _, node := range ordered[:min(len(ordered), maxTunnelNodes)] {
-		addresses = append(addresses, node.Address)
+	ranked := slices.Collect(maps.Values(zones))
+	rand.Shuffle(len(ranked), func(i, j int) { ranked[i], ranked[j] = ranked[j], ranked[i] })
+	slices.SortStableFunc(ranked, func(a, b *tunnelZone) int { return rank(a) - rank(b) })
+	return ranked
+}
+
+// inTurn returns the likely nodes of the zones: one of each zone, then the next one of each.
+func inTurn(zones []*tunnelZone) []string {
+	var ordered []string
+	for turn := 0; ; turn++ {
+		before := len(ordered)
+		for _, zone := range zones {
+			if turn < len(zone.likely) {
+				ordered = append(ordered, zone.likely[turn])
+			}
+		}
+		if len(ordered) == before {
+			return ordered
+		}
 	}
-	return addresses
 }
 
 // nodeTunnels opens tunnels through the other nodes. It implements backendhttp.Tunnels.
--- a/router/tunnels_test.go
+++ b/router/tunnels_test.go
@@ -115,3 +115,37 @@
 	now = now.Add(withdrawnLifetime + time.Millisecond)
 	g.Expect(list.withdrawn(capabilityTunnels)).To(BeEmpty())
 }
+
+// TestZonesWithoutBackendsAreAskedLast has two nodes of the own zone fail to open a tunnel, or announce that they are cut off: of the
+// nodes that are asked, at most one may be of that zone, and it comes after one of each other zone.
+func TestZonesWithoutBackendsAreAskedLast(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	nodes := tunnelNodes{pausedUntil: map[string]time.Time{}}
+	const zones, nodesPerZone = 4, 15
+	var candidates []knownNode
+	for i := range zones * nodesPerZone {
+		candidates = append(candidates, tunnelNode(i, fmt.Sprintf("zone-%d", i/nodesPerZone), nil))
+	}
+	zoneOf := map[string]string{}
+	for _, node := range candidates {
+		zoneOf[node.Address] = node.zone
+	}
+	asked := nodes.order(candidates, "zone-0", now)
+	g.Expect(zoneOf[asked[0]]).To(Equal("zone-0"), "bytes within a zone cost less")
+	askedZones := map[string]bool{}
+	for _, node := range asked[:zones] {
+		askedZones[zoneOf[node]] = true
+	}
+	g.Expect(askedZones).To(HaveLen(zones))
+
+	nodes.pause(candidates[3].Address, now)
+	candidates[4].cutOff = true
+	for range 100 {
+		asked = nodes.order(candidates, "zone-0", now)
+		for _, node := range asked[:zones-1] {
+			g.Expect(zoneOf[node]).NotTo(Equal("zone-0"))
+		}
+		g.Expect(asked).NotTo(ContainElement(candidates[4].Address))
+	}
+}
