Cut-off nodes say at once that they cannot open a tunnel

Cause: a node that is asked for a tunnel tries to connect for 200 ms, and after that checks its own link for 200 ms more, while the node that asks waits 300 ms. The times of both ends do not add up, and the check was made anew for each request.

Change: the check runs beside a connection that takes longer than 50 ms, within the same 200 ms. A node whose last connections to two backends could not be opened, and that has heard from no backend since, answers without trying.

--- a/backendpath/check.go
+++ b/backendpath/check.go
@@ -1,6 +1,7 @@
 package backendpath
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -38,6 +39,7 @@
 
 // expire forgets failures that are no evidence any more, and faults of links that are not used; the lock is held.
 func (t *Tracker) expire(now time.Time) {
+	maps.DeleteFunc(t.failuresInARow, func(_ string, failedAt time.Time) bool { return now.Sub(failedAt) > failureWindow })
 	for address, known := range t.links {
 		isOld := now.Sub(known.failedAt) > failureWindow && now.Sub(known.failedElsewhereAt) > failureWindow
 		isUnused := now.Sub(known.usedAt) > unusedLifetime
--- a/backendpath/tracker.go
+++ b/backendpath/tracker.go
@@ -72,6 +72,8 @@
 	// cutOff is set while the node counts as cut off, and since when it has.
 	cutOff      bool
 	cutOffSince time.Time
+	// failuresInARow are when the node's own link last failed, by address, since it last opened a connection.
+	failuresInARow map[string]time.Time
 	// faultsInARow are the addresses that were found at fault since the node last opened a connection over its own link.
 	faultsInARow map[string]bool
 	// othersCheckedAt is when backends without a known fault were last checked.
@@ -92,7 +94,7 @@
 
 // New returns a tracker of a node that reaches all backends.
 func New(options Options) *Tracker {
-	return &Tracker{options: options, links: map[string]*link{}, faultsInARow: map[string]bool{}}
+	return &Tracker{options: options, links: map[string]*link{}, failuresInARow: map[string]time.Time{}, faultsInARow: map[string]bool{}}
 }
 
 // Choose returns the path of new connections to an address.
@@ -126,6 +128,26 @@
 	return t.options.Now().Sub(t.cutOffSince)
 }
 
+// LinkIsDoubtful reports whether the node's own link has probably failed: it counts as cut off, or its last connections to
+// several backends could not be opened and no backend has sent anything since.
+func (t *Tracker) LinkIsDoubtful() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cutOff || t.linkIsDoubtful(t.options.Now())
+}
+
+// linkIsDoubtful is LinkIsDoubtful for a node that does not count as cut off; the lock is held.
+func (t *Tracker) linkIsDoubtful(now time.Time) bool {
+	heardAt := time.Unix(0, t.heardAt.Load())
+	failed := 0
+	for _, failedAt := range t.failuresInARow {
+		if failedAt.After(heardAt) && now.Sub(failedAt) <= failureWindow {
+			failed++
+		}
+	}
+	return failed >= cutOffAddresses
+}
+
 // FaultyLinks returns the number of addresses that other nodes reach and this one does not.
 func (t *Tracker) FaultyLinks() int {
 	t.mu.Lock()
@@ -142,6 +164,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.links, address)
+	clear(t.failuresInARow)
 	clear(t.faultsInARow)
 	if !t.cutOff {
 		return
@@ -163,6 +186,7 @@
 	now := t.options.Now()
 	failed := t.link(address, now)
 	failed.failedAt = now
+	t.failuresInARow[address] = now
 	t.mu.Unlock()
 	t.options.Wake()
 }
--- a/backendpath/tracker_test.go
+++ b/backendpath/tracker_test.go
@@ -152,6 +152,33 @@
 	g.Expect(s.tracker.FaultyLinks()).To(BeZero())
 }
 
+// TestLinkIsDoubtfulAfterFailuresInARow fails connections to several backends: until one is opened, or a backend sends something,
+// the node's link is doubtful. Failures of a single backend are not enough, and old ones do not count.
+func TestLinkIsDoubtfulAfterFailuresInARow(t *testing.T) {
+	g := NewWithT(t)
+	s := newSimulation(12)
+	s.alone = true
+	s.cutAll(true)
+	s.request(s.backends[0])
+	s.request(s.backends[0])
+	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse())
+	s.request(s.backends[1])
+	g.Expect(s.tracker.LinkIsDoubtful()).To(BeTrue())
+	s.advance(10 * time.Millisecond)
+	s.tracker.Heard()
+	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "an open connection lives on")
+	s.advance(10 * time.Millisecond)
+	s.request(s.backends[0])
+	s.request(s.backends[1])
+	s.cut[s.backends[2]] = false
+	s.request(s.backends[2])
+	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "a connection was opened")
+	s.request(s.backends[0])
+	s.now = s.now.Add(3 * time.Second)
+	s.request(s.backends[1])
+	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "the first failure is old")
+}
+
 // TestTunnelsEndSoonAfterTheLinkHasRecovered bounds how long tunnels outlast their cause.
 func TestTunnelsEndSoonAfterTheLinkHasRecovered(t *testing.T) {
 	g := NewWithT(t)
--- a/router/tunnelserver.go
+++ b/router/tunnelserver.go
@@ -15,8 +15,11 @@
 )
 
 const (
-	// tunnelDialTimeout bounds the connection that a node opens for another one.
+	// tunnelDialTimeout bounds the connection that a node opens for another one. It is shorter than tunnelTimeout, so that
+	// the other node receives the answer.
 	tunnelDialTimeout = 200 * time.Millisecond
+	// linkCheckDelay is how long a connection for another node may take until the node's own link is checked.
+	linkCheckDelay = 50 * time.Millisecond
 	// maxServedTunnels bounds the tunnels that a node serves. Each takes a descriptor, two goroutines and up to 300 KB
 	// of buffers while its reader stalls, usually 20 KB.
 	maxServedTunnels = 128
@@ -28,7 +31,8 @@
 
 // serveTunnel connects to a backend for another node. It never uses a tunnel itself.
 func (r *Router) serveTunnel(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
+	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel ||
+		r.tunnels.tracker.LinkIsDoubtful() {
 		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
 	}
 	if r.tunnels.served.Add(1) > maxServedTunnels {
@@ -45,13 +49,21 @@
 }
 
 // connectForNode connects to a backend. A failure is reported only if this node's own link has shown that it works,
-// because it might be at fault as well.
+// because it might be at fault as well. That is checked beside a connection that takes long, and not after it, so that the
+// other node can ask a further one in time.
 func (r *Router) connectForNode(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
+	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
+	defer cancel()
+	linkWorks := make(chan bool, 1)
+	check := time.AfterFunc(linkCheckDelay, func() { linkWorks <- r.linkWorks(ctx, address) })
 	conn, err := r.dialBackend(ctx, address)
+	if check.Stop() {
+		linkWorks <- err == nil || r.linkWorks(ctx, address)
+	}
 	if err == nil {
 		return conn, peerpb.TunnelState_TUNNEL_STATE_OPEN
 	}
-	if !r.linkWorks(ctx, address) {
+	if !<-linkWorks {
 		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -62,8 +74,6 @@
 
 // dialBackend connects to a backend over this node's own link.
 func (r *Router) dialBackend(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
-	defer cancel()
 	conn, err := r.dialect.DialDirect(ctx, address)
 	if err == nil {
 		r.tunnels.linkWorkedAt.Store(time.Now().UnixNano())
