Nodes whose link has probably failed try other nodes first

What callers saw: at nodes that reach no backend, each new connection first waits 250 ms for the node's own link, until two backends have been reached through other nodes; where no node reaches a backend, that is never, and each request tries three backends in this way.

Cause: without a node that helps, nothing says that the link is at fault, so each request meets the failure anew. Class: a decision that needs a success elsewhere as evidence, and repeats a failing attempt as long as there is none.

Change: after failures in a row at two backends, with nothing heard since, new connections are opened through other nodes first, if there are any. The state ends with anything that a backend sends. The check of links goes on confirming faults as before.

--- a/backendpath/doc.go
+++ b/backendpath/doc.go
@@ -8,7 +8,9 @@
 // Evidence that the node's link is at fault, and not the backend, is a failure of the node's own link to a backend that
 // another node reaches. Failures of one address cause tunnels to this address only. If several backends fail in this way
 // and the node has opened no connection of its own in the meantime, it counts as cut off, and all new connections are
-// tunnelled, so that no caller waits for the next failure. While tunnels are used, the node's own link is checked at
+// tunnelled, so that no caller waits for the next failure. They are tunnelled already while that is not confirmed yet: then
+// several connections have failed, and no backend has sent anything since. If no other node reaches the backends either,
+// callers are rejected without a wait. While tunnels are used, the node's own link is checked at
 // short intervals.
 //
 // The package does no I/O: a Tracker is told what has happened, and tells what to check next.
--- a/backendpath/tracker.go
+++ b/backendpath/tracker.go
@@ -99,18 +99,34 @@
 
 // Choose returns the path of new connections to an address.
 func (t *Tracker) Choose(address string) Path {
+	now := t.options.Now()
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	known := t.links[address]
 	if known != nil {
-		known.usedAt = t.options.Now()
+		known.usedAt = now
 	}
-	if t.cutOff || known != nil && known.isFaulty {
+	isFaulty, isDoubtful := t.isFaulty(address), t.linkIsDoubtful(now)
+	t.mu.Unlock()
+	if isFaulty || isDoubtful && t.options.MayTunnel() {
 		return Tunnel
 	}
 	return Direct
 }
 
+// FaultIsUnconfirmed reports whether it is not known yet whether the node's own link or the backend causes the failures of an
+// address.
+func (t *Tracker) FaultIsUnconfirmed(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.isFaulty(address)
+}
+
+// isFaulty reports whether the node's own link to an address is known to be at fault; the lock is held.
+func (t *Tracker) isFaulty(address string) bool {
+	known := t.links[address]
+	return t.cutOff || known != nil && known.isFaulty
+}
+
 // CutOff reports whether the node counts as cut off from all backends.
 func (t *Tracker) CutOff() bool {
 	t.mu.Lock()
@@ -128,15 +144,8 @@
 	return t.options.Now().Sub(t.cutOffSince)
 }
 
-// LinkIsDoubtful reports whether the node's own link has probably failed: it counts as cut off, or its last connections to
-// several backends could not be opened and no backend has sent anything since.
-func (t *Tracker) LinkIsDoubtful() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.cutOff || t.linkIsDoubtful(t.options.Now())
-}
-
-// linkIsDoubtful is LinkIsDoubtful for a node that does not count as cut off; the lock is held.
+// linkIsDoubtful reports whether the node's own link has probably failed: its last connections to several backends could not
+// be opened, and no backend has sent anything since. The lock is held.
 func (t *Tracker) linkIsDoubtful(now time.Time) bool {
 	heardAt := time.Unix(0, t.heardAt.Load())
 	failed := 0
--- a/backendpath/tracker_test.go
+++ b/backendpath/tracker_test.go
@@ -66,6 +66,9 @@
 	return !s.alone && s.dialTunnel(address)
 }
 
+// fail has a connection over the node's own link fail. It is not known whether another node reaches the backend.
+func (s *simulation) fail(address string) { s.tracker.DirectFailed(address) }
+
 func (s *simulation) dialTunnel(address string) bool {
 	s.tunnelled++
 	if s.down[address] {
@@ -157,26 +160,29 @@
 func TestLinkIsDoubtfulAfterFailuresInARow(t *testing.T) {
 	g := NewWithT(t)
 	s := newSimulation(12)
-	s.alone = true
 	s.cutAll(true)
-	s.request(s.backends[0])
-	s.request(s.backends[0])
-	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse())
-	s.request(s.backends[1])
-	g.Expect(s.tracker.LinkIsDoubtful()).To(BeTrue())
-	s.advance(10 * time.Millisecond)
+	s.fail(s.backends[0])
+	s.fail(s.backends[0])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Direct))
+	s.fail(s.backends[1])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Tunnel))
+	s.now = s.now.Add(10 * time.Millisecond)
 	s.tracker.Heard()
-	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "an open connection lives on")
-	s.advance(10 * time.Millisecond)
-	s.request(s.backends[0])
-	s.request(s.backends[1])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Direct), "an open connection lives on")
+	s.now = s.now.Add(10 * time.Millisecond)
+	s.fail(s.backends[0])
+	s.fail(s.backends[1])
 	s.cut[s.backends[2]] = false
-	s.request(s.backends[2])
-	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "a connection was opened")
-	s.request(s.backends[0])
+	s.dial(s.backends[2])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Direct), "a connection was opened")
+	s.fail(s.backends[0])
 	s.now = s.now.Add(3 * time.Second)
-	s.request(s.backends[1])
-	g.Expect(s.tracker.LinkIsDoubtful()).To(BeFalse(), "the first failure is old")
+	s.fail(s.backends[1])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Direct), "the first failure is old")
+	s.fail(s.backends[0])
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Tunnel))
+	s.alone = true
+	g.Expect(s.tracker.Choose(s.backends[5])).To(Equal(backendpath.Direct), "there is no other path")
 }
 
 // TestTunnelsEndSoonAfterTheLinkHasRecovered bounds how long tunnels outlast their cause.
--- a/router/linkmonitor.go
+++ b/router/linkmonitor.go
@@ -55,7 +55,7 @@
 func (r *Router) checkLink(ctx context.Context, address string) {
 	r.metrics.Add("link_checks", 1)
 	conn, err := r.dialect.DialDirect(ctx, address)
-	if err != nil && r.tunnels.tracker.Choose(address) == backendpath.Direct {
+	if err != nil && r.tunnels.tracker.FaultIsUnconfirmed(address) {
 		conn, err = r.dialect.DialTunnel(ctx, address)
 	}
 	if err == nil {
--- a/router/tunnelserver.go
+++ b/router/tunnelserver.go
@@ -31,8 +31,7 @@
 
 // serveTunnel connects to a backend for another node. It never uses a tunnel itself.
 func (r *Router) serveTunnel(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel ||
-		r.tunnels.tracker.LinkIsDoubtful() {
+	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
 		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
 	}
 	if r.tunnels.served.Add(1) > maxServedTunnels {
