Log lines of broken requests name the parts of their prompts

The log names the content of each request that was broken off; the contents all differ, and nothing says what the requests have in common.

The line of a broken request names them by digest, and whether the backend had begun its response. No decision changes.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,6 +24,11 @@
 	return *x.content
 }
 
+// parts returns the shared parts of the request's prompt.
+func (x *exchange) parts() []quarantine.Part {
+	return quarantine.NewParts(x.request.Tenant, x.request.Generation.SharedParts)
+}
+
 // checkSendable returns an error if the request must not be sent any more: its deadline has passed, or it
 // has crashed too many backends. It is called before each send for two reasons: another node may have
 // recorded the last crash while the request waited, and the timer of the request's context stops while the
@@ -48,14 +53,16 @@
 }
 
 // reportBreak records that a backend broke off the request. The age is the time since the request was sent
-// there. A backend that has terminated counts against the request; a broken connection does not, nor does the
+// there, and written is set if the backend had begun to write its response. A backend that has terminated counts against the request; a broken connection does not, nor does the
 // termination of a backend that was leaving. If no crash is attributed to the request yet, the check runs in
 // the background: this crash cannot be the one that quarantines the request.
-func (x *exchange) reportBreak(ctx context.Context, entry *backend.Entry, age time.Duration) {
+func (x *exchange) reportBreak(ctx context.Context, entry *backend.Entry, age time.Duration, written bool) {
 	if entry.LeavingFor() > 0 {
 		return
 	}
-	broken := brokenRequest{request: x.request.ID, service: x.service, content: x.fingerprint(), backend: entry.Backend(), age: age}
+	broken := brokenRequest{
+		request: x.request.ID, service: x.service, content: x.fingerprint(), parts: x.parts(), backend: entry.Backend(), age: age, written: written,
+	}
 	if tracker := x.handler.options.Quarantine; tracker != nil && tracker.Status(broken.content).Crashes > 0 {
 		x.handler.recordBreak(ctx, broken)
 		return
@@ -67,9 +74,13 @@
 type brokenRequest struct {
 	request, service string
 	content          quarantine.Fingerprint
-	backend          backend.Backend
+	// parts are the shared parts of its prompt.
+	parts   []quarantine.Part
+	backend backend.Backend
 	// age is the time since the request was sent to the backend.
 	age time.Duration
+	// written is set if the backend had begun to write its response.
+	written bool
 }
 
 // recordBreak checks whether the backend has terminated and reports the crash.
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -48,7 +48,7 @@
 		if err != nil && contextFailure(ctx) == nil && !isReason(err, ReasonCallerDisconnected) {
 			reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
 			x.handler.logWasted(x, reserved.entry.Backend().ID, wasteStreamBroken)
-			x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent))
+			x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent), reserved.events > 0)
 		}
 		reserved.close(err == nil, stream.events, profile.EventTokens)
 		if err == nil || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected) {
@@ -204,7 +204,7 @@
 	if errors.Is(err, ErrNotSent) {
 		return &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
-	x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent))
+	x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent), false)
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
@@ -295,7 +295,7 @@
 			x.handler.logWasted(x, entry.Backend().ID, wastePrefillTimeout)
 		}
 		if !errors.Is(err, ErrNotSent) {
-			x.reportBreak(ctx, entry, time.Since(sent))
+			x.reportBreak(ctx, entry, time.Since(sent), false)
 		}
 		return nil, err
 	case result == nil && response.Misdirected:
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -113,9 +113,23 @@
 	h.options.Metrics.Add("requests_broken_off", 1)
 	h.options.Logger.Info("back end broke request off", "request", broken.request, "content", broken.content.String(),
 		"service", broken.service, "backend", broken.backend.ID, "crashed", crashed, "age_ms", broken.age.Milliseconds(),
+		"written", broken.written, "parts", partNames(broken.parts),
 		"crashes", quarantineStatus.Crashes, "quarantined", quarantineStatus.Quarantined > 0)
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partNames returns the fingerprints of the first parts of a prompt, as logged.
+func partNames(parts []quarantine.Part) []string {
+	parts = parts[:min(len(parts), maxLoggedParts)]
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = part.Shared.String()
+	}
+	return names
+}
+
 // logUncoordinated logs a request for which this node chooses engines without a coordinator.
 func (h *Handler) logUncoordinated(x *exchange, err error) {
 	h.options.Metrics.Add("coordinator_missed", 1)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -38,6 +38,8 @@
 	ExpectedOutputTokens int
 	// LastEventID is the last event that the caller has received, if it resumes a stream.
 	LastEventID string
+	// SharedParts identify the parts of the prompt that other requests may have too, in their order.
+	SharedParts []string
 	// Resumes identifies the attempt that brought the caller the first event of the stream that it resumes; empty if
 	// it resumes none, or does not state that attempt.
 	Resumes string
--- /dev/null
+++ b/quarantine/part.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import "crypto/sha256"
+
+// maxParts bounds the parts of a prompt that count, in their order. Prompts of the supported deployments have four.
+const maxParts = 32
+
+// Part identifies a part of a prompt that many requests may share.
+type Part struct {
+	// Shared identifies the part whoever sends it, and Own the part as one tenant sends it.
+	Shared, Own Fingerprint
+}
+
+// NewParts returns the parts of a tenant's prompt by their identifiers. Parts beyond the bound do not count.
+func NewParts(tenant string, identifiers []string) []Part {
+	identifiers = identifiers[:min(len(identifiers), maxParts)]
+	parts := make([]Part, len(identifiers))
+	for i, identifier := range identifiers {
+		parts[i] = Part{Shared: fingerprintOf("part", identifier), Own: fingerprintOf("part of a tenant", tenant, identifier)}
+	}
+	return parts
+}
+
+// fingerprintOf returns the fingerprint of a kind of content and its elements.
+func fingerprintOf(kind string, elements ...string) Fingerprint {
+	digest := sha256.New()
+	writePart(digest, []byte(kind))
+	for _, element := range elements {
+		writePart(digest, []byte(element))
+	}
+	var fingerprint Fingerprint
+	copy(fingerprint[:], digest.Sum(nil))
+	return fingerprint
+}
