Requests are kept from engines by the part of their prompts that crashes them

Cause: crashes are counted by the whole content of a request, and these requests have only a part of their prompts in common. Nothing read the parts. Class: the identity by which harm is counted is not the one by which it recurs.

Change: a node reports with each crash the parts of the requests that were broken off and of which it has seen no answer within a minute. The quarantine coordinator blames the parts that explain the crashes best: those in few requests at each of many crashes; parts that were in the same requests are blamed together, and what is explained counts against no other part. A suspected part is announced; nodes that know an answer with it say so. Three crashes quarantine for 30 s, five, or three that nothing else explains, for an hour, by the records, archive and logs of whole contents. Answers count by tenant, crashes for all. A node without a coordinator, or with one of an earlier build, decides by its own evidence; earlier builds take the records for those of a content that nobody sends.

--- a/completion/quarantine.go
+++ b/completion/quarantine.go
@@ -21,6 +21,9 @@
 	})
 }
 
+// subject returns what the request may be held responsible by. Its prompt is not divided into parts.
+func (r *run) subject() quarantine.Subject { return quarantine.Subject{Content: r.fingerprint()} }
+
 // checkQuarantine returns the rejection of a request that has crashed too many
 // engines. It is called before each attempt.
 func (r *run) checkQuarantine() error {
@@ -28,7 +31,7 @@
 	if tracker == nil || tracker.Empty() {
 		return nil
 	}
-	left := tracker.Status(r.fingerprint()).Quarantined
+	left := tracker.Status(r.subject()).Quarantined
 	if left == 0 {
 		return nil
 	}
@@ -53,12 +56,12 @@
 		return
 	}
 	r.event("engine-ended", name, r.fingerprint().String())
-	tracker.Crashed(ctx, r.fingerprint(), name+"/"+r.engineAttempt().String())
+	tracker.Crashed(ctx, quarantine.Crash{Request: r.subject(), Backend: name + "/" + r.engineAttempt().String()})
 }
 
 // recordAnswered records that the request has been answered completely.
 func (r *run) recordAnswered() {
 	if tracker := r.service.options.Quarantine; tracker != nil && !tracker.Empty() {
-		tracker.Answered(r.fingerprint())
+		tracker.Answered(r.subject())
 	}
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -24,9 +24,17 @@
 	return *x.content
 }
 
-// parts returns the shared parts of the request's prompt.
+// subject returns what the request may be held responsible by.
+func (x *exchange) subject() quarantine.Subject {
+	return quarantine.Subject{Content: x.fingerprint(), Parts: x.parts()}
+}
+
+// parts returns the shared parts of the request's prompt. They are computed once.
 func (x *exchange) parts() []quarantine.Part {
-	return quarantine.NewParts(x.request.Tenant, x.request.Generation.SharedParts)
+	if x.promptParts == nil && len(x.request.Generation.SharedParts) > 0 {
+		x.promptParts = quarantine.NewParts(x.request.Tenant, x.request.Generation.SharedParts)
+	}
+	return x.promptParts
 }
 
 // checkSendable returns an error if the request must not be sent any more: its deadline has passed, or it
@@ -46,8 +54,9 @@
 	if tracker == nil || tracker.Empty() {
 		return nil
 	}
-	if left := tracker.Status(x.fingerprint()).Quarantined; left > 0 {
-		return notRun(ReasonQuarantined, left, nil)
+	if status := tracker.Status(x.subject()); status.Quarantined > 0 {
+		x.quarantinedBy = status.Record
+		return notRun(ReasonQuarantined, status.Quarantined, nil)
 	}
 	return nil
 }
@@ -61,9 +70,9 @@
 		return
 	}
 	broken := brokenRequest{
-		request: x.request.ID, service: x.service, content: x.fingerprint(), parts: x.parts(), backend: entry.Backend(), age: age, written: written,
+		request: x.request.ID, service: x.service, subject: x.subject(), backend: entry.Backend(), age: age, written: written,
 	}
-	if tracker := x.handler.options.Quarantine; tracker != nil && tracker.Status(broken.content).Crashes > 0 {
+	if tracker := x.handler.options.Quarantine; tracker != nil && tracker.Status(broken.subject).Crashes > 0 {
 		x.handler.recordBreak(ctx, broken)
 		return
 	}
@@ -73,10 +82,8 @@
 // brokenRequest is a request that a backend broke off.
 type brokenRequest struct {
 	request, service string
-	content          quarantine.Fingerprint
-	// parts are the shared parts of its prompt.
-	parts   []quarantine.Part
-	backend backend.Backend
+	subject          quarantine.Subject
+	backend          backend.Backend
 	// age is the time since the request was sent to the backend.
 	age time.Duration
 	// written is set if the backend had begun to write its response.
@@ -90,7 +97,9 @@
 	var quarantineStatus quarantine.Status
 	crashed := h.options.Dialect.Ended(ctx, broken.backend)
 	if tracker := h.options.Quarantine; crashed && tracker != nil {
-		quarantineStatus = tracker.Crashed(ctx, broken.content, broken.backend.ID)
+		quarantineStatus = tracker.Crashed(ctx, quarantine.Crash{
+			Request: broken.subject, Backend: broken.backend.ID, Written: broken.written,
+		})
 	}
 	h.logBreak(broken, crashed, quarantineStatus)
 }
@@ -100,8 +109,12 @@
 // one.
 func (x *exchange) recordAnswered() {
 	tracker := x.handler.options.Quarantine
-	if tracker == nil || tracker.Empty() {
+	if tracker == nil {
 		return
 	}
-	tracker.Answered(x.fingerprint())
+	answered := quarantine.Subject{Parts: x.parts()}
+	if !tracker.Empty() {
+		answered.Content = x.fingerprint()
+	}
+	tracker.Answered(answered)
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -234,6 +234,10 @@
 	status int
 	// content is the fingerprint of the request; nil until it has been computed.
 	content *quarantine.Fingerprint
+	// promptParts are the shared parts of the request's prompt; nil until they have been computed.
+	promptParts []quarantine.Part
+	// quarantinedBy is the name of the record for which the request was rejected.
+	quarantinedBy quarantine.Fingerprint
 	// clientRetry is the evidence that the caller was rejected before.
 	clientRetry clientRetryEvidence
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -68,7 +68,7 @@
 		attributes = append(attributes, h.options.Freshness().attributes()...)
 	}
 	if final.reason == ReasonQuarantined {
-		attributes = append(attributes, "content", x.fingerprint().String())
+		attributes = append(attributes, "content", x.fingerprint().String(), "record", x.quarantinedBy.String(), "parts", partNames(x.parts()))
 	}
 	if final.reason == ReasonOverloaded {
 		attributes = append(attributes, "admitted_share", x.admission.Share, "plan_age_ms", x.admission.PlanAge.Milliseconds())
@@ -111,9 +111,9 @@
 // quarantine status of the request.
 func (h *Handler) logBreak(broken brokenRequest, crashed bool, quarantineStatus quarantine.Status) {
 	h.options.Metrics.Add("requests_broken_off", 1)
-	h.options.Logger.Info("back end broke request off", "request", broken.request, "content", broken.content.String(),
+	h.options.Logger.Info("back end broke request off", "request", broken.request, "content", broken.subject.Content.String(),
 		"service", broken.service, "backend", broken.backend.ID, "crashed", crashed, "age_ms", broken.age.Milliseconds(),
-		"written", broken.written, "parts", partNames(broken.parts),
+		"written", broken.written, "parts", partNames(broken.subject.Parts),
 		"crashes", quarantineStatus.Crashes, "quarantined", quarantineStatus.Quarantined > 0)
 }
 
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -20,6 +20,8 @@
 	// reloadInterval is how often the store's objects are read: an operator ends a quarantine by removing its
 	// object. One call a minute over the whole fleet.
 	reloadInterval = time.Minute
+	// rewriteAfter is how much longer a quarantine must have become to be written again.
+	rewriteAfter = 10 * time.Second
 )
 
 // Archive persists a coordinator's quarantines in the platform's store, so that they survive the loss of all
@@ -39,8 +41,9 @@
 	epoch int64
 	// unreadable is set while the store's objects cannot be read.
 	unreadable bool
-	// versions are those of the store's objects, by name.
+	// versions are those of the store's objects, by name, and ends when their quarantines end.
 	versions map[string]int64
+	ends     map[string]time.Time
 }
 
 // NewArchive returns an archive that has read nothing.
@@ -99,14 +102,14 @@
 		return errors.Wrap(err, "list quarantines")
 	}
 	before, epoch := a.versions, objectapi.EpochOf(revision)
-	a.versions = map[string]int64{}
+	a.versions, a.ends = map[string]int64{}, map[string]time.Time{}
 	for _, object := range objects {
 		earlier, err := DecodeRecord(a.wall(), object.Name, object.Spec)
 		if err != nil {
 			a.logger.Error("quarantine object rejected", "name", object.Name, "error", err.Error())
 			continue
 		}
-		a.versions[object.Name] = object.Version
+		a.versions[object.Name], a.ends[object.Name] = object.Version, a.wall().Add(earlier.Quarantined)
 		if earlier.Quarantined > 0 {
 			a.coordinator.Restore(earlier)
 		}
@@ -129,18 +132,20 @@
 	}
 }
 
-// write writes a quarantine, unless it is in the store already.
+// write writes a quarantine, unless it is in the store already with about the same end.
 func (a *Archive) write(ctx context.Context, active Announcement) error {
 	name, spec, err := EncodeRecord(a.wall(), active)
 	if err != nil {
 		return err
 	}
-	if _, stored := a.versions[name]; stored {
+	version, stored := a.versions[name]
+	ends := a.wall().Add(active.Quarantined)
+	if stored && ends.Sub(a.ends[name]) < rewriteAfter {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	written, err := a.store.Put(ctx, objectapi.Object{Kind: Kind, Name: name, Spec: spec})
+	written, err := a.store.Put(ctx, objectapi.Object{Kind: Kind, Name: name, Version: version, Spec: spec})
 	if errors.Is(err, objectapi.ErrConflict) {
 		// An earlier coordinator has written it, or this one without receiving the response.
 		a.loaded = false
@@ -149,7 +154,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write quarantine")
 	}
-	a.versions[name] = written.Version
+	a.versions[name], a.ends[name] = written.Version, ends
 	return nil
 }
 
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -58,6 +58,17 @@
 	answered []Fingerprint
 	// received holds the status of requests as the coordinator sent or announced it.
 	received map[Fingerprint]receivedStatus
+	// parts counts the crashes of parts that this node saw, and decides while no coordinator counts them. It also holds the
+	// answers that this node saw.
+	parts *partTable
+	// groups are the groups of parts that the coordinator has announced, by name.
+	groups map[Fingerprint]receivedGroup
+	// answeredParts are the suspected parts whose answers have not been reported to the coordinator.
+	answeredParts map[Part]time.Duration
+	// reportedParts are the parts that this node has reported as present at a crash, and not as answered since.
+	reportedParts map[Part]bool
+	// partsCoordinated is set while a coordinator that counts the crashes of parts answers.
+	partsCoordinated bool
 	// coordinator is the address of the coordinator at the last check.
 	coordinator string
 	// needsAll is set while this node has not received all announcements of that coordinator.
@@ -81,7 +92,10 @@
 	if options.BecameCoordinator == nil {
 		options.BecameCoordinator = func(context.Context) {}
 	}
-	client := &Client{options: options, local: NewTable(), evidence: map[Fingerprint][]*localEvidence{}, received: map[Fingerprint]receivedStatus{}}
+	client := &Client{
+		options: options, local: NewTable(), evidence: map[Fingerprint][]*localEvidence{}, received: map[Fingerprint]receivedStatus{},
+		parts: newPartTable(), groups: map[Fingerprint]receivedGroup{}, answeredParts: map[Part]time.Duration{}, reportedParts: map[Part]bool{},
+	}
 	// Evidence is removed with its entry in the table: otherwise callers with a new body each time would fill
 	// the memory while no coordinator is chosen.
 	client.local.onForget = func(request Fingerprint) { delete(client.evidence, request) }
@@ -92,42 +106,55 @@
 func (c *Client) Empty() bool { return !c.hasRecords.Load() }
 
 // Status returns the quarantine status of a request, from this node's records and those received.
-func (c *Client) Status(request Fingerprint) Status {
+func (c *Client) Status(request Subject) Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.status(request)
+	content, parts := c.contentStatus(request.Content), c.partStatus(request.Parts)
+	if parts.Quarantined > content.Quarantined {
+		content.Quarantined, content.Record = parts.Quarantined, parts.Record
+	}
+	content.Crashes = max(content.Crashes, parts.Crashes)
+	return content
 }
 
-// status is Status with the lock held.
-func (c *Client) status(request Fingerprint) Status {
+// contentStatus returns the status of a request by its content; the lock is held.
+func (c *Client) contentStatus(request Fingerprint) Status {
 	now := c.options.Now()
 	local, received := c.local.Status(now, request), c.received[request]
 	return Status{
 		Crashes:     max(local.Crashes, received.crashes),
 		Quarantined: max(local.Quarantined, received.quarantinedUntil-now, 0),
+		Record:      request,
 	}
 }
 
-// Crashed records that a backend incarnation ended with a request in flight, reports it to the coordinator, and
-// returns the request's status.
-func (c *Client) Crashed(ctx context.Context, request Fingerprint, backend string) Status {
+// Crashed records that a backend ended with a request in flight, reports it to the coordinator, and returns the request's
+// status.
+func (c *Client) Crashed(ctx context.Context, crash Crash) Status {
 	c.mu.Lock()
 	now := c.options.Now()
-	added := &localEvidence{Evidence: Evidence{Request: request, Backend: backend, At: now}}
+	request, backend := crash.Request.Content, crash.Backend
+	added := &localEvidence{Evidence: Evidence{
+		Request: request, Backend: backend, At: now, Parts: c.unansweredParts(now, crash.Request.Parts), Written: crash.Written,
+	}}
 	c.local.Add(now, request, backend)
+	c.parts.add(now, backend, request, added.Parts, added.Written)
+	c.noteReported(added.Parts)
 	c.evidence[request] = append(c.evidence[request], added)
 	c.hasRecords.Store(true)
 	c.mu.Unlock()
 	c.deliver(ctx, pendingReport{evidence: []*localEvidence{added}}, crashTimeout)
-	return c.Status(request)
+	return c.Status(crash.Request)
 }
 
 // Answered records that a backend has answered a request to its end: the request does not crash every backend that
 // runs it.
-func (c *Client) Answered(request Fingerprint) {
+func (c *Client) Answered(answered Subject) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.status(request).Crashes == 0 {
+	c.partsAnswered(answered.Parts)
+	request := answered.Content
+	if c.contentStatus(request).Crashes == 0 {
 		return
 	}
 	c.local.Answered(request)
@@ -149,7 +176,12 @@
 func (c *Client) Announced(announcement Announcement) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(announcement.Parts) > 0 {
+		c.receiveGroup(announcement)
+		return
+	}
 	if !announcement.Status().Suspect() {
+		delete(c.groups, announcement.Request)
 		c.local.Answered(announcement.Request)
 		delete(c.received, announcement.Request)
 		delete(c.evidence, announcement.Request)
@@ -213,12 +245,14 @@
 type pendingReport struct {
 	evidence []*localEvidence
 	answered []Fingerprint
-	all      bool
+	// answeredParts are suspected parts that have been answered.
+	answeredParts []answeredPart
+	all           bool
 }
 
 // report returns the report in the form that is sent.
 func (p pendingReport) report() report {
-	reported := report{answered: p.answered, all: p.all}
+	reported := report{answered: p.answered, answeredParts: p.answeredParts, all: p.all}
 	for _, crash := range p.evidence {
 		reported.evidence = append(reported.evidence, crash.Evidence)
 	}
@@ -238,7 +272,11 @@
 	}
 	unreported.all = c.needsAll
 	unreported.answered, c.answered = c.answered, nil
-	return unreported, unreported.all || len(unreported.evidence)+len(unreported.answered) > 0
+	for part, at := range c.answeredParts {
+		unreported.answeredParts = append(unreported.answeredParts, answeredPart{part, at})
+	}
+	clear(c.answeredParts)
+	return unreported, unreported.all || len(unreported.evidence)+len(unreported.answered)+len(unreported.answeredParts) > 0
 }
 
 // expire removes expired crashes and received statuses.
@@ -253,7 +291,9 @@
 			delete(c.received, request)
 		}
 	}
-	c.hasRecords.Store(!c.local.Empty() || len(c.received) > 0)
+	c.expireGroups(now)
+	c.parts.evaluate(now)
+	c.hasRecords.Store(!c.local.Empty() || len(c.received) > 0 || !c.parts.isEmpty() || len(c.groups) > 0)
 }
 
 // deliver sends a report to the coordinator, possibly this node, and applies the response. What was not delivered
@@ -261,12 +301,12 @@
 func (c *Client) deliver(ctx context.Context, unreported pendingReport, timeout time.Duration) {
 	address, found := c.options.Coordinators.Coordinator(Scope)
 	if !found {
-		c.requeueAnswered(unreported.answered)
+		c.requeueAnswered(unreported)
 		return
 	}
 	response, err := c.send(ctx, address, unreported.report(), timeout)
 	if err != nil {
-		c.requeueAnswered(unreported.answered)
+		c.requeueAnswered(unreported)
 		if ctx.Err() == nil {
 			c.options.Coordinators.Missed(address, err)
 		}
@@ -274,6 +314,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.partsCoordinated = response.countsParts
 	if unreported.all && address == c.coordinator {
 		c.needsAll = false
 	}
@@ -284,15 +325,23 @@
 		}
 	}
 	for _, announcement := range response.announced {
+		if len(announcement.Parts) > 0 {
+			c.receiveGroup(announcement)
+			continue
+		}
 		c.receive(announcement.Request, announcement.Status())
 	}
 }
 
-// requeueAnswered queues answered requests that no coordinator has received.
-func (c *Client) requeueAnswered(answered []Fingerprint) {
+// requeueAnswered queues what no coordinator has received of a report.
+func (c *Client) requeueAnswered(unreported pendingReport) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queueAnswered(answered...)
+	c.partsCoordinated = false
+	c.queueAnswered(unreported.answered...)
+	for _, answered := range unreported.answeredParts {
+		c.queueAnsweredPart(answered)
+	}
 }
 
 // send sends a report to a coordinator, possibly this node.
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -21,6 +21,10 @@
 	Backends []string
 	// Quarantined is how long the request is still quarantined; zero if it is not.
 	Quarantined time.Duration
+	// Parts are set if the announcement is of all requests whose prompts have all of these parts; Request is a name then.
+	Parts []Fingerprint
+	// Exempt are parts, as tenants send them, that backends have answered: requests with one of them are not meant.
+	Exempt []Fingerprint
 }
 
 // Status returns the status that the announcement carries.
@@ -38,11 +42,17 @@
 	table *Table
 	// announced is the last announced status of each request, unless the announcement has been revoked.
 	announced map[Fingerprint]receivedStatus
+	// parts counts the crashes of parts of prompts, and announcedGroups are the announced groups of them.
+	parts           *partTable
+	announcedGroups map[Fingerprint]announcedGroup
 }
 
 // NewCoordinator returns a coordinator without records.
 func NewCoordinator(options CoordinatorOptions) *Coordinator {
-	return &Coordinator{options: options, table: NewTable(), announced: map[Fingerprint]receivedStatus{}}
+	return &Coordinator{
+		options: options, table: NewTable(), announced: map[Fingerprint]receivedStatus{},
+		parts: newPartTable(), announcedGroups: map[Fingerprint]announcedGroup{},
+	}
 }
 
 // handle applies a node's report and returns the response.
@@ -54,10 +64,14 @@
 		c.table.Answered(request)
 		c.announce(now, request)
 	}
-	response := reportResponse{statuses: make([]Status, len(reported.evidence))}
+	for _, answered := range reported.answeredParts {
+		c.parts.noteAnswered(answered)
+	}
+	response := reportResponse{statuses: make([]Status, len(reported.evidence)), countsParts: true}
 	for i, evidence := range reported.evidence {
 		if now-evidence.At < evidenceLifetime {
 			c.table.Add(evidence.At, evidence.Request, evidence.Backend)
+			c.parts.add(evidence.At, evidence.Backend, evidence.Request, evidence.Parts, evidence.Written)
 		}
 		c.announce(now, evidence.Request)
 		response.statuses[i] = c.table.Status(now, evidence.Request)
@@ -66,6 +80,7 @@
 		for request := range c.announced {
 			response.announced = append(response.announced, c.announcement(now, request))
 		}
+		response.announced = append(response.announced, c.parts.announcements(now)...)
 	}
 	return response
 }
@@ -76,6 +91,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
+	if len(earlier.Parts) > 0 {
+		c.parts.restore(now, earlier)
+		c.announcedGroups[earlier.Request] = announcedGroupOf(now, earlier)
+		return
+	}
 	c.table.Restore(now, earlier)
 	c.announced[earlier.Request] = c.table.announcedStatus(now, earlier.Request)
 }
@@ -85,6 +105,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
+	if len(earlier.Parts) > 0 {
+		c.parts.restore(now, earlier)
+		c.announceGroups(now)
+		return
+	}
 	c.table.Restore(now, earlier)
 	c.announce(now, earlier.Request)
 }
@@ -93,11 +118,14 @@
 func (c *Coordinator) End(request Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.options.Now()
 	c.table.Answered(request)
-	c.announce(c.options.Now(), request)
+	c.announce(now, request)
+	c.parts.end(now, request)
 }
 
-// Expire removes expired records, and revokes their announcements.
+// Expire removes expired records, determines which parts of prompts are quarantined, and announces what has changed. It
+// must be called at short intervals.
 func (c *Coordinator) Expire() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,6 +134,8 @@
 	for request := range c.announced {
 		c.announce(now, request)
 	}
+	c.parts.evaluate(now)
+	c.announceGroups(now)
 }
 
 // Quarantined returns the quarantined requests.
@@ -117,9 +147,49 @@
 	for _, request := range c.table.Quarantined(now) {
 		quarantined = append(quarantined, c.announcement(now, request))
 	}
+	for _, group := range c.parts.announcements(now) {
+		if group.Quarantined > 0 {
+			quarantined = append(quarantined, group)
+		}
+	}
 	return quarantined
 }
 
+// announcedGroup is what was last announced of a group of parts.
+type announcedGroup struct {
+	crashes, exempt  int
+	quarantinedUntil time.Duration
+}
+
+func announcedGroupOf(now time.Duration, announcement Announcement) announcedGroup {
+	announced := announcedGroup{crashes: len(announcement.Backends), exempt: len(announcement.Exempt)}
+	if announcement.Quarantined > 0 {
+		announced.quarantinedUntil = now + announcement.Quarantined
+	}
+	return announced
+}
+
+// announceGroups announces the groups of parts that have changed; the lock is held. Nodes detect the end of a quarantine
+// themselves.
+func (c *Coordinator) announceGroups(now time.Duration) {
+	current := map[Fingerprint]bool{}
+	for _, announcement := range c.parts.announcements(now) {
+		current[announcement.Request] = true
+		next, previous := announcedGroupOf(now, announcement), c.announcedGroups[announcement.Request]
+		if next.crashes == previous.crashes && next.exempt == previous.exempt && next.quarantinedUntil <= previous.quarantinedUntil {
+			continue
+		}
+		c.announcedGroups[announcement.Request] = next
+		c.options.Announce(announcement)
+	}
+	for name := range c.announcedGroups {
+		if !current[name] {
+			delete(c.announcedGroups, name)
+			c.options.Announce(Announcement{Request: name})
+		}
+	}
+}
+
 // announcement returns a request's current record; the lock is held.
 func (c *Coordinator) announcement(now time.Duration, request Fingerprint) Announcement {
 	return Announcement{
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -35,6 +35,8 @@
 	Crashes int
 	// Quarantined is how long the request is still quarantined; zero if it is not.
 	Quarantined time.Duration
+	// Record is the name of the record that quarantines the request; zero if none does.
+	Record Fingerprint
 }
 
 // Suspect reports whether the request is announced to all nodes.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -7,12 +7,28 @@
 	// Empty reports that there is no record of any request.
 	Empty() bool
 	// Status returns the quarantine status of a request.
-	Status(request Fingerprint) Status
-	// Crashed records that a backend incarnation ended with a request in flight, and returns the request's
-	// status.
-	Crashed(ctx context.Context, request Fingerprint, backend string) Status
+	Status(request Subject) Status
+	// Crashed records that a backend ended with a request in flight, and returns the request's status.
+	Crashed(ctx context.Context, crash Crash) Status
 	// Answered records that a backend has answered a request to its end.
-	Answered(request Fingerprint)
+	Answered(request Subject)
+}
+
+// Subject is what a request may be held responsible by.
+type Subject struct {
+	// Content identifies the whole request; zero if that has not been computed because there is no record of any request.
+	Content Fingerprint
+	// Parts are the parts of its prompt that other requests may have too; none for requests without a prompt.
+	Parts []Part
+}
+
+// Crash is the end of a backend with a request in flight.
+type Crash struct {
+	Request Subject
+	// Backend is the incarnation of the backend.
+	Backend string
+	// Written is set if the backend had begun to write its response to the request.
+	Written bool
 }
 
 var _ Tracker = (*Client)(nil)
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -14,12 +14,24 @@
 	Backend string
 	// At is when the crash was noticed, by the clock of the node that holds the evidence.
 	At time.Duration
+	// Parts are the parts of the request's prompt of which the node knows no answer.
+	Parts []Part
+	// Written is set if the backend had begun to write the response.
+	Written bool
+}
+
+// answeredPart is a part of a prompt, and when a backend last answered it.
+type answeredPart struct {
+	part Part
+	at   time.Duration
 }
 
 // report is what a node reports to the coordinator.
 type report struct {
 	evidence []Evidence
 	answered []Fingerprint
+	// answeredParts are suspected parts of prompts that backends have answered.
+	answeredParts []answeredPart
 	// all is set by a node that requests all announcements.
 	all bool
 }
@@ -30,6 +42,8 @@
 	statuses []Status
 	// announced are all announcements, for a node that requested them.
 	announced []Announcement
+	// countsParts is set by a coordinator that counts the crashes of parts of prompts.
+	countsParts bool
 }
 
 func encodeReport(now time.Duration, reported report) *peerpb.ReportCrashes {
@@ -37,6 +51,12 @@
 	for _, evidence := range reported.evidence {
 		encoded.Evidence = append(encoded.Evidence, &peerpb.CrashEvidence{
 			Request: evidence.Request[:], Backend: evidence.Backend, AgeMs: (now - evidence.At).Milliseconds(),
+			Parts: encodeParts(evidence.Parts), Written: evidence.Written,
+		})
+	}
+	for _, answered := range reported.answeredParts {
+		encoded.AnsweredParts = append(encoded.AnsweredParts, &peerpb.AnsweredPart{
+			Part: encodeParts([]Part{answered.part})[0], AgeMs: (now - answered.at).Milliseconds(),
 		})
 	}
 	for _, request := range reported.answered {
@@ -54,7 +74,16 @@
 			continue
 		}
 		age := peer.Millis(max(0, evidence.GetAgeMs()))
-		reported.evidence = append(reported.evidence, Evidence{Request: request, Backend: evidence.GetBackend(), At: now - age})
+		reported.evidence = append(reported.evidence, Evidence{
+			Request: request, Backend: evidence.GetBackend(), At: now - age,
+			Parts: decodeParts(evidence.GetParts()), Written: evidence.GetWritten(),
+		})
+	}
+	for _, answered := range encoded.GetAnsweredParts() {
+		for _, part := range decodeParts([]*peerpb.PromptPart{answered.GetPart()}) {
+			age := peer.Millis(max(0, answered.GetAgeMs()))
+			reported.answeredParts = append(reported.answeredParts, answeredPart{part: part, at: now - age})
+		}
 	}
 	for _, name := range encoded.GetAnswered() {
 		if request, valid := fromBytes(name); valid {
@@ -65,7 +94,7 @@
 }
 
 func encodeReportResponse(response reportResponse) *peerpb.CrashStandings {
-	encoded := &peerpb.CrashStandings{}
+	encoded := &peerpb.CrashStandings{CountsParts: response.countsParts}
 	for _, status := range response.statuses {
 		encoded.Standings = append(encoded.Standings, &peerpb.CrashStanding{
 			Crashes: int32(status.Crashes), QuarantinedMs: status.Quarantined.Milliseconds(),
@@ -78,7 +107,7 @@
 }
 
 func decodeReportResponse(encoded *peerpb.CrashStandings) reportResponse {
-	var response reportResponse
+	response := reportResponse{countsParts: encoded.GetCountsParts()}
 	for _, status := range encoded.GetStandings() {
 		response.statuses = append(response.statuses, Status{
 			Crashes: int(status.GetCrashes()), Quarantined: peer.Millis(status.GetQuarantinedMs()),
@@ -94,12 +123,56 @@
 
 // EncodeAnnouncement returns an announcement as a message between nodes.
 func EncodeAnnouncement(announcement Announcement) *peerpb.CrashAnnouncement {
-	return &peerpb.CrashAnnouncement{Request: announcement.Request[:], Backends: announcement.Backends, QuarantinedMs: announcement.Quarantined.Milliseconds()}
+	return &peerpb.CrashAnnouncement{
+		Request: announcement.Request[:], Backends: announcement.Backends, QuarantinedMs: announcement.Quarantined.Milliseconds(),
+		Parts: encodeFingerprints(announcement.Parts), Exempt: encodeFingerprints(announcement.Exempt),
+	}
 }
 
 func decodeAnnouncement(encoded *peerpb.CrashAnnouncement) (Announcement, bool) {
 	request, valid := fromBytes(encoded.GetRequest())
 	return Announcement{
 		Request: request, Backends: encoded.GetBackends(), Quarantined: min(max(0, peer.Millis(encoded.GetQuarantinedMs())), quarantineDuration),
+		Parts: decodeFingerprints(encoded.GetParts()), Exempt: decodeFingerprints(encoded.GetExempt()),
 	}, valid
 }
+
+func encodeFingerprints(fingerprints []Fingerprint) [][]byte {
+	var encoded [][]byte
+	for _, fingerprint := range fingerprints {
+		encoded = append(encoded, fingerprint[:])
+	}
+	return encoded
+}
+
+// decodeFingerprints skips invalid fingerprints.
+func decodeFingerprints(encoded [][]byte) []Fingerprint {
+	var fingerprints []Fingerprint
+	for _, bytes := range encoded {
+		if fingerprint, valid := fromBytes(bytes); valid {
+			fingerprints = append(fingerprints, fingerprint)
+		}
+	}
+	return fingerprints
+}
+
+func encodeParts(parts []Part) []*peerpb.PromptPart {
+	var encoded []*peerpb.PromptPart
+	for _, part := range parts {
+		encoded = append(encoded, &peerpb.PromptPart{Shared: part.Shared[:], Own: part.Own[:]})
+	}
+	return encoded
+}
+
+// decodeParts skips invalid parts.
+func decodeParts(encoded []*peerpb.PromptPart) []Part {
+	var parts []Part
+	for _, part := range encoded {
+		shared, validShared := fromBytes(part.GetShared())
+		own, validOwn := fromBytes(part.GetOwn())
+		if validShared && validOwn {
+			parts = append(parts, Part{Shared: shared, Own: own})
+		}
+	}
+	return parts
+}
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -70,7 +70,17 @@
 	}
 	r.quarantines.Announced(announcement)
 	r.options.Logger.Info("request standing", "content", object.Name, "crashes", len(announcement.Backends), "backends", announcement.Backends,
-		"quarantined_ms", announcement.Quarantined.Milliseconds(), "source", string(change.Source))
+		"quarantined_ms", announcement.Quarantined.Milliseconds(), "parts", fingerprintNames(announcement.Parts),
+		"exempt", len(announcement.Exempt), "source", string(change.Source))
+}
+
+// fingerprintNames returns the names of fingerprints, as logged.
+func fingerprintNames(fingerprints []quarantine.Fingerprint) []string {
+	names := make([]string, len(fingerprints))
+	for i, fingerprint := range fingerprints {
+		names[i] = fingerprint.String()
+	}
+	return names
 }
 
 // adoptQuarantines takes over the quarantines that an earlier coordinator has announced.
