A node that opens a tunnel asks the next node without waiting for the last one's timeout

The same wait delays the first requests of nodes that reach no backend.

Cause: nodes are asked for a tunnel one after the other, each with 300 ms. The check whether a backend has ended has 100 ms in all, so that one node out of reach decides it. Beside it: a node that is asked checked its own link by a single other backend, which may have ended as well, and nodes with two ended backends and little traffic took their own link for failed and helped nobody.

Change: the next node is asked after 30 ms without an answer; the first conclusive answer counts, the others are closed, and nodes that do not answer are asked last for a second. Five backends are tried to check the own link. A node whose link has probably failed answers within 60 ms instead of not trying.

--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -26,6 +26,9 @@
 	maxTunnelNodes = 4
 	// tunnelTimeout bounds the wait for one node.
 	tunnelTimeout = 300 * time.Millisecond
+	// tunnelAskInterval is how long a node may take to open a tunnel until another one is asked as well. With a connection to
+	// the node it takes a few milliseconds. The check whether a backend has ended, which asks for tunnels too, lasts 100 ms.
+	tunnelAskInterval = 30 * time.Millisecond
 	// tunnelNodePause is how long a node that could not open a tunnel is asked last.
 	tunnelNodePause = time.Second
 	// doubtfulZoneNodes is how many nodes of a zone must be unlikely to open a tunnel until the zone comes behind the others.
@@ -174,42 +177,111 @@
 // Available implements backendhttp.Tunnels.
 func (t nodeTunnels) Available() bool { return t.router.mayTunnel() }
 
-// Open implements backendhttp.Tunnels.
+// Open implements backendhttp.Tunnels. The nodes are asked one after the other, the next one as soon as one has failed or has
+// not answered for a while: a node may be out of reach, and the request that needs the tunnel has little time.
 func (t nodeTunnels) Open(ctx context.Context, address string) (net.Conn, string, error) {
-	r := t.router
-	var asked []askedNode
-	for _, node := range r.tunnelCandidates() {
-		began := time.Now()
-		conn, state, err := r.openTunnelAt(ctx, node, address)
-		asked = append(asked, askedNode{address: node, state: state, err: err, took: time.Since(began)})
-		r.metrics.Add("tunnel_nodes_asked", 1)
+	attempt := &tunnelAttempt{router: t.router, address: address, candidates: t.router.tunnelCandidates()}
+	attempt.answers = make(chan askedNode, len(attempt.candidates))
+	defer attempt.abandon()
+	var failed []askedNode
+	for attempt.askNext() || attempt.pending > 0 {
+		answer, answered := attempt.await(ctx)
 		switch {
 		case ctx.Err() != nil:
-			return nil, "", errors.CombineErrors(noTunnel(asked), ctx.Err())
-		case err != nil || state == peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE:
-			r.tunnels.nodes.pause(node, time.Now())
+			return nil, "", errors.CombineErrors(noTunnel(failed), ctx.Err())
+		case !answered:
 			continue
-		case state == peerpb.TunnelState_TUNNEL_STATE_OPEN:
-			r.metrics.Add("tunnels_opened", 1)
-			return conn, node, nil
-		case state == peerpb.TunnelState_TUNNEL_STATE_REFUSED:
-			return nil, "", errors.Wrapf(syscall.ECONNREFUSED, "connect through %s", node)
-		default:
-			return nil, "", errors.Newf("connect through %s: no answer", node)
+		case answer.isConclusive():
+			return answer.result(t.router)
 		}
+		failed = append(failed, answer)
+	}
+	t.router.metrics.Add("tunnels_unavailable", 1)
+	return nil, "", noTunnel(failed)
+}
+
+// tunnelAttempt is the attempt to open one tunnel.
+type tunnelAttempt struct {
+	router     *Router
+	address    string
+	candidates []string
+	// pending is the number of nodes that have been asked and have not answered.
+	pending int
+	answers chan askedNode
+}
+
+// askNext asks the next node. It reports false if there is none.
+func (a *tunnelAttempt) askNext() bool {
+	if len(a.candidates) == 0 {
+		return false
 	}
-	r.metrics.Add("tunnels_unavailable", 1)
-	return nil, "", noTunnel(asked)
+	node := a.candidates[0]
+	a.candidates = a.candidates[1:]
+	a.pending++
+	a.router.metrics.Add("tunnel_nodes_asked", 1)
+	go func() { a.answers <- a.router.askForTunnel(node, a.address) }()
+	return true
+}
+
+// await returns the answer of a node. It reports false if another node is to be asked meanwhile, or if the context has ended.
+func (a *tunnelAttempt) await(ctx context.Context) (askedNode, bool) {
+	var askAnother <-chan time.Time
+	if len(a.candidates) > 0 {
+		timer := time.NewTimer(tunnelAskInterval)
+		defer timer.Stop()
+		askAnother = timer.C
+	}
+	select {
+	case answer := <-a.answers:
+		a.pending--
+		return answer, true
+	case <-askAnother:
+	case <-ctx.Done():
+	}
+	return askedNode{}, false
+}
+
+// abandon closes the tunnels of the nodes that answer too late.
+func (a *tunnelAttempt) abandon() {
+	if a.pending == 0 {
+		return
+	}
+	go func(pending int) {
+		for range pending {
+			if late := <-a.answers; late.conn != nil {
+				_ = late.conn.Close()
+			}
+		}
+	}(a.pending)
 }
 
 // askedNode is a node that was asked for a tunnel, and what it answered.
 type askedNode struct {
 	address string
+	conn    net.Conn
 	state   peerpb.TunnelState
 	err     error
 	took    time.Duration
 }
 
+// isConclusive reports whether the node has tried to connect to the backend.
+func (n askedNode) isConclusive() bool {
+	return n.err == nil && n.state != peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
+}
+
+// result returns the result of a conclusive answer.
+func (n askedNode) result(r *Router) (net.Conn, string, error) {
+	switch n.state {
+	case peerpb.TunnelState_TUNNEL_STATE_OPEN:
+		r.metrics.Add("tunnels_opened", 1)
+		return n.conn, n.address, nil
+	case peerpb.TunnelState_TUNNEL_STATE_REFUSED:
+		return nil, "", errors.Wrapf(syscall.ECONNREFUSED, "connect through %s", n.address)
+	default:
+		return nil, "", errors.Newf("connect through %s: no answer", n.address)
+	}
+}
+
 // String returns the description of the node in errors.
 func (n askedNode) String() string {
 	outcome := "cannot connect"
@@ -228,14 +300,20 @@
 	return errors.Wrapf(backendhttp.ErrNoTunnel, "asked %d nodes [%s]", len(asked), strings.Join(descriptions, "; "))
 }
 
-// openTunnelAt asks one node for a tunnel.
-func (r *Router) openTunnelAt(ctx context.Context, node, address string) (net.Conn, peerpb.TunnelState, error) {
-	ctx, cancel := context.WithTimeout(ctx, tunnelTimeout)
+// askForTunnel asks one node for a tunnel, and remembers if it could open none.
+func (r *Router) askForTunnel(node, address string) askedNode {
+	ctx, cancel := context.WithTimeout(context.Background(), tunnelTimeout)
 	defer cancel()
-	conn, state, err := r.client.OpenTunnel(ctx, node, address)
-	if err != nil {
+	began := time.Now()
+	asked := askedNode{address: node}
+	asked.conn, asked.state, asked.err = r.client.OpenTunnel(ctx, node, address)
+	asked.took = time.Since(began)
+	if asked.err != nil {
 		// The connection to the node may have stopped to deliver, while new ones work.
 		go r.client.VerifyLane(peer.LaneTunnel, node)
 	}
-	return conn, state, err
+	if !asked.isConclusive() {
+		r.tunnels.nodes.pause(node, time.Now())
+	}
+	return asked
 }
--- a/router/tunnelserver.go
+++ b/router/tunnelserver.go
@@ -18,11 +18,15 @@
 	// tunnelDialTimeout bounds the connection that a node opens for another one. It is shorter than tunnelTimeout, so that
 	// the other node receives the answer.
 	tunnelDialTimeout = 200 * time.Millisecond
+	// doubtfulDialTimeout is the same while this node's own link has probably failed.
+	doubtfulDialTimeout = 60 * time.Millisecond
 	// linkCheckDelay is how long a connection for another node may take until the node's own link is checked.
 	linkCheckDelay = 50 * time.Millisecond
 	// maxServedTunnels bounds the tunnels that a node serves. Each takes a descriptor, two goroutines and up to 300 KB
 	// of buffers while its reader stalls, usually 20 KB.
 	maxServedTunnels = 128
+	// linkCheckAddresses is how many backends are tried to check the node's own link.
+	linkCheckAddresses = 5
 	// linkEvidenceLifetime is how long a connection to a backend shows that a node's own link works.
 	linkEvidenceLifetime = time.Second
 	// stopTunnelsInterval is the interval at which a stopping node checks whether its tunnels have ended.
@@ -31,7 +35,7 @@
 
 // serveTunnel connects to a backend for another node. It never uses a tunnel itself.
 func (r *Router) serveTunnel(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
+	if r.tunnels.isStopping.Load() || !r.backends.HasAddress(address) || !r.tunnels.tracker.FaultIsUnconfirmed(address) {
 		return nil, peerpb.TunnelState_TUNNEL_STATE_UNAVAILABLE
 	}
 	if r.tunnels.served.Add(1) > maxServedTunnels {
@@ -51,7 +55,11 @@
 // because it might be at fault as well. That is checked beside a connection that takes long, and not after it, so that the
 // other node can ask a further one in time.
 func (r *Router) connectForNode(ctx context.Context, address string) (net.Conn, peerpb.TunnelState) {
-	ctx, cancel := context.WithTimeout(ctx, tunnelDialTimeout)
+	timeout := tunnelDialTimeout
+	if r.tunnels.tracker.Choose(address) == backendpath.Tunnel {
+		timeout = doubtfulDialTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	linkWorks := make(chan bool, 1)
 	check := time.AfterFunc(linkCheckDelay, func() { linkWorks <- r.linkWorks(ctx, address) })
@@ -81,20 +89,19 @@
 }
 
 // linkWorks reports whether this node has connected to a backend of late, or connects to one other than the given one
-// now.
+// now. A few are tried, because several backends may have ended.
 func (r *Router) linkWorks(ctx context.Context, except string) bool {
 	if time.Now().UnixNano()-r.tunnels.linkWorkedAt.Load() < int64(linkEvidenceLifetime) {
 		return true
 	}
-	for _, address := range r.backends.SampleAddresses(2) { //nolint:mnd // one of two is another address
+	for _, address := range r.backends.SampleAddresses(linkCheckAddresses) {
 		if address == except {
 			continue
 		}
-		conn, err := r.dialBackend(ctx, address)
-		if err == nil {
+		if conn, err := r.dialBackend(ctx, address); err == nil {
 			_ = conn.Close()
+			return true
 		}
-		return err == nil
 	}
 	return false
 }
