--- a/quarantine/parttable_test.go
+++ b/quarantine/parttable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(0, "", fmt.Sprint(i), "part")
+		table.crashPart(0, "", strconv.Itoa(i), "part")
 	}
 	table.evaluate(settleTime)
 	g.Expect(table.announcements(settleTime)).To(HaveLen(1))
@@ -64,7 +65,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		backend := fmt.Sprint(i)
+		backend := strconv.Itoa(i)
 		table.add(0, backend, testRequest(10*i), NewParts("", []string{"first", "cause"}), false)
 		table.add(0, backend, testRequest(10*i+1), NewParts("", []string{"first"}), true)
 	}
@@ -81,7 +82,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(0, "", fmt.Sprint(i), "part")
+		table.crashPart(0, "", strconv.Itoa(i), "part")
 	}
 	g.Expect(table.settle(0)).To(HaveLen(1))
 	table.answer(2*time.Second, "", "part")
@@ -101,7 +102,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(time.Duration(i)*time.Second, "a", fmt.Sprint(i), "part")
+		table.crashPart(time.Duration(i)*time.Second, "a", strconv.Itoa(i), "part")
 	}
 	table.answer(3*time.Second, "b", "part")
 	announced := table.settle(3 * time.Second)
@@ -115,7 +116,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(0, fmt.Sprint("tenant", i), fmt.Sprint(i), "part")
+		table.crashPart(0, fmt.Sprint("tenant", i), strconv.Itoa(i), "part")
 	}
 	announced := table.settle(0)
 	g.Expect(announced).To(HaveLen(1))
@@ -126,7 +127,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(0, "", fmt.Sprint(i), "part")
+		table.crashPart(0, "", strconv.Itoa(i), "part")
 	}
 	announced := table.settle(0)
 	g.Expect(announced).To(HaveLen(1))
