Failing test: a node that most new connections go to runs out of descriptors

Nothing bounds how many connections of callers a node keeps open: 600 callers that keep their connections leave a real process of 400 descriptors none for new callers nor for backends.

--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -82,6 +82,8 @@
 	requests requestLog
 	// older is another build of the daemon, with which nodes alternate; empty for none.
 	older string
+	// descriptors is the number of files that a node's process may have open; zero for the limit of the tests.
+	descriptors int
 	// rollOut is the software version of the engines that are added; empty while it alternates.
 	rollOut string
 	// zones is the number of zones, and firstStart is set while all nodes start together for the first time.
@@ -145,11 +147,16 @@
 	firstStart bool
 	// older is another build of the daemon, with which nodes alternate; empty for none.
 	older string
+	// descriptors is the number of files that a node's process may have open; zero for the limit of the tests.
+	descriptors int
 }
 
 // newHarnessWith starts a harness. A third of its engines have the prefill role.
 func newHarnessWith(t *testing.T, seed uint64, options harnessOptions) *harness {
-	h := &harness{t: t, folder: t.TempDir(), store: standin.NewStore(), older: options.older, zones: options.zones, firstStart: options.firstStart}
+	h := &harness{
+		t: t, folder: t.TempDir(), store: standin.NewStore(), older: options.older, zones: options.zones, firstStart: options.firstStart,
+		descriptors: options.descriptors,
+	}
 	storeAddress := h.serve(h.store, &h.httpServer)
 	h.configure()
 	for i := range options.engines {
@@ -324,7 +331,7 @@
 		"listen":           map[string]any{"front": address(0), "ready": address(1), "control": address(2)},
 		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
 		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", h.nodes[0].ports[2])},
-		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1},
+		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1, "max_fds": h.descriptors},
 		"bounds": map[string]any{"grace_s": 8, "retry_budget_ratio": retryRule.Ratio, "budget_window_s": retryRule.Window.Seconds(), "budget_slack": retryRule.Slack, "lease_ms": 1000,
 			"quota_window_s": limitWindow.Seconds(), "quota_overshoot": limitOvershoot, "quota_slack": limitSlack},
 		"platform": map[string]any{"address": n.store.address()},
@@ -339,6 +346,10 @@
 	}
 	build, older := h.nextBuild(n)
 	process := exec.Command(build)
+	if h.descriptors > 0 {
+		// The shell sets the limit and becomes the daemon.
+		process = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, h.descriptors), build)
+	}
 	process.Env = []string{"REELRUN_SETTINGS=" + path, "GOMAXPROCS=1", "GOMEMLIMIT=200MiB"}
 	process.Stdout, process.Stderr = n.log, n.log
 	started := time.Now()
