A node bounds the connections that callers keep open

Cause: nothing bounded the connections of callers; each is kept for up to a minute between requests. Class: a resource of the machine that nobody accounts for.

Change: package connectionlimit, as the server's hook.

--- a/router/router.go
+++ b/router/router.go
@@ -19,6 +19,7 @@
 	"github.com/reelrun/reelrun/backendlimit"
 	"github.com/reelrun/reelrun/backendpath"
 	"github.com/reelrun/reelrun/clock"
+	"github.com/reelrun/reelrun/connectionlimit"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/metrics"
@@ -140,6 +141,8 @@
 	versionProver    *softwareversions.Prover
 	roles            *roles.Controller
 	tunnels          tunnels
+	// callerConnections bounds the open connections of callers.
+	callerConnections *connectionlimit.Limit
 	// retryShares is the state of the retry budget's allocation.
 	retryShares retryShares
 	// started identifies this start of the node, and origin is the time at which now is zero.
@@ -250,6 +253,7 @@
 	r.server = peer.NewServer(r.handlePeer, stamps)
 	r.newTunnels()
 	r.roles = r.newRoleController()
+	r.limitCallerConnections()
 	r.publishGauges()
 	r.publishFreshness()
 	r.gateway = gateway.New(gateway.Options{
@@ -326,7 +330,7 @@
 	}
 	callerServer := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(),
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(), ConnState: r.callerConnections.Track,
 	}
 	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
--- a/settings/router.go
+++ b/settings/router.go
@@ -19,6 +19,8 @@
 	Capacity float64
 	// MemoryBytes is the memory limit of the process; zero if it is not known.
 	MemoryBytes int64
+	// Descriptors is the number of files and connections that the process may have open; zero if it is not known.
+	Descriptors int
 	// LinkBytes is the bandwidth of the node's link in bytes per second; zero if it is not known.
 	LinkBytes float64
 	// Seeds are peer addresses of other nodes. Some may be out of date.
