--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -276,7 +276,7 @@
 	b := &backend{id: fmt.Sprintf("i-%d", h.backendsCreated), service: service, stage: stage, zone: h.zoneOf(h.backendsCreated)}
 	b.recordStart()
 	var handler http.Handler
-	crashTrigger := &standin.CrashTrigger{BodyContains: crashText, After: crashAfter, Crash: func() { h.crash(b) }}
+	crashTrigger := &standin.CrashTrigger{BodyContains: crashText, PromptPart: crashPart, After: crashAfter, Crash: func() { h.crash(b) }}
 	if service == "llm" {
 		b.engine = standin.NewEngine(b.id, stage)
 		b.engine.EventCount, b.engine.EventInterval, b.engine.StageSwitchTime = eventCount, eventInterval, time.Second
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -190,7 +190,7 @@
 	return append([]disturbance(nil), p.interrupted...)
 }
 
-// reset closes all connections.
+// reset resets all connections. None is closed before all are set to be reset: the end of one side closes the other.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -199,6 +199,8 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
+	}
+	for conn := range p.open {
 		_ = conn.Close()
 	}
 }
