--- a/explain/explain.go
+++ b/explain/explain.go
@@ -35,10 +35,21 @@
 	fieldNode    = "node"
 	fieldRequest = "request"
 	fieldResumes = "resumes"
+	fieldContent = "content"
+	fieldRecord  = "record"
+	fieldSource  = "source"
+)
+
+const (
+	// messageRecord is the message of a line about a change of a quarantine record, and sourceCoordinator its source at the
+	// node that made the change. The lines of the other nodes repeat it.
+	messageRecord     = "request standing"
+	sourceCoordinator = "store"
 )
 
 // Read returns the lines about a request ordered by time, and those about the other attempts to receive its stream: the one
-// that it resumes, and all that resume the same one. It ignores lines that are not JSON and any text before the JSON of a
+// that it resumes, and all that resume the same one. For an attempt that was rejected by a quarantine record, the changes of
+// the record are included. It ignores lines that are not JSON and any text before the JSON of a
 // line.
 func Read(request string, logs ...io.Reader) ([]Line, error) {
 	var attempts []attemptLine
@@ -53,9 +64,15 @@
 		}
 	}
 	related := relatedTo(request, attempts)
+	records := map[string]bool{}
+	for _, attempt := range attempts {
+		if related[attempt.request] && attempt.record != "" {
+			records[attempt.record] = true
+		}
+	}
 	var lines []Line
 	for _, attempt := range attempts {
-		if related[attempt.request] {
+		if related[attempt.request] && attempt.request != "" || records[attempt.changed] {
 			lines = append(lines, attempt.line)
 		}
 	}
@@ -63,9 +80,13 @@
 	return lines, nil
 }
 
-// attemptLine is a line about one attempt.
+// attemptLine is a line about one attempt, or about a quarantine record.
 type attemptLine struct {
+	// request is the attempt; empty for a line about a record.
 	request string
+	// record is the quarantine record by which the attempt was rejected, and changed the record that the line says has
+	// changed; empty for none.
+	record, changed string
 	// resumes is the attempt that began the stream which this one resumes; empty for none.
 	resumes string
 	line    Line
@@ -88,17 +109,18 @@
 	return related
 }
 
-// parse returns a line if it is about an attempt.
+// parse returns a line if it is about an attempt or a quarantine record.
 func parse(text []byte) (attemptLine, bool) {
-	if !bytes.Contains(text, []byte(`"`+fieldRequest+`"`)) {
+	if !bytes.Contains(text, []byte(`"`+fieldRequest+`"`)) && !bytes.Contains(text, []byte(`"`+messageRecord+`"`)) {
 		return attemptLine{}, false
 	}
 	var fields map[string]any
 	if err := json.Unmarshal(text, &fields); err != nil {
 		return attemptLine{}, false
 	}
-	request, isText := fields[fieldRequest].(string)
-	if !isText {
+	request, isAttempt := fields[fieldRequest].(string)
+	changed := changedRecord(fields)
+	if !isAttempt && changed == "" {
 		return attemptLine{}, false
 	}
 	line := Line{Node: textOf(fields[fieldNode]), Message: textOf(fields[fieldMessage])}
@@ -111,7 +133,17 @@
 		}
 	}
 	sort.Slice(line.Fields, func(i, j int) bool { return line.Fields[i].Name < line.Fields[j].Name })
-	return attemptLine{request: request, resumes: textOf(fields[fieldResumes]), line: line}, true
+	return attemptLine{
+		request: request, record: textOf(fields[fieldRecord]), changed: changed, resumes: textOf(fields[fieldResumes]), line: line,
+	}, true
+}
+
+// changedRecord returns the name of the quarantine record that a line of its coordinator says has changed; empty for other lines.
+func changedRecord(fields map[string]any) string {
+	if fields[fieldMessage] != messageRecord || fields[fieldSource] != sourceCoordinator {
+		return ""
+	}
+	return textOf(fields[fieldContent])
 }
 
 func textOf(value any) string {
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// TestReadIncludesTheRecordThatRejectedARequest has a request be rejected by the record of a part of its prompt.
+func TestReadIncludesTheRecordThatRejectedARequest(t *testing.T) {
+	log := `{"time":"2026-05-19T03:26:31Z","msg":"request standing","node":"node-c","content":"c1","crashes":2,"source":"store"}
+{"time":"2026-05-19T03:26:32Z","msg":"request standing","node":"node-c","content":"c1","crashes":3,"source":"store"}
+{"time":"2026-05-19T03:26:32Z","msg":"request standing","node":"node-a","content":"c1","crashes":3,"source":"peer"}
+{"time":"2026-05-19T03:26:32Z","msg":"request standing","node":"node-c","content":"c2","crashes":3,"source":"store"}
+{"time":"2026-05-19T03:26:33Z","msg":"request not answered","node":"node-a","request":"r1","reason":"quarantined","record":"c1"}
+{"time":"2026-05-19T03:26:34Z","msg":"request not answered","node":"node-a","request":"r2","reason":"quarantined","record":"c2"}
+`
+	g := NewWithT(t)
+	lines, err := explain.Read("r1", strings.NewReader(log))
+	g.Expect(err).NotTo(HaveOccurred())
+	var printed bytes.Buffer
+	g.Expect(explain.Write(&printed, lines)).To(Succeed())
+	g.Expect(printed.String()).To(Equal(`03:26:31.000 node-c: request standing content=c1 crashes=2 source=store
+03:26:32.000 node-c: request standing content=c1 crashes=3 source=store
+03:26:33.000 node-a: request not answered reason=quarantined record=c1
+`))
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("r1", `{"request":"r1","time":3,"node":[1]}`)
 	f.Fuzz(func(t *testing.T, request, log string) {
