Suspected parts expire, and groups count by the parts that have not been answered

Found by reading the change. Suspected parts without a later event never expired: the table was only evaluated after new evidence, so that each request's fingerprint would be computed for ever (TestSuspectedPartExpires fails before). A group of two parts of which one had been answered was not applied at all until the coordinator had divided it; now the other part counts at once (TestGroupCountsByItsUnansweredParts fails before). A part that a prompt lists twice counted twice. Four crashes are certain instead of five: with exactly four, a second series followed after half a minute.

--- a/backendpath/doc.go
+++ b/backendpath/doc.go
@@ -10,8 +10,7 @@
 // and the node has opened no connection of its own in the meantime, it counts as cut off, and all new connections are
 // tunnelled, so that no caller waits for the next failure. They are tunnelled already while that is not confirmed yet: then
 // several connections have failed, and no backend has sent anything since. If no other node reaches the backends either,
-// callers are rejected without a wait. While tunnels are used, the node's own link is checked at
-// short intervals.
+// callers are rejected without a wait. While tunnels are used, the node's own link is checked at short intervals.
 //
 // The package does no I/O: a Tracker is told what has happened, and tells what to check next.
 package backendpath
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -62,8 +62,8 @@
 }
 
 // reportBreak records that a backend broke off the request. The age is the time since the request was sent
-// there, and written is set if the backend had begun to write its response. A backend that has terminated counts against the request; a broken connection does not, nor does the
-// termination of a backend that was leaving. If no crash is attributed to the request yet, the check runs in
+// there, and written is set if the backend had begun to write its response. A backend that has terminated counts against the
+// request; a broken connection does not, nor does the termination of a backend that was leaving. If no crash is attributed to the request yet, the check runs in
 // the background: this crash cannot be the one that quarantines the request.
 func (x *exchange) reportBreak(ctx context.Context, entry *backend.Entry, age time.Duration, written bool) {
 	if entry.LeavingFor() > 0 {
--- a/quarantine/answered.go
+++ b/quarantine/answered.go
@@ -34,20 +34,6 @@
 	}
 }
 
-// expire removes the answers that show nothing any more about crashes from now on, nor about the last ones.
-func (a answeredParts) expire(now time.Duration) {
-	for shared, owners := range a {
-		for own, at := range owners {
-			if now-at > answerLifetime+evidenceLifetime {
-				delete(owners, own)
-			}
-		}
-		if len(owners) == 0 {
-			delete(a, shared)
-		}
-	}
-}
-
 // clears reports whether an answer shows that a part was not the cause of a crash at a time: it has been answered since, or
 // shortly before. A part without an owner, of a restored record, is cleared by any answer.
 func (a answeredParts) clears(at time.Duration, part Part) bool {
--- a/quarantine/client_test.go
+++ b/quarantine/client_test.go
@@ -66,6 +66,25 @@
 	g.Expect(client.Status(Subject{Parts: NewParts("", []string{"first", "other"})}).Quarantined).To(BeZero())
 }
 
+// TestGroupCountsByItsUnansweredParts has a group of two parts, of which this node sees one answered: the other one must be the
+// cause, so that requests with both are still rejected, and requests with the answered one are not.
+func TestGroupCountsByItsUnansweredParts(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Minute
+	client := NewClient(ClientOptions{Coordinators: noCoordinator{}, Now: func() time.Duration { return now }})
+	client.Announced(Announcement{
+		Request: testRequest(1), Parts: testParts("first", "cause"), Backends: []string{"1", "2", "3"}, Quarantined: time.Minute,
+	})
+	both, first := Subject{Parts: NewParts("", []string{"first", "cause"})}, Subject{Parts: NewParts("", []string{"first"})}
+	g.Expect(client.Status(both).Quarantined).To(Equal(time.Minute))
+	g.Expect(client.Status(first).Quarantined).To(BeZero(), "it lacks a part of the group")
+	g.Expect(client.Status(Subject{Parts: NewParts("", []string{"first", "first"})}).Quarantined).To(BeZero(), "a repeated part counts once")
+	client.Answered(first)
+	g.Expect(client.Status(both).Quarantined).To(Equal(time.Minute))
+	client.Answered(both)
+	g.Expect(client.Status(both).Quarantined).To(BeZero())
+}
+
 // TestClientTellsCoordinatorOfAnswers has a coordinator suspect a part that this node has seen answered, and one that it sees
 // answered later. The tenant whose request was answered is not rejected meanwhile.
 func TestClientTellsCoordinatorOfAnswers(t *testing.T) {
--- a/quarantine/clientparts.go
+++ b/quarantine/clientparts.go
@@ -44,20 +44,20 @@
 	return a
 }
 
-// groupStatus returns the status of a prompt by one group: the prompt must have all parts of the group, and none that has
-// been answered as this tenant sends it.
+// groupStatus returns the status of a prompt by one group: the prompt must have all parts of the group, and at least one of
+// them must not have been answered as this tenant sends it.
 func (c *Client) groupStatus(now time.Duration, name Fingerprint, group receivedGroup, parts []Part) Status {
-	found := 0
+	found, unanswered := 0, 0
 	for _, part := range parts {
 		if !slices.Contains(group.parts, part.Shared) {
 			continue
 		}
-		if slices.Contains(group.exempt, part.Own) || c.parts.answered.clears(now, part) {
-			return Status{}
-		}
 		found++
+		if !slices.Contains(group.exempt, part.Own) && !c.parts.answered.clears(now, part) {
+			unanswered++
+		}
 	}
-	if found < len(group.parts) {
+	if found < len(group.parts) || unanswered == 0 {
 		return Status{}
 	}
 	return Status{Crashes: group.crashes, Quarantined: max(0, group.quarantinedUntil-now), Record: name}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "crypto/sha256"
+import (
+	"crypto/sha256"
+	"slices"
+)
 
 // maxParts bounds the parts of a prompt that count, in their order. Prompts of the supported deployments have four.
 const maxParts = 32
@@ -11,12 +14,15 @@
 	Shared, Own Fingerprint
 }
 
-// NewParts returns the parts of a tenant's prompt by their identifiers. Parts beyond the bound do not count.
+// NewParts returns the parts of a tenant's prompt by their identifiers, each once. Parts beyond the bound do not count.
 func NewParts(tenant string, identifiers []string) []Part {
 	identifiers = identifiers[:min(len(identifiers), maxParts)]
-	parts := make([]Part, len(identifiers))
+	parts := make([]Part, 0, len(identifiers))
 	for i, identifier := range identifiers {
-		parts[i] = Part{Shared: fingerprintOf("part", identifier), Own: fingerprintOf("part of a tenant", tenant, identifier)}
+		if slices.Contains(identifiers[:i], identifier) {
+			continue
+		}
+		parts = append(parts, Part{Shared: fingerprintOf("part", identifier), Own: fingerprintOf("part of a tenant", tenant, identifier)})
 	}
 	return parts
 }
--- a/quarantine/parttable.go
+++ b/quarantine/parttable.go
@@ -17,7 +17,7 @@
 	answerWaitTime = 400 * time.Millisecond
 	// certainCrashes is the number of crashes from which parts are quarantined for quarantineDuration whatever else was in
 	// flight, and certainExplanations the number of those that only these parts explain.
-	certainCrashes      = 5
+	certainCrashes      = 4
 	certainExplanations = 3
 	// maxCrashedBackends, maxRequestsPerCrash and maxGroups bound the memory: 256 crashes with 32 requests of 32 parts take
 	// 8 MB at most, usually 50 KB, because most parts have been answered.
@@ -80,7 +80,7 @@
 	}
 }
 
-// add records a request that was in flight at a backend that ended at a time. Whether it is new is reported.
+// add records a request that was in flight at a backend that ended at a time.
 func (t *partTable) add(at time.Duration, backend string, request Fingerprint, parts []Part, written bool) {
 	if len(parts) == 0 {
 		return
@@ -181,10 +181,10 @@
 
 // evaluate determines the blamed groups and their quarantines.
 func (t *partTable) evaluate(now time.Duration) {
-	if t.isEmpty() || !t.changed {
+	t.expire(now)
+	if !t.changed {
 		return
 	}
-	t.expire(now)
 	crashes, isSettled := t.settledCrashes(now)
 	groups := map[Fingerprint]*blamedState{}
 	for _, group := range blame(crashes) {
@@ -295,6 +295,7 @@
 	for name, group := range t.groups {
 		if group.quarantinedUntil > 0 && now >= group.quarantinedUntil+evidenceLifetime {
 			delete(t.groups, name)
+			t.changed = true
 		}
 	}
 	for name, crash := range t.crashes {
@@ -304,7 +305,6 @@
 		}
 	}
 	maps.DeleteFunc(t.ended, func(_ Fingerprint, at time.Duration) bool { return now-at >= evidenceLifetime+quarantineDuration })
-	t.answered.expire(now)
 }
 
 // announcements returns the groups that all nodes must know.
--- a/quarantine/parttable_test.go
+++ b/quarantine/parttable_test.go
@@ -154,6 +154,17 @@
 	g.Expect(announced[0].Quarantined).To(BeNumerically(">", quarantineDuration-time.Minute), "one crash renews it")
 }
 
+// TestSuspectedPartExpires has two crashes under a part, and nothing after.
+func TestSuspectedPartExpires(t *testing.T) {
+	g := NewWithT(t)
+	table := newPartTable()
+	table.crashPart(0, "", "1", "part")
+	table.crashPart(0, "", "2", "part")
+	g.Expect(table.settle(0)).To(HaveLen(1))
+	g.Expect(table.settle(evidenceLifetime)).To(BeEmpty())
+	g.Expect(table.isEmpty()).To(BeTrue())
+}
+
 // TestPartTableIsBounded has callers crash backends with ever new parts, and have ever new parts answered.
 func TestPartTableIsBounded(t *testing.T) {
 	g := NewWithT(t)
