--- a/peer/client.go
+++ b/peer/client.go
@@ -181,24 +181,30 @@
 
 // dropUnresponsive closes the session of a key if it is suspect and the node does not answer a ping on it.
 func (c *Client) dropUnresponsive(key sessionKey) {
-	c.mu.Lock()
-	session := c.sessions[key]
-	c.mu.Unlock()
-	if session == nil || !session.isSuspect() || session.answersPing() {
-		return
+	if session := c.known(key); session != nil && session.isSuspect() {
+		c.closeUnlessAnswering(key, session)
 	}
-	c.drop(key, session)
-	_ = session.mux.Close()
 }
 
 // VerifyLane closes the session of one lane to an address, with all that is in progress on it, if the node does not answer
 // a ping on it. It is used after a timeout on a session that other calls keep in use.
 func (c *Client) VerifyLane(lane Lane, address string) {
 	key := sessionKey{address, lane}
+	if session := c.known(key); session != nil {
+		c.closeUnlessAnswering(key, session)
+	}
+}
+
+// known returns the session of a key, whatever its state, or nil.
+func (c *Client) known(key sessionKey) *clientSession {
 	c.mu.Lock()
-	session := c.sessions[key]
-	c.mu.Unlock()
-	if session == nil || session.answersPing() {
+	defer c.mu.Unlock()
+	return c.sessions[key]
+}
+
+// closeUnlessAnswering closes a session on which the node does not answer a ping.
+func (c *Client) closeUnlessAnswering(key sessionKey, session *clientSession) {
+	if session.answersPing() {
 		return
 	}
 	c.drop(key, session)
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -143,12 +143,6 @@
 // termination of its process does.
 func (n *Network) Kill(host string) {
 	n.mu.Lock()
-	var ended []*conn
-	for open := range n.conns {
-		if open.link.From == host || open.link.To == host {
-			ended = append(ended, open)
-		}
-	}
 	for served, target := range n.listeners {
 		if hostOf(served) == host {
 			delete(n.listeners, served)
@@ -156,9 +150,7 @@
 		}
 	}
 	n.mu.Unlock()
-	for _, open := range ended {
-		_ = open.Close()
-	}
+	n.Reset(func(link Link) bool { return link.From == host || link.To == host })
 }
 
 type listener struct {
