One function digests contents, parts and groups of parts

The digest of a content and that of a part repeated each other. Beside it a use of fmt that the linter rejects in a test.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"hash"
 )
 
 // fingerprintBytes is the length of a Fingerprint. Finding two contents with the same 128 bits of SHA-256 is
@@ -29,24 +28,24 @@
 
 // NewFingerprint returns the fingerprint of a content.
 func NewFingerprint(content Content) Fingerprint {
+	return digestOf([]byte(content.Tenant), []byte(content.Method), []byte(content.Host), []byte(content.URI), content.Body)
+}
+
+// digestOf returns the digest of a sequence of elements. Each is prefixed by its length, so that no two sequences have the same
+// encoding.
+func digestOf(elements ...[]byte) Fingerprint {
 	digest := sha256.New()
-	for _, part := range []string{content.Tenant, content.Method, content.Host, content.URI} {
-		writePart(digest, []byte(part))
+	for _, element := range elements {
+		var length [8]byte
+		binary.LittleEndian.PutUint64(length[:], uint64(len(element)))
+		_, _ = digest.Write(length[:]) // A hash never fails.
+		_, _ = digest.Write(element)
 	}
-	writePart(digest, content.Body)
 	var fingerprint Fingerprint
 	copy(fingerprint[:], digest.Sum(nil))
 	return fingerprint
 }
 
-// writePart writes a part prefixed by its length, so that no two contents have the same encoding.
-func writePart(digest hash.Hash, part []byte) {
-	var length [8]byte
-	binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-	_, _ = digest.Write(length[:]) // A hash never fails.
-	_, _ = digest.Write(part)
-}
-
 // String returns the fingerprint in hexadecimal digits.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -1,9 +1,6 @@
 package quarantine
 
-import (
-	"crypto/sha256"
-	"slices"
-)
+import "slices"
 
 // maxParts bounds the parts of a prompt that count, in their order. Prompts of the supported deployments have four.
 const maxParts = 32
@@ -22,19 +19,10 @@
 		if slices.Contains(identifiers[:i], identifier) {
 			continue
 		}
-		parts = append(parts, Part{Shared: fingerprintOf("part", identifier), Own: fingerprintOf("part of a tenant", tenant, identifier)})
+		parts = append(parts, Part{
+			Shared: digestOf([]byte("part"), []byte(identifier)),
+			Own:    digestOf([]byte("part of a tenant"), []byte(tenant), []byte(identifier)),
+		})
 	}
 	return parts
 }
-
-// fingerprintOf returns the fingerprint of a kind of content and its elements.
-func fingerprintOf(kind string, elements ...string) Fingerprint {
-	digest := sha256.New()
-	writePart(digest, []byte(kind))
-	for _, element := range elements {
-		writePart(digest, []byte(element))
-	}
-	var fingerprint Fingerprint
-	copy(fingerprint[:], digest.Sum(nil))
-	return fingerprint
-}
--- a/quarantine/parttable.go
+++ b/quarantine/parttable.go
@@ -322,9 +322,9 @@
 
 // groupName returns the name of a group of parts.
 func groupName(parts []Fingerprint) Fingerprint {
-	elements := make([]string, len(parts))
-	for i, part := range parts {
-		elements[i] = string(part[:])
+	elements := [][]byte{[]byte("parts of prompts")}
+	for _, part := range parts {
+		elements = append(elements, part[:])
 	}
-	return fingerprintOf("parts of prompts", elements...)
+	return digestOf(elements...)
 }
--- a/quarantine/parttable_test.go
+++ b/quarantine/parttable_test.go
@@ -170,7 +170,7 @@
 	g := NewWithT(t)
 	table := newPartTable()
 	for i := range 3 {
-		table.crashPart(0, "", fmt.Sprint(i), "kept")
+		table.crashPart(0, "", strconv.Itoa(i), "kept")
 	}
 	table.settle(0)
 	for i := range 2 * maxCrashedBackends {
