A tunnel that opens as its request ends is not left open

Found by reading the change: an answer that arrived together with the end of the request's context was dropped with its connection, which stayed open at both nodes until the backend closed it. Conclusive answers are returned first now; the caller of Open closes what it does not use.

--- a/router/tunnels.go
+++ b/router/tunnels.go
@@ -187,14 +187,13 @@
 	for attempt.askNext() || attempt.pending > 0 {
 		answer, answered := attempt.await(ctx)
 		switch {
+		case answered && answer.isConclusive():
+			return answer.result(t.router)
+		case answered:
+			failed = append(failed, answer)
 		case ctx.Err() != nil:
 			return nil, "", errors.CombineErrors(noTunnel(failed), ctx.Err())
-		case !answered:
-			continue
-		case answer.isConclusive():
-			return answer.result(t.router)
 		}
-		failed = append(failed, answer)
 	}
 	t.router.metrics.Add("tunnels_unavailable", 1)
 	return nil, "", noTunnel(failed)
