--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -109,12 +109,7 @@
 func (c *Client) Status(request Subject) Status {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	content, parts := c.contentStatus(request.Content), c.partStatus(request.Parts)
-	if parts.Quarantined > content.Quarantined {
-		content.Quarantined, content.Record = parts.Quarantined, parts.Record
-	}
-	content.Crashes = max(content.Crashes, parts.Crashes)
-	return content
+	return worse(c.contentStatus(request.Content), c.partStatus(request.Parts))
 }
 
 // contentStatus returns the status of a request by its content; the lock is held.
