Stand-in network: limited links transmit what was written before a close

What callers saw: nothing, this is the tests' network. On a link with a bandwidth, closing a connection dropped its queued writes, so that a caller of a node with a limited link received nothing at all when its connection ended with the response. No test has had callers beside limited links. Change: Close lets the sender finish, for 30 s at most; resets, kills and the end of a test abort.

--- a/sim/memnet/bandwidth.go
+++ b/sim/memnet/bandwidth.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,9 @@
 // arrive in several pieces.
 const maxFrameBytes = 256<<10 + 12
 
+// lingerTime is how long a closed connection goes on transmitting what was written before.
+const lingerTime = 30 * time.Second
+
 // limitedLinks are the links of the hosts with a bandwidth limit.
 type limitedLinks struct {
 	mu    sync.Mutex
@@ -108,6 +112,8 @@
 // while a goroutine waits for a lock.
 type sendBuffer struct {
 	once sync.Once
+	// started is set once the sender runs.
+	started atomic.Bool
 	// added signals new writes to the sender.
 	added chan struct{}
 
@@ -119,6 +125,7 @@
 func (c *conn) enqueue(data []byte) (int, error) {
 	c.buffer.once.Do(func() {
 		c.buffer.added = make(chan struct{}, 1)
+		c.buffer.started.Store(true)
 		go c.sendBuffered()
 	})
 	c.buffer.mu.Lock()
@@ -131,35 +138,48 @@
 	return len(data), nil
 }
 
-// sendBuffered transmits queued writes until the connection closes. Writes that are still queued
-// then are lost, as after a connection reset.
+// sendBuffered transmits queued writes until the connection is closed and all of them are transmitted, or until it is
+// aborted. Writes that are still queued then are lost, as after a connection reset.
 func (c *conn) sendBuffered() {
+	defer c.abort()
 	for {
-		data := c.buffer.next()
-		if data == nil {
-			select {
-			case <-c.buffer.added:
-				continue
-			case <-c.closed:
+		closed := isClosed(c.closed)
+		if data := c.buffer.next(); data != nil {
+			if err := c.sendPieces(data); err != nil {
 				return
 			}
+			continue
 		}
-		for piece := range slices.Chunk(data, maxFrameBytes) {
-			if c.network.limited.transmit(c.link, len(piece), c.closed) != nil {
-				return
-			}
-			// The link may have been blocked since the write was queued.
-			if c.network.filter.wait(c.link, c.closed) != nil {
-				return
-			}
-			if c.dropping.Load() {
-				continue
-			}
-			if _, err := c.Conn.Write(piece); err != nil {
-				return
-			}
+		if closed {
+			return
+		}
+		select {
+		case <-c.buffer.added:
+		case <-c.closed:
+		case <-c.aborted:
+			return
+		}
+	}
+}
+
+// sendPieces transmits one write.
+func (c *conn) sendPieces(data []byte) error {
+	for piece := range slices.Chunk(data, maxFrameBytes) {
+		if err := c.network.limited.transmit(c.link, len(piece), c.aborted); err != nil {
+			return err
+		}
+		// The link may have been blocked since the write was queued.
+		if err := c.network.filter.wait(c.link, c.aborted); err != nil {
+			return err
+		}
+		if c.dropping.Load() {
+			continue
+		}
+		if _, err := c.Conn.Write(piece); err != nil {
+			return err
 		}
 	}
+	return nil
 }
 
 // next removes and returns the oldest write, or returns nil if there is none.
--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // ErrRefused is returned when an address has no listener or handler.
@@ -112,12 +113,12 @@
 	}
 	n.mu.Unlock()
 	for _, open := range ended {
-		_ = open.Close()
+		open.abort()
 	}
 }
 
 func (n *Network) wrap(raw net.Conn, local, remote string) *conn {
-	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{}), sent: n.counter(hostOf(local))}
+	wrapped := &conn{Conn: raw, network: n, link: linkOf(local, remote), closed: make(chan struct{}), aborted: make(chan struct{}), sent: n.counter(hostOf(local))}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.conns[wrapped] = struct{}{}
@@ -193,9 +194,10 @@
 	net.Conn
 	network *Network
 	link    Link
-	closed  chan struct{}
-	once    sync.Once
-	sent    *traffic
+	// closed is closed by Close, and aborted once nothing more is transmitted.
+	closed, aborted        chan struct{}
+	closeOnce, abortedOnce sync.Once
+	sent                   *traffic
 	// dropping is set once writes are discarded.
 	dropping atomic.Bool
 	// buffer queues what a limited link has not transmitted yet.
@@ -206,6 +208,9 @@
 // filter never delays a part of it: yamux holds a lock while it reads the body of
 // a frame, and virtual time does not advance while a goroutine waits for a lock.
 func (c *conn) Write(data []byte) (int, error) {
+	if isClosed(c.closed) {
+		return 0, net.ErrClosed
+	}
 	if err := c.network.filter.wait(c.link, c.closed); err != nil {
 		return 0, err
 	}
@@ -220,15 +225,49 @@
 	return c.Conn.Write(data)
 }
 
-// Close implements net.Conn.
+// Read implements net.Conn.
+func (c *conn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if err != nil && isClosed(c.closed) {
+		return count, net.ErrClosed
+	}
+	return count, err
+}
+
+// Close implements net.Conn. What a limited link has not transmitted yet is transmitted before the other end sees the close,
+// for lingerTime at most.
 func (c *conn) Close() error {
-	c.once.Do(func() {
+	c.closeOnce.Do(func() {
 		close(c.closed)
+		if !c.buffer.started.Load() {
+			c.abort()
+			return
+		}
+		_ = c.Conn.SetReadDeadline(time.Now()) // Ends the reads in progress; a connection of a pipe accepts all deadlines.
+		time.AfterFunc(lingerTime, c.abort)
+	})
+	return nil
+}
+
+// abort closes the connection at once, in both directions.
+func (c *conn) abort() {
+	c.abortedOnce.Do(func() {
+		close(c.aborted)
 		c.network.mu.Lock()
 		delete(c.network.conns, c)
 		c.network.mu.Unlock()
+		_ = c.Conn.Close() // The end of a pipe always closes.
 	})
-	return c.Conn.Close()
+}
+
+// isClosed reports whether a channel is closed.
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
 }
 
 // LocalAddr implements net.Conn; the address has no port.
