Logs and metrics: where the time of a request goes outside its handler

Change, without any decision on it: package callerconn measures when the first byte of a request arrived (the socket's own record of it, so that the listener's queue and a process without processor count) and how long writes take. Lines of requests have read_wait_ms, body_ms, write_ms and past_deadline_ms; metrics request_read_wait, request_body, timer_lateness, requests_past_deadline; line timers late.

--- /dev/null
+++ b/callerconn/conn.go
@@ -0,0 +1,129 @@
+package callerconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Conn is a connection of a caller. It is safe for concurrent use.
+type Conn struct {
+	net.Conn
+	now func() time.Time
+
+	mu sync.Mutex
+	// firstReceived is when the first bytes of the current request were received; zero between two requests.
+	firstReceived time.Time
+	// lastReceived is when the last bytes were read.
+	lastReceived time.Time
+	// writing is how long writes for the current request have taken.
+	writing time.Duration
+}
+
+// Arrived returns when the current request began to arrive.
+func (c *Conn) Arrived() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstReceived.IsZero() {
+		// Nothing has been read since the last request: this one was received together with it.
+		return c.lastReceived
+	}
+	return c.firstReceived
+}
+
+// Writing returns how long writes for the current request have taken.
+func (c *Conn) Writing() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writing
+}
+
+// Read implements net.Conn.
+func (c *Conn) Read(data []byte) (int, error) {
+	count, err := c.Conn.Read(data)
+	if count > 0 {
+		c.received()
+	}
+	return count, err
+}
+
+// received records that bytes have been read.
+func (c *Conn) received() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastReceived = c.now()
+	if c.firstReceived.IsZero() {
+		c.firstReceived = c.lastReceived.Add(-sinceReceived(c.Conn))
+	}
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(data []byte) (int, error) {
+	began := c.now()
+	count, err := c.Conn.Write(data)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing += c.now().Sub(began)
+	return count, err
+}
+
+// CloseWrite closes the direction to the caller. The HTTP server does so before it closes a connection whose caller may
+// still be sending, because closing both directions at once may discard the response.
+func (c *Conn) CloseWrite() error {
+	closer, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return closer.CloseWrite()
+}
+
+// endRequest prepares for the next request.
+func (c *Conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.firstReceived, c.writing = time.Time{}, 0
+}
+
+// Listener accepts connections of callers.
+type Listener struct {
+	net.Listener
+	now func() time.Time
+}
+
+// NewListener returns a listener whose connections measure by the given clock.
+func NewListener(listener net.Listener, now func() time.Time) *Listener {
+	return &Listener{Listener: listener, now: now}
+}
+
+// Accept implements net.Listener.
+func (l *Listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: accepted, now: l.now}, nil
+}
+
+type contextKey struct{}
+
+// NewContext returns a context with the connection, for From. It implements the ConnContext hook of http.Server.
+func NewContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, conn)
+}
+
+// From returns the connection of a request by its context, or nil if it was not accepted by a Listener.
+func From(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(contextKey{}).(*Conn)
+	return conn
+}
+
+// Track follows the state of a connection. It implements the ConnState hook of http.Server.
+func Track(conn net.Conn, state http.ConnState) {
+	if tracked, ok := conn.(*Conn); ok && state == http.StateIdle {
+		tracked.endRequest()
+	}
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/callerconn"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/metrics"
@@ -170,6 +171,9 @@
 	storeUnavailableRetryAfter = 2500 * time.Millisecond
 )
 
+// countedPastDeadline is how long after the end of its time a request must end to be counted as held beyond it.
+const countedPastDeadline = 250 * time.Millisecond
+
 // notReadyRetryAfter returns the Retry-After of a node that is not ready.
 func (h *Handler) notReadyRetryAfter() time.Duration {
 	if h.options.Clock.Since(h.started) < usualStartTime {
@@ -184,7 +188,10 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	served := &exchange{handler: h, writer: w, arrived: arrived}
+	served := &exchange{handler: h, writer: w, arrived: arrived, conn: callerconn.From(r.Context())}
+	if served.conn != nil {
+		served.timings.readWait = arrived.Sub(served.conn.Arrived())
+	}
 	err := served.serve(r)
 	h.finish(served, err, h.options.Clock.Since(arrived))
 }
@@ -194,9 +201,11 @@
 	handler       *Handler
 	configuration *routing.Configuration
 	writer        http.ResponseWriter
-	arrived       time.Time
-	request       *Request
-	route         *routing.Route
+	// conn is the caller's connection; nil if the server does not measure its connections.
+	conn    *callerconn.Conn
+	arrived time.Time
+	request *Request
+	route   *routing.Route
 	// tenant is the caller's tenant; nil if the configuration has no tenants, or if the route is public and
 	// the caller presented no key.
 	tenant   *tenant.Tenant
@@ -298,7 +307,9 @@
 func (x *exchange) readBody(r *http.Request) error {
 	request := x.request
 	limited := http.MaxBytesReader(x.writer, r.Body, x.configuration.Limits.MaxBodyBytes)
+	began := x.sinceArrival()
 	body, err := io.ReadAll(limited)
+	x.timings.body = x.sinceArrival() - began
 	request.Body = body
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -330,6 +341,11 @@
 	x.refund()
 	h.countArrivals(x)
 	h.options.Metrics.Observe("request_duration", took)
+	h.options.Metrics.Observe("request_read_wait", x.timings.readWait)
+	h.options.Metrics.Observe("request_body", x.timings.body)
+	if x.pastDeadline() > countedPastDeadline {
+		h.options.Metrics.Add("requests_past_deadline", 1)
+	}
 	if err == nil {
 		h.options.Metrics.Add("requests_answered", 1)
 		h.logAnswered(x, took)
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -17,17 +17,39 @@
 	reserved, prefilled, firstEvent time.Duration
 	// pause is the longest time between two events.
 	pause time.Duration
+	// readWait is the time until the head of the request had been read, and body the time that its body took.
+	readWait, body time.Duration
 }
 
 // sinceArrival returns how long ago the request arrived.
 func (x *exchange) sinceArrival() time.Duration { return x.handler.options.Clock.Since(x.arrived) }
 
+// writing returns how long writes to the caller have taken.
+func (x *exchange) writing() time.Duration {
+	if x.conn == nil {
+		return 0
+	}
+	return x.conn.Writing()
+}
+
+// pastDeadline returns how long ago the time of the request ended, and zero if it has not.
+func (x *exchange) pastDeadline() time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return max(0, -x.left())
+}
+
 // attributes returns the attributes of all log lines about a request.
 func (x *exchange) attributes(took time.Duration) []any {
 	attributes := []any{
 		"service", x.service, "backend", x.target, "sends", x.arrivals.runs, "prompts", x.arrivals.prefills, "runs", x.runs,
 		"beyond_first", x.arrivals.upstreamRetries(),
 		"age_ms", x.clientRetry.age.Milliseconds(), "full_deadlines", x.clientRetry.fullShare, "took_ms", took.Milliseconds(),
+		"read_wait_ms", x.timings.readWait.Milliseconds(), "body_ms", x.timings.body.Milliseconds(), "write_ms", x.writing().Milliseconds(),
+	}
+	if past := x.pastDeadline(); past > 0 {
+		attributes = append(attributes, "past_deadline_ms", past.Milliseconds())
 	}
 	if x.request != nil {
 		attributes = append(attributes, "request", x.request.ID, "wait_ms", x.request.Timeout.Milliseconds())
--- a/router/callerconnections.go
+++ b/router/callerconnections.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"net"
+	"net/http"
+
+	"github.com/reelrun/reelrun/callerconn"
 	"github.com/reelrun/reelrun/connectionlimit"
 	"github.com/reelrun/reelrun/settings"
 )
@@ -45,3 +49,9 @@
 		r.metrics.Add("callers_refused", 1)
 	})
 }
+
+// trackCaller follows the state of a caller's connection.
+func (r *Router) trackCaller(conn net.Conn, state http.ConnState) {
+	callerconn.Track(conn, state)
+	r.callerConnections.Track(conn, state)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -18,6 +18,7 @@
 	"github.com/reelrun/reelrun/backendhttp"
 	"github.com/reelrun/reelrun/backendlimit"
 	"github.com/reelrun/reelrun/backendpath"
+	"github.com/reelrun/reelrun/callerconn"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/connectionlimit"
 	"github.com/reelrun/reelrun/coordinator"
@@ -150,6 +151,8 @@
 	origin  time.Time
 	// storeCalls counts calls to the store since the last summary.
 	storeCalls callCounts
+	// lateness measures how late timers fire at this node.
+	lateness *timerLateness
 	// repeatedNotices counts repeated notices by backend since the last summary.
 	repeatedNotices callCounts
 	// limitedResponses counts, by backend, the responses that named a limit since the last summary.
@@ -219,6 +222,7 @@
 		backends: backend.NewRegistry(options.Clock.Now), storeHealth: newStoreHealth(options.Logger, options.Clock),
 	}
 	r.staleness = newStaleness()
+	r.lateness = newTimerLateness(r.metrics)
 	r.storeEpoch.Store(unknownEpoch)
 	r.someNodesKnown, r.nodesKnown = newLatch(), newLatch()
 	r.settings.Store(options.Settings)
@@ -330,7 +334,7 @@
 	}
 	callerServer := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(), ConnState: r.callerConnections.Track,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(), ConnContext: callerconn.NewContext, ConnState: r.trackCaller,
 	}
 	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
 	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
@@ -338,7 +342,7 @@
 	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatching()
 	group, _ := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(callerServer, ports.callers) })
+	group.Go(func() error { return serve(callerServer, callerconn.NewListener(ports.callers, r.options.Clock.Now)) })
 	group.Go(func() error { return serve(readyServer, ports.ready) })
 	group.Go(func() error { return serve(metricsServer, ports.metrics) })
 	group.Go(func() error { return servePeers(r.server, ports.peers) })
@@ -374,6 +378,7 @@
 		func() { r.afterNodesKnown(untilStop, r.maintainRetryShares) },
 		func() { r.pollReports(untilDrained) },
 		func() { r.logSummaries(untilDrained) },
+		func() { r.lateness.measure(untilDrained) },
 		func() { r.monitorLinks(untilDrained) },
 		func() { r.stayRegistered(untilStop) },
 		func() { r.removeLost(untilStop) },
--- a/router/summary.go
+++ b/router/summary.go
@@ -37,6 +37,7 @@
 		r.logDeniedCalls()
 		r.logOutdatedObjects()
 		r.logReportedFailures()
+		r.logLateness()
 	})
 }
 
