--- /dev/null
+++ b/soak/slowcallers_test.go
@@ -0,0 +1,243 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/reelrun/reelrun/platform/standin"
+)
+
+const (
+	// slowCallerCount is how many callers send their requests slowly.
+	slowCallerCount = 8
+	// routeTimeout is the timeout of all routes.
+	routeTimeout = 4 * time.Second
+	// heldTimeout is how long after the timeout of its route a request may have no response.
+	heldTimeout = 500 * time.Millisecond
+	// maxHeldShare is the maximum share of requests that may be held for longer, and minExpired the number of requests that
+	// reached their timeout below which the share is not checked.
+	maxHeldShare = 0.25
+	minExpired   = 8
+	// slowCallerBody is the length of the body that slow callers announce.
+	slowCallerBody = 1000
+)
+
+// manner is how a slow caller sends its request.
+type manner int
+
+const (
+	// stallInBody never sends the rest of the body.
+	stallInBody manner = iota
+	// pauseInBody sends the rest of the body late, but within the time of the request.
+	pauseInBody
+	// pauseInHead sends the rest of the head late.
+	pauseInHead
+	// stallAfterPausedHead sends the rest of the head late, and never the rest of the body.
+	stallAfterPausedHead
+	mannerCount
+)
+
+// slowCallers are callers whose requests arrive in parts.
+type slowCallers struct {
+	harness  *harness
+	stopping chan struct{}
+	done     sync.WaitGroup
+
+	mu       sync.Mutex
+	observed []observation
+}
+
+func startSlowCallers(h *harness, seed uint64) *slowCallers {
+	c := &slowCallers{harness: h, stopping: make(chan struct{})}
+	for i := range slowCallerCount {
+		random := rand.New(rand.NewPCG(seed, uint64(i)+2000))
+		prefix := fmt.Sprintf("slow%d-%d-%d", seed, os.Getpid(), i)
+		c.done.Go(func() { c.run(prefix, random) })
+	}
+	return c
+}
+
+func (c *slowCallers) run(prefix string, random *rand.Rand) {
+	for number := 0; ; number++ {
+		select {
+		case <-c.stopping:
+			return
+		case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
+		}
+		n := c.harness.nodes[random.IntN(len(c.harness.nodes))]
+		k := []kind{kindNonIdempotent, kindIdempotent, kindStream, kindResumable}[random.IntN(4)]
+		pause := time.Duration(random.IntN(3000)) * time.Millisecond
+		o := sendSlowly(n, k, fmt.Sprintf("%s-%d", prefix, number), manner(random.IntN(int(mannerCount))), pause)
+		c.mu.Lock()
+		c.observed = append(c.observed, o)
+		c.mu.Unlock()
+	}
+}
+
+// stop stops the callers and returns what they have observed.
+func (c *slowCallers) stop() []observation {
+	close(c.stopping)
+	c.done.Wait()
+	return c.observed
+}
+
+// sendSlowly sends one request in a manner, and returns what its caller sees until the connection ends or the response is
+// complete.
+func sendSlowly(n *node, k kind, id string, how manner, pause time.Duration) observation {
+	o := observation{id: id, kind: k, node: n.index, tenant: steadyTenant, began: time.Now()}
+	conn, err := net.DialTimeout("tcp", fmt.Sprintf("127.0.0.1:%d", n.ports[0]), time.Second)
+	if err != nil {
+		return withEnd(o)
+	}
+	defer func() { _ = conn.Close() }()
+	header := http.Header{}
+	standin.CallerHeaders{ID: id, Wait: 2 * routeTimeout, PromptTokens: 3000, MaxOutputTokens: 2000, LengthHint: 600, Key: keyOf(steadyTenant)}.Set(header)
+	body := make([]byte, slowCallerBody)
+	head := &headWriter{conn: conn}
+	head.printf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", k, routeHost, slowCallerBody)
+	if how == pauseInHead || how == stallAfterPausedHead {
+		time.Sleep(pause)
+	}
+	for name := range header {
+		head.printf("%s: %s\r\n", name, header.Get(name))
+	}
+	head.printf("\r\n")
+	if head.err != nil {
+		return withEnd(o)
+	}
+	n.requests.add(k, time.Now())
+	half := slowCallerBody / 2
+	_, err = conn.Write(body[:half])
+	if err == nil && how == pauseInBody {
+		time.Sleep(pause)
+	}
+	if err == nil && (how == pauseInBody || how == pauseInHead) {
+		_, err = conn.Write(body[half:])
+		o.sent = err == nil
+	}
+	return receiveSlowly(conn, o)
+}
+
+// headWriter writes the parts of a head and keeps the first error.
+type headWriter struct {
+	conn net.Conn
+	err  error
+}
+
+func (w *headWriter) printf(format string, arguments ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.conn, format, arguments...)
+	}
+}
+
+// receiveSlowly reads the response to a request.
+func receiveSlowly(conn net.Conn, o observation) observation {
+	if err := conn.SetReadDeadline(o.began.Add(3 * routeTimeout)); err != nil {
+		return withEnd(o)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return withEnd(o)
+	}
+	body, err := io.ReadAll(response.Body)
+	o.status, o.complete, o.body = response.StatusCode, err == nil, string(body)
+	return withEnd(o)
+}
+
+// countHeld counts the requests that reached the timeout of their route, and those that were held beyond heldTimeout
+// after it. It leaves out requests whose node was disturbed meanwhile, or shortly before.
+func countHeld(observed []observation, disturbances []disturbance) (held, expired int) {
+	for _, o := range observed {
+		took := o.ended.Sub(o.began)
+		o.began = o.began.Add(-time.Second)
+		if took < routeTimeout || disturbed(o, disturbances) {
+			continue
+		}
+		expired++
+		if took > routeTimeout+heldTimeout {
+			held++
+		}
+	}
+	return held, expired
+}
+
+// checkHeld returns a violation if too many requests were held beyond the timeout of their route.
+func checkHeld(held, expired int) []string {
+	if held < minExpired || float64(held) <= maxHeldShare*float64(expired) {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d of %d requests that reached the timeout of their route were held on", held, expired)}
+}
+
+// checkSlowRejections returns a violation for each request that ran although its caller was told that it has not and never will.
+func checkSlowRejections(observed []observation, runs map[string]int) []string {
+	var violations []string
+	for _, o := range observed {
+		if notRunStatuses[o.status] && runs[o.id] > 0 {
+			violations = append(violations, fmt.Sprintf("slow request %s got %d and ran", o.id, o.status))
+		}
+	}
+	return violations
+}
+
+// TestChecksDetectHeldRequests counts requests that are held, and some that are exempt.
+func TestChecksDetectHeldRequests(t *testing.T) {
+	g := NewWithT(t)
+	began := time.Unix(100, 0)
+	var observed []observation
+	for range minExpired {
+		observed = append(observed, observation{node: 1, began: began, ended: began.Add(routeTimeout + 2*heldTimeout)})
+		observed = append(observed, observation{node: 2, began: began, ended: began.Add(routeTimeout + 2*heldTimeout)})
+		observed = append(observed, observation{node: 1, began: began, ended: began.Add(routeTimeout - time.Millisecond)})
+	}
+	held, expired := countHeld(observed, []disturbance{{node: 2, from: began, to: began.Add(time.Second)}})
+	g.Expect([]int{held, expired}).To(Equal([]int{minExpired, minExpired}))
+	g.Expect(checkHeld(held, expired)).To(HaveLen(1))
+	g.Expect(checkHeld(minExpired-1, minExpired)).To(BeEmpty())
+	g.Expect(checkHeld(minExpired, 4*minExpired)).To(BeEmpty())
+	g.Expect(checkSlowRejections([]observation{{id: "a", status: 408}, {id: "b", status: 408}}, map[string]int{"a": 1})).To(HaveLen(1))
+}
+
+// TestWaitOfPausedProcessIsHeldBeyondTimeout guards against requests whose wait for the node's processor is not part of their
+// time: they arrive while the process is paused, and their backends do not answer.
+func TestWaitOfPausedProcessIsHeldBeyondTimeout(t *testing.T) {
+	const (
+		callers = 10
+		pause   = 1500 * time.Millisecond
+	)
+	h := newHarness(t, 69, 1, "")
+	defer h.close()
+	h.awaitReady()
+	g := NewWithT(t)
+	for _, b := range h.backends {
+		if b.server != nil {
+			b.server.SetFaults(standin.ServerFaults{Unresponsive: 4 * callers})
+		}
+	}
+	n := h.nodes[0]
+	h.signal(n, syscall.SIGSTOP)
+	observed := make([]observation, callers)
+	var sending sync.WaitGroup
+	for i := range observed {
+		sending.Go(func() {
+			observed[i] = sendSlowly(n, kindIdempotent, fmt.Sprintf("paused%d-%d", os.Getpid(), i), pauseInBody, 0)
+		})
+	}
+	time.Sleep(pause)
+	h.signal(n, syscall.SIGCONT)
+	sending.Wait()
+	held, expired := countHeld(observed, nil)
+	g.Expect(expired).To(Equal(callers))
+	g.Expect(held).To(BeZero(), "of %d", expired)
+}
