The body of a request is read within its time

What callers saw: a request whose body stops arriving got no answer for as long as its connection lasted; all of them, at each node, without load. Cause: the deadline was derived after the body had been read, and no read had one. Change: the deadline exists as soon as the route is known, and bounds the reads of the body. A body that is not whole by then gets 408: the request has not run and never will, and its caller may send it again; the connection ends, because the rest may still come. The bound is removed once the body is read: net/http then waits for the end of the connection, and would take the end of the time for it.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -266,17 +265,13 @@
 	if err := x.identify(r.URL.Path); err != nil {
 		return err
 	}
+	x.deadline = x.arrived.Add(x.timeout())
 	if err := x.readBody(r); err != nil {
 		return err
 	}
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
-	timeout := x.route.Timeout
-	if x.request.Timeout > 0 && x.request.Timeout < timeout {
-		timeout = x.request.Timeout
-	}
-	x.deadline = x.arrived.Add(timeout)
 	x.clientRetry = h.waits.observe(x.route, x.request.Timeout)
 	ctx, cancel := context.WithTimeout(r.Context(), x.left())
 	defer cancel()
@@ -303,22 +298,12 @@
 	return x.forward(ctx)
 }
 
-// readBody reads the body of the request, up to the limit of the configuration.
-func (x *exchange) readBody(r *http.Request) error {
-	request := x.request
-	limited := http.MaxBytesReader(x.writer, r.Body, x.configuration.Limits.MaxBodyBytes)
-	began := x.sinceArrival()
-	body, err := io.ReadAll(limited)
-	x.timings.body = x.sinceArrival() - began
-	request.Body = body
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return rejected(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge, err)
-	}
-	if err != nil {
-		return rejected(http.StatusBadRequest, ReasonMalformed, err)
+// timeout returns how long the request may take: the timeout of its route, or less if its caller waits for less.
+func (x *exchange) timeout() time.Duration {
+	if x.request.Timeout > 0 {
+		return min(x.request.Timeout, x.route.Timeout)
 	}
-	return nil
+	return x.route.Timeout
 }
 
 // left returns the time until the caller's deadline.
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -21,7 +21,9 @@
 	// ReasonUnknownKey means that the caller presented no key of the active configuration.
 	ReasonUnknownKey   Reason = "unknown_key"
 	ReasonBodyTooLarge Reason = "body_too_large"
-	ReasonNoBackend    Reason = "no_backend"
+	// ReasonBodyIncomplete means that the body had not arrived when the time of the request was over.
+	ReasonBodyIncomplete Reason = "body_incomplete"
+	ReasonNoBackend      Reason = "no_backend"
 	// ReasonBackoff means that all backends for the request have requested backoff from this node.
 	ReasonBackoff Reason = "backoff"
 	// ReasonBackendLimit means that the chosen backend accepts no more requests now, by the limit that it has named.
