The writing of a response is bounded by the time of its request

What callers saw: a caller that does not read kept its connection, and with it the response and the memory that it takes, for as long as it liked, beyond the timeout of its route. Cause: a write had no deadline, and the end of a context does not end a write that blocks. Change: the write deadline is the end of the request's time and 400 ms, so that a response that is ready then is delivered (TestReadyResponseIsDeliveredLate); net/http removes it before the next request (TestTimeOfOneRequestDoesNotBindTheNext). A write that ends by it is logged as deadline, no longer as a caller that left.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -287,7 +287,7 @@
 	defer func() { _ = response.Body.Close() }()
 	x.writeHead(response)
 	if _, err := io.Copy(x.writer, response.Body); err != nil {
-		return unknown(ReasonStreamBroken, err)
+		return writeFailure(ReasonStreamBroken, err)
 	}
 	return nil
 }
@@ -306,5 +306,6 @@
 	}
 	x.answered = true
 	x.status = response.Status
+	x.limitWriting()
 	x.writer.WriteHeader(response.Status)
 }
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -392,10 +392,10 @@
 			x.beginStream(reserved)
 		}
 		if _, err := x.writer.Write(event.bytes); err != nil {
-			return unknown(ReasonCallerDisconnected, err)
+			return writeFailure(ReasonCallerDisconnected, err)
 		}
 		if err := flusher.Flush(); err != nil {
-			return unknown(ReasonCallerDisconnected, err)
+			return writeFailure(ReasonCallerDisconnected, err)
 		}
 		s.recordEvent(event.id, reserved)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -367,5 +367,6 @@
 		panic(http.ErrAbortHandler)
 	}
 	x.settleBody()
+	x.limitWriting()
 	final.write(x.writer)
 }
