Package requestbody: one bound on the time in which a body is read

What callers saw: nothing new. Change: requestbody.LimitTime removes the bound itself at the end of the body.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/requestbody"
 )
 
 // readBody reads the body of the request, up to the limit of the configuration and within the time of the request.
@@ -16,7 +18,7 @@
 		return nil
 	}
 	request := x.request
-	stop := x.limitReading(x.left())
+	requestbody.LimitTime(x.writer, r, x.left())
 	limited := http.MaxBytesReader(x.writer, r.Body, x.configuration.Limits.MaxBodyBytes)
 	began := x.sinceArrival()
 	body, err := io.ReadAll(limited)
@@ -25,7 +27,6 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
-		stop()
 		x.bodyRead = true
 		return nil
 	case errors.As(err, &tooLarge):
@@ -59,7 +60,7 @@
 	}
 	// The rest may still come, so that nothing else can be read from the connection.
 	x.writer.Header().Set("Connection", "close")
-	x.limitReading(drainTimeout)
+	requestbody.LimitTime(x.writer, x.incoming, drainTimeout)
 }
 
 // readRest reads the rest of the body, if it arrives within restTimeout, and reports whether it has.
@@ -67,22 +68,7 @@
 	if x.incoming.Header.Get("Expect") != "" {
 		return false // Reading would ask the caller to send the body.
 	}
-	stop := x.limitReading(restTimeout)
-	count, err := io.CopyN(io.Discard, x.incoming.Body, maxRestBytes)
-	if !errors.Is(err, io.EOF) || count == maxRestBytes {
-		return false
-	}
-	stop()
-	return true
-}
-
-// limitReading bounds how long reads from the caller may take from now on. The function that it returns removes the bound. It has
-// to be called once the body has been read: the server then waits for the end of the connection, and would take the end of the
-// time for it.
-func (x *exchange) limitReading(limit time.Duration) (stop func()) {
-	control := http.NewResponseController(x.writer)
-	if err := control.SetReadDeadline(time.Now().Add(limit)); err != nil {
-		return func() {} // The writer is not that of a connection.
-	}
-	return func() { _ = control.SetReadDeadline(time.Time{}) } // The connection has accepted a deadline before.
+	requestbody.LimitTime(x.writer, x.incoming, restTimeout)
+	_, err := io.CopyN(io.Discard, x.incoming.Body, maxRestBytes)
+	return errors.Is(err, io.EOF)
 }
