The product's own interface: bodies and responses of calls within their time

Evidence: TestStalledBodyOfCallIsHeldBeyondTimeout (no answer in 8 s, timeout 2 s; now 408 at 2 s) and TestUnreadResponseOfCallIsHeldBeyondTimeout (connection open, now closed) failed before. Change: bodies of all requests to this interface have 30 s, those of calls the service's timeout; responses of calls the timeout and 400 ms, and completions that are sent whole the 30 s that streams have.

--- a/completion/sink.go
+++ b/completion/sink.go
@@ -152,6 +152,7 @@
 	}
 	s.w.Header().Set("Content-Type", "application/json")
 	complete := completionResponse{ID: s.id, Object: s.object(), Model: s.model, Choices: []choice{part}, Usage: &usage{CompletionTokens: tokens}}
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(writeTimeout)) // Fails only without a connection.
 	if err := json.NewEncoder(s.w).Encode(complete); err != nil {
 		return errors.CombineErrors(errCallerDisconnected, err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/reelrun/reelrun/membership"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
+	"github.com/reelrun/reelrun/requestbody"
 	"github.com/reelrun/reelrun/service"
 	"github.com/reelrun/reelrun/settings"
 	"github.com/reelrun/reelrun/tlsfiles"
@@ -27,8 +28,10 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 32 << 10
+	// bodyTimeout bounds the time in which the body of a request is read: 1 MiB at 0.3 Mbit/s.
+	bodyTimeout    = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 32 << 10
 	// maxConcurrentStreams bounds the HTTP/2 streams of one caller's connection.
 	maxConcurrentStreams = 256
 	backendDialTimeout   = time.Second
@@ -145,7 +148,15 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { readyz(core, w) })
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { errNoPath.WriteHTTP(w) })
-	return mux
+	return limitBodies(mux)
+}
+
+// limitBodies bounds the time in which the bodies of all requests are read.
+func limitBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requestbody.LimitTime(w, r, bodyTimeout)
+		next.ServeHTTP(w, r)
+	})
 }
 
 var errNoPath = api.NewError(http.StatusNotFound, api.CodeNotFound, api.OutcomeNotRun, "no such path or method")
--- a/service/handler.go
+++ b/service/handler.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/reelrun/reelrun/filter"
 	"github.com/reelrun/reelrun/httpheader"
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/requestbody"
 	"github.com/reelrun/reelrun/timeline"
 )
 
@@ -36,6 +38,8 @@
 	// retriesPerSecond and retryBurst bound the retries of a node's calls.
 	retriesPerSecond = 20
 	retryBurst       = 40
+	// writeGrace is how long after its timeout the response to a call may still be written.
+	writeGrace = 400 * time.Millisecond
 	// retryAfter is the retry delay given to a caller if no replica requested one.
 	retryAfter = time.Second
 )
@@ -98,8 +102,12 @@
 	}
 	started := &call{exchange: exchange, service: service, path: "/" + r.PathValue("path"), request: r}
 	started.nonIdempotent = slices.Contains(service.NonIdempotentMethods, r.Method)
-	ctx, cancel := context.WithTimeout(r.Context(), service.Timeout.Std())
+	timeout := service.Timeout.Std()
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	defer cancel()
+	// The end of a context ends neither a read from the caller nor a write to it.
+	requestbody.LimitTime(w, r, timeout)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(timeout + writeGrace)) // Fails only without a connection.
 	if started.nonIdempotent {
 		return h.serveNonIdempotent(ctx, w, started)
 	}
@@ -133,6 +141,9 @@
 	}
 	c.key = key
 	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxNonIdempotentBody+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return api.NewError(http.StatusRequestTimeout, api.CodeInvalidRequest, api.OutcomeNotRun, "the body did not arrive in time")
+	}
 	if err != nil {
 		return api.NewError(http.StatusBadRequest, api.CodeInvalidRequest, api.OutcomeNotRun, "the body could not be read")
 	}
