Trial: two crashes quarantine a request only if its backends had not begun to write

Idea: a neighbour is being answered when its engine ends under another request, and what crashes engines does so as it begins.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// suspectCrashes is the number of crashes in a row from which a request is quarantined for suspectDuration.
-	// On 81 days of ordinary crashes 359 requests were at one, and none at two; of the requests that share
-	// engines with requests that crash them, a few in a hundred are at two.
+	// suspectCrashes is the number of crashes in a row from which a request is quarantined for suspectDuration, if its backends
+	// had not begun to write a response. On 81 days of ordinary crashes 359 requests were at one, and none at two; of the
+	// requests that share engines with requests that crash them, a few in a hundred are at two, most of them in the middle of
+	// their responses.
 	suspectCrashes = 2
 	// quarantineCrashes is the number of crashes in a row from which a request is quarantined for
 	// quarantineDuration.
@@ -53,34 +54,49 @@
 
 // history is the record of one request.
 type history struct {
-	// crashes holds when each backend ended, by its incarnation.
-	crashes map[string]time.Duration
+	// crashes holds the ends of backends, by their incarnations.
+	crashes map[string]recordedCrash
 	// quarantinedUntil is when the quarantine ends; zero if there was none.
 	quarantinedUntil time.Duration
 }
 
+// recordedCrash is the end of one backend with a request in flight.
+type recordedCrash struct {
+	at time.Duration
+	// written is set if the backend had begun to write its response. Requests that crash what runs them do so as they begin;
+	// one that was being answered has probably shared its backend with such a request.
+	written bool
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{requests: map[Fingerprint]*history{}} }
 
 // Empty reports whether there is no record of any request.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
-// Add records that a backend incarnation ended with a request in flight, and returns the request's status.
-func (t *Table) Add(now time.Duration, request Fingerprint, backend string) Status {
+// Add records that a backend incarnation ended with a request in flight, and returns the request's status. Written is set if the
+// backend had begun to write its response.
+func (t *Table) Add(now time.Duration, request Fingerprint, backend string, written bool) Status {
 	entry := t.history(now, request)
 	if _, counted := entry.crashes[backend]; !counted {
-		entry.crashes[backend] = now
-		entry.quarantinedUntil = max(entry.quarantinedUntil, now+durationAfter(len(entry.crashes)))
+		entry.crashes[backend] = recordedCrash{now, written}
+		entry.quarantinedUntil = max(entry.quarantinedUntil, now+entry.duration())
 	}
 	return entry.status(now)
 }
 
-// durationAfter returns how long a request is quarantined after a number of crashes.
-func durationAfter(crashes int) time.Duration {
+// duration returns how long the request is quarantined after its last crash.
+func (h *history) duration() time.Duration {
+	unwritten := 0
+	for _, crash := range h.crashes {
+		if !crash.written {
+			unwritten++
+		}
+	}
 	switch {
-	case crashes >= quarantineCrashes:
+	case len(h.crashes) >= quarantineCrashes:
 		return quarantineDuration
-	case crashes >= suspectCrashes:
+	case unwritten >= suspectCrashes:
 		return suspectDuration
 	default:
 		return 0
@@ -92,7 +108,7 @@
 	entry := t.history(now, earlier.Request)
 	for _, backend := range earlier.Backends {
 		if _, counted := entry.crashes[backend]; !counted {
-			entry.crashes[backend] = now
+			entry.crashes[backend] = recordedCrash{at: now}
 		}
 	}
 	if earlier.Quarantined > 0 {
@@ -162,7 +178,7 @@
 		if len(t.requests) >= maxRequests {
 			t.evictOldest(now)
 		}
-		entry = &history{crashes: map[string]time.Duration{}}
+		entry = &history{crashes: map[string]recordedCrash{}}
 		t.requests[request] = entry
 	}
 	entry.expire(now)
@@ -205,8 +221,8 @@
 	if now < h.quarantinedUntil+evidenceLifetime && h.quarantinedUntil > 0 {
 		return
 	}
-	for backend, at := range h.crashes {
-		if now-at >= evidenceLifetime {
+	for backend, crash := range h.crashes {
+		if now-crash.at >= evidenceLifetime {
 			delete(h.crashes, backend)
 		}
 	}
@@ -220,8 +236,8 @@
 // lastCrash returns when the last backend ended.
 func (h *history) lastCrash() time.Duration {
 	var last time.Duration
-	for _, at := range h.crashes {
-		last = max(last, at)
+	for _, crash := range h.crashes {
+		last = max(last, crash.at)
 	}
 	return last
 }
