--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -132,7 +132,7 @@
 	added := &localEvidence{Evidence: Evidence{
 		Request: request, Backend: backend, At: now, Parts: c.unansweredParts(now, crash.Request.Parts), Written: crash.Written,
 	}}
-	c.local.Add(now, request, backend, crash.Written)
+	c.local.Add(now, request, backend)
 	c.parts.add(now, backend, request, added.Parts, added.Written)
 	c.noteReported(added.Parts)
 	c.evidence[request] = append(c.evidence[request], added)
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -70,7 +70,7 @@
 	response := reportResponse{statuses: make([]Status, len(reported.evidence)), countsParts: true}
 	for i, evidence := range reported.evidence {
 		if now-evidence.At < evidenceLifetime {
-			c.table.Add(evidence.At, evidence.Request, evidence.Backend, evidence.Written)
+			c.table.Add(evidence.At, evidence.Request, evidence.Backend)
 			c.parts.add(evidence.At, evidence.Backend, evidence.Request, evidence.Parts, evidence.Written)
 		}
 		c.announce(now, evidence.Request)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -7,10 +7,9 @@
 )
 
 const (
-	// suspectCrashes is the number of crashes in a row from which a request is quarantined for suspectDuration, if its backends
-	// had not begun to write a response. On 81 days of ordinary crashes 359 requests were at one, and none at two; of the
-	// requests that share engines with requests that crash them, a few in a hundred are at two, most of them in the middle of
-	// their responses.
+	// suspectCrashes is the number of crashes in a row from which a request is quarantined for suspectDuration.
+	// On 81 days of ordinary crashes 359 requests were at one, and none at two; of the requests that share
+	// engines with requests that crash them, a few in a hundred are at two.
 	suspectCrashes = 2
 	// quarantineCrashes is the number of crashes in a row from which a request is quarantined for
 	// quarantineDuration.
@@ -54,49 +53,34 @@
 
 // history is the record of one request.
 type history struct {
-	// crashes holds the ends of backends, by their incarnations.
-	crashes map[string]recordedCrash
+	// crashes holds when each backend ended, by its incarnation.
+	crashes map[string]time.Duration
 	// quarantinedUntil is when the quarantine ends; zero if there was none.
 	quarantinedUntil time.Duration
 }
 
-// recordedCrash is the end of one backend with a request in flight.
-type recordedCrash struct {
-	at time.Duration
-	// written is set if the backend had begun to write its response. Requests that crash what runs them do so as they begin;
-	// one that was being answered has probably shared its backend with such a request.
-	written bool
-}
-
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{requests: map[Fingerprint]*history{}} }
 
 // Empty reports whether there is no record of any request.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
-// Add records that a backend incarnation ended with a request in flight, and returns the request's status. Written is set if the
-// backend had begun to write its response.
-func (t *Table) Add(now time.Duration, request Fingerprint, backend string, written bool) Status {
+// Add records that a backend incarnation ended with a request in flight, and returns the request's status.
+func (t *Table) Add(now time.Duration, request Fingerprint, backend string) Status {
 	entry := t.history(now, request)
 	if _, counted := entry.crashes[backend]; !counted {
-		entry.crashes[backend] = recordedCrash{now, written}
-		entry.quarantinedUntil = max(entry.quarantinedUntil, now+entry.duration())
+		entry.crashes[backend] = now
+		entry.quarantinedUntil = max(entry.quarantinedUntil, now+durationAfter(len(entry.crashes)))
 	}
 	return entry.status(now)
 }
 
-// duration returns how long the request is quarantined after its last crash.
-func (h *history) duration() time.Duration {
-	unwritten := 0
-	for _, crash := range h.crashes {
-		if !crash.written {
-			unwritten++
-		}
-	}
+// durationAfter returns how long a request is quarantined after a number of crashes.
+func durationAfter(crashes int) time.Duration {
 	switch {
-	case len(h.crashes) >= quarantineCrashes:
+	case crashes >= quarantineCrashes:
 		return quarantineDuration
-	case unwritten >= suspectCrashes:
+	case crashes >= suspectCrashes:
 		return suspectDuration
 	default:
 		return 0
@@ -108,7 +92,7 @@
 	entry := t.history(now, earlier.Request)
 	for _, backend := range earlier.Backends {
 		if _, counted := entry.crashes[backend]; !counted {
-			entry.crashes[backend] = recordedCrash{at: now}
+			entry.crashes[backend] = now
 		}
 	}
 	if earlier.Quarantined > 0 {
@@ -178,7 +162,7 @@
 		if len(t.requests) >= maxRequests {
 			t.evictOldest(now)
 		}
-		entry = &history{crashes: map[string]recordedCrash{}}
+		entry = &history{crashes: map[string]time.Duration{}}
 		t.requests[request] = entry
 	}
 	entry.expire(now)
@@ -221,8 +205,8 @@
 	if now < h.quarantinedUntil+evidenceLifetime && h.quarantinedUntil > 0 {
 		return
 	}
-	for backend, crash := range h.crashes {
-		if now-crash.at >= evidenceLifetime {
+	for backend, at := range h.crashes {
+		if now-at >= evidenceLifetime {
 			delete(h.crashes, backend)
 		}
 	}
@@ -236,8 +220,8 @@
 // lastCrash returns when the last backend ended.
 func (h *history) lastCrash() time.Duration {
 	var last time.Duration
-	for _, crash := range h.crashes {
-		last = max(last, crash.at)
+	for _, at := range h.crashes {
+		last = max(last, at)
 	}
 	return last
 }
