Linter: manners of slow callers as a table, one selector

What callers saw: nothing. The linter found an unused constant in the soak and an embedded field in a selector.

--- a/sim/memnet/conn.go
+++ b/sim/memnet/conn.go
@@ -243,7 +243,7 @@
 			c.abort()
 			return
 		}
-		_ = c.Conn.SetReadDeadline(time.Now()) // Ends the reads in progress; a connection of a pipe accepts all deadlines.
+		_ = c.SetReadDeadline(time.Now()) // Ends the reads in progress; a connection of a pipe accepts all deadlines.
 		time.AfterFunc(lingerTime, c.abort)
 	})
 	return nil
--- a/soak/slowcallers_test.go
+++ b/soak/slowcallers_test.go
@@ -34,20 +34,13 @@
 	slowCallerBody = 1000
 )
 
-// manner is how a slow caller sends its request.
-type manner int
+// manner is how a slow caller sends its request: after which parts it pauses, and whether it sends the rest of its body.
+type manner struct {
+	pausesInHead, pausesInBody, stallsInBody bool
+}
 
-const (
-	// stallInBody never sends the rest of the body.
-	stallInBody manner = iota
-	// pauseInBody sends the rest of the body late, but within the time of the request.
-	pauseInBody
-	// pauseInHead sends the rest of the head late.
-	pauseInHead
-	// stallAfterPausedHead sends the rest of the head late, and never the rest of the body.
-	stallAfterPausedHead
-	mannerCount
-)
+// manners are the manners that slow callers draw.
+var manners = []manner{{stallsInBody: true}, {pausesInBody: true}, {pausesInHead: true}, {pausesInHead: true, stallsInBody: true}}
 
 // slowCallers are callers whose requests arrive in parts.
 type slowCallers struct {
@@ -79,7 +72,7 @@
 		n := c.harness.nodes[random.IntN(len(c.harness.nodes))]
 		k := []kind{kindNonIdempotent, kindIdempotent, kindStream, kindResumable}[random.IntN(4)]
 		pause := time.Duration(random.IntN(3000)) * time.Millisecond
-		o := sendSlowly(n, k, fmt.Sprintf("%s-%d", prefix, number), manner(random.IntN(int(mannerCount))), pause)
+		o := sendSlowly(n, k, fmt.Sprintf("%s-%d", prefix, number), manners[random.IntN(len(manners))], pause)
 		c.mu.Lock()
 		c.observed = append(c.observed, o)
 		c.mu.Unlock()
@@ -107,7 +100,7 @@
 	body := make([]byte, slowCallerBody)
 	head := &headWriter{conn: conn}
 	head.printf("POST /%s/x HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n", k, routeHost, slowCallerBody)
-	if how == pauseInHead || how == stallAfterPausedHead {
+	if how.pausesInHead {
 		time.Sleep(pause)
 	}
 	for name := range header {
@@ -120,10 +113,10 @@
 	n.requests.add(k, time.Now())
 	half := slowCallerBody / 2
 	_, err = conn.Write(body[:half])
-	if err == nil && how == pauseInBody {
+	if how.pausesInBody {
 		time.Sleep(pause)
 	}
-	if err == nil && (how == pauseInBody || how == pauseInHead) {
+	if err == nil && !how.stallsInBody {
 		_, err = conn.Write(body[half:])
 		o.sent = err == nil
 	}
@@ -245,7 +238,7 @@
 	var sending sync.WaitGroup
 	for i := range observed {
 		sending.Go(func() {
-			observed[i] = sendSlowly(n, kindNonIdempotent, fmt.Sprintf("paused%d-%d", os.Getpid(), i), pauseInBody, 0)
+			observed[i] = sendSlowly(n, kindNonIdempotent, fmt.Sprintf("paused%d-%d", os.Getpid(), i), manner{}, 0)
 		})
 	}
 	time.Sleep(pause)
