--- a/router/timerlateness.go
+++ b/router/timerlateness.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/reelrun/reelrun/metrics"
+	"github.com/reelrun/reelrun/periodic"
 )
 
 const (
@@ -19,31 +20,38 @@
 // time as late as its timers.
 type timerLateness struct {
 	metrics *metrics.Set
-	// greatest is the greatest lateness since the last summary, in nanoseconds.
-	greatest atomic.Int64
+
+	mu sync.Mutex
+	// greatest is the greatest lateness since the last summary.
+	greatest time.Duration
 }
 
 func newTimerLateness(set *metrics.Set) *timerLateness { return &timerLateness{metrics: set} }
 
 // measure measures until the context ends.
 func (l *timerLateness) measure(ctx context.Context) {
-	timer := time.NewTimer(latenessInterval)
-	defer timer.Stop()
-	for due := time.Now().Add(latenessInterval); ; due = time.Now().Add(latenessInterval) {
-		timer.Reset(latenessInterval)
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		late := time.Since(due)
-		l.metrics.Observe("timer_lateness", late)
-		l.greatest.Store(max(l.greatest.Load(), int64(late)))
-	}
+	due := time.Now().Add(latenessInterval)
+	periodic.Run(ctx, latenessInterval, func(context.Context) {
+		l.record(max(0, time.Since(due)))
+		due = time.Now().Add(latenessInterval)
+	})
+}
+
+func (l *timerLateness) record(late time.Duration) {
+	l.metrics.Observe("timer_lateness", late)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.greatest = max(l.greatest, late)
 }
 
 // take returns the greatest lateness since the last call.
-func (l *timerLateness) take() time.Duration { return time.Duration(l.greatest.Swap(0)) }
+func (l *timerLateness) take() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	greatest := l.greatest
+	l.greatest = 0
+	return greatest
+}
 
 // logLateness logs how late timers have fired since the last summary, if they were late.
 func (r *Router) logLateness() {
--- a/soak/disconnects_test.go
+++ b/soak/disconnects_test.go
@@ -55,12 +55,7 @@
 
 func (c *disconnectingCallers) run(prefix string, random *rand.Rand) {
 	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	for number := 0; ; number++ {
-		select {
-		case <-c.stopping:
-			return
-		case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
-		}
+	repeatUntil(c.stopping, random, func(number int) {
 		n := c.harness.nodes[random.IntN(len(c.harness.nodes))]
 		id := fmt.Sprintf("%s-%d", prefix, number)
 		k := []kind{kindStream, kindResumable}[random.IntN(2)]
@@ -68,11 +63,23 @@
 		o := sendUntil(ctx, transport, n, k, id, true, steadyTenant)
 		cancel()
 		if o.complete {
-			continue
+			return
 		}
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.disconnected = append(c.disconnected, disconnect{id: id, node: n.index, sent: o.began, at: o.ended})
-		c.mu.Unlock()
+	})
+}
+
+// repeatUntil calls send with rising numbers, each time after 50 to 250 ms, until the channel closes.
+func repeatUntil(stopping <-chan struct{}, random *rand.Rand, send func(number int)) {
+	for number := 0; ; number++ {
+		select {
+		case <-stopping:
+			return
+		case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
+		}
+		send(number)
 	}
 }
 
--- a/soak/slowcallers_test.go
+++ b/soak/slowcallers_test.go
@@ -63,20 +63,15 @@
 }
 
 func (c *slowCallers) run(prefix string, random *rand.Rand) {
-	for number := 0; ; number++ {
-		select {
-		case <-c.stopping:
-			return
-		case <-time.After(time.Duration(50+random.IntN(200)) * time.Millisecond):
-		}
+	repeatUntil(c.stopping, random, func(number int) {
 		n := c.harness.nodes[random.IntN(len(c.harness.nodes))]
 		k := []kind{kindNonIdempotent, kindIdempotent, kindStream, kindResumable}[random.IntN(4)]
 		pause := time.Duration(random.IntN(3000)) * time.Millisecond
 		o := sendSlowly(n, k, fmt.Sprintf("%s-%d", prefix, number), manners[random.IntN(len(manners))], pause)
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.observed = append(c.observed, o)
-		c.mu.Unlock()
-	}
+	})
 }
 
 // stop stops the callers and returns what they have observed.
