Logs and metrics: panics, responses whose end is lost, and processes that ended with requests in progress

What could not be told apart:

- A panic in a handler closed the connection, and the callers' server discarded its error log.
It is now a failure of the request (reason panic, 502 if nothing was answered) with a line handler panicked and its stack; the error logs of all HTTP servers are lines HTTP server.
- The end of a response is written after the handler has counted a success.
The connection now reports whether that failed, and how many bytes were unread and unsent when it was closed: line response not delivered, metric responses_cut, count cut in the lines requests.
- Requests in progress: gauge requests_in_progress, and their number at the end of the grace period.
- A process that ended by itself: the next start says so (earlier start ended without a planned stop).
- Connections that the bound on connections closes have a line a second.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -20,8 +20,14 @@
 	firstReceived time.Time
 	// lastReceived is when the last bytes were read.
 	lastReceived time.Time
-	// writing is how long writes for the current request have taken.
-	writing time.Duration
+	// writing is how long writes for the current request have taken, and writeErr the first error of one.
+	writing  time.Duration
+	writeErr error
+	// report is called once the current response has ended; nil if nobody asked.
+	report func(End)
+	// closed is set once this process has closed the connection, with the bytes that waited in the operating system then.
+	closed                       bool
+	unreadAtClose, unsentAtClose int
 }
 
 // Arrived returns when the current request began to arrive.
@@ -68,6 +74,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writing += c.now().Sub(began)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
 	return count, err
 }
 
@@ -123,7 +132,15 @@
 
 // Track follows the state of a connection. It implements the ConnState hook of http.Server.
 func Track(conn net.Conn, state http.ConnState) {
-	if tracked, ok := conn.(*Conn); ok && state == http.StateIdle {
+	tracked, ok := conn.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		tracked.reportEnd(false)
 		tracked.endRequest()
+	case http.StateClosed:
+		tracked.reportEnd(true)
 	}
 }
--- /dev/null
+++ b/callerconn/end.go
@@ -0,0 +1,81 @@
+package callerconn
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// End describes how a response ended. The HTTP server writes the last part of a response, and closes its connection if it must,
+// after the handler has returned.
+type End struct {
+	// Err is the first error of a write; nil if the whole response was handed to the operating system.
+	Err error
+	// Closed is set if the connection was closed after the response.
+	Closed bool
+	// UnreadBytes are bytes that the caller had sent and that nobody had read when the connection was closed. The operating
+	// system resets such a connection, and may discard what the caller has not received.
+	UnreadBytes int
+	// UnsentBytes are bytes that the caller had not acknowledged then.
+	UnsentBytes int
+}
+
+// Delivered reports whether nothing of the response is known to be lost.
+func (e End) Delivered() bool { return e.Err == nil && (e.UnreadBytes == 0 || e.UnsentBytes == 0) }
+
+// OnEnd sets the function that is called once the current response has ended. A handler calls it before it returns.
+func (c *Conn) OnEnd(report func(End)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report = report
+}
+
+// reportEnd reports the end of the current response.
+func (c *Conn) reportEnd(closed bool) {
+	c.mu.Lock()
+	report := c.report
+	end := End{Err: c.writeErr, Closed: closed}
+	if closed {
+		end.UnreadBytes, end.UnsentBytes = c.unreadAtClose, c.unsentAtClose
+	}
+	c.report, c.writeErr = nil, nil
+	c.mu.Unlock()
+	if report != nil {
+		report(end)
+	}
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	unread, unsent := queuedBytes(c.Conn)
+	c.mu.Lock()
+	if !c.closed {
+		c.closed, c.unreadAtClose, c.unsentAtClose = true, unread, unsent
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// queuedBytes returns how many bytes of a connection wait in the operating system: received ones that have not been read, and
+// written ones that have not been acknowledged. Both are zero if that is not known.
+func queuedBytes(conn net.Conn) (unread, unsent int) {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0, 0
+	}
+	controlled := raw.Control(func(descriptor uintptr) {
+		unread, err = unix.IoctlGetInt(int(descriptor), unix.SIOCINQ)
+		if err == nil {
+			unsent, err = unix.IoctlGetInt(int(descriptor), unix.SIOCOUTQ)
+		}
+	})
+	if controlled != nil || err != nil {
+		return 0, 0
+	}
+	return unread, unsent
+}
--- a/gateway/counts.go
+++ b/gateway/counts.go
@@ -16,6 +16,8 @@
 	// Rejected counts requests that have certainly not run; Failed those without a response that may have
 	// run, or whose backend failed; Disconnected those whose caller disconnected.
 	Rejected, Failed, Disconnected int
+	// Cut counts responses, of those above, whose end did not reach the caller.
+	Cut int
 }
 
 // routeCounters counts how requests end, by route. It is safe for concurrent use.
@@ -24,8 +26,18 @@
 	byRoute map[string]*RouteCounts
 }
 
-// add changes the counts of the route of a request; requests without a route are not counted.
-func (c *routeCounters) add(x *exchange, change func(*RouteCounts)) {
+// add counts a request that has ended; requests without a route are not counted.
+func (c *routeCounters) add(x *exchange, count func(*RouteCounts)) {
+	c.change(x, func(counts *RouteCounts) {
+		if !x.isClientRetry() {
+			counts.FirstAttempts++
+		}
+		count(counts)
+	})
+}
+
+// change changes the counts of the route of a request.
+func (c *routeCounters) change(x *exchange, change func(*RouteCounts)) {
 	if x.route == nil {
 		return
 	}
@@ -39,9 +51,6 @@
 		counts = &RouteCounts{Route: x.route.Name}
 		c.byRoute[x.route.Name] = counts
 	}
-	if !x.isClientRetry() {
-		counts.FirstAttempts++
-	}
 	change(counts)
 }
 
@@ -136,6 +145,7 @@
 	h.logUpstreamRetries()
 	for _, counts := range h.counters.take() {
 		h.options.Logger.Info("requests", "route", counts.Route, "first", counts.FirstAttempts, "in_time", counts.InTime,
-			"late", counts.Late, "refused", counts.Rejected, "failed", counts.Failed, "left", counts.Disconnected)
+			"late", counts.Late, "refused", counts.Rejected, "failed", counts.Failed, "left", counts.Disconnected,
+			"cut", counts.Cut)
 	}
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -106,6 +106,7 @@
 	started       time.Time
 	configuration atomic.Pointer[routing.Configuration]
 	draining      atomic.Bool
+	inProgress    atomic.Int64
 	waits         waitHistory
 	runNames      *runNames
 	counters      routeCounters
@@ -186,11 +187,16 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	h.inProgress.Add(1)
+	defer h.inProgress.Add(-1)
 	served := newExchange(h, w, r)
-	err := served.serve(r)
+	err := served.serveRecovered(r)
 	h.finish(served, err, served.sinceArrival())
 }
 
+// InProgress returns the number of requests that are being served.
+func (h *Handler) InProgress() int { return int(h.inProgress.Load()) }
+
 // exchange is one request and its state.
 type exchange struct {
 	handler       *Handler
@@ -349,6 +355,7 @@
 	if err == nil {
 		h.options.Metrics.Add("requests_answered", 1)
 		h.logAnswered(x, took)
+		h.watchEnd(x)
 		return
 	}
 	var final *failure
@@ -369,4 +376,5 @@
 	x.settleBody()
 	x.limitWriting()
 	final.write(x.writer)
+	h.watchEnd(x)
 }
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -49,6 +49,8 @@
 	ReasonDeadline           Reason = "deadline"
 	ReasonCallerDisconnected Reason = "caller_left"
 	ReasonStreamBroken       Reason = "stream_broken"
+	// ReasonPanic means that the handling of the request panicked.
+	ReasonPanic Reason = "panic"
 )
 
 // failure is a final response that the gateway generates itself. It implements error, so that each step can
--- a/router/callerconnections.go
+++ b/router/callerconnections.go
@@ -44,12 +44,21 @@
 	r.callerConnections = connectionlimit.New(maxCallerConnections(r.options.Settings), func(idle bool) {
 		if idle {
 			r.metrics.Add("idle_callers_closed", 1)
+			r.closedConnections.add("idle")
 			return
 		}
 		r.metrics.Add("callers_refused", 1)
+		r.closedConnections.add("new")
 	})
 }
 
+// logClosedConnections logs how many connections of callers the bound has closed since the last summary, idle and new ones.
+func (r *Router) logClosedConnections() {
+	if counts := r.closedConnections.take(); len(counts) > 0 {
+		r.options.Logger.Warn("connections of callers closed", "closed", counts, "open", r.callerConnections.Open())
+	}
+}
+
 // trackCaller follows the state of a caller's connection.
 func (r *Router) trackCaller(conn net.Conn, state http.ConnState) {
 	callerconn.Track(conn, state)
--- a/router/metrics.go
+++ b/router/metrics.go
@@ -23,6 +23,7 @@
 	r.metrics.Gauge("nodes_responsive", func() float64 { return float64(r.responsiveCount()) })
 	r.metrics.Gauge("nodes_of_other_builds", func() float64 { return float64(r.nodes.countOtherBuilds(buildName())) })
 	r.metrics.Gauge("caller_connections", func() float64 { return float64(r.callerConnections.Open()) })
+	r.metrics.Gauge("requests_in_progress", func() float64 { return float64(r.gateway.InProgress()) })
 	r.metrics.Gauge("tunnels_being_served", func() float64 { return float64(r.tunnels.served.Load()) })
 	r.metrics.Gauge("backends_tunnelled", func() float64 { return float64(r.tunnels.tracker.FaultyLinks()) })
 	r.metrics.Gauge("stream_origins", func() float64 { return float64(r.streams.Size()) })
--- a/router/registration.go
+++ b/router/registration.go
@@ -154,6 +154,7 @@
 		r.options.Logger.Error("node not registered", "error", err.Error())
 		return
 	}
+	r.logEarlierStart()
 	attempt := func() error { return r.tryRegister(ctx, spec) }
 	policy := backoff.NewExponentialBackOff(backoff.WithMaxElapsedTime(0))
 	if err := backoff.Retry(attempt, backoff.WithContext(policy, ctx)); err != nil {
@@ -161,6 +162,15 @@
 	}
 }
 
+// logEarlierStart logs that an earlier start of this node has left its object: it ended without a planned stop, and cut the requests
+// that it was serving.
+func (r *Router) logEarlierStart() {
+	earlier, found := r.nodes.named(r.options.Settings.Name)
+	if found && earlier.Incarnation != r.incarnation() {
+		r.options.Logger.Warn("earlier start ended without a planned stop", "started", earlier.Incarnation)
+	}
+}
+
 // tryRegister replaces the object that an earlier start has left, if the replica has one. If its version is
 // outdated, the newest one is read from the store.
 func (r *Router) tryRegister(ctx context.Context, spec json.RawMessage) error {
--- a/router/router.go
+++ b/router/router.go
@@ -144,6 +144,8 @@
 	tunnels          tunnels
 	// callerConnections bounds the open connections of callers.
 	callerConnections *connectionlimit.Limit
+	// closedConnections counts the connections that this bound has closed since the last summary.
+	closedConnections callCounts
 	// retryShares is the state of the retry budget's allocation.
 	retryShares retryShares
 	// started identifies this start of the node, and origin is the time at which now is zero.
@@ -334,10 +336,10 @@
 	}
 	callerServer := &http.Server{
 		Handler: r.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog(), ConnContext: callerconn.NewContext, ConnState: r.trackCaller,
+		MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(r.options.Logger, "callers"), ConnContext: callerconn.NewContext, ConnState: r.trackCaller,
 	}
-	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
-	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: discardLog()}
+	metricsServer := &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout, ErrorLog: serverLog(r.options.Logger, "metrics")}
+	readyServer := &http.Server{Handler: r.readiness(), ReadHeaderTimeout: headerTimeout, ErrorLog: serverLog(r.options.Logger, "readiness")}
 	// While it drains, the node continues to watch the store and to exchange objects with other nodes.
 	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatching()
@@ -407,7 +409,7 @@
 	defer timer.Stop()
 	<-timer.C
 	if err := callerServer.Shutdown(ctx); err != nil {
-		r.options.Logger.Warn("grace period over, requests in progress cut off", "error", err.Error())
+		r.options.Logger.Warn("grace period over, requests in progress cut off", "error", err.Error(), "requests", r.gateway.InProgress())
 		_ = callerServer.Close()
 	}
 	r.stopTunnels(ctx)
--- a/router/summary.go
+++ b/router/summary.go
@@ -38,6 +38,7 @@
 		r.logOutdatedObjects()
 		r.logReportedFailures()
 		r.logLateness()
+		r.logClosedConnections()
 	})
 }
 
