The run of a silent engine ends only once another engine is ready

What callers saw: streams of a resumable route end after their head, or get 502, though their engines go on.

Cause: a watchdog ended the run after a second of silence. Whether another one may start (attempts, retry budget, memory at an engine, a prefill) was found out afterwards, and where it may not, the caller's response ended. Each abandoned run also asked for a prefill and a reservation on top, so that new streams were rejected.

Change: a failover prepares the other engine beside the silent run: retry budget, reservation, prompt. Only when all of it is there does the run end. An event that arrives in the meantime interrupts the preparation. A run that is ended for silence is no longer logged as broken off by its engine, and counts as a crash only if nothing listens at the engine's address.

--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -61,17 +61,20 @@
 	return nil
 }
 
-// reportBreak records that a backend broke off the request. The age is the time since the request was sent
-// there, and written is set if the backend had begun to write its response. A backend that has terminated counts against the
+// reportBreak records that a decode engine broke off the run of the request, or that the run was ended because the engine was
+// silent.
+func (x *exchange) reportBreak(ctx context.Context, reserved *reservedEngine, silent bool) {
+	x.reportBroken(ctx, reserved.entry, brokenRequest{age: time.Since(reserved.sent), written: reserved.events > 0, silent: silent})
+}
+
+// reportBroken records that a backend broke off the request. A backend that has terminated counts against the
 // request; a broken connection does not, nor does the termination of a backend that was leaving. If no crash is attributed to the request yet, the check runs in
 // the background: this crash cannot be the one that quarantines the request.
-func (x *exchange) reportBreak(ctx context.Context, entry *backend.Entry, age time.Duration, written bool) {
+func (x *exchange) reportBroken(ctx context.Context, entry *backend.Entry, broken brokenRequest) {
 	if entry.LeavingFor() > 0 {
 		return
 	}
-	broken := brokenRequest{
-		request: x.request.ID, service: x.service, subject: x.subject(), backend: entry.Backend(), age: age, written: written,
-	}
+	broken.request, broken.service, broken.subject, broken.backend = x.request.ID, x.service, x.subject(), entry.Backend()
 	if tracker := x.handler.options.Quarantine; tracker != nil && tracker.Status(broken.subject).Crashes > 0 {
 		x.handler.recordBreak(ctx, broken)
 		return
@@ -88,6 +91,8 @@
 	age time.Duration
 	// written is set if the backend had begun to write its response.
 	written bool
+	// silent is set if this node ended the request because the backend was silent.
+	silent bool
 }
 
 // recordBreak checks whether the backend has terminated and reports the crash.
@@ -101,6 +106,9 @@
 			Request: broken.subject, Backend: broken.backend.ID, Written: broken.written,
 		})
 	}
+	if broken.silent && !crashed {
+		return // The backend has broken nothing off.
+	}
 	h.logBreak(broken, crashed, quarantineStatus)
 }
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -257,7 +257,7 @@
 	if failure := contextFailure(ctx); failure != nil {
 		return failure
 	}
-	x.reportBreak(ctx, entry, age, false)
+	x.reportBroken(ctx, entry, brokenRequest{age: age})
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -34,38 +34,51 @@
 )
 
 // generate serves a request at engines: memory is reserved, the prompt is prefilled, and the output of the
-// decode engine is relayed. If a stream breaks off and may be resumed, another engine of its version continues it.
+// decode engine is relayed. If a stream breaks off and may be resumed, another engine of its version continues it. If an engine
+// is silent for too long, another one continues its stream once it is ready to.
 func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
 	defer func() { x.freeKeptPrompt(ctx) }()
-	stream := &streamRelay{exchange: x, lastID: x.request.Generation.LastEventID}
-	avoid := map[string]bool{}
+	stream := &streamRelay{exchange: x, profile: profile, lastID: x.request.Generation.LastEventID, avoid: map[string]bool{}}
+	var next *preparedRun
 	for {
-		response, reserved, err := x.start(ctx, profile, stream.lastID, avoid)
+		response, reserved, err := x.start(ctx, stream, next)
 		if err != nil {
 			return err
 		}
 		err = stream.relay(ctx, response, reserved)
-		if err != nil && contextFailure(ctx) == nil && !isReason(err, ReasonCallerDisconnected) {
+		isOver := err == nil || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected)
+		if !isOver {
+			next = reserved.failover.take()
 			reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
 			x.handler.logWasted(x, reserved.entry.Backend().ID, wasteStreamBroken)
-			x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent), reserved.events > 0)
+			x.reportBreak(ctx, reserved, next != nil)
 		}
 		reserved.close(err == nil, stream.events, profile.EventTokens)
-		if err == nil || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected) {
+		if isOver {
 			return err
 		}
 		reserved.entry.RecordFailure()
-		avoid[reserved.entry.Backend().ID] = true
-		if !x.mayResume() {
-			return err
-		}
-		if unknown := x.requireVersionOf(ctx, stream); unknown != nil {
-			return errors.CombineErrors(err, unknown)
+		stream.avoid[reserved.entry.Backend().ID] = true
+		if next == nil {
+			if unavailable := x.mayContinue(ctx, stream); unavailable != nil {
+				return errors.CombineErrors(err, unavailable)
+			}
 		}
 		x.handler.logRetry(x, err)
 	}
 }
 
+// errMayNotResume means that a stream may not continue at another engine.
+var errMayNotResume = errors.New("gateway: the stream may not continue at another engine")
+
+// mayContinue returns why a stream that broke off may not continue at another engine, or nil.
+func (x *exchange) mayContinue(ctx context.Context, stream *streamRelay) error {
+	if !x.mayResume() {
+		return errMayNotResume
+	}
+	return x.requireVersionOf(ctx, stream)
+}
+
 // requireVersionOf constrains the next run to the version at which a stream that broke off began, if any of its events has
 // been passed on.
 func (x *exchange) requireVersionOf(ctx context.Context, stream *streamRelay) error {
@@ -92,26 +105,70 @@
 	return x.mayStartRun()
 }
 
-// start starts the run at a decode engine. Engines that reject the run are replaced by others while the
-// retry budget lasts.
-func (x *exchange) start(ctx context.Context, profile *routing.EngineProfile, lastID string, avoid map[string]bool) (*Response, *reservedEngine, error) {
+// preparedRun is a run that can start at once: memory is reserved at a decode engine, and the prompt is prefilled.
+type preparedRun struct {
+	reserved *reservedEngine
+	// prompt is nil if the decode engine is to prefill it.
+	prompt *prefilledPrompt
+}
+
+// prepareRun reserves memory at a decode engine and has the prompt prefilled.
+func (x *exchange) prepareRun(ctx context.Context, profile *routing.EngineProfile, avoid map[string]bool) (*preparedRun, error) {
+	reserved, err := x.reserve(ctx, profile, avoid)
+	if err != nil {
+		return nil, err
+	}
+	x.timings.reserved = x.sinceArrival()
+	prompt, err := x.promptIfSendable(ctx, reserved)
+	if err != nil {
+		x.release(ctx, reserved)
+		return nil, err
+	}
+	return &preparedRun{reserved, prompt}, nil
+}
+
+// promptIfSendable returns the prompt for a run, unless the request must not be sent any more.
+func (x *exchange) promptIfSendable(ctx context.Context, reserved *reservedEngine) (*prefilledPrompt, error) {
+	if err := x.checkSendable(); err != nil {
+		return nil, err
+	}
+	return x.promptFor(ctx, reserved)
+}
+
+// discardRun frees a prepared run that is not started.
+func (x *exchange) discardRun(ctx context.Context, prepared *preparedRun) {
+	x.discard(ctx, prepared.prompt, wasteNotNeeded)
+	x.release(ctx, prepared.reserved)
+}
+
+// start starts the run at a decode engine: that of the prepared run, unless it is nil. Engines that reject the run are
+// replaced by others while the retry budget lasts.
+func (x *exchange) start(ctx context.Context, stream *streamRelay, next *preparedRun) (*Response, *reservedEngine, error) {
 	for prefills := 1; ; prefills++ {
-		reserved, err := x.reserve(ctx, profile, avoid)
-		if err != nil {
-			return nil, nil, err
+		prepared := next
+		if prepared == nil {
+			var err error
+			if prepared, err = x.prepareRun(ctx, stream.profile, stream.avoid); err != nil {
+				return nil, nil, err
+			}
 		}
-		x.timings.reserved = x.sinceArrival()
-		response, err := x.startAt(ctx, reserved, lastID)
+		response, err := x.startPrepared(ctx, prepared, stream)
+		reserved := prepared.reserved
 		if err == nil {
 			return response, reserved, nil
 		}
-		x.release(ctx, reserved)
 		var failed *attemptError
-		if !errors.As(err, &failed) || prefills >= maxPrefills || !x.mayStartAgain(failed) {
+		isFinal := !errors.As(err, &failed)
+		if !isFinal {
+			next = reserved.failover.take()
+			isFinal = next == nil && (prefills >= maxPrefills || !x.mayStartAgain(failed))
+		}
+		x.release(ctx, reserved)
+		if isFinal {
 			return nil, nil, err
 		}
 		if failed.ran {
-			avoid[reserved.entry.Backend().ID] = true
+			stream.avoid[reserved.entry.Backend().ID] = true
 		}
 		x.handler.logRetry(x, err)
 	}
@@ -128,16 +185,10 @@
 	return x.mayStartRun()
 }
 
-// startAt prefills the prompt and starts the run at the engine of a reservation.
-func (x *exchange) startAt(ctx context.Context, reserved *reservedEngine, lastID string) (*Response, error) {
-	if err := x.checkSendable(); err != nil {
-		return nil, err
-	}
-	options := DecodeOptions{Reservation: &reserved.reservation, LastEventID: lastID}
-	prompt, err := x.promptFor(ctx, reserved)
-	if err != nil {
-		return nil, err
-	}
+// startPrepared starts a prepared run.
+func (x *exchange) startPrepared(ctx context.Context, prepared *preparedRun, stream *streamRelay) (*Response, error) {
+	reserved, prompt := prepared.reserved, prepared.prompt
+	options := DecodeOptions{Reservation: &reserved.reservation, LastEventID: stream.lastID}
 	if prompt != nil {
 		options.Prefill = &prompt.result
 	}
@@ -158,9 +209,10 @@
 		x.discard(ctx, prompt, wasteNotSent)
 		return nil, rejection
 	}
-	watched := x.watchDecode(ctx, reserved)
+	call := x.watchRun(ctx, reserved, stream)
 	reserved.sent = time.Now()
-	response, err := x.handler.options.Dialect.Decode(watched, reserved.entry.Backend(), x.request, x.left(), options)
+	response, err := x.handler.options.Dialect.Decode(call, reserved.entry.Backend(), x.request, x.left(), options)
+	reserved.failover.pause()
 	if err != nil {
 		x.discard(ctx, prompt, wasteDecodeFailed)
 		return nil, x.decodeFailed(ctx, reserved, err)
@@ -179,14 +231,16 @@
 		return nil, &attemptError{failure: notRun(ReasonBackendRejected, rejectedRetryAfter, nil), arrived: true}
 	}
 	x.runs++
+	reserved.responded = true
 	if !x.confirmIncarnation(ctx, reserved) {
 		// The engine may have restarted while the prompt was prefilled. None of its events has been passed on.
 		_ = response.Body.Close()
 		return nil, &attemptError{failure: unknown(ReasonVersionUnavailable, errOutdatedEntry), arrived: true, ran: true}
 	}
-	if lastID != "" {
-		x.handler.logContinued(x, reserved.entry.Backend(), lastID)
+	if stream.lastID != "" {
+		x.handler.logContinued(x, reserved.entry.Backend(), stream.lastID)
 	}
+	reserved.failover.resume(x.handler.firstEvents.limit(x.service))
 	return response, nil
 }
 
@@ -204,7 +258,7 @@
 	if errors.Is(err, ErrNotSent) {
 		return &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
-	x.reportBreak(ctx, reserved.entry, time.Since(reserved.sent), false)
+	x.reportBreak(ctx, reserved, errors.Is(err, errUnresponsive))
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
@@ -295,7 +349,7 @@
 			x.handler.logWasted(x, entry.Backend().ID, wastePrefillTimeout)
 		}
 		if !errors.Is(err, ErrNotSent) {
-			x.reportBreak(ctx, entry, time.Since(sent), false)
+			x.reportBroken(ctx, entry, brokenRequest{age: time.Since(sent)})
 		}
 		return nil, err
 	case result == nil && response.Misdirected:
@@ -316,6 +370,9 @@
 // streamRelay relays the events of one stream, over all engines that serve it.
 type streamRelay struct {
 	exchange *exchange
+	profile  *routing.EngineProfile
+	// avoid are the engines at which the stream must not continue.
+	avoid map[string]bool
 	// lastID is the identifier of the last relayed event.
 	lastID string
 	// events counts the relayed events.
@@ -346,7 +403,6 @@
 	s.lastAt = now
 	s.events++
 	reserved.events++
-	reserved.watchdog.reset(s.exchange.pauseLimit())
 	if id != "" {
 		s.lastID = id
 	}
@@ -372,6 +428,7 @@
 	events := newEventReader(response.Body)
 	for {
 		event, err := events.next()
+		reserved.failover.pause()
 		if err != nil {
 			if failure := contextFailure(ctx); failure != nil {
 				return failure
@@ -398,5 +455,6 @@
 			return writeFailure(ReasonCallerDisconnected, err)
 		}
 		s.recordEvent(event.id, reserved)
+		reserved.failover.resume(x.pauseLimit())
 	}
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -213,4 +213,5 @@
 	wasteEngineBackoff  wasteCause = "engine asked for backoff"
 	wasteNotSent        wasteCause = "time over or request quarantined"
 	wasteStreamBroken   wasteCause = "stream broken"
+	wasteNotNeeded      wasteCause = "not needed"
 )
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -53,8 +53,10 @@
 	events int
 	// rejection is why the engine did not accept the run in spite of the reservation.
 	rejection coordinator.Rejection
-	// watchdog ends the stream of an unresponsive engine; nil if no other engine could continue it.
-	watchdog *watchdog
+	// responded is set once the engine has begun its response.
+	responded bool
+	// failover prepares another engine if this one is silent; nil if the stream may not continue at another one.
+	failover *failover[preparedRun]
 	end      func()
 }
 
@@ -62,7 +64,7 @@
 // relayed; events is the number of events of the whole stream, including those from other engines.
 func (s *reservedEngine) close(complete bool, events, eventTokens int) {
 	s.end()
-	s.watchdog.stop()
+	s.failover.stop()
 	if s.run == "" {
 		return
 	}
