A silent prefill ends only once another engine may prefill

What callers saw: streams are rejected after 1.1 s though their prompts would have been prefilled 0.4 s later.

Change: at the timeout the alternatives are checked; as long as there is none, the prefill goes on.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -272,7 +272,7 @@
 			return nil, nil, notRun(ReasonPrefillFailed, rejectedRetryAfter, nil)
 		}
 		attempted[entry.Backend().ID] = true
-		result, err := x.prefillAt(ctx, entry, reserved)
+		result, err := x.prefillAt(ctx, entry, reserved, attempted)
 		if err == nil {
 			reserved.reportPrefilled(entry.Backend().ID)
 			x.timings.prefilled = x.sinceArrival()
@@ -319,18 +319,41 @@
 	return max(shortestPrefillTimeout, time.Duration(float64(x.route.Objective)*prefillTimeoutShare))
 }
 
-// prefillAt has one engine prefill the prompt.
-func (x *exchange) prefillAt(ctx context.Context, entry *backend.Entry, reserved *reservedEngine) (*PrefillResult, error) {
+// alternativePrefill is a prefill at another engine, for which there is retry budget.
+type alternativePrefill struct{}
+
+// prepareAlternativePrefill reports whether another engine may prefill a prompt whose engine is silent: a prefill engine that
+// has not been attempted, or the decode engine.
+func (x *exchange) prepareAlternativePrefill(reserved *reservedEngine, attempted map[string]bool) (*alternativePrefill, error) {
+	// The call to the silent engine has not been counted yet.
+	after := x.arrivals.withPrefill()
+	if len(attempted) < maxPrefills && x.prefillEngine(reserved, attempted) != nil {
+		after = after.withPrefill()
+		after.prefilled = true
+	}
+	if !x.maySend(after.withRun()) {
+		return nil, errNoAlternative
+	}
+	return &alternativePrefill{}, nil
+}
+
+// prefillAt has one engine prefill the prompt. The attempted engines include it.
+func (x *exchange) prefillAt(ctx context.Context, entry *backend.Entry, reserved *reservedEngine, attempted map[string]bool) (*PrefillResult, error) {
 	x.target = entry.Backend().ID
 	end := entry.Begin()
 	defer end()
-	limited, cancel := context.WithTimeout(ctx, x.prefillTimeout(entry, reserved))
-	defer cancel()
 	if rejection := x.prefillRejection(); rejection != nil {
 		return nil, rejection
 	}
+	call, watch := startFailover(ctx, x.prefillTimeout(entry, reserved), failoverOptions[alternativePrefill]{
+		prepare: func(context.Context) (*alternativePrefill, error) {
+			return x.prepareAlternativePrefill(reserved, attempted)
+		},
+	})
+	defer watch.stop()
 	sent := time.Now()
-	result, response, err := x.handler.options.Dialect.Prefill(limited, entry.Backend(), x.request, x.left())
+	result, response, err := x.handler.options.Dialect.Prefill(call, entry.Backend(), x.request, x.left())
+	timedOut := watch.take() != nil
 	if !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrLimited) {
 		x.countPrefill(result != nil)
 	}
@@ -344,12 +367,12 @@
 		return nil, err
 	case err != nil:
 		entry.RecordFailure()
-		reserved.reportPrefillFailure(entry, sent, limited.Err() != nil)
-		if limited.Err() != nil {
+		reserved.reportPrefillFailure(entry, sent, timedOut)
+		if timedOut {
 			x.handler.logWasted(x, entry.Backend().ID, wastePrefillTimeout)
 		}
 		if !errors.Is(err, ErrNotSent) {
-			x.reportBroken(ctx, entry, brokenRequest{age: time.Since(sent)})
+			x.reportBroken(ctx, entry, brokenRequest{age: time.Since(sent), silent: timedOut})
 		}
 		return nil, err
 	case result == nil && response.Misdirected:
