The context of an attempt lives as long as its response

What callers saw: a response above 256 KiB on a route whose requests may run again ends there, with a line stream_broken and the cause context canceled.

Cause: an attempt that may be followed by another one runs in a context of its own, which ended when the attempt returned with the beginning of the response; the rest was read after that. Class: a context that ends before what was begun in it.

Evidence: 2 MiB: cut at 262,144 bytes in each of the calls; whole on a route whose requests run once.

Change: the context ends when the body is closed. After: whole.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -155,17 +155,11 @@
 	reportOutcome := x.handler.options.Admission.Begin(x.service, target.ID)
 	defer func() { reportOutcome(outcome) }()
 	left := x.left()
-	sendContext := ctx
-	if x.route.Idempotent() && x.runs+1 < x.route.MaxAttempts {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(float64(left)*nonFinalAttemptShare))
-		defer cancel()
-		sendContext = limited
-	}
 	if rejection := x.runRejection(nil); rejection != nil {
 		return nil, rejection
 	}
 	sent := time.Now()
-	response, err := x.handler.options.Dialect.Send(sendContext, target, x.request, left)
+	response, err := x.sendLimited(ctx, target, left)
 	if errors.Is(err, ErrLimited) {
 		return nil, &attemptError{failure: notRun(ReasonBackendLimit, rejectedRetryAfter, err)}
 	}
@@ -211,6 +205,33 @@
 	return response, nil
 }
 
+// sendLimited sends the request to a backend. An attempt that is not the last one is limited to a share of the time that is left.
+func (x *exchange) sendLimited(ctx context.Context, target backend.Backend, left time.Duration) (*Response, error) {
+	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts {
+		return x.handler.options.Dialect.Send(ctx, target, x.request, left)
+	}
+	limited, cancel := context.WithTimeout(ctx, time.Duration(float64(left)*nonFinalAttemptShare))
+	response, err := x.handler.options.Dialect.Send(limited, target, x.request, left)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	response.Body = limitedBody{response.Body, cancel}
+	return response, nil
+}
+
+// limitedBody is the body of a response whose context must not end before the body has been read.
+type limitedBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+// Close implements io.Closer.
+func (b limitedBody) Close() error {
+	b.cancel()
+	return b.ReadCloser.Close()
+}
+
 // recordVia records through which node a response has come.
 func (x *exchange) recordVia(via string) {
 	x.via = via
