A silent plain backend is given up only once another one may take the request

What callers saw: idempotent requests get 502 at half of their time, though their server would have answered in time.

Change: at that time the alternatives are checked, and again each half second; as long as there is none, the attempt goes on. The watch ends with the beginning of the response, so that a long body is not bounded by it.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -19,8 +19,8 @@
 	// bufferedResponseBytes is how much of a response is read before its head is passed on, so that another
 	// backend can replace a response that breaks off.
 	bufferedResponseBytes = 256 << 10
-	// nonFinalAttemptShare is the share of the time left that an attempt may take while another attempt is
-	// possible.
+	// nonFinalAttemptShare is the share of the time left after which a backend is replaced by another one, if
+	// there is one.
 	nonFinalAttemptShare = 0.5
 	// noBackendRetryAfter is the Retry-After for a service without backends.
 	noBackendRetryAfter = 1000 * time.Millisecond
@@ -50,7 +50,7 @@
 			return err
 		}
 		attempted[entry.Backend().ID] = true
-		response, err := x.attempt(ctx, entry)
+		response, err := x.attempt(ctx, entry, attempted)
 		if err == nil {
 			return x.relay(response)
 		}
@@ -146,7 +146,7 @@
 // attempt sends the request to one backend. It returns when the response has been buffered, or the first
 // bufferedResponseBytes of it; the body yields the whole response in both cases. If the error is not nil, the
 // response is what the backend returned, or nil.
-func (x *exchange) attempt(ctx context.Context, entry *backend.Entry) (*Response, error) {
+func (x *exchange) attempt(ctx context.Context, entry *backend.Entry, attempted map[string]bool) (*Response, error) {
 	target := entry.Backend()
 	x.target = target.ID
 	end := entry.Begin()
@@ -159,7 +159,7 @@
 		return nil, rejection
 	}
 	sent := time.Now()
-	response, err := x.sendLimited(ctx, target, left)
+	response, err := x.sendBuffered(ctx, target, left, attempted)
 	if errors.Is(err, ErrLimited) {
 		return nil, &attemptError{failure: notRun(ReasonBackendLimit, rejectedRetryAfter, err)}
 	}
@@ -169,10 +169,6 @@
 		return nil, &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
 	x.countRun()
-	if err == nil {
-		x.recordVia(response.Via)
-		err = buffer(response)
-	}
 	if err != nil {
 		if !errors.Is(ctx.Err(), context.Canceled) {
 			outcome = x.failureOutcome(entry, sent)
@@ -205,33 +201,6 @@
 	return response, nil
 }
 
-// sendLimited sends the request to a backend. An attempt that is not the last one is limited to a share of the time that is left.
-func (x *exchange) sendLimited(ctx context.Context, target backend.Backend, left time.Duration) (*Response, error) {
-	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts {
-		return x.handler.options.Dialect.Send(ctx, target, x.request, left)
-	}
-	limited, cancel := context.WithTimeout(ctx, time.Duration(float64(left)*nonFinalAttemptShare))
-	response, err := x.handler.options.Dialect.Send(limited, target, x.request, left)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	response.Body = limitedBody{response.Body, cancel}
-	return response, nil
-}
-
-// limitedBody is the body of a response whose context must not end before the body has been read.
-type limitedBody struct {
-	io.ReadCloser
-	cancel context.CancelFunc
-}
-
-// Close implements io.Closer.
-func (b limitedBody) Close() error {
-	b.cancel()
-	return b.ReadCloser.Close()
-}
-
 // recordVia records through which node a response has come.
 func (x *exchange) recordVia(via string) {
 	x.via = via
@@ -278,24 +247,76 @@
 	if failure := contextFailure(ctx); failure != nil {
 		return failure
 	}
-	x.reportBroken(ctx, entry, brokenRequest{age: age})
+	x.reportBroken(ctx, entry, brokenRequest{age: age, silent: errors.Is(err, errUnresponsive)})
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
-// buffer reads the body of a response up to bufferedResponseBytes.
-func buffer(response *Response) error {
+// sendBuffered sends the request to a backend and buffers the response. If the backend is silent for too long, the call ends once
+// another one can take the request.
+func (x *exchange) sendBuffered(ctx context.Context, target backend.Backend, left time.Duration, attempted map[string]bool) (*Response, error) {
+	call, watch := x.watchAttempt(ctx, left, attempted)
+	response, err := x.handler.options.Dialect.Send(call, target, x.request, left)
+	if err != nil {
+		watch.stop()
+		return nil, err
+	}
+	response.Body = watchedBody{response.Body, watch}
+	isWhole, err := buffer(response)
+	if hasAlternative := watch.take() != nil; hasAlternative && err == nil && !isWhole {
+		_ = response.Body.Close()
+		err = errUnresponsive
+	}
+	x.recordVia(response.Via)
+	return response, err
+}
+
+// alternativeBackend is another backend to which the request may be sent, with the retry budget for it.
+type alternativeBackend struct{}
+
+// watchAttempt returns the context of a call to a plain backend. If the request may run at another one, the call ends after a
+// share of the time that is left, provided that there is another one then.
+func (x *exchange) watchAttempt(ctx context.Context, left time.Duration, attempted map[string]bool) (context.Context, *failover[alternativeBackend]) {
+	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts || x.arrivals.runs+1 >= maxSends {
+		return ctx, nil
+	}
+	limit := time.Duration(float64(left) * nonFinalAttemptShare)
+	return startFailover(ctx, limit, failoverOptions[alternativeBackend]{
+		prepare: func(context.Context) (*alternativeBackend, error) {
+			// The call in progress has not been counted yet.
+			if x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version}) == nil || !x.maySend(x.arrivals.withRun().withRun()) {
+				return nil, errNoAlternative
+			}
+			return &alternativeBackend{}, nil
+		},
+	})
+}
+
+// watchedBody is the body of a response whose call is watched. Closing it ends the call.
+type watchedBody struct {
+	io.ReadCloser
+	watch *failover[alternativeBackend]
+}
+
+// Close implements io.Closer.
+func (b watchedBody) Close() error {
+	b.watch.stop()
+	return b.ReadCloser.Close()
+}
+
+// buffer reads the body of a response up to bufferedResponseBytes, and reports whether that is the whole body.
+func buffer(response *Response) (isWhole bool, err error) {
 	var head bytes.Buffer
-	_, err := io.CopyN(&head, response.Body, bufferedResponseBytes)
+	_, err = io.CopyN(&head, response.Body, bufferedResponseBytes)
 	if err == nil {
 		response.Body = joinedBody{io.MultiReader(&head, response.Body), response.Body}
-		return nil
+		return false, nil
 	}
 	_ = response.Body.Close()
 	if !errors.Is(err, io.EOF) {
-		return errors.Wrap(err, "read response")
+		return false, errors.Wrap(err, "read response")
 	}
 	response.Body = io.NopCloser(&head)
-	return nil
+	return true, nil
 }
 
 type joinedBody struct {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -442,7 +442,7 @@
 		if x.answered {
 			return unknown(ReasonStreamBroken, errors.Newf("resumed with status %d", response.Status))
 		}
-		if err := buffer(response); err != nil {
+		if _, err := buffer(response); err != nil {
 			return unknown(ReasonBackendFailed, err)
 		}
 		return x.relay(response)
