A stream may pause for half of what its caller waits before another engine is prepared

What callers saw: streams are rejected while engines pause, because runs move between engines that all pause.

Cause: another engine was prepared after a second, though a stream that has paused for that long is late whatever follows, and its caller stays for longer. Each move takes memory at two engines, and a prefill.

--- a/gateway/firstevents.go
+++ b/gateway/firstevents.go
@@ -24,11 +24,16 @@
 	pauseLimitFactor = 3
 	// minPauseLimit bounds this time from below, also if the route sets no longest pause.
 	minPauseLimit = time.Second
+	// pauseTimeoutShare bounds it from below too, as a share of the time after which the caller disconnects from a
+	// silent stream: a stream that has paused for this long is late whatever happens, and the rest suffices to
+	// prepare another engine.
+	pauseTimeoutShare = 0.5
 )
 
 // pauseLimit returns how long an engine may be silent within a stream before another one is prepared.
 func (x *exchange) pauseLimit() time.Duration {
-	return max(minPauseLimit, pauseLimitFactor*x.route.MaxPause)
+	callerShare := time.Duration(pauseTimeoutShare * float64(x.route.CallerEventTimeout))
+	return max(minPauseLimit, pauseLimitFactor*x.route.MaxPause, callerShare)
 }
 
 // firstEvents tracks the mean time to the first event of a response, by service. It is safe for concurrent
