--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -39,4 +39,3 @@
 	))
 	g.Expect(handler.InProgress()).To(BeZero())
 }
-
