--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -31,6 +31,9 @@
 	if err := x.requireVersionOf(ctx, stream); err != nil {
 		return nil, err
 	}
+	// The log shows the run in progress, unless another one starts.
+	target, via, timings := x.target, x.via, x.timings
+	defer func() { x.target, x.via, x.timings = target, via, timings }()
 	avoid := maps.Clone(stream.avoid)
 	avoid[silent.entry.Backend().ID] = true
 	return x.prepareRun(ctx, stream.profile, avoid)
