A node that had no processor gives its backends their time again

After a pause of the process, each stream prepared another engine before it had read what waits in its socket, and interrupted that: a call of the coordinator and a reservation for each. A timer that fires more than 100 ms late now waits once more.

--- a/gateway/failover.go
+++ b/gateway/failover.go
@@ -8,8 +8,13 @@
 	"github.com/cockroachdb/errors"
 )
 
-// failoverRetryInterval is the pause after a preparation that has failed.
-const failoverRetryInterval = 500 * time.Millisecond
+const (
+	// failoverRetryInterval is the pause after a preparation that has failed.
+	failoverRetryInterval = 500 * time.Millisecond
+	// maxTimerLateness is how late a timer may fire. If it fires later, the process had no processor, and what the backend
+	// has sent meanwhile may not have been read yet.
+	maxTimerLateness = 100 * time.Millisecond
+)
 
 // errUnresponsive is the cause of a call that was ended because its backend was silent and an alternative was ready.
 var errUnresponsive = errors.New("gateway: backend is unresponsive")
@@ -28,8 +33,10 @@
 	timer   *time.Timer
 
 	mu sync.Mutex
-	// paused is set while the call is not being waited for, and due is when its backend will have been silent for too long.
+	// paused is set while the call is not being waited for, limit is how long its backend may be silent, and due is when it will
+	// have been silent for too long.
 	paused bool
+	limit  time.Duration
 	due    time.Time
 	// interrupt ends the preparation in progress, and prepared is closed once it has ended; nil if there is none.
 	interrupt context.CancelFunc
@@ -53,7 +60,7 @@
 		options.discard = func(*Alternative) {}
 	}
 	call, endCall := context.WithCancelCause(ctx)
-	f := &failover[Alternative]{options: options, endCall: endCall, due: time.Now().Add(limit)}
+	f := &failover[Alternative]{options: options, endCall: endCall, limit: limit, due: time.Now().Add(limit)}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.timer = time.AfterFunc(limit, func() { f.replace(ctx) })
@@ -75,8 +82,7 @@
 	f.interrupt = nil
 	switch {
 	case err != nil && !interrupted:
-		f.due = time.Now().Add(failoverRetryInterval)
-		f.timer.Reset(failoverRetryInterval)
+		f.wait(failoverRetryInterval)
 	case err == nil && interrupted:
 		f.options.discard(alternative)
 	case err == nil:
@@ -85,11 +91,16 @@
 	}
 }
 
-// begin returns the context of a preparation, unless something has arrived since the timer was set.
+// begin returns the context of a preparation, unless something has arrived since the timer was set, or may have without being read.
 func (f *failover[Alternative]) begin(ctx context.Context) (context.Context, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.paused || f.ready != nil || time.Now().Before(f.due) {
+	lateness := time.Since(f.due)
+	if f.paused || f.ready != nil || lateness < 0 {
+		return nil, false
+	}
+	if lateness > maxTimerLateness {
+		f.wait(f.limit)
 		return nil, false
 	}
 	preparing, interrupt := context.WithCancel(ctx) //nolint:gosec // replace calls it
@@ -122,7 +133,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.paused = false
+	f.paused, f.limit = false, limit
+	f.wait(limit)
+}
+
+// wait starts a preparation after a time; the lock is held.
+func (f *failover[Alternative]) wait(limit time.Duration) {
 	f.due = time.Now().Add(limit)
 	f.timer.Reset(limit)
 }
