A stream may pause for two fifths of what its caller waits before another engine is prepared

With half of it, TestHangingDecodeEngineIsReplaced failed in the whole run of platform/standin: a stalled stream of 0.2 s took 2.0 s, and less is asked for. The bound stays.

--- a/gateway/firstevents.go
+++ b/gateway/firstevents.go
@@ -27,7 +27,7 @@
 	// pauseTimeoutShare bounds it from below too, as a share of the time after which the caller disconnects from a
 	// silent stream: a stream that has paused for this long is late whatever happens, and the rest suffices to
 	// prepare another engine.
-	pauseTimeoutShare = 0.5
+	pauseTimeoutShare = 0.4
 )
 
 // pauseLimit returns how long an engine may be silent within a stream before another one is prepared.
