Failing tests: failures of engines under failover, and local prefills

A response with another status than 200 is passed on while the failover is active: a data race, and the response is continued with the events of the standby. Once an engine has sent its head, the limit of its first event lacks the time of its prefill.

--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -39,6 +40,8 @@
 // orderedCoordinator assigns the silent engine to the first run of a request, and the standby to others.
 type orderedCoordinator struct {
 	fullCoordinator
+	// first is the assignment of the first run.
+	first coordinator.Assignment
 	// assignStandby replaces the assignment of the standby; nil for none.
 	assignStandby func() coordinator.Assignment
 }
@@ -46,7 +49,7 @@
 func (c *orderedCoordinator) Assign(_ context.Context, request coordinator.Request) (coordinator.Assignment, error) {
 	switch {
 	case !slices.Contains(request.Avoid, silentEngine):
-		return coordinator.Assignment{Decode: silentEngine, Prefill: silentPrefill}, nil
+		return c.first, nil
 	case c.assignStandby != nil:
 		return c.assignStandby(), nil
 	default:
@@ -58,7 +61,9 @@
 type standbyDialect struct {
 	parser
 	silentBody func(call context.Context) io.ReadCloser
-	prefill    func(ctx context.Context, engine string) error
+	// silentStatus is the status of its response; zero for 200.
+	silentStatus int
+	prefill      func(ctx context.Context, engine string) error
 
 	mu sync.Mutex
 	// decodes are the decode calls in their order.
@@ -94,11 +99,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decodes = append(d.decodes, decodeCall{target.ID, options.LastEventID})
-	body := io.NopCloser(bytes.NewReader([]byte(secondEventText)))
-	if target.ID == silentEngine {
-		body = d.silentBody(ctx)
+	if target.ID != silentEngine {
+		return &gateway.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(secondEventText))}, nil
 	}
-	return &gateway.Response{Status: http.StatusOK, Header: http.Header{}, Body: body}, nil
+	return &gateway.Response{Status: cmp.Or(d.silentStatus, http.StatusOK), Header: http.Header{}, Body: d.silentBody(ctx)}, nil
 }
 
 // readerFunc is a body that a function reads.
@@ -143,7 +147,7 @@
 // usualStandbyOptions returns options with one software version and upstream retries to spare.
 func usualStandbyOptions() standbyOptions {
 	return standbyOptions{
-		coordinator: &orderedCoordinator{}, burst: func() float64 { return standbyBurst },
+		coordinator: &orderedCoordinator{first: coordinator.Assignment{Decode: silentEngine, Prefill: silentPrefill}}, burst: func() float64 { return standbyBurst },
 		logger: slog.New(slog.DiscardHandler), standbyVersion: silentVersion,
 	}
 }
@@ -304,3 +308,43 @@
 		return copy(data, fmt.Sprintf("id: %d\ndata: x\n\n", sent)), nil
 	}))
 }
+
+// TestLongFailureOfEngineIsNotCut has an engine answer with a failure whose body is longer than what a node buffers, and pause
+// before its end. Its head has been passed on: nothing may end the response.
+func TestLongFailureOfEngineIsNotCut(t *testing.T) {
+	const bufferedBytes = 256 << 10
+	const rest = "the end"
+	synctest.Test(t, func(t *testing.T) {
+		dialect := &standbyDialect{silentStatus: http.StatusBadRequest, silentBody: func(call context.Context) io.ReadCloser {
+			return io.NopCloser(io.MultiReader(strings.NewReader(strings.Repeat("f", bufferedBytes)), slowBody(2*time.Second, rest)(call)))
+		}}
+		handler := newStandbyHandler(dialect, usualStandbyOptions())
+		time.Sleep(standbyWindow)
+		response := sendAbortable(handler, "failure")
+		g := NewWithT(t)
+		g.Expect(response.Code).To(Equal(http.StatusBadRequest))
+		g.Expect(response.Body.Len()).To(Equal(bufferedBytes + len(rest)))
+	})
+}
+
+// TestLocalPrefillIsWaitedFor has a decode engine that prefills the prompt itself send the head of its response at once, and its
+// first event when the prompt is expected to be prefilled. No standby is sought before that.
+func TestLocalPrefillIsWaitedFor(t *testing.T) {
+	const expected = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		options := usualStandbyOptions()
+		options.coordinator.first = coordinator.Assignment{Decode: silentEngine, LocalPrefill: true, PromptReady: expected}
+		sought := 0
+		options.coordinator.assignStandby = func() coordinator.Assignment {
+			sought++
+			return coordinator.Assignment{RetryAfter: time.Second}
+		}
+		dialect := &standbyDialect{silentBody: func(call context.Context) io.ReadCloser { return slowStream(call, expected, 1) }}
+		handler := newStandbyHandler(dialect, options)
+		time.Sleep(standbyWindow)
+		response := sendAbortable(handler, "local")
+		g := NewWithT(t)
+		g.Expect(response.Body.String()).To(Equal(firstEventText))
+		g.Expect(sought).To(BeZero())
+	})
+}
