--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -348,3 +348,30 @@
 		g.Expect(sought).To(BeZero())
 	})
 }
+
+// TestPanicEndsFailover has the handling of a stream panic while its failover is active. Nothing is prepared for the stream after
+// that, and it holds no upstream retries.
+func TestPanicEndsFailover(t *testing.T) {
+	const burst = 2
+	synctest.Test(t, func(t *testing.T) {
+		options := usualStandbyOptions()
+		options.burst = func() float64 { return burst }
+		var panicked bool
+		dialect := &standbyDialect{silentBody: func(context.Context) io.ReadCloser {
+			return io.NopCloser(readerFunc(func([]byte) (int, error) {
+				if !panicked {
+					panicked = true
+					panic("fault in the handling")
+				}
+				return 0, io.ErrUnexpectedEOF
+			}))
+		}}
+		handler := newStandbyHandler(dialect, options)
+		time.Sleep(standbyWindow)
+		g := NewWithT(t)
+		g.Expect(sendAbortable(handler, "panics").Code).To(Equal(http.StatusBadGateway))
+		time.Sleep(5 * time.Second)
+		response := sendAbortable(handler, "breaks")
+		g.Expect(response.Code).To(Equal(http.StatusOK), response.Body.String())
+	})
+}
