Nothing continues the failure of an engine

What callers saw: the beginning of a failure's body, followed by events of another engine, with a regular end. Cause: while a failure above 256 KiB was passed on, the failover stayed armed, and any break of the body led to another engine. The failover is paused before a failure is passed on, and a break of its body ends the response.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -46,7 +46,7 @@
 			return err
 		}
 		err = stream.relay(ctx, response, reserved)
-		isOver := err == nil || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected)
+		isOver := err == nil || stream.isFailure || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected)
 		if !isOver {
 			next = reserved.failover.take()
 			reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
@@ -401,6 +401,8 @@
 	lastID string
 	// events counts the relayed events.
 	events int
+	// isFailure is set once a failure of an engine is passed on: nothing can continue its body.
+	isFailure bool
 	// lastAt is when the last event was relayed, measured from the request's arrival.
 	lastAt time.Duration
 }
@@ -437,6 +439,7 @@
 	x := s.exchange
 	defer func() { _ = response.Body.Close() }()
 	if response.Status != http.StatusOK {
+		reserved.failover.pause()
 		if promisesNotRun(response.Status) {
 			return unknown(ReasonBackendFailed, errors.Newf("status %d", response.Status))
 		}
@@ -446,6 +449,7 @@
 		if _, err := buffer(response); err != nil {
 			return unknown(ReasonBackendFailed, err)
 		}
+		s.isFailure = true
 		return x.relay(response)
 	}
 	flusher := http.NewResponseController(x.writer)
