A standby that was prepared before the first event continues only a stream of its version

What callers saw: events of two software versions in one stream. Cause: the first event could be read at the moment at which a standby was ready; the standby had been prepared while the stream might still begin at any version, and a ready standby skipped the check. Such a standby is now checked when it is taken, and freed if it does not fit.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -48,7 +48,7 @@
 		err = stream.relay(ctx, response, reserved)
 		isOver := err == nil || stream.isFailure || contextFailure(ctx) != nil || isReason(err, ReasonCallerDisconnected)
 		if !isOver {
-			next = reserved.failover.take()
+			next = x.takeStandby(ctx, reserved, stream)
 			reserved.rejection = x.failureRejection(reserved.entry, reserved.sent)
 			x.handler.logWasted(x, reserved.entry.Backend().ID, wasteStreamBroken)
 			x.reportBreak(ctx, reserved, next != nil)
@@ -110,6 +110,8 @@
 	reserved *reservedEngine
 	// prompt is nil if the decode engine is to prefill it.
 	prompt *prefilledPrompt
+	// events are the events of the stream that had been passed on when the run was prepared.
+	events int
 }
 
 // prepareRun reserves memory at a decode engine and has the prompt prefilled.
@@ -124,7 +126,7 @@
 		x.release(ctx, reserved)
 		return nil, err
 	}
-	return &preparedRun{reserved, prompt}, nil
+	return &preparedRun{reserved: reserved, prompt: prompt}, nil
 }
 
 // promptIfSendable returns the prompt for a run, unless the request must not be sent any more.
@@ -160,7 +162,7 @@
 		var failed *attemptError
 		isFinal := !errors.As(err, &failed)
 		if !isFinal {
-			next = reserved.failover.take()
+			next = x.takeStandby(ctx, reserved, stream)
 			isFinal = next == nil && (prefills >= maxPrefills || !x.mayStartAgain(failed))
 		}
 		x.release(ctx, reserved)
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -36,7 +36,26 @@
 	defer func() { x.target, x.via, x.timings = target, via, timings }()
 	avoid := maps.Clone(stream.avoid)
 	avoid[silent.entry.Backend().ID] = true
-	return x.prepareRun(ctx, stream.profile, avoid)
+	prepared, err := x.prepareRun(ctx, stream.profile, avoid)
+	if err != nil {
+		return nil, err
+	}
+	prepared.events = stream.events
+	return prepared, nil
+}
+
+// takeStandby returns the run for which that of a silent engine was ended; nil if there is none, or if the stream has begun since at
+// another version.
+func (x *exchange) takeStandby(ctx context.Context, silent *reservedEngine, stream *streamRelay) *preparedRun {
+	prepared := silent.failover.take()
+	if prepared == nil || prepared.events > 0 || stream.events == 0 {
+		return prepared
+	}
+	if err := x.requireVersionOf(ctx, stream); err != nil || !x.version.Allows(prepared.reserved.version) {
+		x.discardRun(ctx, prepared)
+		return nil
+	}
+	return prepared
 }
 
 // mayStartStandby reports whether the retry budget allows another run beside that of a silent engine.
