A run ends only for a standby that the retry budget lets start, and unused retries are returned

What callers saw: 502 although the engine would have gone on; and 502 of another stream that could not continue.

Cause: the retries of a standby were reserved when its preparation began and never given back, and whether they may be sent was asked after the run had been ended; while the call to the silent engine was not counted yet, the standby's calls were counted one too low.

The budget is asked as the last step of the preparation; a preparation that fails, is interrupted or is not used returns its retries; the pending call counts during the preparation.

--- a/gateway/retries.go
+++ b/gateway/retries.go
@@ -30,12 +30,20 @@
 func (x *exchange) prefillRejection() error { return x.budgetRejection(x.arrivals.withPrefill(), nil) }
 
 func (x *exchange) budgetRejection(after arrivals, cause error) error {
-	if !x.maySend(after) || !x.retryGrant.MaySend(after.upstreamRetries()) {
+	if !x.maySend(after) || !x.maySendNow(after) {
 		return notRun(ReasonRetryBudget, x.handler.options.Policy.retryAfter(noBudgetRetryAfter), cause)
 	}
 	return nil
 }
 
+// maySendNow reports whether the retries of the given calls, which are reserved, may be sent now.
+func (x *exchange) maySendNow(after arrivals) bool {
+	return x.retryGrant.MaySend(after.upstreamRetries())
+}
+
+// returnRetries returns the retries to the budget that are reserved beyond the given calls.
+func (x *exchange) returnRetries(made arrivals) { x.retryGrant.Keep(made.upstreamRetries()) }
+
 // countRun counts a run that has reached a backend, or may have.
 func (x *exchange) countRun() {
 	x.arrivals = x.arrivals.withRun()
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -17,7 +17,10 @@
 	}
 	call, watch := startFailover(ctx, limit, failoverOptions[preparedRun]{
 		prepare: func(ctx context.Context) (*preparedRun, error) { return x.prepareStandby(ctx, reserved, stream) },
-		discard: func(unused *preparedRun) { x.discardRun(ctx, unused) },
+		discard: func(unused *preparedRun) {
+			x.discardRun(ctx, unused)
+			x.returnRetries(x.arrivalsWith(reserved))
+		},
 	})
 	reserved.failover = watch
 	return call
@@ -25,15 +28,41 @@
 
 // prepareStandby prepares another engine for the stream of an engine that is silent.
 func (x *exchange) prepareStandby(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
-	if !x.mayStartStandby(silent) {
+	// The log shows the run in progress, unless another one starts.
+	target, via, timings := x.target, x.via, x.timings
+	defer func() { x.target, x.via, x.timings = target, via, timings }()
+	counted := x.arrivals.runs
+	x.arrivals = x.arrivalsWith(silent)
+	defer func() { x.arrivals.runs = counted }()
+	prepared, err := x.prepareOther(ctx, silent, stream)
+	if err != nil {
+		x.returnRetries(x.arrivals)
+		return nil, err
+	}
+	if !x.maySendNow(x.arrivals.withRun()) {
+		x.discardRun(ctx, prepared)
+		x.returnRetries(x.arrivals)
+		return nil, errNoAlternative
+	}
+	return prepared, nil
+}
+
+// arrivalsWith returns the calls of the request with that to an engine whose response has not begun: it is counted once it has.
+func (x *exchange) arrivalsWith(silent *reservedEngine) arrivals {
+	if silent.responded {
+		return x.arrivals
+	}
+	return x.arrivals.withRun()
+}
+
+// prepareOther prepares a run at another engine than the silent one, with the retry budget for it.
+func (x *exchange) prepareOther(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
+	if !x.mayStartRun() {
 		return nil, errNoAlternative
 	}
 	if err := x.requireVersionOf(ctx, stream); err != nil {
 		return nil, err
 	}
-	// The log shows the run in progress, unless another one starts.
-	target, via, timings := x.target, x.via, x.timings
-	defer func() { x.target, x.via, x.timings = target, via, timings }()
 	avoid := maps.Clone(stream.avoid)
 	avoid[silent.entry.Backend().ID] = true
 	prepared, err := x.prepareRun(ctx, stream.profile, avoid)
@@ -57,15 +86,3 @@
 	}
 	return prepared
 }
-
-// mayStartStandby reports whether the retry budget allows another run beside that of a silent engine.
-func (x *exchange) mayStartStandby(silent *reservedEngine) bool {
-	after := x.arrivals
-	if !silent.responded {
-		// The call has not been counted yet.
-		after = after.withRun()
-	}
-	after = after.withPrefill()
-	after.prefilled = true
-	return x.maySend(after.withRun())
-}
--- a/retrybudget/grant.go
+++ b/retrybudget/grant.go
@@ -66,12 +66,16 @@
 }
 
 // Release returns unsent retries to the budget.
-func (g *Grant) Release() {
-	if g.reserved == 0 {
+func (g *Grant) Release() { g.Keep(0) }
+
+// Keep returns unsent retries beyond total to the budget.
+func (g *Grant) Keep(total int) {
+	unsent := g.reserved - max(0, total-g.arrived)
+	if unsent <= 0 {
 		return
 	}
 	g.budget.mu.Lock()
 	defer g.budget.mu.Unlock()
-	g.budget.account(g.service).reserved -= g.reserved
-	g.reserved = 0
+	g.budget.account(g.service).reserved -= unsent
+	g.reserved -= unsent
 }
