A local prefill is waited for after the head of its response as well

Once the head had arrived, the limit for silence lacked the time of the prefill: standbys were sought while the decode engine still prefilled.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -242,7 +242,7 @@
 	if stream.lastID != "" {
 		x.handler.logContinued(x, reserved.entry.Backend(), stream.lastID)
 	}
-	reserved.failover.resume(x.handler.firstEvents.limit(x.service))
+	reserved.failover.resume(x.firstEventLimit(reserved))
 	return response, nil
 }
 
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 )
 
 // watchRun returns the context of a decode call. If the stream may continue at another engine, one is prepared once the
@@ -11,11 +12,7 @@
 	if !x.route.Resumable || x.runs+1 >= x.route.MaxAttempts {
 		return ctx
 	}
-	limit := x.handler.firstEvents.limit(x.service)
-	if reserved.localPrefill {
-		limit += prefillLimit(reserved.expectedPrefill)
-	}
-	call, watch := startFailover(ctx, limit, failoverOptions[preparedRun]{
+	call, watch := startFailover(ctx, x.firstEventLimit(reserved), failoverOptions[preparedRun]{
 		prepare: func(ctx context.Context) (*preparedRun, error) { return x.prepareStandby(ctx, reserved, stream) },
 		discard: func(unused *preparedRun) {
 			x.discardRun(ctx, unused)
@@ -26,6 +23,15 @@
 	return call
 }
 
+// firstEventLimit returns how long an engine may be silent before its first event until another one is prepared.
+func (x *exchange) firstEventLimit(reserved *reservedEngine) time.Duration {
+	limit := x.handler.firstEvents.limit(x.service)
+	if reserved.localPrefill {
+		limit += prefillLimit(reserved.expectedPrefill)
+	}
+	return limit
+}
+
 // prepareStandby prepares another engine for the stream of an engine that is silent.
 func (x *exchange) prepareStandby(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
 	// The log shows the run in progress, unless another one starts.
