A panic neither leaves a failover behind nor ends the process

The preparation runs in a timer's goroutine, where a panic ended the process with all its requests; and a panic in the handler, which has been recovered since the sight of this incident, left the failover armed and the run counted. Both are failures of one request now, with their line.

--- a/gateway/ending.go
+++ b/gateway/ending.go
@@ -19,6 +19,9 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			err = x.panicked(cause)
+			if x.abandon != nil {
+				x.abandon()
+			}
 		}
 	}()
 	return x.serve(r)
--- a/gateway/failover.go
+++ b/gateway/failover.go
@@ -47,8 +47,10 @@
 
 // failoverOptions configure a failover.
 type failoverOptions[Alternative any] struct {
-	// prepare returns an alternative that is certain to be available.
+	// prepare returns an alternative, once there is one. It runs in a goroutine of its own.
 	prepare func(ctx context.Context) (*Alternative, error)
+	// panicked returns the error of a preparation that panicked.
+	panicked func(cause any) error
 	// discard frees an alternative that is not used. Nil if there is nothing to free.
 	discard func(*Alternative)
 }
@@ -73,7 +75,7 @@
 	if !isDue {
 		return
 	}
-	alternative, err := f.options.prepare(preparing)
+	alternative, err := f.prepare(preparing)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	defer close(f.prepared)
@@ -91,6 +93,16 @@
 	}
 }
 
+// prepare prepares an alternative. A panic is the failure of one preparation, and does not end the process.
+func (f *failover[Alternative]) prepare(ctx context.Context) (alternative *Alternative, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			alternative, err = nil, f.options.panicked(cause)
+		}
+	}()
+	return f.options.prepare(ctx)
+}
+
 // begin returns the context of a preparation, unless something has arrived since the timer was set, or may have without being read.
 func (f *failover[Alternative]) begin(ctx context.Context) (context.Context, bool) {
 	f.mu.Lock()
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -15,20 +15,23 @@
 
 // preparation is a preparation that takes some time, and fails a number of times.
 type preparation struct {
-	takes    time.Duration
-	failures int
+	takes            time.Duration
+	failures, panics int
 	// begun and discarded count its calls and the alternatives that were discarded.
 	begun, discarded atomic.Int32
 }
 
 func (p *preparation) options() failoverOptions[prepared] {
-	return failoverOptions[prepared]{prepare: p.prepare, discard: func(*prepared) { p.discarded.Add(1) }}
+	return failoverOptions[prepared]{prepare: p.prepare, panicked: func(any) error { return errNoAlternative }, discard: func(*prepared) { p.discarded.Add(1) }}
 }
 
 // prepare succeeds even if it is interrupted, as a call does whose response has arrived already.
 func (p *preparation) prepare(context.Context) (*prepared, error) {
 	begun := p.begun.Add(1)
 	time.Sleep(p.takes)
+	if int(begun) <= p.panics {
+		panic("fault in the preparation")
+	}
 	if int(begun) <= p.failures {
 		return nil, errNoAlternative
 	}
@@ -71,6 +74,15 @@
 	})
 }
 
+// TestPanicInPreparationEndsTheProcess has the first preparation panic: it has failed, and the next one succeeds.
+func TestPanicInPreparationEndsTheProcess(t *testing.T) {
+	preparing := &preparation{panics: 1}
+	inFailover(t, preparing, func(g Gomega, call context.Context, _ *failover[prepared]) {
+		<-call.Done()
+		g.Expect(preparing.begun.Load()).To(BeEquivalentTo(2))
+	})
+}
+
 // TestEventInterruptsThePreparation has something arrive while the alternative is being prepared.
 func TestEventInterruptsThePreparation(t *testing.T) {
 	preparing := &preparation{takes: 300 * time.Millisecond}
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -255,6 +255,7 @@
 // another one can take the request.
 func (x *exchange) sendBuffered(ctx context.Context, target backend.Backend, left time.Duration, attempted map[string]bool) (*Response, error) {
 	call, watch := x.watchAttempt(ctx, left, attempted)
+	x.abandon = watch.stop
 	response, err := x.handler.options.Dialect.Send(call, target, x.request, left)
 	if err != nil {
 		watch.stop()
@@ -281,6 +282,7 @@
 	}
 	limit := time.Duration(float64(left) * nonFinalAttemptShare)
 	return startFailover(ctx, limit, failoverOptions[alternativeBackend]{
+		panicked: x.panicked,
 		prepare: func(context.Context) (*alternativeBackend, error) {
 			// The call in progress has not been counted yet.
 			if x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version}) == nil || !x.maySend(x.arrivals.withRun().withRun()) {
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -212,6 +212,7 @@
 		return nil, rejection
 	}
 	call := x.watchRun(ctx, reserved, stream)
+	x.abandon = func() { reserved.close(false, 0, 0) }
 	reserved.sent = time.Now()
 	response, err := x.handler.options.Dialect.Decode(call, reserved.entry.Backend(), x.request, x.left(), options)
 	reserved.failover.pause()
@@ -349,6 +350,7 @@
 		return nil, rejection
 	}
 	call, watch := startFailover(ctx, x.prefillTimeout(entry, reserved), failoverOptions[alternativePrefill]{
+		panicked: x.panicked,
 		prepare: func(context.Context) (*alternativePrefill, error) {
 			return x.prepareAlternativePrefill(reserved, attempted)
 		},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -255,6 +255,8 @@
 	quarantinedBy quarantine.Fingerprint
 	// clientRetry is the evidence that the caller was rejected before.
 	clientRetry clientRetryEvidence
+	// abandon ends the call in progress, with its failover, if the handling of the request panics; nil if there is none.
+	abandon func()
 }
 
 // newExchange returns the state of a request whose head has just been read.
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -13,7 +13,8 @@
 		return ctx
 	}
 	call, watch := startFailover(ctx, x.firstEventLimit(reserved), failoverOptions[preparedRun]{
-		prepare: func(ctx context.Context) (*preparedRun, error) { return x.prepareStandby(ctx, reserved, stream) },
+		panicked: x.panicked,
+		prepare:  func(ctx context.Context) (*preparedRun, error) { return x.prepareStandby(ctx, reserved, stream) },
 		discard: func(unused *preparedRun) {
 			x.discardRun(ctx, unused)
 			x.returnRetries(x.arrivalsWith(reserved))
