Idle connections are closed after a call that was ended for silence, as after a timeout

Plain attempts and prefills end by a cause of their own since they wait for their alternatives; the transport closed the other idle connections only after a deadline, so that the next request could go out on one that delivers nothing. The test fails without the change (2 connections opened, 3 wanted).

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -206,7 +206,8 @@
 	if err == nil {
 		return response, used, nil
 	}
-	if reused && errors.Is(err, context.DeadlineExceeded) {
+	isUnresponsive := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gateway.ErrUnresponsive)
+	if reused && isUnresponsive {
 		// If one idle connection has become unresponsive, others may have as well. New connections
 		// are not affected.
 		path.CloseIdleConnections()
--- a/backendhttp/exchange_test.go
+++ b/backendhttp/exchange_test.go
@@ -1,10 +1,12 @@
 package backendhttp_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -106,3 +108,55 @@
 	send()
 	g.Expect(opened.Load()).To(BeEquivalentTo(2))
 }
+
+// TestIdleConnectionsStayAfterAnUnresponsiveOne ends a call on a reused connection because its backend is silent. The other idle
+// connections to the backend may be unresponsive as well, and must not be used any more.
+func TestIdleConnectionsStayAfterAnUnresponsiveOne(t *testing.T) {
+	g := NewWithT(t)
+	const connections = 2
+	var opened atomic.Int32
+	var together sync.WaitGroup
+	together.Add(connections)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/together":
+			together.Done()
+			together.Wait()
+		case "/silent":
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		}
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	transport := backendhttp.NewTransport(new(net.Dialer).DialContext, clock.Runtime())
+	t.Cleanup(transport.CloseIdle)
+	send := func(ctx context.Context, path string) error {
+		request, err := backendhttp.NewRequest(ctx, http.MethodPut, server.Listener.Addr().String(), path, []byte("body"))
+		if err != nil {
+			return err
+		}
+		response, _, err := transport.Exchange(request)
+		if err != nil {
+			return err
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.Body.Close()
+	}
+	var sending sync.WaitGroup
+	for range connections {
+		sending.Go(func() { g.Expect(send(t.Context(), "/together")).To(Succeed()) })
+	}
+	sending.Wait()
+	g.Expect(opened.Load()).To(BeEquivalentTo(connections))
+	call, end := context.WithCancelCause(t.Context())
+	time.AfterFunc(50*time.Millisecond, func() { end(gateway.ErrUnresponsive) })
+	g.Expect(send(call, "/silent")).To(MatchError(gateway.ErrUnresponsive))
+	g.Expect(send(t.Context(), "/x")).To(Succeed())
+	g.Expect(opened.Load()).To(BeEquivalentTo(connections + 1))
+}
--- a/gateway/failover.go
+++ b/gateway/failover.go
@@ -16,8 +16,8 @@
 	maxTimerLateness = 100 * time.Millisecond
 )
 
-// errUnresponsive is the cause of a call that was ended because its backend was silent and an alternative was ready.
-var errUnresponsive = errors.New("gateway: backend is unresponsive")
+// ErrUnresponsive is the cause of a call that was ended because its backend was silent and an alternative was ready.
+var ErrUnresponsive = errors.New("gateway: backend is unresponsive")
 
 // errNoAlternative means that nothing else can serve a request whose backend is silent.
 var errNoAlternative = errors.New("gateway: no alternative to a silent backend")
@@ -55,7 +55,7 @@
 	discard func(*Alternative)
 }
 
-// startFailover returns a context for the call, which ends with errUnresponsive once an alternative is ready. The limit is how
+// startFailover returns a context for the call, which ends with ErrUnresponsive once an alternative is ready. The limit is how
 // long the backend may be silent. Stop must be called.
 func startFailover[Alternative any](ctx context.Context, limit time.Duration, options failoverOptions[Alternative]) (context.Context, *failover[Alternative]) {
 	if options.discard == nil {
@@ -89,7 +89,7 @@
 		f.options.discard(alternative)
 	case err == nil:
 		f.ready = alternative
-		f.endCall(errUnresponsive)
+		f.endCall(ErrUnresponsive)
 	}
 }
 
--- a/gateway/failover_test.go
+++ b/gateway/failover_test.go
@@ -56,7 +56,7 @@
 		began := time.Now()
 		<-call.Done()
 		g.Expect(time.Since(began)).To(Equal(testLimit + preparing.takes))
-		g.Expect(context.Cause(call)).To(MatchError(errUnresponsive))
+		g.Expect(context.Cause(call)).To(MatchError(ErrUnresponsive))
 		g.Expect(f.take()).NotTo(BeNil())
 		g.Expect(f.take()).To(BeNil(), "an alternative is taken once")
 		g.Expect(preparing.discarded.Load()).To(BeZero())
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -247,7 +247,7 @@
 	if failure := contextFailure(ctx); failure != nil {
 		return failure
 	}
-	x.reportBroken(ctx, entry, brokenRequest{age: age, silent: errors.Is(err, errUnresponsive)})
+	x.reportBroken(ctx, entry, brokenRequest{age: age, silent: errors.Is(err, ErrUnresponsive)})
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
@@ -265,7 +265,7 @@
 	isWhole, err := buffer(response)
 	if hasAlternative := watch.take() != nil; hasAlternative && err == nil && !isWhole {
 		_ = response.Body.Close()
-		err = errUnresponsive
+		err = ErrUnresponsive
 	}
 	x.recordVia(response.Via)
 	return response, err
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -261,7 +261,7 @@
 	if errors.Is(err, ErrNotSent) {
 		return &attemptError{failure: notRun(ReasonBackendFailed, rejectedRetryAfter, err)}
 	}
-	x.reportBreak(ctx, reserved, errors.Is(err, errUnresponsive))
+	x.reportBreak(ctx, reserved, errors.Is(err, ErrUnresponsive))
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
