A response of a replica that has begun is not continued by another one

What callers saw: the beginning of one replica's response, followed by the whole of another's, with a regular end ('first partfirst part'). Cause: in the product's own interface a call without a body was repeated after any failure of its replica, also if the response had begun. The failure of a response that has begun is marked, and ends the call.

--- a/service/handler.go
+++ b/service/handler.go
@@ -182,9 +182,12 @@
 	return rejection.WithRetryAfter(cmp.Or(h.balancer.shortestBackoff(backends), retryAfter))
 }
 
+// errResponseBegun marks the failure of a call whose response has begun: no other response can replace what was sent.
+var errResponseBegun = errors.New("service: the response has begun")
+
 // canRetry reports whether another replica may receive the call. A streamed body can be sent only once.
 func (c *call) canRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || errors.Is(err, errResponseBegun) {
 		return false
 	}
 	var apiErr *api.Error
@@ -214,7 +217,8 @@
 	w.WriteHeader(response.StatusCode)
 	control := http.NewResponseController(w)
 	if err := copyBody(w, control, response.Body); err != nil {
-		return errors.CombineErrors(api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeUnknown, "the response was cut off"), err)
+		cut := api.NewError(http.StatusBadGateway, api.CodeBackendFailed, api.OutcomeUnknown, "the response was cut off")
+		return errors.Mark(errors.CombineErrors(cut, err), errResponseBegun)
 	}
 	return nil
 }
