Prompts that are prefilled for standbys in vain are bounded by the attempts of the route

An engine that pauses before each event had the prompt prefilled at other engines each time: ten prefills for ten pauses, each of them an arrival.

--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -62,9 +62,10 @@
 	return x.arrivals.withRun()
 }
 
-// prepareOther prepares a run at another engine than the silent one, with the retry budget for it.
+// prepareOther prepares a run at another engine than the silent one, with the retry budget for it. Each prompt that is prefilled in vain
+// counts as an attempt, so that an engine which pauses often does not have the prompt prefilled each time.
 func (x *exchange) prepareOther(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
-	if !x.mayStartRun() {
+	if x.arrivals.prefills >= x.route.MaxAttempts || !x.mayStartRun() {
 		return nil, errNoAlternative
 	}
 	if err := x.requireVersionOf(ctx, stream); err != nil {
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -375,3 +375,46 @@
 		g.Expect(response.Code).To(Equal(http.StatusOK), response.Body.String())
 	})
 }
+
+// TestPausingEngineHasPromptsPrefilledWithoutBound has an engine pause before each event, for longer than it may be silent. The
+// prompt is prefilled as often as the route allows attempts, and the stream stays with its engine.
+func TestPausingEngineHasPromptsPrefilledWithoutBound(t *testing.T) {
+	const events = 10
+	synctest.Test(t, func(t *testing.T) {
+		var prefills atomic.Int32
+		dialect := &standbyDialect{
+			silentBody: func(call context.Context) io.ReadCloser { return pausingStream(call, 1300*time.Millisecond, events) },
+			prefill: func(ctx context.Context, engine string) error {
+				prefills.Add(1)
+				if engine == silentPrefill {
+					return nil
+				}
+				<-ctx.Done()
+				return ctx.Err()
+			},
+		}
+		handler := newStandbyHandler(dialect, usualStandbyOptions())
+		time.Sleep(standbyWindow)
+		response := sendAbortable(handler, "stream")
+		g := NewWithT(t)
+		g.Expect(strings.Count(response.Body.String(), "id: ")).To(Equal(events))
+		g.Expect(prefills.Load()).To(BeNumerically("<=", standbyAttempts))
+	})
+}
+
+// pausingStream is a body with an event after each pause.
+func pausingStream(call context.Context, pause time.Duration, events int) io.ReadCloser {
+	sent := 0
+	return io.NopCloser(readerFunc(func(data []byte) (int, error) {
+		if sent == events {
+			return 0, io.EOF
+		}
+		select {
+		case <-call.Done():
+			return 0, context.Cause(call)
+		case <-time.After(pause):
+		}
+		sent++
+		return copy(data, fmt.Sprintf("id: %d\ndata: x\n\n", sent)), nil
+	}))
+}
