Coordinators of a partitioned network read each other's quarantines

Cause: each half has a coordinator, and each writes its quarantines to the store that both reach, but a coordinator read the store only once a minute, and wrote to it up to a second late.

Change: for ten seconds after a crash a coordinator reads the store twice a second and writes within 250 ms; it restores only records that have changed. While the store does not answer it is asked once a second at most, as before. Without crashes the calls are as before: one a minute.

Found on the way: a coordinator that blames one part alone removed the stored record that blames this part and another one together. The coordinator that had written that record took this for an operator's wish and ended the quarantine of both. With reads twice a second this would be frequent. Such a record stays until its end while a quarantine of fewer of its parts holds.

Evidence: TestCoordinatorsShareQuarantinesInSeriesOfCrashes, TestStoreIsReadOftenOnlyInSeriesOfCrashes (both fail if a series of crashes is not noticed) and TestSmallerGroupEndsNoQuarantine (fails without its rule).

--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,15 @@
 	// reloadInterval is how often the store's objects are read: an operator ends a quarantine by removing its
 	// object. One call a minute over the whole fleet.
 	reloadInterval = time.Minute
+	// seriesReloadInterval is how often they are read within seriesTime of a crash: in a partitioned network each part of the
+	// nodes has a coordinator, and another one may have quarantined the cause. Two calls a second by each coordinator, while
+	// backends crash.
+	seriesReloadInterval = 500 * time.Millisecond
+	seriesTime           = 10 * time.Second
+	// checkStoreInterval is how often the coordinator checks that the store has all quarantines, and seriesCheckInterval how
+	// often within seriesTime of a crash. A check makes no call if nothing has changed.
+	checkStoreInterval  = time.Second
+	seriesCheckInterval = 250 * time.Millisecond
 	// rewriteAfter is how much longer a quarantine must have become to be written again.
 	rewriteAfter = 10 * time.Second
 )
@@ -39,11 +49,14 @@
 	loadedAt time.Duration
 	// epoch is the store's epoch as of then.
 	epoch int64
-	// unreadable is set while the store's objects cannot be read.
+	// unreadable is set while the store's objects cannot be read, and unwritten if the last check could not write one.
 	unreadable bool
-	// versions are those of the store's objects, by name, and ends when their quarantines end.
+	unwritten  bool
+	// versions are those of the store's objects, by name, ends when their quarantines end, and parts the parts of prompts that
+	// they are about.
 	versions map[string]int64
 	ends     map[string]time.Time
+	parts    map[string][]Fingerprint
 }
 
 // NewArchive returns an archive that has read nothing.
@@ -54,37 +67,69 @@
 // Reset makes the next Reconcile read the store's objects again: another node, or a restore, may have changed them.
 func (a *Archive) Reset() { a.loaded = false }
 
+// Interval returns how long after the last check the next one is due. In a series of crashes that is sooner, unless the
+// store did not answer.
+func (a *Archive) Interval() time.Duration {
+	if a.unreadable || a.unwritten || !a.coordinator.crashedWithin(seriesTime) {
+		return checkStoreInterval
+	}
+	return seriesCheckInterval
+}
+
 // Reconcile makes the store's objects match the coordinator's quarantines. It makes no call if nothing has
 // changed.
 func (a *Archive) Reconcile(ctx context.Context) {
-	if !a.loaded || a.coordinator.options.Now()-a.loadedAt >= reloadInterval {
+	if !a.loaded || a.coordinator.options.Now()-a.loadedAt >= a.reloadDue() {
 		err := a.load(ctx)
 		a.noteRead(err)
 		if err != nil {
 			return
 		}
 	}
+	a.unwritten = false
 	active := map[string]bool{}
-	for _, announcement := range a.coordinator.Quarantined() {
+	quarantined := a.coordinator.Quarantined()
+	for _, announcement := range quarantined {
 		if len(announcement.Backends) < quarantineCrashes {
 			// Such a short quarantine ends before another coordinator could read it.
 			continue
 		}
 		active[announcement.Request.String()] = true
 		if err := a.write(ctx, announcement); err != nil {
+			a.unwritten = true
 			a.logger.Warn("quarantine not written", "content", announcement.Request.String(), "error", err.Error())
 		}
 	}
 	for name := range a.versions {
-		if active[name] {
+		if active[name] || a.isCovered(name, quarantined) {
 			continue
 		}
 		if err := a.remove(ctx, name); err != nil {
+			a.unwritten = true
 			a.logger.Warn("quarantine not removed", "content", name, "error", err.Error())
 		}
 	}
 }
 
+// reloadDue returns how long after the last time the store's objects are read again.
+func (a *Archive) reloadDue() time.Duration {
+	if a.coordinator.crashedWithin(seriesTime) {
+		return seriesReloadInterval
+	}
+	return reloadInterval
+}
+
+// isCovered reports whether an object is about requests that a quarantine of fewer parts is about as well. It stays until its
+// end: another coordinator, which may have written it, would take its removal for an operator's.
+func (a *Archive) isCovered(name string, quarantined []Announcement) bool {
+	if !a.wall().Before(a.ends[name]) {
+		return false
+	}
+	return slices.ContainsFunc(quarantined, func(smaller Announcement) bool {
+		return len(smaller.Parts) > 0 && containsAll(a.parts[name], smaller.Parts)
+	})
+}
+
 // noteRead logs when the store's objects become unreadable, and when they can be read again.
 func (a *Archive) noteRead(err error) {
 	if failed := err != nil; failed != a.unreadable {
@@ -102,7 +147,7 @@
 		return errors.Wrap(err, "list quarantines")
 	}
 	before, epoch := a.versions, objectapi.EpochOf(revision)
-	a.versions, a.ends = map[string]int64{}, map[string]time.Time{}
+	a.versions, a.ends, a.parts = map[string]int64{}, map[string]time.Time{}, map[string][]Fingerprint{}
 	for _, object := range objects {
 		earlier, err := DecodeRecord(a.wall(), object.Name, object.Spec)
 		if err != nil {
@@ -110,7 +155,8 @@
 			continue
 		}
 		a.versions[object.Name], a.ends[object.Name] = object.Version, a.wall().Add(earlier.Quarantined)
-		if earlier.Quarantined > 0 {
+		a.parts[object.Name] = earlier.Parts
+		if earlier.Quarantined > 0 && (!a.loaded || before[object.Name] != object.Version) {
 			a.coordinator.Restore(earlier)
 		}
 	}
@@ -154,7 +200,7 @@
 	if err != nil {
 		return errors.Wrap(err, "write quarantine")
 	}
-	a.versions[name], a.ends[name] = written.Version, ends
+	a.versions[name], a.ends[name], a.parts[name] = written.Version, ends, active.Parts
 	return nil
 }
 
--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -195,3 +195,83 @@
 	coordinator.archive.Reconcile(t.Context())
 	g.Expect(coordinator.announced[request].Status()).To(Equal(Status{}), "removed by an operator")
 }
+
+// TestCoordinatorsShareQuarantinesInSeriesOfCrashes has two coordinators, as in a partitioned network. Each read the store once a
+// minute, so that a request that one had quarantined went on crashing backends for the other.
+func TestCoordinatorsShareQuarantinesInSeriesOfCrashes(t *testing.T) {
+	g := NewWithT(t)
+	store := &memoryStore{objects: map[string]objectapi.Object{}}
+	first, second := newTestCoordinator(store, time.Hour), newTestCoordinator(store, time.Hour)
+	first.archive.Reconcile(t.Context())
+	second.archive.Reconcile(t.Context())
+	request := testRequest(1)
+	second.crash(request, "d")
+	for _, backend := range []string{"a", "b", "c"} {
+		first.crash(request, backend)
+	}
+	g.Expect(first.archive.Interval()).To(Equal(seriesCheckInterval))
+	first.archive.Reconcile(t.Context())
+	second.now += seriesReloadInterval
+	second.archive.Reconcile(t.Context())
+	g.Expect(second.announced[request].Quarantined).To(BeNumerically(">", suspectDuration))
+	g.Expect(second.announced[request].Backends).To(ConsistOf("a", "b", "c", "d"))
+}
+
+// TestStoreIsReadOftenOnlyInSeriesOfCrashes checks the calls: twice a second after a crash, once a minute later, and no more often
+// than once a second while the store does not answer.
+func TestStoreIsReadOftenOnlyInSeriesOfCrashes(t *testing.T) {
+	g := NewWithT(t)
+	store := &memoryStore{objects: map[string]objectapi.Object{}}
+	coordinator := newTestCoordinator(store, time.Hour)
+	callsFor := func(duration time.Duration) int {
+		before := store.calls
+		for until := coordinator.now + duration; coordinator.now < until; {
+			coordinator.now += coordinator.archive.Interval()
+			coordinator.archive.Reconcile(t.Context())
+		}
+		return store.calls - before
+	}
+	g.Expect(callsFor(10 * time.Minute)).To(BeNumerically("<=", 11))
+	coordinator.crash(testRequest(1), "a")
+	g.Expect(callsFor(seriesTime)).To(BeNumerically("~", seriesTime/seriesReloadInterval, 1))
+	g.Expect(callsFor(10 * time.Minute)).To(BeNumerically("<=", 11))
+	coordinator.crash(testRequest(2), "b")
+	store.unavailable = true
+	g.Expect(callsFor(seriesTime)).To(BeNumerically("<=", seriesTime/checkStoreInterval))
+}
+
+// crashParts reports a crash of a request whose prompt has parts.
+func (c *testCoordinator) crashParts(request Fingerprint, backend string, parts ...Part) {
+	c.handle(report{evidence: []Evidence{{Request: request, Backend: backend, At: c.now, Parts: parts}}})
+}
+
+// settle evaluates the crashes once they count.
+func (c *testCoordinator) settle() {
+	for range 4 {
+		c.now += 250 * time.Millisecond
+		c.Expire()
+	}
+}
+
+// TestSmallerGroupEndsNoQuarantine has a coordinator quarantine two parts together, and another one, in a partitioned network, only
+// one of them: it removed the record of both, which the first one took for an operator's wish.
+func TestSmallerGroupEndsNoQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	store := &memoryStore{objects: map[string]objectapi.Object{}}
+	first, second := newTestCoordinator(store, time.Hour), newTestCoordinator(store, time.Hour)
+	first.archive.Reconcile(t.Context())
+	second.archive.Reconcile(t.Context())
+	cause, other := NewParts("", []string{"cause"})[0], NewParts("", []string{"other"})[0]
+	for i, backend := range []string{"a", "b", "c", "d"} {
+		first.crashParts(testRequest(i), backend, cause, other)
+		second.crashParts(testRequest(10+i), backend+"2", cause)
+	}
+	for _, coordinator := range []*testCoordinator{first, second, second, second, first, first, second, first, second} {
+		first.now, second.now = max(first.now, second.now), max(first.now, second.now)
+		coordinator.settle()
+		coordinator.archive.Reconcile(t.Context())
+	}
+	for _, coordinator := range []*testCoordinator{first, second} {
+		g.Expect(coordinator.announced[groupName([]Fingerprint{cause.Shared})].Quarantined).To(BeNumerically(">", suspectDuration))
+	}
+}
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -45,6 +45,9 @@
 	// parts counts the crashes of parts of prompts, and announcedGroups are the announced groups of them.
 	parts           *partTable
 	announcedGroups map[Fingerprint]announcedGroup
+	// crashedAt is when the last reported backend ended; hasCrashed is set if there was any.
+	crashedAt  time.Duration
+	hasCrashed bool
 }
 
 // NewCoordinator returns a coordinator without records.
@@ -72,6 +75,7 @@
 		if now-evidence.At < evidenceLifetime {
 			c.table.Add(evidence.At, evidence.Request, evidence.Backend)
 			c.parts.add(evidence.At, evidence.Backend, evidence.Request, evidence.Parts, evidence.Written)
+			c.noteCrash(evidence.At)
 		}
 		c.announce(now, evidence.Request)
 		response.statuses[i] = c.table.Status(now, evidence.Request)
@@ -85,6 +89,20 @@
 	return response
 }
 
+// noteCrash records when a backend ended; the lock is held.
+func (c *Coordinator) noteCrash(at time.Duration) {
+	if !c.hasCrashed || at > c.crashedAt {
+		c.crashedAt, c.hasCrashed = at, true
+	}
+}
+
+// crashedWithin reports whether a backend ended within the last time.
+func (c *Coordinator) crashedWithin(last time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hasCrashed && c.options.Now()-c.crashedAt < last
+}
+
 // Adopt applies an earlier coordinator's announcement without sending it again. The nodes whose evidence it
 // contains may have terminated.
 func (c *Coordinator) Adopt(earlier Announcement) {
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -10,9 +10,8 @@
 	"github.com/reelrun/reelrun/replica"
 )
 
-// archiveInterval is the interval at which the quarantine coordinator checks that the store has all
-// quarantines.
-const archiveInterval = time.Second
+// archiveInterval is how often the quarantine coordinator asks its archive whether a check of the store is due.
+const archiveInterval = 100 * time.Millisecond
 
 // newQuarantines creates the node's parts of the quarantine protocol: the client, the coordinator
 // in case this node is selected for it, and the archive in the store.
@@ -97,7 +96,12 @@
 // context ends.
 func (r *Router) reconcileArchive(ctx context.Context) {
 	epoch := r.storeEpoch.Load()
+	checkedAt := r.now()
 	periodic.Run(ctx, archiveInterval, func(ctx context.Context) {
+		if r.now()-checkedAt < r.quarantineArchive.Interval() {
+			return
+		}
+		checkedAt = r.now()
 		if newest := r.storeEpoch.Load(); newest != epoch {
 			epoch = newest
 			r.quarantineArchive.Reset()
