A connection that ends with a response lingers while its caller may lose a part of it

What callers saw: responses with `Connection: close`, or of a node that drains, ended before their end, by a reset or (if a write of the caller had met the reset) by what reads as a regular end of the connection. They had sent more than their request, or sent more afterwards, and read slowly. The node counted a success.

Cause: net/http closes the connection once it has handed over the last part; it lingers only after bodies that it has not read. The operating system resets a connection that is closed with unread bytes, or that receives some later, and drops what was not delivered.

Change: where more waits than is usually on its way, or bytes are unread, the connection ends its sending side, reads on for a second at most, until its caller closes, and is closed then. Shutdown waits for it, as the server's own goroutine does this. Connections that do not end with a response (idle ones, those refused by the bound) are closed as before: a request that crosses their end must not be read. After the grace period all are closed at once.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,6 +15,8 @@
 type Conn struct {
 	net.Conn
 	now func() time.Time
+	// lingering is shared by the connections of a listener.
+	lingering *lingering
 
 	mu sync.Mutex
 	// firstReceived is when the first bytes of the current request were received; zero between two requests.
@@ -97,10 +100,17 @@
 	c.firstReceived, c.writing = time.Time{}, 0
 }
 
+// lingering controls whether the connections of a listener linger.
+type lingering struct {
+	// atOnce is set once they are closed at once.
+	atOnce atomic.Bool
+}
+
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
-	now func() time.Time
+	now       func() time.Time
+	lingering lingering
 }
 
 // NewListener returns a listener whose connections measure by the given clock.
@@ -114,9 +124,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{Conn: accepted, now: l.now}, nil
+	return &Conn{Conn: accepted, now: l.now, lingering: &l.lingering}, nil
 }
 
+// CloseAtOnce has connections that end with a response closed at once from now on. Its caller is about to close all of them.
+func (l *Listener) CloseAtOnce() { l.lingering.atOnce.Store(true) }
+
 type contextKey struct{}
 
 // NewContext returns a context with the connection, for From. It implements the ConnContext hook of http.Server.
--- a/callerconn/end.go
+++ b/callerconn/end.go
@@ -46,9 +46,13 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A connection that ends with a response lingers first if a part of the response might be lost.
 func (c *Conn) Close() error {
 	unread, unsent := queuedBytes(c.Conn)
+	if c.mustLinger(unread, unsent) {
+		c.linger()
+		unread, unsent = queuedBytes(c.Conn)
+	}
 	c.mu.Lock()
 	if !c.closed {
 		c.closed, c.unreadAtClose, c.unsentAtClose = true, unread, unsent
--- a/router/router.go
+++ b/router/router.go
@@ -344,7 +344,8 @@
 	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatching()
 	group, _ := errgroup.WithContext(ctx)
-	group.Go(func() error { return serve(callerServer, callerconn.NewListener(ports.callers, r.options.Clock.Now)) })
+	callers := callerconn.NewListener(ports.callers, r.options.Clock.Now)
+	group.Go(func() error { return serve(callerServer, callers) })
 	group.Go(func() error { return serve(readyServer, ports.ready) })
 	group.Go(func() error { return serve(metricsServer, ports.metrics) })
 	group.Go(func() error { return servePeers(r.server, ports.peers) })
@@ -352,7 +353,7 @@
 		group.Go(func() error { run(); return nil })
 	}
 	<-ctx.Done()
-	r.stop(ctx, callerServer)
+	r.stop(ctx, callerServer, callers)
 	stopWatching()
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
@@ -396,7 +397,7 @@
 
 // stop drains the node: callers are served until the load balancer sends no more, then idle connections are closed
 // and the requests in progress are completed.
-func (r *Router) stop(ctx context.Context, callerServer *http.Server) {
+func (r *Router) stop(ctx context.Context, callerServer *http.Server, callers *callerconn.Listener) {
 	started := time.Now()
 	r.options.Logger.Info("stop", "grace_ms", r.options.Settings.Grace.Milliseconds())
 	r.gateway.Drain()
@@ -410,6 +411,7 @@
 	<-timer.C
 	if err := callerServer.Shutdown(ctx); err != nil {
 		r.options.Logger.Warn("grace period over, requests in progress cut off", "error", err.Error(), "requests", r.gateway.InProgress())
+		callers.CloseAtOnce()
 		_ = callerServer.Close()
 	}
 	r.stopTunnels(ctx)
