A connection whose next request has begun to arrive is not closed as idle

What callers saw: at a node that has as many connections as it may keep, requests on kept connections run and get no response (LOST of kept connections, at any time).

Cause: the server reports a connection as active once it has read the head of a request. The bound on connections closes the one that has been idle for longest, as reported, and may choose one whose request has arrived or is being read; the handler then runs, and its write fails.

Change: a caller's connection decides by itself whether it is idle: not if bytes of it wait in the operating system or have been read since the last response. The decision and the reading exclude each other, and what is read afterwards is discarded. The bound takes the next connection then, or refuses the new one if none is idle. A request that had been read together with the one before is not handled once its connection has been closed.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -28,6 +28,8 @@
 	writeErr error
 	// report is called once the current response has ended; nil if nobody asked.
 	report func(End)
+	// refusing is set once the connection has been closed as idle: what is read from it is discarded.
+	refusing bool
 	// closed is set once this process has closed the connection, with the bytes that waited in the operating system then.
 	closed                       bool
 	unreadAtClose, unsentAtClose int
@@ -54,20 +56,56 @@
 // Read implements net.Conn.
 func (c *Conn) Read(data []byte) (int, error) {
 	count, err := c.Conn.Read(data)
-	if count > 0 {
-		c.received()
+	if count > 0 && !c.received() {
+		return 0, net.ErrClosed
 	}
 	return count, err
 }
 
-// received records that bytes have been read.
-func (c *Conn) received() {
+// received records that bytes have been read. It reports false if the connection has been closed as idle.
+func (c *Conn) received() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.refusing {
+		return false
+	}
 	c.lastReceived = c.now()
 	if c.firstReceived.IsZero() {
 		c.firstReceived = c.lastReceived.Add(-sinceReceived(c.Conn))
 	}
+	return true
+}
+
+// CloseIdle closes the connection, unless a request has begun to arrive since the last response. It reports whether it did. The
+// HTTP server takes a connection for idle until it has read the whole head of a request.
+func (c *Conn) CloseIdle() bool {
+	if unread, _ := queuedBytes(c.Conn); unread > 0 {
+		return false
+	}
+	if !c.refuse() {
+		return false
+	}
+	_ = c.Close()
+	return true
+}
+
+// refuse has requests that arrive from now on refused. It reports false if one has begun to arrive.
+func (c *Conn) refuse() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing = c.refusing || c.firstReceived.IsZero()
+	return c.refusing
+}
+
+// Begin begins a request whose head has been read. It reports false if the connection has been closed as idle: the HTTP server had
+// read the request together with the one before, and it must not run.
+func (c *Conn) Begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstReceived.IsZero() {
+		c.firstReceived = c.lastReceived
+	}
+	return !c.refusing
 }
 
 // Write implements net.Conn.
--- a/connectionlimit/limit.go
+++ b/connectionlimit/limit.go
@@ -29,10 +29,7 @@
 func (l *Limit) Track(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		if excess, wasIdle := l.add(conn); excess != nil {
-			_ = excess.Close()
-			l.closed(wasIdle)
-		}
+		l.admit(conn)
 	case http.StateActive:
 		l.setActive(conn)
 	case http.StateIdle:
@@ -49,23 +46,60 @@
 	return len(l.open)
 }
 
-// add counts a new connection, and returns the connection that must be closed for it: the one that has been idle for longest, the
-// new one if none is idle, or nil.
-func (l *Limit) add(conn net.Conn) (excess net.Conn, wasIdle bool) {
+// idleCloser is a connection that knows better than the server whether it is idle: the server reports a request only once it has
+// read its head.
+type idleCloser interface {
+	// CloseIdle closes the connection unless a request has begun to arrive, and reports whether it did.
+	CloseIdle() bool
+}
+
+// admit counts a new connection. If there are too many, the one that has been idle for longest is closed, or the new one if none is
+// idle.
+func (l *Limit) admit(conn net.Conn) {
+	if l.add(conn) {
+		return
+	}
+	for idle := l.takeIdle(); idle != nil; idle = l.takeIdle() {
+		if closeIdle(idle) {
+			l.remove(idle)
+			l.closed(true)
+			return
+		}
+	}
+	l.remove(conn)
+	_ = conn.Close()
+	l.closed(false)
+}
+
+// closeIdle closes an idle connection, and reports false if it is not idle any more.
+func closeIdle(conn net.Conn) bool {
+	if closer, ok := conn.(idleCloser); ok {
+		return closer.CloseIdle()
+	}
+	_ = conn.Close()
+	return true
+}
+
+// add counts a new connection, and reports whether it is within the limit.
+func (l *Limit) add(conn net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open[conn] = nil
-	if len(l.open) <= l.most {
-		return nil, false
-	}
+	return len(l.open) <= l.most
+}
+
+// takeIdle returns the connection that has been idle for longest, which counts as active from now on; nil if none is idle.
+func (l *Limit) takeIdle() net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	oldest := l.idle.Front()
 	if oldest == nil {
-		delete(l.open, conn)
-		return conn, false
+		return nil
 	}
-	excess = oldest.Value.(net.Conn) //nolint:forcetypeassert // only connections are added
-	l.forget(excess)
-	return excess, true
+	conn := oldest.Value.(net.Conn) //nolint:forcetypeassert // only connections are added
+	l.idle.Remove(oldest)
+	l.open[conn] = nil
+	return conn
 }
 
 func (l *Limit) setActive(conn net.Conn) {
--- a/connectionlimit/limit_test.go
+++ b/connectionlimit/limit_test.go
@@ -45,6 +45,35 @@
 	g.Expect(limit.Open()).To(Equal(2))
 }
 
+// busyConn is a connection whose next request has begun to arrive, unknown to the server.
+type busyConn struct{ fakeConn }
+
+// CloseIdle closes nothing.
+func (*busyConn) CloseIdle() bool { return false }
+
+func TestConnectionWhoseRequestArrivesIsNotClosedAsIdle(t *testing.T) {
+	g := NewWithT(t)
+	var closed []bool
+	limit := connectionlimit.New(2, func(idle bool) { closed = append(closed, idle) })
+	busy, idle := &busyConn{}, &fakeConn{}
+	for _, conn := range []net.Conn{busy, idle} {
+		limit.Track(conn, http.StateNew)
+		limit.Track(conn, http.StateActive)
+		limit.Track(conn, http.StateIdle)
+	}
+	limit.Track(&fakeConn{}, http.StateNew)
+	g.Expect(idle.closed).To(BeTrue(), "the next one is closed")
+	excess := &fakeConn{}
+	limit.Track(excess, http.StateNew)
+	g.Expect(excess.closed).To(BeTrue(), "none is idle")
+	g.Expect(busy.closed).To(BeFalse())
+	g.Expect(closed).To(Equal([]bool{true, false}))
+	limit.Track(busy, http.StateActive)
+	limit.Track(busy, http.StateIdle)
+	limit.Track(busy, http.StateClosed)
+	g.Expect(limit.Open()).To(Equal(1))
+}
+
 func TestNewConnectionIsClosedIfNoneIsIdle(t *testing.T) {
 	g := NewWithT(t)
 	closedNew := 0
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -187,6 +187,9 @@
 	if h.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if conn := callerconn.From(r.Context()); conn != nil && !conn.Begin() {
+		panic(http.ErrAbortHandler) // Nobody would receive the response.
+	}
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
 	served := newExchange(h, w, r)
