A stopping node answers the first requests of connections that it has accepted

What callers saw: a connection that was accepted before a planned stop is closed without a response once its request has been read whole. No line and no count of the node names it.

Cause: net/http's Shutdown begins while connections wait for their first request (a head on its way, a process without a processor). The server reads these requests, and closes their connections instead of calling the handler.

Evidence: 20 connections opened before the node stops accepting, requests sent afterwards, three runs: 0 of 20 answered.

Change: the node stops accepting first, by its own listener, and shuts the server down once each accepted connection has had a request, or has ended, or after a second. The handler says `Connection: close` meanwhile, as before.

After: 20 of 20 in five runs. A stop takes up to a second longer where callers hold connections that they have not used.

--- a/callerconn/conn.go
+++ b/callerconn/conn.go
@@ -14,11 +14,12 @@
 // Conn is a connection of a caller. It is safe for concurrent use.
 type Conn struct {
 	net.Conn
-	now func() time.Time
-	// lingering is shared by the connections of a listener.
-	lingering *lingering
+	now      func() time.Time
+	listener *Listener
 
 	mu sync.Mutex
+	// isUnbegun is set until the handler of the first request has been called, or the connection has ended.
+	isUnbegun bool
 	// firstReceived is when the first bytes of the current request were received; zero between two requests.
 	firstReceived time.Time
 	// lastReceived is when the last bytes were read.
@@ -102,6 +103,7 @@
 func (c *Conn) Begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.countBegun()
 	if c.firstReceived.IsZero() {
 		c.firstReceived = c.lastReceived
 	}
@@ -131,6 +133,21 @@
 	return closer.CloseWrite()
 }
 
+// endUnbegun counts the connection as one that has had a request, or has ended.
+func (c *Conn) endUnbegun() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.countBegun()
+}
+
+// countBegun is endUnbegun while the lock is held.
+func (c *Conn) countBegun() {
+	if c.isUnbegun {
+		c.isUnbegun = false
+		c.listener.unbegun.Add(-1)
+	}
+}
+
 // endRequest prepares for the next request.
 func (c *Conn) endRequest() {
 	c.mu.Lock()
@@ -138,35 +155,56 @@
 	c.firstReceived, c.writing = time.Time{}, 0
 }
 
-// lingering controls whether the connections of a listener linger.
-type lingering struct {
-	// atOnce is set once they are closed at once.
-	atOnce atomic.Bool
-}
-
 // Listener accepts connections of callers.
 type Listener struct {
 	net.Listener
-	now       func() time.Time
-	lingering lingering
+	now func() time.Time
+	// lingersNot is set once connections are closed at once.
+	lingersNot atomic.Bool
+	// unbegun is the number of open connections without a request so far.
+	unbegun atomic.Int64
+	// stop closes the wrapped listener, once. isStopping is set before, and closed is closed with this listener.
+	stop       func() error
+	isStopping atomic.Bool
+	closed     chan struct{}
+	closeOnce  sync.Once
 }
 
 // NewListener returns a listener whose connections measure by the given clock.
 func NewListener(listener net.Listener, now func() time.Time) *Listener {
-	return &Listener{Listener: listener, now: now}
+	return &Listener{Listener: listener, now: now, stop: sync.OnceValue(listener.Close), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
+		if l.isStopping.Load() {
+			<-l.closed
+		}
 		return nil, err
 	}
-	return &Conn{Conn: accepted, now: l.now, lingering: &l.lingering}, nil
+	l.unbegun.Add(1)
+	return &Conn{Conn: accepted, now: l.now, listener: l, isUnbegun: true}, nil
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { close(l.closed) })
+	return l.stop()
+}
+
+// StopAccepting accepts no more connections. The server is not told: it goes on to serve those that are open, until it is shut down.
+func (l *Listener) StopAccepting() {
+	l.isStopping.Store(true)
+	_ = l.stop() // Close returns its error.
 }
 
+// Unbegun returns the number of open connections without a request so far. Their callers may have sent one.
+func (l *Listener) Unbegun() int { return int(l.unbegun.Load()) }
+
 // CloseAtOnce has connections that end with a response closed at once from now on. Its caller is about to close all of them.
-func (l *Listener) CloseAtOnce() { l.lingering.atOnce.Store(true) }
+func (l *Listener) CloseAtOnce() { l.lingersNot.Store(true) }
 
 type contextKey struct{}
 
@@ -192,6 +230,7 @@
 		tracked.reportEnd(false)
 		tracked.endRequest()
 	case http.StateClosed:
+		tracked.endUnbegun()
 		tracked.reportEnd(true)
 	}
 }
--- a/callerconn/linger.go
+++ b/callerconn/linger.go
@@ -20,7 +20,7 @@
 // Connections that do not end with a response, such as idle ones, never linger: a request that crosses their end must not be read,
 // so that its caller knows that it may be sent again.
 func (c *Conn) mustLinger(unread, unsent int) bool {
-	if unsent == 0 || (unread == 0 && unsent <= inFlightBytes) || c.lingering.atOnce.Load() {
+	if unsent == 0 || (unread == 0 && unsent <= inFlightBytes) || c.listener.lingersNot.Load() {
 		return false
 	}
 	c.mu.Lock()
--- a/router/router.go
+++ b/router/router.go
@@ -199,6 +199,10 @@
 	maxHeaderBytes = 32 << 10
 	// readyDelay is how long the load balancer may still send new connections after the node has become unready.
 	readyDelay = 2500 * time.Millisecond
+	// firstRequestTimeout is how long a stopping node waits for the first requests of connections that it has accepted, and
+	// firstRequestInterval the interval at which it checks for them.
+	firstRequestTimeout  = time.Second
+	firstRequestInterval = 10 * time.Millisecond
 	// stopMargin is reserved at the end of the grace period.
 	stopMargin = 300 * time.Millisecond
 	// idleSession is how long an unused connection to another node is kept, and sessionCheck the interval between
@@ -409,6 +413,8 @@
 	timer := time.NewTimer(readyDelay)
 	defer timer.Stop()
 	<-timer.C
+	callers.StopAccepting()
+	awaitFirstRequests(ctx, callers)
 	if err := callerServer.Shutdown(ctx); err != nil {
 		r.options.Logger.Warn("grace period over, requests in progress cut off", "error", err.Error(), "requests", r.gateway.InProgress())
 		callers.CloseAtOnce()
@@ -417,6 +423,18 @@
 	r.stopTunnels(ctx)
 }
 
+// awaitFirstRequests waits until the first request of each connection has been read, for firstRequestTimeout at most. The server
+// leaves requests that it reads once it is shut down without a response.
+func awaitFirstRequests(ctx context.Context, callers *callerconn.Listener) {
+	ctx, cancel := context.WithTimeout(ctx, firstRequestTimeout)
+	defer cancel()
+	for callers.Unbegun() > 0 {
+		if periodic.Pause(ctx, firstRequestInterval) != nil {
+			return
+		}
+	}
+}
+
 func serve(server *http.Server, listener net.Listener) error {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve")
