--- a/connectionlimit/doc.go
+++ b/connectionlimit/doc.go
@@ -6,5 +6,6 @@
 //
 // Beyond the bound, each new connection takes the place of the one that has been idle for longest. Its caller opens another
 // one for its next request. If none is idle, the new connection is closed before anything is read from it, so that its caller
-// knows that its request has not run, and can try another node at once.
+// knows that its request has not run, and can try another node at once. A connection whose next request has begun to arrive is not
+// idle, even if the server has not reported it yet.
 package connectionlimit
