Soak: a range of ports belongs to one process until it ends

The harness now claims a range with a listener on its last port until it is closed, and uses the range for all of its nodes.

--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -73,6 +73,8 @@
 	folder     string
 	store      *standin.Store
 	httpServer *http.Server
+	// claim is a listener that claims the range of the nodes' ports.
+	claim net.Listener
 
 	mu           sync.Mutex
 	backends     []*backend
@@ -169,12 +171,12 @@
 	for range options.plain {
 		h.addBackend("app", "")
 	}
-	for i := range options.nodes {
+	for i, ports := range h.claimPorts(seed, options.nodes) {
 		storeProxy, err := newProxy(storeAddress)
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.nodes = append(h.nodes, &node{index: i, requests: &h.requests, ports: nodePorts(t, seed, i), store: storeProxy, log: &logBuffer{}})
+		h.nodes = append(h.nodes, &node{index: i, requests: &h.requests, ports: ports, store: storeProxy, log: &logBuffer{}})
 	}
 	for _, n := range h.nodes {
 		h.start(n)
@@ -203,30 +205,38 @@
 	portsPerNode = 5
 )
 
-// nodePorts returns the ports of a node. Other processes may run the same seed on this
-// machine, so the first range depends on the process ID, and ranges in use are skipped.
-func nodePorts(t *testing.T, seed uint64, index int) []int {
+// claimPorts claims a range of ports for nodes, and returns the ports of each node. Other processes may run the same seed on this
+// machine, so the first range depends on the process ID, and ranges in use are skipped. The claim is a listener on the last port of
+// the range: it holds while nodes have not started yet, or are down.
+func (h *harness) claimPorts(seed uint64, nodes int) [][]int {
 	first := (int(seed%portRanges) + os.Getpid()) % portRanges
 	for shift := range portRanges {
-		base := firstPort + (first+shift)%portRanges*portsPerSeed + index*portsPerNode
-		if ports, free := portsFrom(base); free {
+		base := firstPort + (first+shift)%portRanges*portsPerSeed
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base+portsPerSeed-1))
+		if err != nil {
+			continue
+		}
+		if ports, free := portsFrom(base, nodes); free {
+			h.claim = claim
 			return ports
 		}
+		_ = claim.Close()
 	}
-	t.Fatal("no ports are free")
+	h.t.Fatal("no ports are free")
 	return nil
 }
 
-// portsFrom returns consecutive ports for a node, beginning with base, if all of them are free.
-func portsFrom(base int) ([]int, bool) {
-	ports := make([]int, portsPerNode)
-	for i := range ports {
-		ports[i] = base + i
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports[i]))
+// portsFrom returns consecutive ports for nodes, beginning with base, if all of them are free.
+func portsFrom(base, nodes int) ([][]int, bool) {
+	ports := make([][]int, nodes)
+	for i := range nodes * portsPerNode {
+		port := base + i
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
 			return nil, false
 		}
 		_ = listener.Close()
+		ports[i/portsPerNode] = append(ports[i/portsPerNode], port)
 	}
 	return ports, true
 }
@@ -463,5 +473,6 @@
 		_ = b.httpServer.Close()
 	}
 	_ = h.httpServer.Close()
+	_ = h.claim.Close()
 	h.serving.Wait()
 }
