Soak: a response that its node cuts after the head is a violation

The soak passed each response that ended after its status 200 and before its end, whatever the cause, and its table listed "truncated" as valid.

checkEnds judges the end of each response with status 200. One that is not whole was cut by its node, unless the node was killed or frozen meanwhile, a planned stop had used five sixths of its grace period, the request had reached its timeout, or its backend broke it off: its last run ended by itself before the end of its output, or a connection of one of its backends was held, closed or stalled during the request. What decides is the last run: a break before another engine took over excuses nothing. Stand-ins record whether they wrote a response to its end (Run.Whole). Requests at nodes that ran an older build are left out, since the production build has the fault. "truncated" becomes twelve cases in the table, and one for a disturbed node. SOAK_BINARY takes another build of the daemon, so that the judge can be run against it.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -45,6 +45,8 @@
 	requestID string
 	// leaving is set if the backend announced in the response that it is leaving.
 	leaving bool
+	// timeout is the shorter one of the timeout of its route and of the time that its caller waits; zero stands for routeTimeout.
+	timeout time.Duration
 	began   time.Time
 	ended   time.Time
 }
@@ -61,12 +63,12 @@
 	http.StatusRequestTimeout: true, http.StatusMisdirectedRequest: true,
 }
 
-// checkObservations returns violations of guarantees. runs is the number of runs by request.
+// checkObservations returns violations of guarantees. runs is the number of runs by request. checkEnds judges how responses end.
 func checkObservations(observations []observation, runs map[string]int, disturbances []disturbance) []string {
 	var violations []string
 	report := func(o observation, what string) {
 		violations = append(violations, fmt.Sprintf("%s %s at node %d: %s (status %d, complete %t, runs %d, began %s, took %v)",
-			o.kind, o.id, o.node, what, o.status, o.complete, runs[o.id], o.began.Format(time.TimeOnly), o.ended.Sub(o.began)))
+			o.kind, o.id, o.node, what, o.status, o.complete, runs[o.id], o.began.Format("15:04:05.000"), o.ended.Sub(o.began)))
 	}
 	for _, o := range observations {
 		nonIdempotent := o.kind == kindNonIdempotent || o.kind == kindStream
@@ -119,39 +121,64 @@
 
 // TestChecksDetectEachDefect injects one defect for each check.
 func TestChecksDetectEachDefect(t *testing.T) {
-	valid := observation{id: "r", kind: kindNonIdempotent, sent: true, status: 200, complete: true, body: standin.Body("r"), signature: "s", requestID: "r"}
+	at := func(seconds float64) time.Time {
+		return time.Unix(100, 0).Add(time.Duration(seconds * float64(time.Second)))
+	}
+	valid := observation{began: at(0), ended: at(2), id: "r", kind: kindNonIdempotent, sent: true, status: 200, complete: true, body: standin.Body("r"), signature: "s", requestID: "r"}
+	cut := func(o *observation) { o.body, o.complete = o.body[:3], false }
+	cutStream := func(o *observation) { o.kind, o.body, o.complete = kindResumable, standin.StreamText("r", 2), false }
+	run := func(ended float64) backendRun { return backendRun{Run: standin.Run{Ended: true, EndedAt: at(ended)}} }
+	wholeRun, atWork, givenUp := run(1.9), backendRun{}, run(1)
+	wholeRun.Whole, givenUp.CallerDisconnected = true, true
+	interrupted := func(r backendRun, from, to float64) backendRun {
+		r.interruptions = []disturbance{{from: at(from), to: at(to)}}
+		return r
+	}
 	cases := map[string]struct {
 		change func(*observation)
-		runs   int
+		runs   []backendRun
 		want   string
 	}{
-		"valid":                 {func(*observation) {}, 1, ""},
-		"run twice":             {func(*observation) {}, 2, "more than once"},
-		"ran despite rejection": {func(o *observation) { o.status = 503 }, 1, "guarantees"},
-		"rejected":              {func(o *observation) { o.status = 503 }, 0, ""},
-		"other ID":              {func(o *observation) { o.requestID = "q" }, 1, "another request's ID or without a signature"},
-		"unsigned":              {func(o *observation) { o.signature = "" }, 1, "another request's ID or without a signature"},
-		"other bytes":           {func(o *observation) { o.body = "x" }, 1, "other bytes"},
-		"partial":               {func(o *observation) { o.body = o.body[:3] }, 1, "looks complete"},
-		"truncated":             {func(o *observation) { o.body, o.complete = o.body[:3], false }, 1, ""},
-		"not found":             {func(o *observation) { o.status = 404 }, 0, "not found"},
-		"no response":           {func(o *observation) { o.status, o.complete = 0, false }, 1, "no response"},
-		"not forwarded":         {func(o *observation) { o.status, o.complete = 0, false }, 0, ""},
-		"partial stream":        {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, 1, "looks complete"},
+		"valid":                           {func(*observation) {}, []backendRun{wholeRun}, ""},
+		"run twice":                       {func(*observation) {}, []backendRun{wholeRun, wholeRun}, "more than once"},
+		"ran despite rejection":           {func(o *observation) { o.status = 503 }, []backendRun{wholeRun}, "guarantees"},
+		"rejected":                        {func(o *observation) { o.status = 503 }, nil, ""},
+		"other ID":                        {func(o *observation) { o.requestID = "q" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
+		"unsigned":                        {func(o *observation) { o.signature = "" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
+		"other bytes":                     {func(o *observation) { o.body = "x" }, []backendRun{wholeRun}, "other bytes"},
+		"partial":                         {func(o *observation) { o.body = o.body[:3] }, []backendRun{wholeRun}, "looks complete"},
+		"cut before its end":              {cut, []backendRun{wholeRun}, "cut after its head"},
+		"cut while at work":               {cut, []backendRun{atWork}, "cut after its head"},
+		"cut with its run":                {cut, []backendRun{givenUp}, "cut after its head"},
+		"cut after another broke off":     {cutStream, []backendRun{run(1), atWork}, "cut after its head"},
+		"cut without a run":               {cut, nil, "cut after its head"},
+		"interrupted before":              {cut, []backendRun{interrupted(atWork, -2, -1)}, "cut after its head"},
+		"broken off by backend":           {cut, []backendRun{run(1.9)}, ""},
+		"broken off after a run given up": {cutStream, []backendRun{givenUp, run(1.9)}, ""},
+		"backend interrupted":             {cut, []backendRun{interrupted(atWork, 1, 1.5)}, ""},
+		"cut just before its timeout":     {func(o *observation) { cut(o); o.ended = at(3.9) }, []backendRun{wholeRun}, "cut after its head"},
+		"cut at its timeout":              {func(o *observation) { cut(o); o.ended = at(4) }, []backendRun{wholeRun}, ""},
+		"cut at its own timeout":          {func(o *observation) { cut(o); o.timeout = 2 * time.Second }, []backendRun{wholeRun}, ""},
+		"not found":                       {func(o *observation) { o.status = 404 }, nil, "not found"},
+		"no response":                     {func(o *observation) { o.status, o.complete = 0, false }, []backendRun{wholeRun}, "no response"},
+		"not forwarded":                   {func(o *observation) { o.status, o.complete = 0, false }, nil, ""},
+		"partial stream":                  {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, []backendRun{wholeRun}, "looks complete"},
 		"joined streams": {func(o *observation) {
 			o.kind, o.body = kindResumable, standin.EventText("r", 1)+standin.EventText("r", 1)
-		}, 2, "other bytes"},
+		}, []backendRun{wholeRun, wholeRun}, "other bytes"},
 		"joined versions": {func(o *observation) {
 			o.kind, o.body, o.versions = kindResumable, standin.StreamText("r", eventCount), []string{"v1", "v2"}
-		}, 2, "versions"},
-		"resumed": {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", eventCount) }, 2, ""},
+		}, []backendRun{wholeRun, wholeRun}, "versions"},
+		"resumed": {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", eventCount) }, []backendRun{wholeRun, wholeRun}, ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			changed := valid
 			c.change(&changed)
-			violations := checkObservations([]observation{changed}, map[string]int{"r": c.runs}, nil)
+			observations := []observation{changed}
+			violations := checkObservations(observations, map[string]int{"r": len(c.runs)}, nil)
+			violations = append(violations, checkEnds(observations, runRecord{"r": c.runs}, nil)...)
 			if c.want == "" {
 				g.Expect(violations).To(BeEmpty())
 				return
@@ -160,9 +187,13 @@
 		})
 	}
 	g := NewWithT(t)
-	interrupted := valid
-	interrupted.status, interrupted.complete = 0, false
-	interrupted.began, interrupted.ended = time.Unix(10, 0), time.Unix(12, 0)
-	killed := []disturbance{{node: 0, from: time.Unix(11, 0), to: time.Unix(13, 0)}}
-	g.Expect(checkObservations([]observation{interrupted}, map[string]int{"r": 1}, killed)).To(BeEmpty())
+	unanswered, partial := valid, valid
+	unanswered.status, unanswered.complete = 0, false
+	cut(&partial)
+	killed := []disturbance{{node: 0, from: at(1), to: at(3)}}
+	g.Expect(checkObservations([]observation{unanswered}, map[string]int{"r": 1}, killed)).To(BeEmpty())
+	g.Expect(checkEnds([]observation{partial}, runRecord{"r": {atWork}}, killed)).To(BeEmpty())
+	killed[0].node = 1
+	g.Expect(checkObservations([]observation{unanswered}, map[string]int{"r": 1}, killed)).To(HaveLen(1))
+	g.Expect(checkEnds([]observation{partial}, runRecord{"r": {atWork}}, killed)).To(HaveLen(1))
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,5 +6,6 @@
 //	make soak                      # SOAK_SEEDS=50 SOAK_DURATION=8s by default
 //	SOAK_SEED=7 go test ./soak     # one seed
 //	SOAK_NODES=40 ...              # number of nodes, instead of 3 to 6
+//	SOAK_BINARY=PATH ...           # this build of the daemon, instead of one of this source
 //	SOAK_OLD=PATH ...              # another build of the daemon; nodes alternate between the two
 package soak
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -165,6 +165,7 @@
 	ended := n.ended
 	h.mu.Unlock()
 	h.signal(n, syscall.SIGTERM)
+	defer h.recordLateStop(n, time.Now().Add(lateStop))
 	select {
 	case <-ended:
 	case <-time.After(12 * time.Second):
@@ -174,6 +175,15 @@
 	h.startOnce(n, ended)
 }
 
+// recordLateStop records a planned stop that lasts until now if it has reached the last part of the grace period.
+func (h *harness) recordLateStop(n *node, from time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if now := time.Now(); now.After(from) {
+		h.lateStops = append(h.lateStops, disturbance{n.index, from, now})
+	}
+}
+
 // startOnce starts a node after a process has ended, unless another fault has done so.
 func (h *harness) startOnce(n *node, ended chan struct{}) {
 	h.mu.Lock()
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -24,6 +24,10 @@
 	eventCount    = 12
 	eventInterval = 40 * time.Millisecond
 	routeHost     = "soak.example"
+	// stopGrace is the time that a planned stop gives the requests in progress, and lateStop the part of it after which the
+	// requests of backends that are still at work may be cut.
+	stopGrace = 8 * time.Second
+	lateStop  = stopGrace * 5 / 6
 )
 
 // binary is the path of the daemon.
@@ -32,6 +36,9 @@
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
+	if binary = os.Getenv("SOAK_BINARY"); binary != "" {
+		return m.Run()
+	}
 	folder, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -80,6 +87,8 @@
 	backends     []*backend
 	nodes        []*node
 	disturbances []disturbance
+	// lateStops are the times in which a planned stop of a node had used most of its grace period and its process still ran.
+	lateStops []disturbance
 	// requests records what callers sent.
 	requests requestLog
 	// older is another build of the daemon, with which nodes alternate; empty for none.
@@ -342,7 +351,7 @@
 		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
 		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", h.nodes[0].ports[2])},
 		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1, "max_fds": h.descriptors},
-		"bounds": map[string]any{"grace_s": 8, "retry_budget_ratio": retryRule.Ratio, "budget_window_s": retryRule.Window.Seconds(), "budget_slack": retryRule.Slack, "lease_ms": 1000,
+		"bounds": map[string]any{"grace_s": stopGrace.Seconds(), "retry_budget_ratio": retryRule.Ratio, "budget_window_s": retryRule.Window.Seconds(), "budget_slack": retryRule.Slack, "lease_ms": 1000,
 			"quota_window_s": limitWindow.Seconds(), "quota_overshoot": limitOvershoot, "quota_slack": limitSlack},
 		"platform": map[string]any{"address": n.store.address()},
 	}
--- a/soak/parts_test.go
+++ b/soak/parts_test.go
@@ -76,6 +76,7 @@
 	s.running.Wait()
 	h.backendFaults.Wait()
 	violations := append(checkObservations(s.sound, h.runs(), h.disturbances), s.checkParts()...)
+	violations = append(violations, checkEnds(s.sound, h.runRecord(), h.allowingCuts())...)
 	violations = append(violations, s.checkConcentration()...)
 	t.Logf("seed %d: %d nodes, %d crashes, %d requests with the part, %d others", seed, len(h.nodes), len(h.crashes), len(s.crashing), len(s.sound))
 	for _, violation := range violations {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -168,6 +169,9 @@
 	crashRetries := crashCaller.stop()
 	h.backendFaults.Wait()
 	violations := checkObservations(load.observations(), h.runs(), h.disturbances)
+	judged := h.ofThisBuild(slices.Concat(load.observations(), slowRequests))
+	runs, allowingCuts := h.runRecord(), h.allowingCuts()
+	violations = append(violations, checkEnds(judged, runs, allowingCuts)...)
 	orphaned, counted := countOrphaned(disconnecting.disconnects(), h.endings(), h.disturbances, h.interruptions)
 	violations = append(violations, checkOrphaned(orphaned, counted)...)
 	violations = append(violations, checkTenants(load.observations(), h.received())...)
@@ -190,8 +194,8 @@
 	for _, o := range load.observations() {
 		statuses[o.status]++
 	}
-	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs, %d requests to limited backends, %d upstream retries and %s checked, %d of %d slow requests held beyond their timeout: %s",
-		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, limitedCalls, retries, describeResumed(resumedStreams), len(held), expired, describeHeld(held))
+	t.Logf("seed %d: %d nodes, %d requests, statuses %v, %d disturbances, %d of %d requests of disconnected callers continued, a crashing request was sent %d times and crashed %d backends, %d leaving notices, %d backoffs, %d requests to limited backends, %d upstream retries and %s checked, %d of %d slow requests held beyond their timeout: %s, ends of responses: %v",
+		seed, len(h.nodes), len(load.observations()), statuses, len(h.disturbances), orphaned, counted, len(crashRetries), len(h.crashes), leavingNotices, backoffs, limitedCalls, retries, describeResumed(resumedStreams), len(held), expired, describeHeld(held), countEnds(judged, runs, allowingCuts))
 	for _, violation := range violations {
 		t.Error(violation)
 	}
