Soak: streams that last for seconds, whose engines pause for 1 to 3 s and go on

No stream of the soak lasted longer than about half a second, and no engine paused between two events: the incident needs both. Six callers now ask for streams of 10 to 160 events over 0.5 to 3 s on two routes of their own (resumable and not, timeout and wait 14 s, more than two runs with a pause take). Half of the runs pause for 1 to 3 s before one event.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -21,8 +22,21 @@
 	kindIdempotent    kind = "again"
 	kindStream        kind = "stream"
 	kindResumable     kind = "resume"
+	// The routes of streams that last for seconds, which have longTimeout.
+	kindLong          kind = "long"
+	kindLongResumable kind = "longresume"
 )
 
+// isStream reports whether the responses of a route are streams.
+func (k kind) isStream() bool {
+	return strings.HasPrefix(string(k), "long") || k == kindStream || k == kindResumable
+}
+
+// isIdempotent reports whether a request of a route may run more than once.
+func (k kind) isIdempotent() bool {
+	return k == kindIdempotent || k == kindResumable || k == kindLongResumable
+}
+
 // observation is one request as its caller saw it.
 type observation struct {
 	id   string
@@ -47,8 +61,10 @@
 	leaving bool
 	// timeout is the shorter one of the timeout of its route and of the time that its caller waits; zero stands for routeTimeout.
 	timeout time.Duration
-	began   time.Time
-	ended   time.Time
+	// eventCount is the number of events of its stream; zero stands for the usual number.
+	eventCount int
+	began      time.Time
+	ended      time.Time
 }
 
 // disturbance is a period in which a node was killed or frozen, or connections were disturbed.
@@ -71,8 +87,7 @@
 			o.kind, o.id, o.node, what, o.status, o.complete, runs[o.id], o.began.Format("15:04:05.000"), o.ended.Sub(o.began)))
 	}
 	for _, o := range observations {
-		nonIdempotent := o.kind == kindNonIdempotent || o.kind == kindStream
-		if nonIdempotent && runs[o.id] > 1 {
+		if !o.kind.isIdempotent() && runs[o.id] > 1 {
 			report(o, "ran more than once")
 		}
 		if notRunStatuses[o.status] && runs[o.id] > 0 {
@@ -93,8 +108,8 @@
 
 func checkSuccess(o observation, report func(observation, string)) {
 	want := standin.Body(o.id)
-	if o.kind == kindStream || o.kind == kindResumable {
-		want = standin.StreamText(o.id, eventCount)
+	if o.kind.isStream() {
+		want = standin.StreamText(o.id, cmp.Or(o.eventCount, eventCount))
 	}
 	switch {
 	case o.requestID != o.id || o.signature == "":
@@ -163,6 +178,9 @@
 		"no response":                     {func(o *observation) { o.status, o.complete = 0, false }, []backendRun{wholeRun}, "no response"},
 		"not forwarded":                   {func(o *observation) { o.status, o.complete = 0, false }, nil, ""},
 		"partial stream":                  {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, []backendRun{wholeRun}, "looks complete"},
+		"partial long stream":             {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 12), 30 }, []backendRun{wholeRun}, "looks complete"},
+		"long stream":                     {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun}, ""},
+		"long stream run twice":           {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun, wholeRun}, "more than once"},
 		"joined streams": {func(o *observation) {
 			o.kind, o.body = kindResumable, standin.EventText("r", 1)+standin.EventText("r", 1)
 		}, []backendRun{wholeRun, wholeRun}, "other bytes"},
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -89,6 +89,8 @@
 	disturbances []disturbance
 	// lateStops are the times in which a planned stop of a node had used most of its grace period and its process still ran.
 	lateStops []disturbance
+	// planned are the streams that are longer than the others or pause.
+	planned plannedStreams
 	// requests records what callers sent.
 	requests requestLog
 	// older is another build of the daemon, with which nodes alternate; empty for none.
@@ -268,6 +270,14 @@
 		route("once", "unsafe", "app", 1, false), route("again", "safe", "app", 2, false),
 		route("stream", "stream", "llm", 1, false), route("resume", "stream", "llm", 2, true),
 	}
+	for _, k := range []kind{kindLong, kindLongResumable} {
+		long := route(string(k), "stream", "llm", 1, false)
+		if k.isIdempotent() {
+			long = route(string(k), "stream", "llm", 2, true)
+		}
+		long["timeout_ms"] = longTimeout.Milliseconds()
+		routes = append(routes, long)
+	}
 	for i := range h.version % 5 {
 		routes = append(routes, route(fmt.Sprintf("more%d", i), "safe", "app", 2, false))
 	}
@@ -302,6 +312,7 @@
 		b.engine.OnStageChange = func(stage string) { h.announce(b, "ready", stage) }
 		b.engine.CrashTrigger = crashTrigger
 		b.engine.MarkVersions = true
+		b.engine.PlanStream = h.planned.next
 		b.engine.RestartWith(h.versionOfNext(), b.startedMillis.Load())
 		handler = b.engine
 	} else {
--- a/soak/retries_test.go
+++ b/soak/retries_test.go
@@ -31,7 +31,7 @@
 // add records a request.
 func (l *requestLog) add(k kind, at time.Time) {
 	service := "app"
-	if k == kindStream || k == kindResumable {
+	if k.isStream() {
 		service = "llm"
 	}
 	l.mu.Lock()
