Soak: bytes that arrive late are no reason to cut a response

The judge took each time in which a proxy interfered with a backend's connections for a break of the backend. Proxies now tell these times from those in which they hold, refuse, close or stall connections, and only the latter excuse a cut. The other checks keep both.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -146,7 +146,7 @@
 	wholeRun, atWork, givenUp := run(1.9), backendRun{}, run(1)
 	wholeRun.Whole, givenUp.CallerDisconnected = true, true
 	interrupted := func(r backendRun, from, to float64) backendRun {
-		r.interruptions = []disturbance{{from: at(from), to: at(to)}}
+		r.breaks = []disturbance{{from: at(from), to: at(to)}}
 		return r
 	}
 	cases := map[string]struct {
--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -11,11 +11,11 @@
 	"github.com/reelrun/reelrun/platform/standin"
 )
 
-// backendRun is a run at a backend, with the times in which the connections of this backend were held, closed or stalled. A
-// backend that restarts or crashes closes its connections.
+// backendRun is a run at a backend, with the times in which the connections of this backend were held, refused, closed or stalled.
+// A backend that restarts or crashes closes its connections.
 type backendRun struct {
 	standin.Run
-	interruptions []disturbance
+	breaks []disturbance
 }
 
 // runRecord holds the runs by request, without prefills.
@@ -65,7 +65,7 @@
 		return false
 	}
 	for _, run := range runs {
-		if interruptedDuring(o, run.interruptions) {
+		if interruptedDuring(o, run.breaks) {
 			return true
 		}
 	}
@@ -118,9 +118,9 @@
 	defer h.mu.Unlock()
 	record := runRecord{}
 	for _, b := range h.backends {
-		interruptions := b.proxy.interruptions()
+		breaks := b.proxy.breaks()
 		for _, run := range b.runs() {
-			record[run.ID] = append(record[run.ID], backendRun{run, interruptions})
+			record[run.ID] = append(record[run.ID], backendRun{run, breaks})
 		}
 	}
 	return record
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,12 +34,18 @@
 	open    map[net.Conn]struct{}
 	// directions has one entry for each open connection: its stalled directions.
 	directions map[*stalledDirections]struct{}
-	// interrupted are the times in which the proxy held, closed or stalled connections.
-	interrupted []disturbance
+	// interrupted are the times in which the proxy did not pass bytes at once.
+	interrupted []interruption
 	closed      bool
 	done        sync.WaitGroup
 }
 
+// interruption is a time in which a proxy did not pass bytes at once. isDelay is set if it passed them all, after proxyDelay.
+type interruption struct {
+	disturbance
+	isDelay bool
+}
+
 // stalledDirections records which directions of one connection are stalled.
 type stalledDirections struct{ towardsTarget, towardsCaller atomic.Bool }
 
@@ -168,7 +174,7 @@
 // recordInstant records that connections are closed or stalled now; the caller holds the lock.
 func (p *proxy) recordInstant() {
 	now := time.Now()
-	p.interrupted = append(p.interrupted, disturbance{from: now, to: now})
+	p.interrupted = append(p.interrupted, interruption{disturbance: disturbance{from: now, to: now}})
 }
 
 // recordMode records the beginning or the end of a time in which connections are held; the caller holds the lock.
@@ -179,15 +185,30 @@
 		p.interrupted[len(p.interrupted)-1].to = now
 	}
 	if mode != modePass {
-		p.interrupted = append(p.interrupted, disturbance{from: now, to: now.Add(time.Hour)})
+		p.interrupted = append(p.interrupted, interruption{disturbance{from: now, to: now.Add(time.Hour)}, mode == modeDelay})
 	}
 }
 
-// interruptions returns the times in which the proxy held, closed or stalled connections.
+// interruptions returns the times in which the proxy did not pass bytes at once.
 func (p *proxy) interruptions() []disturbance {
+	return p.interruptionsWhere(func(interruption) bool { return true })
+}
+
+// breaks returns the times in which the proxy held, refused, closed or stalled connections.
+func (p *proxy) breaks() []disturbance {
+	return p.interruptionsWhere(func(i interruption) bool { return !i.isDelay })
+}
+
+func (p *proxy) interruptionsWhere(include func(interruption) bool) []disturbance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]disturbance(nil), p.interrupted...)
+	var included []disturbance
+	for _, i := range p.interrupted {
+		if include(i) {
+			included = append(included, i.disturbance)
+		}
+	}
+	return included
 }
 
 // reset resets all connections. None is closed before all are set to be reset: the end of one side closes the other.
