Soak: a leaving notice is one of the incarnation that its request began at

The check dated the notice at the end of the response and looked for restarts in the 2 s before it only, so it took requests to the next incarnation, which was not leaving, for violations.

The check now looks for restarts since the beginning of the request. As strict as before otherwise, and stricter in one point: it checks the first notice of each incarnation, and not only the first one of a backend. The test has both cases: a held response of an earlier incarnation, and one more notice of the later one.

--- a/soak/notices_test.go
+++ b/soak/notices_test.go
@@ -201,28 +201,45 @@
 	return true
 }
 
+// incarnationAt returns the number of the incarnation of a backend at a time.
+func (r *noticeRecord) incarnationAt(backend string, at time.Time) int {
+	number := 0
+	for _, start := range r.incarnations[backend] {
+		if !start.After(at) {
+			number++
+		}
+	}
+	return number
+}
+
 // checkLeaving returns the requests that reached backends from nodes that had already forwarded their leaving
-// notice, and the number of such notices.
+// notice, and the number of such notices. A notice is at the head of a response, which may end long after its backend has
+// restarted: it is one of the incarnation at the beginning of its request.
 func checkLeaving(observations []observation, record noticeRecord) (violations []string, notices int) {
 	type noticeSource struct {
-		backend string
-		node    int
+		backend           string
+		incarnation, node int
 	}
-	firstForwarded := map[noticeSource]time.Time{}
+	firstForwarded := map[noticeSource]observation{}
 	for _, o := range observations {
 		if !o.leaving {
 			continue
 		}
-		source := noticeSource{strings.TrimPrefix(o.signature, "sig."), o.node}
-		if first, known := firstForwarded[source]; !known || o.ended.Before(first) {
-			firstForwarded[source] = o.ended
+		backend := strings.TrimPrefix(o.signature, "sig.")
+		source := noticeSource{backend, record.incarnationAt(backend, o.began), o.node}
+		if first, known := firstForwarded[source]; !known || o.ended.Before(first.ended) {
+			firstForwarded[source] = o
 		}
 	}
-	for source, at := range firstForwarded {
+	for source, first := range firstForwarded {
+		at, from := first.ended, first.ended.Add(-leavingGrace)
+		if first.began.Before(from) {
+			from = first.began
+		}
 		for _, arrival := range record.arrivals[source.backend] {
 			sender, known := record.senders[arrival.Request]
 			ignored := known && sender.node == source.node && sender.at.After(at.Add(leavingGrace))
-			if ignored && record.sameIncarnation(source.backend, at.Add(-leavingGrace), arrival.At) && record.undisturbed(source.node, at, sender.at) {
+			if ignored && record.sameIncarnation(source.backend, from, arrival.At) && record.undisturbed(source.node, at, sender.at) {
 				violations = append(violations, fmt.Sprintf("%s reached %s from node %d %v after its leaving notice",
 					arrival.Request, source.backend, source.node, sender.at.Sub(at)))
 			}
@@ -268,7 +285,7 @@
 	at := func(seconds float64) time.Time {
 		return time.Unix(100, 0).Add(time.Duration(seconds * float64(time.Second)))
 	}
-	notice := observation{id: "word", node: 1, leaving: true, signature: "sig.b", ended: at(0)}
+	notice := observation{id: "word", node: 1, leaving: true, signature: "sig.b", began: at(-0.1), ended: at(0)}
 	record := func(sent float64) noticeRecord {
 		return noticeRecord{
 			senders:      map[string]nodeEvent{"late": {1, at(sent)}, "other": {2, at(sent)}},
@@ -297,6 +314,17 @@
 	g.Expect(check(exempt)).To(HaveLen(1), "the older build was replaced")
 	exempt.disturbances = []disturbance{{node: 1, from: at(0.5), to: at(1)}}
 	g.Expect(check(exempt)).To(BeEmpty(), "a frozen node")
+	// The response of an earlier incarnation ends long after the restart; the later one sends a notice of its own.
+	restarted := record(2.1)
+	restarted.incarnations["b"] = []time.Time{at(-60), at(-3)}
+	held := notice
+	held.began = at(-3.5)
+	violations, notices := checkLeaving([]observation{held}, restarted)
+	g.Expect(notices).To(Equal(1))
+	g.Expect(violations).To(BeEmpty(), "a notice of an earlier incarnation")
+	violations, notices = checkLeaving([]observation{held, notice}, restarted)
+	g.Expect(notices).To(Equal(2))
+	g.Expect(violations).To(HaveLen(1), "notices of both incarnations")
 }
 
 // TestChecksDetectIgnoredBackoffs has requests of one node reach a backend that has asked the node for backoff.
