Soak: a break excuses a cut only where it can be its cause

The judge took any break of a connection of any of a request's backends, at any time of the request, for the cause of its end. Streams now last for seconds, so that a break of the first run would have excused the node for all that it did to the second one. A break counts only within one second of the end if another run was in progress at the end, at a backend without a break. A proxy that refuses new connections does not break those that are open, and no longer excuses anything.

--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -11,13 +11,20 @@
 	"github.com/reelrun/reelrun/platform/standin"
 )
 
-// backendRun is a run at a backend, with the times in which the connections of this backend were held, refused, closed or stalled.
+// backendRun is a run at a backend, with the times in which the connections of this backend were held, closed or stalled.
 // A backend that restarts or crashes closes its connections.
 type backendRun struct {
 	standin.Run
 	breaks []disturbance
 }
 
+const (
+	// takeoverTime is the time within which a node notices a break of a connection, and endSlack the time from the end of a run to
+	// the end of its response if one causes the other.
+	takeoverTime = time.Second
+	endSlack     = 100 * time.Millisecond
+)
+
 // runRecord holds the runs by request, without prefills.
 type runRecord map[string][]backendRun
 
@@ -37,7 +44,7 @@
 // endOf returns how a response with status 200 ended. A response that is not whole was cut by its node, unless the node was
 // killed or frozen meanwhile or was at the end of the grace period of a planned stop, the request had reached its timeout, or the
 // backend broke the response off. What counts is the last run: one that a node has ended is no break of its backend, and neither
-// is a break before another backend has taken over.
+// is a break before another backend took over.
 func endOf(o observation, runs []backendRun, disturbances []disturbance) responseEnd {
 	switch {
 	case o.status != http.StatusOK:
@@ -59,18 +66,32 @@
 func (o observation) timeoutOrDefault() time.Duration { return cmp.Or(o.timeout, routeTimeout) }
 
 // brokenOffByBackend reports whether the last run of a request ended by itself before the end of its output, or the connections
-// of one of its backends were interrupted while the request was in progress: the node may then have lost any of its runs.
+// of one of its backends were broken while the request was in progress: the node may then have lost any of its runs. An earlier
+// break than takeoverTime before the end counts only if no other run was in progress then, at a backend without a break.
 func brokenOffByBackend(o observation, runs []backendRun) bool {
 	if len(runs) == 0 {
 		return false
 	}
+	recent := o
+	if slices.ContainsFunc(runs, func(run backendRun) bool { return run.wasSoundAtEnd(o) }) {
+		recent.began = o.ended.Add(-takeoverTime)
+	}
 	for _, run := range runs {
-		if interruptedDuring(o, run.breaks) {
+		if interruptedDuring(o, run.breaks) && interruptedDuring(recent, run.breaks) {
 			return true
 		}
 	}
 	last := slices.MaxFunc(runs, func(a, b backendRun) int { return a.endedOrNow().Compare(b.endedOrNow()) })
-	return last.Ended && !last.Whole && !last.CallerDisconnected
+	return last.brokeOff()
+}
+
+// brokeOff reports whether a run ended by itself before the end of its output.
+func (r backendRun) brokeOff() bool { return r.Ended && !r.Whole && !r.CallerDisconnected }
+
+// wasSoundAtEnd reports whether a run was in progress when the response ended, at a backend whose connections were not broken
+// during the request.
+func (r backendRun) wasSoundAtEnd(o observation) bool {
+	return !r.brokeOff() && !interruptedDuring(o, r.breaks) && r.endedOrNow().After(o.ended.Add(-endSlack))
 }
 
 // endedOrNow returns the end of a run; a run in progress counts as ending now.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -34,16 +34,17 @@
 	open    map[net.Conn]struct{}
 	// directions has one entry for each open connection: its stalled directions.
 	directions map[*stalledDirections]struct{}
-	// interrupted are the times in which the proxy did not pass bytes at once.
+	// interrupted are the times in which the proxy did not pass bytes at once, or refused connections.
 	interrupted []interruption
 	closed      bool
 	done        sync.WaitGroup
 }
 
-// interruption is a time in which a proxy did not pass bytes at once. isDelay is set if it passed them all, after proxyDelay.
+// interruption is a time in which a proxy did not pass bytes at once, or refused connections. keepsOpen is set if the open
+// connections passed all bytes, at once or after proxyDelay.
 type interruption struct {
 	disturbance
-	isDelay bool
+	keepsOpen bool
 }
 
 // stalledDirections records which directions of one connection are stalled.
@@ -185,18 +186,18 @@
 		p.interrupted[len(p.interrupted)-1].to = now
 	}
 	if mode != modePass {
-		p.interrupted = append(p.interrupted, interruption{disturbance{from: now, to: now.Add(time.Hour)}, mode == modeDelay})
+		p.interrupted = append(p.interrupted, interruption{disturbance{from: now, to: now.Add(time.Hour)}, mode == modeDelay || mode == modeRefuse})
 	}
 }
 
-// interruptions returns the times in which the proxy did not pass bytes at once.
+// interruptions returns the times in which the proxy did not pass bytes at once, or refused connections.
 func (p *proxy) interruptions() []disturbance {
 	return p.interruptionsWhere(func(interruption) bool { return true })
 }
 
-// breaks returns the times in which the proxy held, refused, closed or stalled connections.
+// breaks returns the times in which the proxy held, closed or stalled open connections.
 func (p *proxy) breaks() []disturbance {
-	return p.interruptionsWhere(func(i interruption) bool { return !i.isDelay })
+	return p.interruptionsWhere(func(i interruption) bool { return !i.keepsOpen })
 }
 
 func (p *proxy) interruptionsWhere(include func(interruption) bool) []disturbance {
