Soak: a planned stop may cut at the end of its grace period what was sent before

Node 2 was stopped at 07:25:13.905 with a grace period of 8 s, got the request 0.13 s later, sent it to an engine that was silent until the end, and cut it with five others at 07:25:21.606 ("grace period over", its log). Requests with a timeout of 4 s never came so far; those on the new routes have 14 s.

--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -42,7 +42,8 @@
 )
 
 // endOf returns how a response with status 200 ended. A response that is not whole was cut by its node, unless the node was
-// killed or frozen meanwhile or was at the end of the grace period of a planned stop, the request had reached its timeout, or the
+// killed or frozen meanwhile or was at the end of the grace period of a planned stop that began at most sentAfterStop before the
+// request, the request had reached its timeout, or the
 // backend broke the response off. What counts is the last run: one that a node has ended is no break of its backend, and neither
 // is a break before another backend took over.
 func endOf(o observation, runs []backendRun, disturbances []disturbance) responseEnd {
