Soak: the time of a request begins with its first bytes, early ones as well

The nodes' lines name the cause: reason "deadline", took_ms 4000, read_wait_ms 3632 and 3802. The node counts a request's time from its first bytes (the glossary says so, and TestWaitForHeadCounts and TestWaitBehindAnotherRequestCounts keep it), and these had waited behind the previous response on the connection.

The judge now knows when the first bytes were sent. Whether a request's time should begin while the previous response is in progress is left open. Two more cases in the table.

--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -63,6 +63,8 @@
 	timeout time.Duration
 	// eventCount is the number of events of its stream; zero stands for the usual number.
 	eventCount int
+	// firstBytes is when its first bytes were sent, if that was before the response to the previous request was whole.
+	firstBytes time.Time
 	began      time.Time
 	ended      time.Time
 }
@@ -159,36 +161,38 @@
 		runs   []backendRun
 		want   string
 	}{
-		"valid":                           {func(*observation) {}, []backendRun{wholeRun}, ""},
-		"run twice":                       {func(*observation) {}, []backendRun{wholeRun, wholeRun}, "more than once"},
-		"ran despite rejection":           {func(o *observation) { o.status = 503 }, []backendRun{wholeRun}, "guarantees"},
-		"rejected":                        {func(o *observation) { o.status = 503 }, nil, ""},
-		"other ID":                        {func(o *observation) { o.requestID = "q" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
-		"unsigned":                        {func(o *observation) { o.signature = "" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
-		"other bytes":                     {func(o *observation) { o.body = "x" }, []backendRun{wholeRun}, "other bytes"},
-		"partial":                         {func(o *observation) { o.body = o.body[:3] }, []backendRun{wholeRun}, "looks complete"},
-		"cut before its end":              {cut, []backendRun{wholeRun}, "cut after its head"},
-		"cut while at work":               {cut, []backendRun{atWork}, "cut after its head"},
-		"cut with its run":                {cut, []backendRun{givenUp}, "cut after its head"},
-		"cut after another broke off":     {cutStream, []backendRun{run(1), atWork}, "cut after its head"},
-		"cut without a run":               {cut, nil, "cut after its head"},
-		"interrupted before":              {cut, []backendRun{interrupted(atWork, -2, -1)}, "cut after its head"},
-		"broken off by backend":           {cut, []backendRun{run(1.9)}, ""},
-		"broken off after a run given up": {cutStream, []backendRun{givenUp, run(1.9)}, ""},
-		"backend interrupted":             {cut, []backendRun{interrupted(atWork, 1, 1.5)}, ""},
-		"other backend interrupted":       {cutStream, []backendRun{interrupted(givenUp, 0.5, 0.6), atWork}, "cut after its head"},
-		"other backend interrupted late":  {cutStream, []backendRun{interrupted(givenUp, 1.5, 1.6), atWork}, ""},
-		"only run interrupted early":      {cut, []backendRun{interrupted(givenUp, 0.5, 0.6)}, ""},
-		"cut just before its timeout":     {func(o *observation) { cut(o); o.ended = at(3.9) }, []backendRun{wholeRun}, "cut after its head"},
-		"cut at its timeout":              {func(o *observation) { cut(o); o.ended = at(4) }, []backendRun{wholeRun}, ""},
-		"cut at its own timeout":          {func(o *observation) { cut(o); o.timeout = 2 * time.Second }, []backendRun{wholeRun}, ""},
-		"not found":                       {func(o *observation) { o.status = 404 }, nil, "not found"},
-		"no response":                     {func(o *observation) { o.status, o.complete = 0, false }, []backendRun{wholeRun}, "no response"},
-		"not forwarded":                   {func(o *observation) { o.status, o.complete = 0, false }, nil, ""},
-		"partial stream":                  {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, []backendRun{wholeRun}, "looks complete"},
-		"partial long stream":             {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 12), 30 }, []backendRun{wholeRun}, "looks complete"},
-		"long stream":                     {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun}, ""},
-		"long stream run twice":           {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun, wholeRun}, "more than once"},
+		"valid":                                        {func(*observation) {}, []backendRun{wholeRun}, ""},
+		"run twice":                                    {func(*observation) {}, []backendRun{wholeRun, wholeRun}, "more than once"},
+		"ran despite rejection":                        {func(o *observation) { o.status = 503 }, []backendRun{wholeRun}, "guarantees"},
+		"rejected":                                     {func(o *observation) { o.status = 503 }, nil, ""},
+		"other ID":                                     {func(o *observation) { o.requestID = "q" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
+		"unsigned":                                     {func(o *observation) { o.signature = "" }, []backendRun{wholeRun}, "another request's ID or without a signature"},
+		"other bytes":                                  {func(o *observation) { o.body = "x" }, []backendRun{wholeRun}, "other bytes"},
+		"partial":                                      {func(o *observation) { o.body = o.body[:3] }, []backendRun{wholeRun}, "looks complete"},
+		"cut before its end":                           {cut, []backendRun{wholeRun}, "cut after its head"},
+		"cut while at work":                            {cut, []backendRun{atWork}, "cut after its head"},
+		"cut with its run":                             {cut, []backendRun{givenUp}, "cut after its head"},
+		"cut after another broke off":                  {cutStream, []backendRun{run(1), atWork}, "cut after its head"},
+		"cut without a run":                            {cut, nil, "cut after its head"},
+		"interrupted before":                           {cut, []backendRun{interrupted(atWork, -2, -1)}, "cut after its head"},
+		"broken off by backend":                        {cut, []backendRun{run(1.9)}, ""},
+		"broken off after a run given up":              {cutStream, []backendRun{givenUp, run(1.9)}, ""},
+		"backend interrupted":                          {cut, []backendRun{interrupted(atWork, 1, 1.5)}, ""},
+		"other backend interrupted":                    {cutStream, []backendRun{interrupted(givenUp, 0.5, 0.6), atWork}, "cut after its head"},
+		"other backend interrupted late":               {cutStream, []backendRun{interrupted(givenUp, 1.5, 1.6), atWork}, ""},
+		"only run interrupted early":                   {cut, []backendRun{interrupted(givenUp, 0.5, 0.6)}, ""},
+		"cut just before its timeout":                  {func(o *observation) { cut(o); o.ended = at(3.9) }, []backendRun{wholeRun}, "cut after its head"},
+		"cut at its timeout":                           {func(o *observation) { cut(o); o.ended = at(4) }, []backendRun{wholeRun}, ""},
+		"cut at its own timeout":                       {func(o *observation) { cut(o); o.timeout = 2 * time.Second }, []backendRun{wholeRun}, ""},
+		"cut at its timeout since its first bytes":     {func(o *observation) { cut(o); o.firstBytes = at(-2) }, []backendRun{wholeRun}, ""},
+		"cut before its timeout since its first bytes": {func(o *observation) { cut(o); o.firstBytes = at(-1.9) }, []backendRun{wholeRun}, "cut after its head"},
+		"not found":                                    {func(o *observation) { o.status = 404 }, nil, "not found"},
+		"no response":                                  {func(o *observation) { o.status, o.complete = 0, false }, []backendRun{wholeRun}, "no response"},
+		"not forwarded":                                {func(o *observation) { o.status, o.complete = 0, false }, nil, ""},
+		"partial stream":                               {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, []backendRun{wholeRun}, "looks complete"},
+		"partial long stream":                          {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 12), 30 }, []backendRun{wholeRun}, "looks complete"},
+		"long stream":                                  {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun}, ""},
+		"long stream run twice":                        {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun, wholeRun}, "more than once"},
 		"joined streams": {func(o *observation) {
 			o.kind, o.body = kindResumable, standin.EventText("r", 1)+standin.EventText("r", 1)
 		}, []backendRun{wholeRun, wholeRun}, "other bytes"},
--- a/soak/ends_test.go
+++ b/soak/ends_test.go
@@ -37,6 +37,7 @@
 	endNone          responseEnd = "no success"
 	endAtDisturbance responseEnd = "cut at a disturbed node"
 	endAtTimeout     responseEnd = "cut at its timeout"
+	endAtFirstBytes  responseEnd = "cut at its timeout since its first bytes"
 	endByBackend     responseEnd = "cut by its backend"
 	endCutByNode     responseEnd = "cut by its node"
 )
@@ -45,7 +46,8 @@
 // killed or frozen meanwhile or was at the end of the grace period of a planned stop that began at most sentAfterStop before the
 // request, the request had reached its timeout, or the
 // backend broke the response off. What counts is the last run: one that a node has ended is no break of its backend, and neither
-// is a break before another backend took over.
+// is a break before another backend took over. The time of a request begins with its first bytes, also if its caller sent them while
+// the response to the previous request was in progress; such responses have an end of their own.
 func endOf(o observation, runs []backendRun, disturbances []disturbance) responseEnd {
 	switch {
 	case o.status != http.StatusOK:
@@ -56,6 +58,8 @@
 		return endAtDisturbance
 	case o.took() >= o.timeoutOrDefault():
 		return endAtTimeout
+	case !o.firstBytes.IsZero() && o.ended.Sub(o.firstBytes) >= o.timeoutOrDefault():
+		return endAtFirstBytes
 	case brokenOffByBackend(o, runs):
 		return endByBackend
 	default:
