--- a/soak/checks_test.go
+++ b/soak/checks_test.go
@@ -146,12 +146,18 @@
 	at := func(seconds float64) time.Time {
 		return time.Unix(100, 0).Add(time.Duration(seconds * float64(time.Second)))
 	}
-	valid := observation{began: at(0), ended: at(2), id: "r", kind: kindNonIdempotent, sent: true, status: 200, complete: true, body: standin.Body("r"), signature: "s", requestID: "r"}
+	valid := observation{
+		id: "r", kind: kindNonIdempotent, sent: true, status: 200, complete: true, body: standin.Body("r"), signature: "s", requestID: "r",
+		began: at(0), ended: at(2),
+	}
 	cut := func(o *observation) { o.body, o.complete = o.body[:3], false }
 	cutStream := func(o *observation) { o.kind, o.body, o.complete = kindResumable, standin.StreamText("r", 2), false }
 	run := func(ended float64) backendRun { return backendRun{Run: standin.Run{Ended: true, EndedAt: at(ended)}} }
 	wholeRun, atWork, givenUp := run(1.9), backendRun{}, run(1)
 	wholeRun.Whole, givenUp.CallerDisconnected = true, true
+	long := func(events int) func(*observation) {
+		return func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", events), 30 }
+	}
 	interrupted := func(r backendRun, from, to float64) backendRun {
 		r.breaks = []disturbance{{from: at(from), to: at(to)}}
 		return r
@@ -190,9 +196,9 @@
 		"no response":                                  {func(o *observation) { o.status, o.complete = 0, false }, []backendRun{wholeRun}, "no response"},
 		"not forwarded":                                {func(o *observation) { o.status, o.complete = 0, false }, nil, ""},
 		"partial stream":                               {func(o *observation) { o.kind, o.body = kindResumable, standin.StreamText("r", 2) }, []backendRun{wholeRun}, "looks complete"},
-		"partial long stream":                          {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 12), 30 }, []backendRun{wholeRun}, "looks complete"},
-		"long stream":                                  {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun}, ""},
-		"long stream run twice":                        {func(o *observation) { o.kind, o.body, o.eventCount = kindLong, standin.StreamText("r", 30), 30 }, []backendRun{wholeRun, wholeRun}, "more than once"},
+		"partial long stream":                          {long(12), []backendRun{wholeRun}, "looks complete"},
+		"long stream":                                  {long(30), []backendRun{wholeRun}, ""},
+		"long stream run twice":                        {long(30), []backendRun{wholeRun, wholeRun}, "more than once"},
 		"joined streams": {func(o *observation) {
 			o.kind, o.body = kindResumable, standin.EventText("r", 1)+standin.EventText("r", 1)
 		}, []backendRun{wholeRun, wholeRun}, "other bytes"},
--- a/soak/rawcallers_test.go
+++ b/soak/rawcallers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -77,7 +78,10 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
-		r := &rawConnection{harness: c.harness, node: n, how: how, random: random, prefix: fmt.Sprintf("%s-%d", prefix, number), conn: conn, reader: bufio.NewReader(conn)}
+		r := &rawConnection{
+			harness: c.harness, node: n, how: how, random: random, prefix: fmt.Sprintf("%s-%d", prefix, number),
+			conn: conn, reader: bufio.NewReader(conn),
+		}
 		r.sendUntil(c.stopping, func(o observation) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -170,7 +174,7 @@
 	if r.how.chunked {
 		header.Set("Transfer-Encoding", "chunked")
 	} else {
-		header.Set("Content-Length", fmt.Sprint(len(bodyOf(headers.ID))))
+		header.Set("Content-Length", strconv.Itoa(len(bodyOf(headers.ID))))
 	}
 	_ = header.Write(&head)
 	head.WriteString("\r\n")
