--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -62,14 +62,16 @@
 }
 
 // reportBreak records that a decode engine broke off the run of the request, or that the run was ended because the engine was
-// silent.
-func (x *exchange) reportBreak(ctx context.Context, reserved *reservedEngine, silent bool) {
-	x.reportBroken(ctx, reserved.entry, brokenRequest{age: time.Since(reserved.sent), written: reserved.events > 0, silent: silent})
+// unresponsive.
+func (x *exchange) reportBreak(ctx context.Context, reserved *reservedEngine, unresponsive bool) {
+	x.reportBroken(ctx, reserved.entry, brokenRequest{
+		age: time.Since(reserved.sent), written: reserved.events > 0, unresponsive: unresponsive,
+	})
 }
 
 // reportBroken records that a backend broke off the request. A backend that has terminated counts against the
-// request; a broken connection does not, nor does the termination of a backend that was leaving. If no crash is attributed to the request yet, the check runs in
-// the background: this crash cannot be the one that quarantines the request.
+// request; a broken connection does not, nor does the termination of a backend that was leaving. If no crash is attributed to the
+// request yet, the check runs in the background: this crash cannot be the one that quarantines the request.
 func (x *exchange) reportBroken(ctx context.Context, entry *backend.Entry, broken brokenRequest) {
 	if entry.LeavingFor() > 0 {
 		return
@@ -91,8 +93,8 @@
 	age time.Duration
 	// written is set if the backend had begun to write its response.
 	written bool
-	// silent is set if this node ended the request because the backend was silent.
-	silent bool
+	// unresponsive is set if this node ended the request because the backend was unresponsive.
+	unresponsive bool
 }
 
 // recordBreak checks whether the backend has terminated and reports the crash.
@@ -106,7 +108,7 @@
 			Request: broken.subject, Backend: broken.backend.ID, Written: broken.written,
 		})
 	}
-	if broken.silent && !crashed {
+	if broken.unresponsive && !crashed {
 		return // The backend has broken nothing off.
 	}
 	h.logBreak(broken, crashed, quarantineStatus)
--- a/gateway/failover.go
+++ b/gateway/failover.go
@@ -16,13 +16,13 @@
 	maxTimerLateness = 100 * time.Millisecond
 )
 
-// ErrUnresponsive is the cause of a call that was ended because its backend was silent and an alternative was ready.
+// ErrUnresponsive is the cause of a call that was ended because its backend was unresponsive and an alternative was ready.
 var ErrUnresponsive = errors.New("gateway: backend is unresponsive")
 
-// errNoAlternative means that nothing else can serve a request whose backend is silent.
-var errNoAlternative = errors.New("gateway: no alternative to a silent backend")
+// errNoAlternative means that nothing else can serve a request whose backend is unresponsive.
+var errNoAlternative = errors.New("gateway: no alternative to an unresponsive backend")
 
-// failover replaces a call to a backend that is silent for too long. It first prepares the alternative, and ends the call only
+// failover replaces a call to a backend that is unresponsive for too long. It first prepares the alternative, and ends the call only
 // once the alternative is ready: the backend may answer yet, and a call that was ended for an alternative that turns out not to
 // exist is lost. What arrives in the meantime interrupts the preparation.
 //
@@ -33,8 +33,8 @@
 	timer   *time.Timer
 
 	mu sync.Mutex
-	// paused is set while the call is not being waited for, limit is how long its backend may be silent, and due is when it will
-	// have been silent for too long.
+	// paused is set while the call is not being waited for, limit is how long its backend may be unresponsive, and due is when it will
+	// have been unresponsive for too long.
 	paused bool
 	limit  time.Duration
 	due    time.Time
@@ -47,7 +47,7 @@
 
 // failoverOptions configure a failover.
 type failoverOptions[Alternative any] struct {
-	// prepare returns an alternative, once there is one. It runs in a goroutine of its own.
+	// prepare returns an alternative, once there is one that can take over at once. It runs in a goroutine of its own.
 	prepare func(ctx context.Context) (*Alternative, error)
 	// panicked returns the error of a preparation that panicked.
 	panicked func(cause any) error
@@ -56,7 +56,7 @@
 }
 
 // startFailover returns a context for the call, which ends with ErrUnresponsive once an alternative is ready. The limit is how
-// long the backend may be silent. Stop must be called.
+// long the backend may be unresponsive. Stop must be called.
 func startFailover[Alternative any](ctx context.Context, limit time.Duration, options failoverOptions[Alternative]) (context.Context, *failover[Alternative]) {
 	if options.discard == nil {
 		options.discard = func(*Alternative) {}
@@ -138,7 +138,7 @@
 	}
 }
 
-// resume waits for the backend again, which may be silent for the limit.
+// resume waits for the backend again, which may be unresponsive for the limit.
 func (f *failover[Alternative]) resume(limit time.Duration) {
 	if f == nil {
 		return
@@ -155,7 +155,8 @@
 	f.timer.Reset(limit)
 }
 
-// take returns the alternative for which the call was ended, or nil. The caller is responsible for it then.
+// take returns the alternative for which the call was ended, or nil. The caller is responsible for it then. No other alternative is
+// prepared before resume is called.
 func (f *failover[Alternative]) take() *Alternative {
 	if f == nil {
 		return nil
--- a/gateway/firstevents.go
+++ b/gateway/firstevents.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// minFirstEventLimit bounds from below how long a decode engine may be silent after the prefill before
+	// minFirstEventLimit bounds from below how long a decode engine may be unresponsive after the prefill before
 	// another one is prepared. On the supported deployments the first event takes about ten
 	// milliseconds, and fetching the prompt as much; the limit leaves enough time for another engine within
 	// most objectives.
 	minFirstEventLimit = 400 * time.Millisecond
-	// firstEventFactor times the mean first-event time is how long an engine may be silent.
+	// firstEventFactor times the mean first-event time is how long an engine may be unresponsive.
 	firstEventFactor = 4
 	// initialFirstEventLimit is the limit until the first events of minFirstEvents responses have been
 	// observed. It is below the two seconds after which callers disconnect.
@@ -19,18 +19,17 @@
 	minFirstEvents         = 10
 	// firstEventWeight is the weight of one response in the mean.
 	firstEventWeight = 0.1
-	// pauseLimitFactor times the longest pause of the route is how long an engine may be silent within a stream
+	// pauseLimitFactor times the longest pause of the route is how long an engine may be unresponsive within a stream
 	// before another one is prepared.
 	pauseLimitFactor = 3
-	// minPauseLimit bounds this time from below, also if the route sets no longest pause.
+	// minPauseLimit is the shortest time of this kind, also if the route sets no longest pause.
 	minPauseLimit = time.Second
-	// pauseTimeoutShare bounds it from below too, as a share of the time after which the caller disconnects from a
-	// silent stream: a stream that has paused for this long is late whatever happens, and the rest suffices to
-	// prepare another engine.
+	// pauseTimeoutShare times the time after which the caller disconnects from a paused stream is another lower bound: a
+	// stream that has paused for this long is late whatever happens, and the rest suffices to prepare another engine.
 	pauseTimeoutShare = 0.4
 )
 
-// pauseLimit returns how long an engine may be silent within a stream before another one is prepared.
+// pauseLimit returns how long an engine may be unresponsive within a stream before another one is prepared.
 func (x *exchange) pauseLimit() time.Duration {
 	callerShare := time.Duration(pauseTimeoutShare * float64(x.route.CallerEventTimeout))
 	return max(minPauseLimit, pauseLimitFactor*x.route.MaxPause, callerShare)
@@ -63,7 +62,7 @@
 	e.byService[service] = stats
 }
 
-// limit returns how long an engine of a service may be silent before its first event until another one is prepared.
+// limit returns how long an engine of a service may be unresponsive before its first event until another one is prepared.
 func (e *firstEvents) limit(service string) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -247,13 +247,15 @@
 	if failure := contextFailure(ctx); failure != nil {
 		return failure
 	}
-	x.reportBroken(ctx, entry, brokenRequest{age: age, silent: errors.Is(err, ErrUnresponsive)})
+	x.reportBroken(ctx, entry, brokenRequest{age: age, unresponsive: errors.Is(err, ErrUnresponsive)})
 	return &attemptError{failure: unknown(ReasonBackendFailed, err), arrived: true, ran: true}
 }
 
-// sendBuffered sends the request to a backend and buffers the response. If the backend is silent for too long, the call ends once
+// sendBuffered sends the request to a backend and buffers the response. If the backend is unresponsive for too long, the call ends once
 // another one can take the request.
-func (x *exchange) sendBuffered(ctx context.Context, target backend.Backend, left time.Duration, attempted map[string]bool) (*Response, error) {
+func (x *exchange) sendBuffered(
+	ctx context.Context, target backend.Backend, left time.Duration, attempted map[string]bool,
+) (*Response, error) {
 	call, watch := x.watchAttempt(ctx, left, attempted)
 	x.abandon = watch.stop
 	response, err := x.handler.options.Dialect.Send(call, target, x.request, left)
@@ -276,7 +278,9 @@
 
 // watchAttempt returns the context of a call to a plain backend. If the request may run at another one, the call ends after a
 // share of the time that is left, provided that there is another one then.
-func (x *exchange) watchAttempt(ctx context.Context, left time.Duration, attempted map[string]bool) (context.Context, *failover[alternativeBackend]) {
+func (x *exchange) watchAttempt(
+	ctx context.Context, left time.Duration, attempted map[string]bool,
+) (context.Context, *failover[alternativeBackend]) {
 	if !x.route.Idempotent() || x.runs+1 >= x.route.MaxAttempts || x.arrivals.runs+1 >= maxSends {
 		return ctx, nil
 	}
@@ -284,8 +288,9 @@
 	return startFailover(ctx, limit, failoverOptions[alternativeBackend]{
 		panicked: x.panicked,
 		prepare: func(context.Context) (*alternativeBackend, error) {
+			other := x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version})
 			// The call in progress has not been counted yet.
-			if x.handler.pick(x.service, backend.RoleNone, exclusions{attempted, x.version}) == nil || !x.maySend(x.arrivals.withRun().withRun()) {
+			if other == nil || !x.maySend(x.arrivals.withRun().withRun()) {
 				return nil, errNoAlternative
 			}
 			return &alternativeBackend{}, nil
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -23,8 +23,8 @@
 	// reserved memory for the run. It is half of the time for which engines in backoff still accept requests
 	// that were already on their way (0.5 s).
 	maxBackoffTime = 250 * time.Millisecond
-	// prefillTimeoutShare is the share of the objective after which the prefill at an unresponsive engine
-	// is abandoned, if there is no estimate of its duration.
+	// prefillTimeoutShare is the share of the objective after which an alternative to the prefill at an unresponsive
+	// engine is sought, if there is no estimate of its duration.
 	prefillTimeoutShare = 0.7
 	// expectedPrefillFactor and shortestPrefillTimeout determine the timeout of a prefill whose duration the
 	// coordinator has estimated. A second prefill of a prompt wastes the first one and lengthens the queues,
@@ -35,7 +35,7 @@
 
 // generate serves a request at engines: memory is reserved, the prompt is prefilled, and the output of the
 // decode engine is relayed. If a stream breaks off and may be resumed, another engine of its version continues it. If an engine
-// is silent for too long, another one continues its stream once it is ready to.
+// is unresponsive for too long, another one continues its stream once it is ready to.
 func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
 	defer func() { x.freeKeptPrompt(ctx) }()
 	stream := &streamRelay{exchange: x, profile: profile, lastID: x.request.Generation.LastEventID, avoid: map[string]bool{}}
@@ -309,12 +309,12 @@
 	return x.handler.pick(x.service, backend.RolePrefill, excluded)
 }
 
-// prefillLimit returns how long a prefill may take, given its expected duration.
+// prefillLimit returns how long a prefill may take until an alternative is sought, given its expected duration.
 func prefillLimit(expected time.Duration) time.Duration {
 	return expectedPrefillFactor*expected + shortestPrefillTimeout
 }
 
-// prefillTimeout returns how long an engine may take to prefill the prompt.
+// prefillTimeout returns how long an engine may take to prefill the prompt until an alternative is sought.
 func (x *exchange) prefillTimeout(entry *backend.Entry, reserved *reservedEngine) time.Duration {
 	if reserved.expectedPrefill > 0 && entry.Backend().ID == reserved.prefillEngine {
 		return prefillLimit(reserved.expectedPrefill)
@@ -322,14 +322,14 @@
 	return max(shortestPrefillTimeout, time.Duration(float64(x.route.Objective)*prefillTimeoutShare))
 }
 
-// alternativePrefill is what a request may do instead of waiting for a prefill engine that is silent.
+// alternativePrefill is what a request may do instead of waiting for a prefill engine that is unresponsive.
 type alternativePrefill struct{}
 
-// prepareAlternativePrefill reports whether there is something better than to wait for a prefill engine that is silent: another
+// prepareAlternativePrefill reports whether there is something better than to wait for a prefill engine that is unresponsive: another
 // prefill engine or the decode engine, with the retry budget for it, or else a rejection, once its caller would no longer wait for
 // the first event.
 func (x *exchange) prepareAlternativePrefill(reserved *reservedEngine, attempted map[string]bool) (*alternativePrefill, error) {
-	// The call to the silent engine has not been counted yet.
+	// The call to the unresponsive engine has not been counted yet.
 	after := x.arrivals.withPrefill()
 	if len(attempted) < maxPrefills && x.prefillEngine(reserved, attempted) != nil {
 		after = after.withPrefill()
@@ -377,7 +377,7 @@
 			x.handler.logWasted(x, entry.Backend().ID, wastePrefillTimeout)
 		}
 		if !errors.Is(err, ErrNotSent) {
-			x.reportBroken(ctx, entry, brokenRequest{age: time.Since(sent), silent: timedOut})
+			x.reportBroken(ctx, entry, brokenRequest{age: time.Since(sent), unresponsive: timedOut})
 		}
 		return nil, err
 	case result == nil && response.Misdirected:
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -188,6 +188,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if conn := callerconn.From(r.Context()); conn != nil && !conn.Begin() {
+		h.options.Metrics.Add("requests_on_closed_connections", 1)
 		panic(http.ErrAbortHandler) // Nobody would receive the response.
 	}
 	h.inProgress.Add(1)
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -39,11 +39,11 @@
 	ReasonNoCapacity      Reason = "no_room"
 	ReasonPrefillFailed   Reason = "prefill_failed"
 	ReasonBackendRejected Reason = "backend_refused"
-	// ReasonBackendLeft means that the engine was leaving while the prompt was being prefilled.
 	// ReasonStreamOriginUnknown means that no node knows at which software version the resumed stream began.
 	ReasonStreamOriginUnknown Reason = "stream_origin_unknown"
 	// ReasonVersionUnavailable means that no engine has the software version at which the stream began.
 	ReasonVersionUnavailable Reason = "version_unavailable"
+	// ReasonBackendLeft means that the engine was leaving while the prompt was being prefilled.
 	ReasonBackendLeft        Reason = "backend_left"
 	ReasonBackendFailed      Reason = "backend_failed"
 	ReasonDeadline           Reason = "deadline"
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -55,7 +55,7 @@
 	rejection coordinator.Rejection
 	// responded is set once the engine has begun its response.
 	responded bool
-	// failover prepares another engine if this one is silent; nil if the stream may not continue at another one.
+	// failover prepares another engine if this one is unresponsive; nil if the stream may not continue at another one.
 	failover *failover[preparedRun]
 	end      func()
 }
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -7,7 +7,7 @@
 )
 
 // watchRun returns the context of a decode call. If the stream may continue at another engine, one is prepared once the
-// engine of the call has been silent for too long.
+// engine of the call has been unresponsive for too long.
 func (x *exchange) watchRun(ctx context.Context, reserved *reservedEngine, stream *streamRelay) context.Context {
 	if !x.route.Resumable || x.runs+1 >= x.route.MaxAttempts {
 		return ctx
@@ -24,7 +24,7 @@
 	return call
 }
 
-// firstEventLimit returns how long an engine may be silent before its first event until another one is prepared.
+// firstEventLimit returns how long an engine may be unresponsive before its first event until another one is prepared.
 func (x *exchange) firstEventLimit(reserved *reservedEngine) time.Duration {
 	limit := x.handler.firstEvents.limit(x.service)
 	if reserved.localPrefill {
@@ -33,15 +33,15 @@
 	return limit
 }
 
-// prepareStandby prepares another engine for the stream of an engine that is silent.
-func (x *exchange) prepareStandby(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
+// prepareStandby prepares another engine for the stream of an engine that is unresponsive.
+func (x *exchange) prepareStandby(ctx context.Context, unresponsive *reservedEngine, stream *streamRelay) (*preparedRun, error) {
 	// The log shows the run in progress, unless another one starts.
 	target, via, timings := x.target, x.via, x.timings
 	defer func() { x.target, x.via, x.timings = target, via, timings }()
 	counted := x.arrivals.runs
-	x.arrivals = x.arrivalsWith(silent)
+	x.arrivals = x.arrivalsWith(unresponsive)
 	defer func() { x.arrivals.runs = counted }()
-	prepared, err := x.prepareOther(ctx, silent, stream)
+	prepared, err := x.prepareOther(ctx, unresponsive, stream)
 	if err != nil {
 		x.returnRetries(x.arrivals)
 		return nil, err
@@ -55,16 +55,16 @@
 }
 
 // arrivalsWith returns the calls of the request with that to an engine whose response has not begun: it is counted once it has.
-func (x *exchange) arrivalsWith(silent *reservedEngine) arrivals {
-	if silent.responded {
+func (x *exchange) arrivalsWith(unresponsive *reservedEngine) arrivals {
+	if unresponsive.responded {
 		return x.arrivals
 	}
 	return x.arrivals.withRun()
 }
 
-// prepareOther prepares a run at another engine than the silent one, with the retry budget for it. Each prompt that is prefilled in vain
+// prepareOther prepares a run at another engine than the unresponsive one, with the retry budget for it. Each prompt that is prefilled in vain
 // counts as an attempt, so that an engine which pauses often does not have the prompt prefilled each time.
-func (x *exchange) prepareOther(ctx context.Context, silent *reservedEngine, stream *streamRelay) (*preparedRun, error) {
+func (x *exchange) prepareOther(ctx context.Context, unresponsive *reservedEngine, stream *streamRelay) (*preparedRun, error) {
 	if x.arrivals.prefills >= x.route.MaxAttempts || !x.mayStartRun() {
 		return nil, errNoAlternative
 	}
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	avoid := maps.Clone(stream.avoid)
-	avoid[silent.entry.Backend().ID] = true
+	avoid[unresponsive.entry.Backend().ID] = true
 	prepared, err := x.prepareRun(ctx, stream.profile, avoid)
 	if err != nil {
 		return nil, err
@@ -81,10 +81,10 @@
 	return prepared, nil
 }
 
-// takeStandby returns the run for which that of a silent engine was ended; nil if there is none, or if the stream has begun since at
+// takeStandby returns the run for which that of an unresponsive engine was ended; nil if there is none, or if the stream has begun since at
 // another version.
-func (x *exchange) takeStandby(ctx context.Context, silent *reservedEngine, stream *streamRelay) *preparedRun {
-	prepared := silent.failover.take()
+func (x *exchange) takeStandby(ctx context.Context, unresponsive *reservedEngine, stream *streamRelay) *preparedRun {
+	prepared := unresponsive.failover.take()
 	if prepared == nil || prepared.events > 0 || stream.events == 0 {
 		return prepared
 	}
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/reelrun/reelrun/backend"
@@ -158,7 +159,8 @@
 	request.Header.Set("Id", id)
 	response := httptest.NewRecorder()
 	defer func() {
-		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+		cause := recover()
+		if err, isError := cause.(error); cause != nil && !(isError && errors.Is(err, http.ErrAbortHandler)) {
 			panic(cause)
 		}
 	}()
