--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -160,7 +160,10 @@
 	response := httptest.NewRecorder()
 	defer func() {
 		cause := recover()
-		if err, isError := cause.(error); cause != nil && !(isError && errors.Is(err, http.ErrAbortHandler)) {
+		if err, isError := cause.(error); isError && errors.Is(err, http.ErrAbortHandler) {
+			return
+		}
+		if cause != nil {
 			panic(cause)
 		}
 	}()
--- a/soak/rawcallers_test.go
+++ b/soak/rawcallers_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -160,7 +161,7 @@
 		headers, request.timeout, request.eventCount = longHeaders(id), longTimeout, runs[0].EventCount
 	}
 	head := r.head(k, headers)
-	request.unsent = append(head, r.body(id)...)
+	request.unsent = slices.Concat(head, r.body(id))
 	request.early = 1 + r.random.IntN(len(head)-1)
 	return request
 }
