A run ends for a standby only if the retry budget allows another run after it

What callers saw: a stream is cut while its engine pauses and goes on.

Cause: the alternative was certain but for the last call.

--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -243,6 +243,7 @@
 	if stream.lastID != "" {
 		x.handler.logContinued(x, reserved.entry.Backend(), stream.lastID)
 	}
+	x.returnRetries(x.arrivals)
 	reserved.failover.resume(x.firstEventLimit(reserved))
 	return response, nil
 }
--- a/gateway/standby.go
+++ b/gateway/standby.go
@@ -46,7 +46,7 @@
 		x.returnRetries(x.arrivals)
 		return nil, err
 	}
-	if !x.maySendNow(x.arrivals.withRun()) {
+	if !x.maySendNow(x.arrivals.withRun()) || !x.mayReplaceStandby(prepared) {
 		x.discardRun(ctx, prepared)
 		x.returnRetries(x.arrivals)
 		return nil, errNoAlternative
@@ -62,8 +62,8 @@
 	return x.arrivals.withRun()
 }
 
-// prepareOther prepares a run at another engine than the unresponsive one, with the retry budget for it. Each prompt that is prefilled in vain
-// counts as an attempt, so that an engine which pauses often does not have the prompt prefilled each time.
+// prepareOther prepares a run at another engine than the unresponsive one, with the retry budget for it. Each prompt that is
+// prefilled in vain counts as an attempt, so that an engine which pauses often does not have the prompt prefilled each time.
 func (x *exchange) prepareOther(ctx context.Context, unresponsive *reservedEngine, stream *streamRelay) (*preparedRun, error) {
 	if x.arrivals.prefills >= x.route.MaxAttempts || !x.mayStartRun() {
 		return nil, errNoAlternative
@@ -81,8 +81,20 @@
 	return prepared, nil
 }
 
-// takeStandby returns the run for which that of an unresponsive engine was ended; nil if there is none, or if the stream has begun since at
-// another version.
+// mayReplaceStandby reports whether the retry budget allows another run after that of a standby: the standby may reject its run,
+// when that of the unresponsive engine has been ended already.
+func (x *exchange) mayReplaceStandby(prepared *preparedRun) bool {
+	after := x.arrivals.withRun()
+	if prepared.prompt == nil {
+		// A prompt that is prefilled can be fetched by another engine.
+		after = after.withPrefill()
+		after.prefilled = true
+	}
+	return x.maySend(after.withRun())
+}
+
+// takeStandby returns the run for which that of an unresponsive engine was ended; nil if there is none, or if the stream has begun
+// since at another version.
 func (x *exchange) takeStandby(ctx context.Context, unresponsive *reservedEngine, stream *streamRelay) *preparedRun {
 	prepared := unresponsive.failover.take()
 	if prepared == nil || prepared.events > 0 || stream.events == 0 {
--- a/gateway/standby_test.go
+++ b/gateway/standby_test.go
@@ -64,7 +64,9 @@
 	silentBody func(call context.Context) io.ReadCloser
 	// silentStatus is the status of its response; zero for 200.
 	silentStatus int
-	prefill      func(ctx context.Context, engine string) error
+	// standbyRejects is set if the standby rejects its runs.
+	standbyRejects bool
+	prefill        func(ctx context.Context, engine string) error
 
 	mu sync.Mutex
 	// decodes are the decode calls in their order.
@@ -100,6 +102,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.decodes = append(d.decodes, decodeCall{target.ID, options.LastEventID})
+	if target.ID != silentEngine && d.standbyRejects {
+		return &gateway.Response{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+	}
 	if target.ID != silentEngine {
 		return &gateway.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(secondEventText))}, nil
 	}
@@ -423,3 +428,23 @@
 		return copy(data, fmt.Sprintf("id: %d\ndata: x\n\n", sent)), nil
 	}))
 }
+
+// TestRejectedStandbyCutsStream has a standby accept the reservation and reject the run, with retries for one more run only. The
+// stream stays with its engine.
+func TestRejectedStandbyCutsStream(t *testing.T) {
+	const burst = 2
+	synctest.Test(t, func(t *testing.T) {
+		options := usualStandbyOptions()
+		options.burst = func() float64 { return burst }
+		dialect := &standbyDialect{
+			silentBody:     func(call context.Context) io.ReadCloser { return pausingStream(call, 2*time.Second, 3) },
+			standbyRejects: true,
+		}
+		handler := newStandbyHandler(dialect, options)
+		time.Sleep(standbyWindow)
+		response := sendAbortable(handler, "stream")
+		g := NewWithT(t)
+		g.Expect(response.Code).To(Equal(http.StatusOK))
+		g.Expect(strings.Count(response.Body.String(), "id: ")).To(Equal(3))
+	})
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -60,6 +60,13 @@
 // TestSoakQuotaAcrossRestartsAndRestores runs quotaSeed.
 func TestSoakQuotaAcrossRestartsAndRestores(t *testing.T) { soak(t, quotaSeed, environmentDuration(t)) }
 
+// standbySeed is a regression seed: an engine paused within a stream, and the standby rejected its run when that of the engine had
+// been ended, while most engines rejected runs.
+const standbySeed = 72107
+
+// TestSoakStandbyRejectsItsRun runs standbySeed.
+func TestSoakStandbyRejectsItsRun(t *testing.T) { soak(t, standbySeed, environmentDuration(t)) }
+
 // TestHangupDuringAStop sends SIGHUP to a draining node. The node must end as
 // planned, and the stream that it serves must be complete.
 func TestHangupDuringAStop(t *testing.T) {
