A stopping node waits for first requests for 0.4 s only

What callers saw: a stream that was sent 3.3 s after SIGTERM is cut at the end of the grace period, while its engine pauses.

--- a/router/router.go
+++ b/router/router.go
@@ -200,8 +200,9 @@
 	// readyDelay is how long the load balancer may still send new connections after the node has become unready.
 	readyDelay = 2500 * time.Millisecond
 	// firstRequestTimeout is how long a stopping node waits for the first requests of connections that it has accepted, and
-	// firstRequestInterval the interval at which it checks for them.
-	firstRequestTimeout  = time.Second
+	// firstRequestInterval the interval at which it checks for them. Meanwhile kept connections may bring requests too, which
+	// must have enough of the grace period left.
+	firstRequestTimeout  = 400 * time.Millisecond
 	firstRequestInterval = 10 * time.Millisecond
 	// stopMargin is reserved at the end of the grace period.
 	stopMargin = 300 * time.Millisecond
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -51,6 +51,9 @@
 	64009,
 	// An engine restarted with another version after it had been chosen to continue a stream, while the prompt was prefilled.
 	64123, 64128,
+	// A stopping node read a request on a kept connection 3.3 s after the stop began, while it waited for first requests on others, and
+	// cut it at the end of its grace period.
+	72118,
 }
 
 // quotaSeed is a regression seed of the same fault as 56049. A tenant's limit was exceeded under parallel load, while two of
