Soak: no two starts of a backend have the same millisecond

Trace: the entry of i-11 had v2 at revision 15 and v1 at revision 18, with the same start; it was restarted by another roll-out in the millisecond in which it had been added, so that its start told nothing.

--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -332,10 +332,11 @@
 	h.announce(b, "ready", stage)
 }
 
-// recordStart records the start of an incarnation; the caller holds the harness's lock.
+// recordStart records the start of an incarnation; the caller holds the harness's lock. No two starts have the same millisecond:
+// they could have different versions.
 func (b *backend) recordStart() {
 	now := time.Now()
-	b.startedMillis.Store(now.UnixMilli())
+	b.startedMillis.Store(max(now.UnixMilli(), b.startedMillis.Load()+1))
 	b.incarnations = append(b.incarnations, now)
 }
 
