--- a/peer/server.go
+++ b/peer/server.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 
-	"github.com/hashicorp/yamux"
-
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/peer/peerpb"
 	"github.com/reelrun/reelrun/timeline"
@@ -30,14 +28,14 @@
 	cancel context.CancelFunc
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+	sessions map[*muxSession]struct{}
 	done     sync.WaitGroup
 }
 
 // NewServer returns a server that answers calls with handler.
 func NewServer(handler Handler, clock *timeline.Clock) *Server {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Server{handler: handler, clock: clock, ctx: ctx, cancel: cancel, sessions: map[*yamux.Session]struct{}{}}
+	return &Server{handler: handler, clock: clock, ctx: ctx, cancel: cancel, sessions: map[*muxSession]struct{}{}}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -71,7 +69,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	mux, err := yamux.Server(newFrameConn(conn), sessionConfig())
+	mux, err := newMuxServer(conn)
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -102,7 +100,7 @@
 	}
 }
 
-func (s *Server) track(mux *yamux.Session) bool {
+func (s *Server) track(mux *muxSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -112,7 +110,7 @@
 	return true
 }
 
-func (s *Server) untrack(mux *yamux.Session) {
+func (s *Server) untrack(mux *muxSession) {
 	s.mu.Lock()
 	delete(s.sessions, mux)
 	s.mu.Unlock()
--- a/peer/session.go
+++ b/peer/session.go
@@ -51,7 +51,7 @@
 
 // clientSession is a connection to another node.
 type clientSession struct {
-	mux      *yamux.Session
+	mux      *muxSession
 	openedAt time.Time
 
 	mu   sync.Mutex
@@ -64,9 +64,9 @@
 }
 
 func newClientSession(conn net.Conn) (*clientSession, error) {
-	mux, err := yamux.Client(newFrameConn(conn), sessionConfig())
+	mux, err := newMuxClient(conn)
 	if err != nil {
-		return nil, errors.Wrap(err, "open session")
+		return nil, err
 	}
 	now := time.Now()
 	return &clientSession{mux: mux, openedAt: now, usedAt: now, lastResponse: now}, nil
