Events of engines are given up after 128 KiB

Cause: an event that does not end was buffered up to 1 MiB for each stream; 200 streams at one such engine need 200 MB, and small nodes have 112. Evidence: TestEventWithoutEndTakesLittleMemory read 1,048,576 bytes before, 131,072 now; events of the users' engines have 2,400 bytes at most.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -11,7 +11,7 @@
 // Buffer sizes of the event reader.
 const (
 	eventBufferBytes = 4 << 10
-	maxEventBytes    = 1 << 20
+	maxEventBytes    = 128 << 10
 )
 
 // event is one server-sent event, byte for byte, including its closing empty line.
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -56,3 +56,25 @@
 		}
 	})
 }
+
+// endlessReader never ends, and counts what is read.
+type endlessReader struct{ read int }
+
+func (r *endlessReader) Read(data []byte) (int, error) {
+	for i := range data {
+		data[i] = 'x'
+	}
+	r.read += len(data)
+	return len(data), nil
+}
+
+// TestEventWithoutEndTakesLittleMemory guards against engines that send an event without end: a small node must be able to hold one for each of
+// some hundred streams.
+func TestEventWithoutEndTakesLittleMemory(t *testing.T) {
+	const streams, memory = 200, 32 << 20
+	g := NewWithT(t)
+	stream := &endlessReader{}
+	_, _, err := readAll(stream)
+	g.Expect(err).To(HaveOccurred())
+	g.Expect(stream.read).To(BeNumerically("<=", memory/streams))
+}
