Requests are not limited until there is a queue

What callers saw (in tests of this branch): a healthy node turned away most of 100 to 200 requests that came at once, because its limit began at 16. Ten tests of whole nodes failed, TestStreamsOfPausingEnginesAreCut and TestServedTunnelsAreBounded among them.

Cause: a first limit is a guess, and a node that nothing delays learned of its error too slowly. Change: there is no limit until the first queue is seen. Then it is 0.35 of the most requests in progress; until then delays are judged each 100 ms instead of 200.

Evidence: the ten tests pass again, as do all others of whole nodes but the known red one.

--- a/concurrencylimit/limit.go
+++ b/concurrencylimit/limit.go
@@ -6,22 +6,22 @@
 )
 
 const (
-	// initialMost is the limit of a node that has not served anything yet.
-	initialMost = 16
 	// minMost is the lowest limit: below it a node serves too few requests to observe what it could serve.
 	minMost = 4
-	// decrease is the factor by which the limit shrinks, and longQueueDecrease the one for a queue of longQueue: by the time that it shows, far more
-	// has been admitted than can be served. increase is the share by which it grows, by minIncrease at least, and
-	// firstIncrease the one until the first queue.
+	// decrease is the factor by which the limit shrinks, and longQueueDecrease the one for the first queue and for one of longQueue: by the time that
+	// these show, far more has been admitted than can be served. increase is the share by which it grows, by minIncrease at least.
 	decrease          = 0.7
 	longQueueDecrease = 0.35
 	longQueue         = 10 * maxDelay
 	increase          = 1.0 / 32
 	minIncrease       = 0.5
-	firstIncrease     = 0.25
 	// maxDelay is the delay above which there are too many requests in progress. Calls between nodes are given 60 ms at the shortest, and
 	// may meet this delay in both directions.
 	maxDelay = 20 * time.Millisecond
+	// interval is the time whose smallest delays decide: a processor that is shared out by quotas may rest for most of a tenth of a second
+	// without a queue. Without a limit it is firstInterval, because all that arrives is read until the first queue is seen.
+	interval      = 200 * time.Millisecond
+	firstInterval = 100 * time.Millisecond
 	// minAdmitInterval is the interval at which a new connection is accepted in any case, so that the node never vanishes for callers.
 	minAdmitInterval = 500 * time.Millisecond
 	// closeShare is the share of the limit up to which new connections are accepted, and reopenShare the one at which they are again. The rest is
@@ -29,8 +29,10 @@
 	// connections sends a request in vain, so the node does not change its mind for each request that ends.
 	closeShare  = 0.9
 	reopenShare = 0.75
-	// observedShare is the share of the limit from which on delays are observed. Below, the limit does not matter.
-	observedShare = 0.25
+	// observedShare is the share of the limit from which on delays are observed: below, the limit does not matter. observedRequests is
+	// the number from which on they are without a limit.
+	observedShare    = 0.25
+	observedRequests = 16
 )
 
 // Delays are the smallest delays that were observed during an interval.
@@ -55,21 +57,19 @@
 // Any reports whether anything has been turned away.
 func (t TurnedAway) Any() bool { return t != TurnedAway{} }
 
-// Limit bounds the requests in progress. It is safe for concurrent use.
+// Limit bounds the requests in progress. Until the first queue there is no limit: a healthy node serves whatever comes. It is safe for concurrent use.
 type Limit struct {
 	now func() time.Time
 	// observed is signalled when so many requests are in progress that delays must be observed.
 	observed chan struct{}
 
 	mu sync.Mutex
-	// most is the limit, and inProgress the number of requests that have been admitted and not released.
+	// most is the limit, zero for none, and inProgress the number of requests that have been admitted and not released.
 	most       float64
 	inProgress int
 	// peak is the greatest number in progress since the last adjustment, and isBinding is set if the limit has been reached since.
 	peak      int
 	isBinding bool
-	// isProbing is set until the first queue.
-	isProbing bool
 	// refusesNew is set while new connections are refused, as of checkedAt.
 	refusesNew bool
 	checkedAt  time.Time
@@ -80,14 +80,17 @@
 
 // NewLimit returns a limit that uses the given clock.
 func NewLimit(now func() time.Time) *Limit {
-	return &Limit{now: now, observed: make(chan struct{}, 1), most: initialMost, isProbing: true}
+	return &Limit{now: now, observed: make(chan struct{}, 1)}
 }
 
+// isLimited reports whether there is a limit; the lock is held.
+func (l *Limit) isLimited() bool { return l.most > 0 }
+
 // Admit reports whether the next request of an open connection may be read. If so, Release must be called at its end.
 func (l *Limit) Admit() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.inProgress >= int(l.most) {
+	if l.isLimited() && l.inProgress >= int(l.most) {
 		l.turnAway(&l.turnedAway.Requests)
 		return false
 	}
@@ -117,6 +120,9 @@
 
 // isFull is Full while the lock is held.
 func (l *Limit) isFull() bool {
+	if !l.isLimited() {
+		return false
+	}
 	inProgress := float64(l.inProgress)
 	refusedNew := l.refusesNew
 	l.refusesNew = inProgress >= closeShare*l.most || refusedNew && inProgress >= reopenShare*l.most
@@ -166,7 +172,7 @@
 	l.inProgress--
 }
 
-// State returns the limit and the number of requests in progress.
+// State returns the limit, zero for none, and the number of requests in progress.
 func (l *Limit) State() (most, inProgress int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -174,19 +180,24 @@
 }
 
 // mustObserve reports whether delays must be observed; the lock is held.
-func (l *Limit) mustObserve() bool { return float64(l.inProgress) >= observedShare*l.most }
+func (l *Limit) mustObserve() bool {
+	if !l.isLimited() {
+		return l.inProgress >= observedRequests
+	}
+	return float64(l.inProgress) >= observedShare*l.most
+}
 
 // Adjust adapts the limit to the delays of the last interval. It reports false if delays need not be observed until Observed is signalled.
 func (l *Limit) Adjust(delays Delays) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
+	case delays.longest() > maxDelay && !l.isLimited():
+		l.most = max(minMost, longQueueDecrease*float64(l.peak))
 	case delays.longest() > longQueue:
 		l.shrink(longQueueDecrease)
 	case delays.longest() > maxDelay:
 		l.shrink(decrease)
-	case l.isBinding && l.isProbing:
-		l.most += firstIncrease * l.most
 	case l.isBinding:
 		l.most += max(minIncrease, increase*l.most)
 	}
@@ -196,12 +207,21 @@
 
 // shrink lowers the limit. While more requests are in progress than it allows, an earlier decrease has not had its effect yet.
 func (l *Limit) shrink(factor float64) {
-	l.isProbing = false
 	if float64(l.inProgress) > l.most {
 		return
 	}
 	l.most = max(minMost, factor*min(l.most, float64(l.peak)))
 }
 
+// Interval returns the time whose smallest delays the next adjustment needs.
+func (l *Limit) Interval() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isLimited() {
+		return firstInterval
+	}
+	return interval
+}
+
 // Observed is signalled when delays must be observed.
 func (l *Limit) Observed() <-chan struct{} { return l.observed }
--- a/concurrencylimit/monitor.go
+++ b/concurrencylimit/monitor.go
@@ -12,10 +12,7 @@
 const (
 	// sampleInterval is the interval at which delays are observed while there are requests to observe.
 	sampleInterval = 10 * time.Millisecond
-	// adjustInterval is the time whose smallest delays decide. A processor that is shared out by quotas may rest for most of a
-	// tenth of a second without a queue.
-	adjustInterval = 200 * time.Millisecond
-	// maxTransmissions is the number of transmissions of a kind that are observed at a time. Each is observed for adjustInterval at most, so that
+	// maxTransmissions is the number of transmissions of a kind that are observed at a time. Each is observed for an interval at most, so that
 	// callers that are slow or out of reach leave places to others.
 	maxTransmissions = 6
 	// minNodes is the number of nodes whose answers must be late for the own link to be the cause.
@@ -133,27 +130,27 @@
 	m.toCallers, m.toNodes, m.callersSilent = nil, nil, false
 }
 
-// interval holds the smallest delays of one interval.
-type interval struct {
+// observations holds the smallest delays of one interval.
+type observations struct {
 	processor, callers smallest
 	nodes              map[string]*smallest
 }
 
 // addNode adds the delay of a round trip to a node.
-func (i *interval) addNode(node string, delay time.Duration) {
-	if i.nodes[node] == nil {
-		i.nodes[node] = &smallest{}
+func (o *observations) addNode(node string, delay time.Duration) {
+	if o.nodes[node] == nil {
+		o.nodes[node] = &smallest{}
 	}
-	i.nodes[node].add(delay)
+	o.nodes[node].add(delay)
 }
 
 // nodesDelay returns the smallest delay of round trips to several nodes. That of a single node may be its own.
-func (i *interval) nodesDelay() time.Duration {
-	if len(i.nodes) < minNodes {
+func (o *observations) nodesDelay() time.Duration {
+	if len(o.nodes) < minNodes {
 		return 0
 	}
 	var all smallest
-	for _, delays := range i.nodes {
+	for _, delays := range o.nodes {
 		all.add(delays.value())
 	}
 	return all.value()
@@ -161,9 +158,9 @@
 
 // observeInterval returns the smallest delays of one interval.
 func (m *Monitor) observeInterval(ctx context.Context) (Delays, error) {
-	observed := interval{nodes: map[string]*smallest{}}
+	observed := observations{nodes: map[string]*smallest{}}
 	begins := time.Now()
-	for ends, nextTrip := begins.Add(adjustInterval), begins; time.Now().Before(ends); {
+	for ends, nextTrip := begins.Add(m.options.Limit.Interval()), begins; time.Now().Before(ends); {
 		if !time.Now().Before(nextTrip) {
 			m.beginRoundTrip()
 			nextTrip = time.Now().Add(roundTripInterval)
@@ -193,7 +190,7 @@
 }
 
 // collect adds the delays of the transmissions that have been acknowledged.
-func (m *Monitor) collect(now time.Time, observed *interval) {
+func (m *Monitor) collect(now time.Time, observed *observations) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.toCallers = collect(m.toCallers, now, func(_ Transmission, took time.Duration) {
@@ -220,7 +217,7 @@
 		switch {
 		case acknowledged:
 			acknowledge(t.transmission, took)
-		case known && took < adjustInterval:
+		case known && took < interval:
 			pending = append(pending, t)
 		}
 	}
@@ -229,7 +226,7 @@
 
 // addPending adds the time that transmissions have taken so far if none has been acknowledged. For callers that must have been so in the
 // previous interval too: all observed ones may be slow by chance.
-func (m *Monitor) addPending(observed *interval) {
+func (m *Monitor) addPending(observed *observations) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wasSilent := m.callersSilent
