The limit of requests ends 30 s after the last queue

What callers would see (by reading): a node that was delayed once, such as by a large configuration, keeps a low limit, and turns requests away in each later burst until it has grown.

Cause: a limit that does not bind does not grow. Change: what delayed the node may be over after 30 s; then there is no limit until the next queue. Evidence: TestLimitEndsSomeTimeAfterTheLastQueue; without the change it admits 35 of 100.

--- a/concurrencylimit/limit.go
+++ b/concurrencylimit/limit.go
@@ -22,6 +22,8 @@
 	// without a queue. Without a limit it is firstInterval, because all that arrives is read until the first queue is seen.
 	interval      = 200 * time.Millisecond
 	firstInterval = 100 * time.Millisecond
+	// limitLifetime is how long after the last queue there is no limit any more: what delayed the node then may be over.
+	limitLifetime = 30 * time.Second
 	// minAdmitInterval is the interval at which a new connection is accepted in any case, so that the node never vanishes for callers.
 	minAdmitInterval = 500 * time.Millisecond
 	// closeShare is the share of the limit up to which new connections are accepted, and reopenShare the one at which they are again. The rest is
@@ -73,9 +75,9 @@
 	// refusesNew is set while new connections are refused, as of checkedAt.
 	refusesNew bool
 	checkedAt  time.Time
-	// admittedNewAt is when the last new connection was accepted; zero for never.
-	admittedNewAt time.Time
-	turnedAway    TurnedAway
+	// queueAt is when the last queue was seen, and admittedNewAt when the last new connection was accepted; zero for never.
+	queueAt, admittedNewAt time.Time
+	turnedAway             TurnedAway
 }
 
 // NewLimit returns a limit that uses the given clock.
@@ -83,8 +85,13 @@
 	return &Limit{now: now, observed: make(chan struct{}, 1)}
 }
 
-// isLimited reports whether there is a limit; the lock is held.
-func (l *Limit) isLimited() bool { return l.most > 0 }
+// isLimited reports whether there is a limit, and ends one that is too old; the lock is held.
+func (l *Limit) isLimited() bool {
+	if l.most > 0 && l.now().Sub(l.queueAt) > limitLifetime {
+		l.most, l.refusesNew = 0, false
+	}
+	return l.most > 0
+}
 
 // Admit reports whether the next request of an open connection may be read. If so, Release must be called at its end.
 func (l *Limit) Admit() bool {
@@ -176,6 +183,9 @@
 func (l *Limit) State() (most, inProgress int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if !l.isLimited() {
+		return 0, l.inProgress
+	}
 	return int(l.most), l.inProgress
 }
 
@@ -191,14 +201,18 @@
 func (l *Limit) Adjust(delays Delays) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	wasLimited := l.isLimited()
+	if delays.longest() > maxDelay {
+		l.queueAt = l.now()
+	}
 	switch {
-	case delays.longest() > maxDelay && !l.isLimited():
+	case delays.longest() > maxDelay && !wasLimited:
 		l.most = max(minMost, longQueueDecrease*float64(l.peak))
 	case delays.longest() > longQueue:
 		l.shrink(longQueueDecrease)
 	case delays.longest() > maxDelay:
 		l.shrink(decrease)
-	case l.isBinding:
+	case l.isBinding && wasLimited:
 		l.most += max(minIncrease, increase*l.most)
 	}
 	l.peak, l.isBinding = l.inProgress, false
