A limit needs callers' silence for 0.4 s

What callers would see: a node with several slow callers takes them for a queue, and turns others away.

Six slow callers in a row are observed for longer. Change: the silence is measured, and must last for 0.4 s.

--- a/concurrencylimit/monitor.go
+++ b/concurrencylimit/monitor.go
@@ -15,6 +15,8 @@
 	// maxTransmissions is the number of transmissions of a kind that are observed at a time. Each is observed for an interval at most, so that
 	// callers that are slow or out of reach leave places to others.
 	maxTransmissions = 6
+	// callerSilence is how long no caller must have answered for that to show a queue.
+	callerSilence = 2 * interval
 	// minNodes is the number of nodes whose answers must be late for the own link to be the cause.
 	minNodes = 2
 	// roundTripInterval is the interval between round trips to other nodes.
@@ -59,8 +61,8 @@
 	mu sync.Mutex
 	// toCallers and toNodes are the transmissions that have not been acknowledged.
 	toCallers, toNodes []sent
-	// callersSilent is set if none to a caller was acknowledged during the last interval.
-	callersSilent bool
+	// callerAnsweredAt is when one to a caller was acknowledged last, or when observing began.
+	callerAnsweredAt time.Time
 	// usual is how long transmissions to callers take without a queue.
 	usual usualDelay
 }
@@ -105,9 +107,7 @@
 
 // observe observes until the limit does not need it any more.
 func (m *Monitor) observe(ctx context.Context) {
-	m.mu.Lock()
-	m.want()
-	m.mu.Unlock()
+	m.begin()
 	defer m.stop()
 	for {
 		delays, err := m.observeInterval(ctx)
@@ -122,12 +122,20 @@
 	}
 }
 
+// begin asks for transmissions.
+func (m *Monitor) begin() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.callerAnsweredAt = time.Now()
+	m.want()
+}
+
 // stop forgets all transmissions.
 func (m *Monitor) stop() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.wanted.Store(0)
-	m.toCallers, m.toNodes, m.callersSilent = nil, nil, false
+	m.toCallers, m.toNodes = nil, nil
 }
 
 // observations holds the smallest delays of one interval.
@@ -194,6 +202,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.toCallers = collect(m.toCallers, now, func(_ Transmission, took time.Duration) {
+		m.callerAnsweredAt = now
 		m.usual.add(now, took)
 		observed.callers.add(took - m.usual.value())
 	})
@@ -224,14 +233,12 @@
 	return pending
 }
 
-// addPending adds the time that transmissions have taken so far if none has been acknowledged. For callers that must have been so in the
-// previous interval too: all observed ones may be slow by chance.
+// addPending adds the time that transmissions have taken so far if none has been acknowledged. For callers that must have been so for
+// callerSilence: all observed ones may be slow by chance.
 func (m *Monitor) addPending(observed *observations) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	wasSilent := m.callersSilent
-	m.callersSilent = observed.callers.isEmpty()
-	if m.callersSilent && wasSilent {
+	if observed.callers.isEmpty() && time.Since(m.callerAnsweredAt) >= callerSilence {
 		for _, t := range m.toCallers {
 			observed.callers.add(time.Since(t.at) - m.usual.value())
 		}
