Orders have connections of their own

An order carries no identifier, and any 200, 202 or 4xx counts as its definite response. A late copy of another control call's response in its place said "done" or "rejected" of an order that was still on its way, whereupon the holder gives the lease back at once and another node may order within lease_ms.

Ways weighed: to ask for a report after each order (one more call, as old as reports are, and it may be late too); to count only 202 as definite (late copies of other orders are 202 as well); a connection for each order.

Change: backendhttp.Transport.ExchangeSeparately opens a connection over the node's own link and closes it after the response.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -26,6 +26,8 @@
 	idleTimeout = 2 * time.Second
 	// maxIdlePerBackend is how many idle connections to a backend are kept.
 	maxIdlePerBackend = 16
+	// noIdleConnections has a transport keep no idle connection.
+	noIdleConnections = -1
 	// maxResponseHeadBytes bounds the head of a response.
 	maxResponseHeadBytes = 64 << 10
 )
@@ -71,11 +73,11 @@
 type Transport struct {
 	dial DialFunc
 	// direct opens connections over the node's own link, and tunnelled through other nodes; tunnelled is nil before
-	// UseTunnels.
-	direct, tunnelled *http.Transport
-	tunnels           Tunnels
-	tracker           *backendpath.Tracker
-	clock             *clock.Clock
+	// UseTunnels. separate opens one for each request, over the node's own link.
+	direct, tunnelled, separate *http.Transport
+	tunnels                     Tunnels
+	tracker                     *backendpath.Tracker
+	clock                       *clock.Clock
 	// lastUsedAt is when a request was last sent, in nanoseconds of the clock since the Unix epoch.
 	lastUsedAt atomic.Int64
 }
@@ -84,9 +86,10 @@
 // they are idle.
 func NewTransport(dial DialFunc, connClock *clock.Clock) *Transport {
 	t := &Transport{clock: connClock, dial: dial}
-	t.direct = newHTTPTransport(idleTimeout, func(ctx context.Context, _, address string) (net.Conn, error) {
-		return t.DialDirect(ctx, address)
-	})
+	dialDirect := func(ctx context.Context, _, address string) (net.Conn, error) { return t.DialDirect(ctx, address) }
+	t.direct = newHTTPTransport(idleTimeout, dialDirect)
+	t.separate = newHTTPTransport(idleTimeout, dialDirect)
+	t.separate.MaxIdleConnsPerHost = noIdleConnections
 	return t
 }
 
@@ -166,21 +169,22 @@
 // sent through another node.
 func (t *Transport) Exchange(request *http.Request) (*http.Response, *Conn, error) {
 	if t.tracker == nil {
-		return t.ExchangeDirect(request)
+		return t.exchangeOn(t.direct, request)
 	}
 	if t.tracker.Choose(request.URL.Host) == backendpath.Tunnel {
 		return t.exchangeOn(t.tunnelled, request)
 	}
-	response, conn, err := t.ExchangeDirect(request)
+	response, conn, err := t.exchangeOn(t.direct, request)
 	if !isNotConnected(err) || request.Context().Err() != nil || !t.tunnels.Available() {
 		return response, conn, err
 	}
 	return t.exchangeOn(t.tunnelled, unsentCopy(request))
 }
 
-// ExchangeDirect is Exchange over the node's own link only.
-func (t *Transport) ExchangeDirect(request *http.Request) (*http.Response, *Conn, error) {
-	return t.exchangeOn(t.direct, request)
+// ExchangeSeparately is Exchange over the node's own link only, and on a connection that carries nothing else: no late response
+// to another request can stand in place of its response.
+func (t *Transport) ExchangeSeparately(request *http.Request) (*http.Response, *Conn, error) {
+	return t.exchangeOn(t.separate, request)
 }
 
 // exchangeOn sends a request over one path.
