No connection carries the identifier of a request twice

Ways weighed: to close a connection after each rejection (a new connection for each request to a full server, which these connections hold up); to avoid a server that has rejected the request (then its memory and its prompt are lost, and the last server cannot be used); to leave out the one connection, which costs a connection only where the same one would have been used.

Change: a connection remembers its last 16 identifiers as hashes. One that has carried the identifier is closed before anything is written, and the request goes on another, direct or through a tunnel.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -43,6 +43,8 @@
 	via string
 	// heard is called for each successful read; nil for nothing.
 	heard func()
+	// carried are the identifiers of its requests.
+	carried recentIdentifiers
 }
 
 // Read implements net.Conn.
@@ -166,41 +168,58 @@
 
 // Exchange sends a request and returns the response with the connection used. The error is
 // marked by gateway.ErrNotSent if no byte was written. A request that could not be sent over the node's own link is
-// sent through another node.
-func (t *Transport) Exchange(request *http.Request) (*http.Response, *Conn, error) {
+// sent through another node. The identifier is what responses name the request by, or NoIdentifier; no connection carries two
+// requests with the same one, since a late response to the first could not be told from that to the second.
+func (t *Transport) Exchange(request *http.Request, identifier string) (*http.Response, *Conn, error) {
 	if t.tracker == nil {
-		return t.exchangeOn(t.direct, request)
+		return t.exchangeOn(t.direct, request, identifier)
 	}
 	if t.tracker.Choose(request.URL.Host) == backendpath.Tunnel {
-		return t.exchangeOn(t.tunnelled, request)
+		return t.exchangeOn(t.tunnelled, request, identifier)
 	}
-	response, conn, err := t.exchangeOn(t.direct, request)
+	response, conn, err := t.exchangeOn(t.direct, request, identifier)
 	if !isNotConnected(err) || request.Context().Err() != nil || !t.tunnels.Available() {
 		return response, conn, err
 	}
-	return t.exchangeOn(t.tunnelled, unsentCopy(request))
+	return t.exchangeOn(t.tunnelled, unsentCopy(request), identifier)
 }
 
 // ExchangeSeparately is Exchange over the node's own link only, and on a connection that carries nothing else: no late response
 // to another request can stand in place of its response.
 func (t *Transport) ExchangeSeparately(request *http.Request) (*http.Response, *Conn, error) {
-	return t.exchangeOn(t.separate, request)
+	return t.exchangeOn(t.separate, request, NoIdentifier)
 }
 
 // exchangeOn sends a request over one path.
-func (t *Transport) exchangeOn(path *http.Transport, request *http.Request) (*http.Response, *Conn, error) {
+func (t *Transport) exchangeOn(path *http.Transport, request *http.Request, identifier string) (*http.Response, *Conn, error) {
 	t.closeStaleIdle()
+	for {
+		response, conn, err := sendOn(path, request, identifier)
+		if !errors.Is(err, errCarriedBefore) {
+			return response, conn, err
+		}
+		request = unsentCopy(request)
+	}
+}
+
+// sendOn sends a request on one connection. The error is errCarriedBefore if that has carried the identifier before; nothing was
+// sent then, and the connection is closed.
+func sendOn(path *http.Transport, request *http.Request, identifier string) (*http.Response, *Conn, error) {
 	var mu sync.Mutex
 	var used *Conn
 	var writtenBefore int64
-	reused := false
+	reused, carriedBefore := false, false
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		mu.Lock()
 		defer mu.Unlock()
 		reused = info.Reused
 		used, _ = info.Conn.(*Conn)
-		if used != nil {
-			writtenBefore = used.written.Load()
+		if used == nil {
+			return
+		}
+		writtenBefore = used.written.Load()
+		if carriedBefore = used.carried.add(identifier); carriedBefore {
+			_ = used.Close()
 		}
 	}}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
@@ -210,13 +229,17 @@
 	if err == nil {
 		return response, used, nil
 	}
+	isUnsent := used == nil || used.written.Load() == writtenBefore
+	if carriedBefore && isUnsent {
+		return nil, used, errCarriedBefore
+	}
 	isUnresponsive := errors.Is(err, context.DeadlineExceeded) || errors.Is(err, gateway.ErrUnresponsive)
 	if reused && isUnresponsive {
 		// If one idle connection has become unresponsive, others may have as well. New connections
 		// are not affected.
 		path.CloseIdleConnections()
 	}
-	if used == nil || used.written.Load() == writtenBefore {
+	if isUnsent {
 		err = notSentError{err}
 	}
 	if via := used.Via(); via != "" {
--- a/backendhttp/exchange_test.go
+++ b/backendhttp/exchange_test.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	response, _, err := transport.Exchange(request)
+	response, _, err := transport.Exchange(request, backendhttp.NoIdentifier)
 	if err == nil {
 		_ = response.Body.Close()
 	}
@@ -95,7 +95,7 @@
 	send := func() {
 		request, err := backendhttp.NewRequest(t.Context(), http.MethodPut, server.Listener.Addr().String(), "/x", []byte("body"))
 		g.Expect(err).NotTo(HaveOccurred())
-		response, _, err := transport.Exchange(request)
+		response, _, err := transport.Exchange(request, backendhttp.NoIdentifier)
 		g.Expect(err).NotTo(HaveOccurred())
 		_, _ = io.Copy(io.Discard, response.Body)
 		_ = response.Body.Close()
@@ -141,7 +141,7 @@
 		if err != nil {
 			return err
 		}
-		response, _, err := transport.Exchange(request)
+		response, _, err := transport.Exchange(request, backendhttp.NoIdentifier)
 		if err != nil {
 			return err
 		}
--- a/backendhttp/paths_test.go
+++ b/backendhttp/paths_test.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return transport.Exchange(request)
+	return transport.Exchange(request, backendhttp.NoIdentifier)
 }
 
 // TestUnsentRequestGoesThroughAnotherNode has the node's own link refuse connections. Later requests do not try it.
--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -144,7 +144,7 @@
 	outgoing.Header = request.Header.Clone()
 	outgoing.Header.Set(HeaderRequestID, request.ID)
 	outgoing.Header.Set(HeaderWait, strconv.FormatInt(max(0, left.Milliseconds()), 10))
-	response, _, err := d.options.Services.Exchange(outgoing) //nolint:bodyclose // the reader of the response closes it
+	response, _, err := d.options.Services.Exchange(outgoing, backendhttp.NoIdentifier) //nolint:bodyclose // the reader of the response closes it
 	if err != nil {
 		return nil, err
 	}
