Responses of the product's own engines name their call

Tokens of a stream name their attempt, everything else an engine returns names nothing. A late rejection of another call would have a run that is in progress started once more, a late prefill result would have it continue from the KV cache of another caller's prompt, and a late response to an order would count as done.

Change: each call carries an identifier of its own (Reelrun-Call-Id), which engines return in every response. Client discards a response that names another call or none, and leaves open whether the call ran. An attempt and its repetition have different identifiers, so nothing else tells them apart.

An engine of an earlier build does not return the identifier, and all its calls fail: engines are updated before nodes. Ways weighed: to accept a missing identifier, which would accept each late response of such an engine and of every one in front of which something drops headers.

Plain services of this interface name nothing in their responses, and a late one cannot be told apart there; left as it is.

--- a/engine/client.go
+++ b/engine/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
 
 	"github.com/reelrun/reelrun/api"
 )
@@ -27,14 +28,20 @@
 	controlTimeout = 2 * time.Second
 )
 
+// ErrCallMismatch means that a response belongs to another call.
+var ErrCallMismatch = errors.New("engine: response to another call")
+
 // Client calls engines. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// name distinguishes the identifiers of its calls from those of other clients, and calls numbers them.
+	name  string
+	calls atomic.Uint64
 }
 
 // NewClient returns a client that uses the given transport.
 func NewClient(transport http.RoundTripper) *Client {
-	return &Client{http: &http.Client{Transport: transport}}
+	return &Client{http: &http.Client{Transport: transport}, name: uuid.NewString()}
 }
 
 // Prefill computes a prompt's KV cache. It returns when the result is ready.
@@ -203,6 +210,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "build request")
 	}
+	callID := c.newCallID()
+	request.Header.Set(HeaderCallID, callID)
 	response, err := c.http.Do(request)
 	if err != nil {
 		if !connected.Load() {
@@ -210,6 +219,10 @@
 		}
 		return nil, unknownOutcome(err)
 	}
+	if named := response.Header.Get(HeaderCallID); named != callID {
+		_ = response.Body.Close()
+		return nil, unknownOutcome(errors.Wrapf(ErrCallMismatch, "status %d to call %q", response.StatusCode, named))
+	}
 	if response.StatusCode != http.StatusOK {
 		defer func() { _ = response.Body.Close() }()
 		return nil, errorResponse(response)
@@ -217,6 +230,9 @@
 	return response, nil
 }
 
+// newCallID returns an identifier that no other call has.
+func (c *Client) newCallID() string { return c.name + "/" + strconv.FormatUint(c.calls.Add(1), 10) }
+
 // unknownOutcome hides the cause, which may contain addresses, from the message to
 // the caller but keeps it for logs.
 func unknownOutcome(cause error) error {
--- a/engine/protocol.go
+++ b/engine/protocol.go
@@ -20,6 +20,10 @@
 	PathOrders      = "/v1/orders"
 )
 
+// HeaderCallID identifies a call. An engine returns the value that it has received in every response. A response that names another
+// call, or none, belongs to another call on the same connection.
+const HeaderCallID = "Reelrun-Call-Id"
+
 // Names of the server-sent events of a stream.
 const (
 	EventToken = "token"
--- a/sim/enginesim/handler.go
+++ b/sim/enginesim/handler.go
@@ -35,7 +35,12 @@
 	mux.HandleFunc("POST "+engine.PathOrders, h.order)
 	mux.HandleFunc("GET "+PathLedger, h.ledger)
 	mux.HandleFunc("GET "+PathTimeline, h.timeline)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if callID := r.Header.Get(engine.HeaderCallID); callID != "" {
+			w.Header().Set(engine.HeaderCallID, callID)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 type handler struct{ engine *Engine }
--- a/sim/rehearsal/defects_test.go
+++ b/sim/rehearsal/defects_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/configuration"
+	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
 )
@@ -27,8 +28,10 @@
 
 func jsonResponse(r *http.Request, body string) *http.Response {
 	return &http.Response{
-		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"application/json"}},
-		Body: io.NopCloser(strings.NewReader(body)), Request: r,
+		StatusCode: http.StatusOK,
+		Header:     http.Header{"Content-Type": {"application/json"}, engine.HeaderCallID: {r.Header.Get(engine.HeaderCallID)}},
+		Body:       io.NopCloser(strings.NewReader(body)),
+		Request:    r,
 	}
 }
 
