Findings of one input are bounded

An invalid configuration of many parts had findings without end, each of which may quote the input, and all are joined into one line of the log.

Cause: Findings.Addf appended whatever came.

Change: after 100 findings one more says that further ones are left out; place and problem have 1 KB each at the most.

--- a/api/validate.go
+++ b/api/validate.go
@@ -19,12 +19,32 @@
 // String formats the finding on one line.
 func (f Finding) String() string { return f.Place + ": " + f.Problem }
 
-// Findings is a list of faults that are reported together.
+const (
+	// maxFindings is the number of findings that are reported of one input.
+	maxFindings = 100
+	// maxFindingBytes bounds the place and the problem of a finding. Both may quote the input.
+	maxFindingBytes = 1 << 10
+)
+
+// Findings is a list of faults that are reported together. After maxFindings, a last one says that others are left out.
 type Findings []Finding
 
 // Addf appends a finding with a formatted problem.
 func (f *Findings) Addf(place, format string, args ...any) {
-	*f = append(*f, Finding{Place: place, Problem: fmt.Sprintf(format, args...)})
+	switch count := len(*f); {
+	case count < maxFindings:
+		*f = append(*f, Finding{Place: shortened(place), Problem: shortened(fmt.Sprintf(format, args...))})
+	case count == maxFindings:
+		*f = append(*f, Finding{Place: shortened(place), Problem: "further findings are left out"})
+	}
+}
+
+// shortened returns a text, or its beginning if it is longer than maxFindingBytes.
+func shortened(text string) string {
+	if len(text) <= maxFindingBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxFindingBytes], "") + "…"
 }
 
 // String formats one finding per line.
