--- a/router/changes.go
+++ b/router/changes.go
@@ -65,7 +65,8 @@
 	began := time.Now()
 	decoded, err := r.options.Environment.DecodeConfiguration(object)
 	if err != nil {
-		r.options.Logger.Error("configuration refused", "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "error", err.Error())
+		r.options.Logger.Error("configuration refused", "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version),
+			"bytes", len(object.Spec), "error", err.Error())
 		return
 	}
 	if r.gateway.Configure(decoded) {
@@ -102,7 +103,8 @@
 		r.backends.RemoveRegistered(object.Name)
 		r.metrics.Add("backends_refused", 1)
 		if r.rejected.first(object.Name) {
-			r.options.Logger.Error("back end refused", "backend", object.Name, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version), "error", err.Error())
+			r.options.Logger.Error("back end refused", "backend", object.Name, "revision", objectapi.RevisionOf(object.Version), "epoch", objectapi.EpochOf(object.Version),
+				"bytes", len(object.Spec), "error", err.Error())
 		}
 		return
 	}
--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -99,6 +99,8 @@
 	older string
 	// descriptors is the number of files that a node's process may have open; zero for the limit of the tests.
 	descriptors int
+	// memoryMegabytes is the memory of a node's machine; zero for none that is known.
+	memoryMegabytes int
 	// rollOut is the software version of the engines that are added; empty while it alternates.
 	rollOut string
 	// zones is the number of zones, and firstStart is set while all nodes start together for the first time.
@@ -164,15 +166,23 @@
 	older string
 	// descriptors is the number of files that a node's process may have open; zero for the limit of the tests.
 	descriptors int
+	// memoryMegabytes is the memory of a node's machine; zero for none that is known.
+	memoryMegabytes int
+	// storeHandler returns the handler that serves the store; nil for the store itself.
+	storeHandler func(*standin.Store) http.Handler
 }
 
 // newHarnessWith starts a harness. A third of its engines have the prefill role.
 func newHarnessWith(t *testing.T, seed uint64, options harnessOptions) *harness {
 	h := &harness{
 		t: t, folder: t.TempDir(), store: standin.NewStore(), older: options.older, zones: options.zones, firstStart: options.firstStart,
-		descriptors: options.descriptors,
+		descriptors: options.descriptors, memoryMegabytes: options.memoryMegabytes,
 	}
-	storeAddress := h.serve(h.store, &h.httpServer)
+	var storeHandler http.Handler = h.store
+	if options.storeHandler != nil {
+		storeHandler = options.storeHandler(h.store)
+	}
+	storeAddress := h.serve(storeHandler, &h.httpServer)
 	h.configure()
 	for i := range options.engines {
 		stage := "decode"
@@ -364,7 +374,7 @@
 		"listen":           map[string]any{"front": address(0), "ready": address(1), "control": address(2)},
 		"inner_port_range": []int{min(n.ports[3], n.ports[4]), max(n.ports[3], n.ports[4])},
 		"seeds":            []string{fmt.Sprintf("127.0.0.1:%d", h.nodes[0].ports[2])},
-		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1, "max_fds": h.descriptors},
+		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1, "max_fds": h.descriptors, "memory_mb": h.memoryMegabytes},
 		"bounds": map[string]any{"grace_s": stopGrace.Seconds(), "retry_budget_ratio": retryRule.Ratio, "budget_window_s": retryRule.Window.Seconds(), "budget_slack": retryRule.Slack, "lease_ms": 1000,
 			"quota_window_s": limitWindow.Seconds(), "quota_overshoot": limitOvershoot, "quota_slack": limitSlack},
 		"platform": map[string]any{"address": n.store.address()},
