Paths reach backends as they came, and decide the route so

A path with a character that net/url escapes reached its server escaped, and `/tariff%2Fx` was served by the route with the prefix `/tariff/`.

Cause: a request was built from the parsed path, which net/http writes anew, and the route was found by the decoded one.

Change: package requesttarget takes path and query from the request line, also from its absolute form, and makes the URL with which net/http writes exactly these bytes. Usual paths are sent as before. A path that begins with two slashes and needs escapes cannot be written so and gets 400. The route is matched by the same bytes.

Ways weighed: the path as it came for sending and the decoded one for the route (two forms, of which a server behind decides by the other one); writing the request line ourselves (our plumbing in place of net/http's).

Left: the product's own interface for services still sends the decoded path (service/handler.go).

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"github.com/reelrun/reelrun/backendpath"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/gateway"
+	"github.com/reelrun/reelrun/requesttarget"
 )
 
 const (
@@ -141,13 +141,12 @@
 // Close implements io.Closer.
 func (singleUseBody) Close() error { return nil }
 
-// NewRequest returns a request to a backend. The URI is a path with its query.
+// NewRequest returns a request to a backend. The URI is a path with its query, which is sent as it is.
 func NewRequest(ctx context.Context, method, address, uri string, body []byte) (*http.Request, error) {
-	target, err := url.ParseRequestURI(uri)
+	target, err := requesttarget.URL(address, uri)
 	if err != nil {
-		return nil, errors.Wrap(err, "parse path")
+		return nil, err
 	}
-	target.Scheme, target.Host = "http", address
 	request := &http.Request{
 		Method: method, URL: target, Host: address, Header: http.Header{},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/engine/dialect/dialect.go
+++ b/engine/dialect/dialect.go
@@ -16,6 +16,7 @@
 	"github.com/reelrun/reelrun/engine"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/httpheader"
+	"github.com/reelrun/reelrun/requesttarget"
 )
 
 // Headers of requests.
@@ -73,7 +74,7 @@
 // Parse implements gateway.Dialect.
 func (d *Dialect) Parse(r *http.Request) (*gateway.Request, error) {
 	request := &gateway.Request{
-		ID: r.Header.Get(HeaderRequestID), Method: r.Method, Host: r.Host, URI: r.URL.RequestURI(),
+		ID: r.Header.Get(HeaderRequestID), Method: r.Method, Host: r.Host, URI: requesttarget.Of(r),
 		Header:     httpheader.EndToEnd(r.Header),
 		Generation: gateway.Generation{LastEventID: r.Header.Get(HeaderLastEvent)},
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -18,6 +18,7 @@
 	"github.com/reelrun/reelrun/metrics"
 	"github.com/reelrun/reelrun/quarantine"
 	"github.com/reelrun/reelrun/quota"
+	"github.com/reelrun/reelrun/requesttarget"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
 	"github.com/reelrun/reelrun/streamorigin"
@@ -286,7 +287,7 @@
 	if malformed != nil {
 		return rejected(http.StatusBadRequest, ReasonMalformed, malformed)
 	}
-	if err := x.identify(r.URL.Path); err != nil {
+	if err := x.identify(requesttarget.Path(request.URI)); err != nil {
 		return err
 	}
 	x.deadline = x.arrived.Add(x.timeout())
