Ports accept connections again after errors that pass

After one error of Accept the server for other nodes returned, and the node went on without ever answering another node. Shown: with a lack of buffers for two seconds the callers', the load balancer's and the nodes' ports all ended for good (net/http goes on after a lack of descriptors, not of buffers or memory), while the process stayed.

Cause: a passing error of Accept was final, and nothing watches whether a server has ended.

Ways weighed: a loop in peer.Server (leaves net/http's servers to their own list of errors); to end the process when a server ends (a start costs the requests in progress); a listener whose Accept fails only once it is closed (chosen, one for all ports of both programs).

--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/reelrun/reelrun/acceptretry"
 	"github.com/reelrun/reelrun/api"
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/engine"
@@ -257,6 +258,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "listen on %s", endpoint.address)
 		}
+		listener = acceptretry.Wrap(listener, n.logger)
 		if endpoint.source != nil {
 			listener = tls.NewListener(listener, endpoint.source.ServerConfig())
 		}
--- a/router/callerrequests.go
+++ b/router/callerrequests.go
@@ -30,7 +30,7 @@
 func (r *Router) callerGate() callerconn.GateOptions {
 	return callerconn.GateOptions{
 		Gate:   callerGate{r.callerRequests, r.callerDelays},
-		Reopen: func() (net.Listener, error) { return r.options.Listen(r.options.Settings.CallerAddress) },
+		Reopen: func() (net.Listener, error) { return r.listenOn(r.options.Settings.CallerAddress) },
 		ReopenFailed: func(err error) {
 			r.options.Logger.Error("cannot listen for callers again", "error", err.Error())
 		},
--- a/router/router.go
+++ b/router/router.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/reelrun/reelrun/acceptretry"
 	"github.com/reelrun/reelrun/admission"
 	"github.com/reelrun/reelrun/antientropy"
 	"github.com/reelrun/reelrun/backend"
@@ -329,7 +330,7 @@
 		{"callers", own.CallerAddress, &opened.callers}, {"the load balancer", own.ReadyAddress, &opened.ready},
 		{"nodes", own.PeerAddress, &opened.peers}, {"metrics", own.MetricsAddress, &opened.metrics},
 	} {
-		listener, err := r.options.Listen(port.address)
+		listener, err := r.listenOn(port.address)
 		if err != nil {
 			return opened, errors.Wrapf(err, "listen for %s", port.name)
 		}
@@ -338,6 +339,15 @@
 	return opened, nil
 }
 
+// listenOn opens a port that accepts connections until it is closed.
+func (r *Router) listenOn(address string) (net.Listener, error) {
+	listener, err := r.options.Listen(address)
+	if err != nil {
+		return nil, err
+	}
+	return acceptretry.Wrap(listener, r.options.Logger), nil
+}
+
 // Run serves until the context ends, and then until the requests in progress have ended or the grace period is
 // over.
 func (r *Router) Run(ctx context.Context) error {
