--- a/soak/harness_test.go
+++ b/soak/harness_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -135,23 +134,6 @@
 	log     *logBuffer
 }
 
-type logBuffer struct {
-	mu     sync.Mutex
-	buffer bytes.Buffer
-}
-
-func (b *logBuffer) Write(data []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.Write(data)
-}
-
-func (b *logBuffer) String() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.buffer.String()
-}
-
 func newHarness(t *testing.T, seed uint64, nodes int, older string) *harness {
 	return newHarnessWith(t, seed, harnessOptions{nodes: nodes, zones: 1, engines: 6, plain: 4, older: older})
 }
