--- a/review/_standin2/popular.go
+++ b/review/_standin2/popular.go
@@ -16,15 +16,14 @@
 
 // crashing is a plain server that can crash and start again.
 type crashing struct {
-	f        *fleet
-	zone     string
-	address  string
-	work     time.Duration
-	starts   int
-	current  *plainServer
-	server   *http.Server
-	mu       sync.Mutex
-	finished int
+	f       *fleet
+	zone    string
+	service string
+	address string
+	work    time.Duration
+	starts  int
+	current *plainServer
+	server  *http.Server
 }
 
 // start starts an incarnation with an id of its own, and has it record itself in the store.
@@ -38,11 +37,11 @@
 		return err
 	}
 	c.address = listener.Addr().String()
-	c.current = &plainServer{id: fmt.Sprintf("i-%s-%d", c.zone, c.starts), work: c.work, runs: map[string]*run{}}
+	c.current = &plainServer{id: fmt.Sprintf("i-%s-%s-%d", c.service, c.zone, c.starts), work: c.work, runs: map[string]*run{}}
 	c.server = &http.Server{Handler: c.current, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)}
 	go func(server *http.Server) { _ = server.Serve(listener) }(c.server)
 	c.f.store.Put("servers", c.current.id, map[string]any{
-		"service": "wuno96b", "address": c.address, "zone": c.zone, "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
+		"service": c.service, "address": c.address, "zone": c.zone, "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
 		"sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	return nil
@@ -86,7 +85,7 @@
 	}
 	var servers []*crashing
 	for _, zone := range zones {
-		server := &crashing{f: f, zone: zone, work: 250 * time.Millisecond}
+		server := &crashing{f: f, zone: zone, service: "wuno96b", work: 250 * time.Millisecond}
 		if err := server.start(); err != nil {
 			return 0, err
 		}
--- a/review/_standin2/uploads.go
+++ b/review/_standin2/uploads.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -170,7 +169,7 @@
 	var next atomic.Int64
 	transports := map[*node]*http.Transport{}
 	for _, n := range f.nodes {
-		transports[n] = &http.Transport{DialContext: (&net.Dialer{}).DialContext, MaxIdleConnsPerHost: 100, IdleConnTimeout: 12 * time.Second}
+		transports[n] = &http.Transport{DialContext: dialQuick, MaxIdleConnsPerHost: 100, IdleConnTimeout: 12 * time.Second}
 	}
 	send := func(n *node, kind string, size int) {
 		defer asking.Done()
@@ -196,7 +195,7 @@
 		request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
 		transport := transports[n]
 		if opensNew {
-			transport = &http.Transport{DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, IdleConnTimeout: 500 * time.Millisecond}
+			transport = &http.Transport{DialContext: dialQuick, IdleConnTimeout: 500 * time.Millisecond}
 		}
 		response, err := transport.RoundTrip(request)
 		if err == nil {
