A crash of a whole service no longer keeps its most popular page away for an hour

Cause: three ends counted as proof although the runs were side by side, and a quarantined request is never sent, so that no answer could disprove it.

Change: nodes report when a run began and ended at its backend. Three ends one after the other are certain, as before. If the runs were side by side, the request runs again as a trial, five seconds after the last crash and half a minute after that; an answer clears it everywhere. A record is written again when crashes were added, since other coordinators decide by them; a conflict reads the objects again without forgetting which ones an operator has removed. Completions use the same trials. Why it works: the evidence that ordinary crashes give as well is not final any more, and what is final is as before.

The tests of requests that crash servers are unchanged and pass.

--- a/completion/quarantine.go
+++ b/completion/quarantine.go
@@ -25,19 +25,32 @@
 func (r *run) subject() quarantine.Subject { return quarantine.Subject{Content: r.fingerprint()} }
 
 // checkQuarantine returns the rejection of a request that has crashed too many
-// engines. It is called before each attempt.
-func (r *run) checkQuarantine() error {
+// engines, unless it may run as a trial. It is called before each attempt.
+func (r *run) checkQuarantine(ctx context.Context) error {
 	tracker := r.service.options.Quarantine
 	if tracker == nil || tracker.Empty() {
 		return nil
 	}
-	left := tracker.Status(r.subject()).Quarantined
-	if left == 0 {
+	status := tracker.Status(r.subject())
+	if !status.IsBlocked() || r.trialCrashes > 0 && status.Crashes <= r.trialCrashes {
+		return nil
+	}
+	decision := tracker.BeginTrial(ctx, r.subject())
+	if decision.Granted {
+		r.trialCrashes = status.Crashes
+		r.event("trial", "", r.fingerprint().String())
 		return nil
 	}
 	r.event("quarantined", "", "")
 	cause := api.NewError(http.StatusServiceUnavailable, api.CodeUnavailable, r.outcome(), "the request has crashed the engines that ran it")
-	return &rejectedError{cause: cause.WithRetryAfter(left)}
+	return &rejectedError{cause: cause.WithRetryAfter(min(decision.Wait, status.Quarantined))}
+}
+
+// endTrial reports the end of a trial of the request, if there was one.
+func (r *run) endTrial() {
+	if r.trialCrashes > 0 {
+		r.service.options.Quarantine.EndTrial(r.fingerprint(), r.dispatched)
+	}
 }
 
 // recordEngineFailure records that an engine failed an attempt which may have run
--- a/completion/run.go
+++ b/completion/run.go
@@ -53,6 +53,8 @@
 	delivered int
 	// dispatched is set if an engine may have run the request.
 	dispatched bool
+	// trialCrashes is the number of crashes of the request at which it was last granted a trial; zero if it was not.
+	trialCrashes int
 
 	firstToken time.Time
 	lastToken  time.Time
@@ -85,8 +87,9 @@
 // execute runs the request to its end. When an engine fails, another attempt
 // continues from the tokens that this node has received.
 func (r *run) execute(ctx context.Context) error {
+	defer r.endTrial()
 	for attempts := 1; ; attempts++ {
-		if err := r.checkQuarantine(); err != nil {
+		if err := r.checkQuarantine(ctx); err != nil {
 			return err
 		}
 		err := r.executeAttempt(ctx)
--- a/gateway/arrivals.go
+++ b/gateway/arrivals.go
@@ -19,6 +19,9 @@
 	return max(0, calls-1)
 }
 
+// any reports whether any call has reached a backend, or may have.
+func (a arrivals) any() bool { return a.prefills+a.runs > 0 }
+
 // withRun returns the counts after one more call that runs the request.
 func (a arrivals) withRun() arrivals {
 	a.runs++
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -48,19 +48,38 @@
 	return x.checkQuarantine()
 }
 
-// checkQuarantine returns a rejection if the request has crashed too many backends.
+// checkQuarantine returns a rejection if the request has crashed too many backends, unless it may run as a trial.
 func (x *exchange) checkQuarantine() error {
 	tracker := x.handler.options.Quarantine
 	if tracker == nil || tracker.Empty() {
 		return nil
 	}
-	if status := tracker.Status(x.subject()); status.Quarantined > 0 {
+	status := tracker.Status(x.subject())
+	if !status.IsBlocked() || x.isOnTrial(status) {
+		return nil
+	}
+	decision := tracker.BeginTrial(x.incoming.Context(), x.subject())
+	if !decision.Granted {
 		x.quarantinedBy = status.Record
-		return notRun(ReasonQuarantined, status.Quarantined, nil)
+		return notRun(ReasonQuarantined, min(decision.Wait, status.Quarantined), nil)
 	}
+	x.trialCrashes = status.Crashes
+	x.handler.logTrial(x, status)
 	return nil
 }
 
+// isOnTrial reports whether the request has been granted a trial, and has not crashed a backend in it.
+func (x *exchange) isOnTrial(status quarantine.Status) bool {
+	return x.trialCrashes > 0 && status.Crashes <= x.trialCrashes && status.Record == x.fingerprint()
+}
+
+// endTrial reports the end of a trial of the request, if there was one.
+func (x *exchange) endTrial() {
+	if x.trialCrashes > 0 {
+		x.handler.options.Quarantine.EndTrial(x.fingerprint(), x.arrivals.any())
+	}
+}
+
 // reportBreak records that a decode engine broke off the run of the request, or that the run was ended because the engine was
 // unresponsive.
 func (x *exchange) reportBreak(ctx context.Context, reserved *reservedEngine, unresponsive bool) {
@@ -76,6 +95,7 @@
 	if entry.LeavingFor() > 0 {
 		return
 	}
+	broken.brokenAt = time.Now()
 	broken.request, broken.service, broken.subject, broken.backend = x.request.ID, x.service, x.subject(), entry.Backend()
 	if tracker := x.handler.options.Quarantine; tracker != nil && tracker.Status(broken.subject).Crashes > 0 {
 		x.handler.recordBreak(ctx, broken)
@@ -91,6 +111,8 @@
 	backend          backend.Backend
 	// age is the time since the request was sent to the backend.
 	age time.Duration
+	// brokenAt is when the backend broke it off.
+	brokenAt time.Time
 	// written is set if the backend had begun to write its response.
 	written bool
 	// unresponsive is set if this node ended the request because the backend was unresponsive.
@@ -106,6 +128,7 @@
 	if tracker := h.options.Quarantine; crashed && tracker != nil {
 		quarantineStatus = tracker.Crashed(ctx, quarantine.Crash{
 			Request: broken.subject, Backend: broken.backend.ID, Written: broken.written,
+			RanFor: broken.age, Ago: time.Since(broken.brokenAt),
 		})
 	}
 	if broken.unresponsive && !crashed {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -256,6 +256,8 @@
 	content *quarantine.Fingerprint
 	// promptParts are the shared parts of the request's prompt; nil until they have been computed.
 	promptParts []quarantine.Part
+	// trialCrashes is the number of crashes of the request at which it was last granted a trial; zero if it was not.
+	trialCrashes int
 	// quarantinedBy is the name of the record for which the request was rejected.
 	quarantinedBy quarantine.Fingerprint
 	// clientRetry is the evidence that the caller was rejected before.
@@ -297,6 +299,7 @@
 	if err := x.readBody(r); err != nil {
 		return err
 	}
+	defer x.endTrial()
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -139,6 +139,13 @@
 		"crashes", quarantineStatus.Crashes, "quarantined", quarantineStatus.Quarantined > 0)
 }
 
+// logTrial logs that a quarantined request runs as a trial.
+func (h *Handler) logTrial(x *exchange, status quarantine.Status) {
+	h.options.Metrics.Add("quarantine_trials", 1)
+	h.options.Logger.Info("request on trial", append(x.attributes(x.sinceArrival()), "content", x.fingerprint().String(),
+		"crashes", status.Crashes, "quarantined_ms", status.Quarantined.Milliseconds())...)
+}
+
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 8
 
--- a/quarantine/archive.go
+++ b/quarantine/archive.go
@@ -32,6 +32,8 @@
 	seriesCheckInterval = 250 * time.Millisecond
 	// rewriteAfter is how much longer a quarantine must have become to be written again.
 	rewriteAfter = 10 * time.Second
+	// maxTrialWrites bounds the trials that one check records.
+	maxTrialWrites = 16
 )
 
 // Archive persists a coordinator's quarantines in the platform's store, so that they survive the loss of all
@@ -45,6 +47,8 @@
 	wall func() time.Time
 	// loaded is set once the store's objects have been read since this node became the coordinator.
 	loaded bool
+	// stale is set if another writer may have changed the store's objects since they were read.
+	stale bool
 	// loadedAt is when they were read last, by the coordinator's clock.
 	loadedAt time.Duration
 	// epoch is the store's epoch as of then.
@@ -52,11 +56,25 @@
 	// unreadable is set while the store's objects cannot be read, and unwritten if the last check could not write one.
 	unreadable bool
 	unwritten  bool
-	// versions are those of the store's objects, by name, ends when their quarantines end, and parts the parts of prompts that
-	// they are about.
-	versions map[string]int64
-	ends     map[string]time.Time
-	parts    map[string][]Fingerprint
+	// stored are the store's objects, by name.
+	stored map[string]storedQuarantine
+}
+
+// storedQuarantine is what an object of the store says of a quarantine.
+type storedQuarantine struct {
+	version int64
+	ends    time.Time
+	// parts are the parts of prompts that it is about.
+	parts []Fingerprint
+	// crashes is the number of crashes.
+	crashes int
+}
+
+// storedOf returns what the object of a quarantine says.
+func (a *Archive) storedOf(version int64, written Announcement) storedQuarantine {
+	return storedQuarantine{
+		version: version, ends: a.wall().Add(written.Quarantined), parts: written.Parts, crashes: len(written.Backends),
+	}
 }
 
 // NewArchive returns an archive that has read nothing.
@@ -79,7 +97,7 @@
 // Reconcile makes the store's objects match the coordinator's quarantines. It makes no call if nothing has
 // changed.
 func (a *Archive) Reconcile(ctx context.Context) {
-	if !a.loaded || a.coordinator.options.Now()-a.loadedAt >= a.reloadDue() {
+	if !a.loaded || a.stale || a.coordinator.options.Now()-a.loadedAt >= a.reloadDue() {
 		err := a.load(ctx)
 		a.noteRead(err)
 		if err != nil {
@@ -100,7 +118,8 @@
 			a.logger.Warn("quarantine not written", "content", announcement.Request.String(), "error", err.Error())
 		}
 	}
-	for name := range a.versions {
+	a.recordTrials(ctx)
+	for name := range a.stored {
 		if active[name] || a.isCovered(name, quarantined) {
 			continue
 		}
@@ -122,11 +141,12 @@
 // isCovered reports whether an object is about requests that a quarantine of fewer parts is about as well. It stays until its
 // end: another coordinator, which may have written it, would take its removal for an operator's.
 func (a *Archive) isCovered(name string, quarantined []Announcement) bool {
-	if !a.wall().Before(a.ends[name]) {
+	larger := a.stored[name]
+	if !a.wall().Before(larger.ends) {
 		return false
 	}
 	return slices.ContainsFunc(quarantined, func(smaller Announcement) bool {
-		return len(smaller.Parts) > 0 && containsAll(a.parts[name], smaller.Parts)
+		return len(smaller.Parts) > 0 && containsAll(larger.parts, smaller.Parts)
 	})
 }
 
@@ -146,17 +166,16 @@
 	if err != nil {
 		return errors.Wrap(err, "list quarantines")
 	}
-	before, epoch := a.versions, objectapi.EpochOf(revision)
-	a.versions, a.ends, a.parts = map[string]int64{}, map[string]time.Time{}, map[string][]Fingerprint{}
+	before, epoch := a.stored, objectapi.EpochOf(revision)
+	a.stored = map[string]storedQuarantine{}
 	for _, object := range objects {
 		earlier, err := DecodeRecord(a.wall(), object.Name, object.Spec)
 		if err != nil {
 			a.logger.Error("quarantine object rejected", "name", object.Name, "error", err.Error())
 			continue
 		}
-		a.versions[object.Name], a.ends[object.Name] = object.Version, a.wall().Add(earlier.Quarantined)
-		a.parts[object.Name] = earlier.Parts
-		if earlier.Quarantined > 0 && (!a.loaded || before[object.Name] != object.Version) {
+		a.stored[object.Name] = a.storedOf(object.Version, earlier)
+		if earlier.Quarantined > 0 && (!a.loaded || before[object.Name].version != object.Version) {
 			a.coordinator.Restore(earlier)
 		}
 	}
@@ -164,43 +183,68 @@
 	if a.loaded && epoch == a.epoch {
 		a.endRemoved(before)
 	}
-	a.loaded, a.loadedAt, a.epoch = true, a.coordinator.options.Now(), epoch
+	a.loaded, a.stale, a.loadedAt, a.epoch = true, false, a.coordinator.options.Now(), epoch
 	return nil
 }
 
 // endRemoved ends the quarantines whose objects were removed by another writer.
-func (a *Archive) endRemoved(before map[string]int64) {
+func (a *Archive) endRemoved(before map[string]storedQuarantine) {
 	for name := range before {
 		request, valid := ParseFingerprint(name)
-		if _, stored := a.versions[name]; valid && !stored {
+		if _, stored := a.stored[name]; valid && !stored {
 			a.coordinator.End(request)
 		}
 	}
 }
 
-// write writes a quarantine, unless it is in the store already with about the same end.
+// recordTrials records the trials that are due, before any of them is granted.
+func (a *Archive) recordTrials(ctx context.Context) {
+	due := a.coordinator.dueTrials()
+	for _, next := range due[:min(len(due), maxTrialWrites)] {
+		if _, stored := a.stored[next.Request.String()]; !stored || a.stale {
+			continue
+		}
+		if err := a.put(ctx, next); err != nil {
+			a.unwritten = true
+			a.logger.Warn("trial not recorded", "content", next.Request.String(), "error", err.Error())
+			return
+		}
+		if !a.stale {
+			a.coordinator.trialRecorded(next)
+			a.logger.Info("trial due", "content", next.Request.String(), "crashes", len(next.Backends), "trials", next.Trials)
+		}
+	}
+}
+
+// write writes a quarantine, unless it is in the store already with all its crashes and about the same end. Other coordinators
+// decide on trials by the number of crashes.
 func (a *Archive) write(ctx context.Context, active Announcement) error {
+	stored, isStored := a.stored[active.Request.String()]
+	isLonger := a.wall().Add(active.Quarantined).Sub(stored.ends) >= rewriteAfter
+	if isStored && !isLonger && len(active.Backends) <= stored.crashes {
+		return nil
+	}
+	return a.put(ctx, active)
+}
+
+// put writes a quarantine. If another writer has changed its object, the store's objects are read again, and nothing is written.
+func (a *Archive) put(ctx context.Context, active Announcement) error {
 	name, spec, err := EncodeRecord(a.wall(), active)
 	if err != nil {
 		return err
 	}
-	version, stored := a.versions[name]
-	ends := a.wall().Add(active.Quarantined)
-	if stored && ends.Sub(a.ends[name]) < rewriteAfter {
-		return nil
-	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	written, err := a.store.Put(ctx, objectapi.Object{Kind: Kind, Name: name, Version: version, Spec: spec})
-	if errors.Is(err, objectapi.ErrConflict) {
-		// An earlier coordinator has written it, or this one without receiving the response.
-		a.loaded = false
+	written, err := a.store.Put(ctx, objectapi.Object{Kind: Kind, Name: name, Version: a.stored[name].version, Spec: spec})
+	if errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound) {
+		// Another coordinator or an operator has changed it, or this one without receiving the response.
+		a.stale = true
 		return nil
 	}
 	if err != nil {
 		return errors.Wrap(err, "write quarantine")
 	}
-	a.versions[name], a.ends[name], a.parts[name] = written.Version, ends, active.Parts
+	a.stored[name] = a.storedOf(written.Version, active)
 	return nil
 }
 
@@ -208,14 +252,14 @@
 func (a *Archive) remove(ctx context.Context, name string) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := a.store.Delete(ctx, Kind, name, a.versions[name])
+	err := a.store.Delete(ctx, Kind, name, a.stored[name].version)
 	if errors.Is(err, objectapi.ErrConflict) {
-		a.loaded = false
+		a.stale = true
 		return nil
 	}
 	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return errors.Wrap(err, "remove quarantine")
 	}
-	delete(a.versions, name)
+	delete(a.stored, name)
 	return nil
 }
--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -58,6 +58,9 @@
 	answered []Fingerprint
 	// received holds the status of requests as the coordinator sent or announced it.
 	received map[Fingerprint]receivedStatus
+	// nextTrials holds when this node next asks for trials of requests, and endedTrials those that have not been reported.
+	nextTrials  map[Fingerprint]nextTrial
+	endedTrials []endedTrial
 	// parts counts the crashes of parts that this node saw, and decides while no coordinator counts them. It also holds the
 	// answers that this node saw.
 	parts *partTable
@@ -94,7 +97,8 @@
 	}
 	client := &Client{
 		options: options, local: NewTable(), evidence: map[Fingerprint][]*localEvidence{}, received: map[Fingerprint]receivedStatus{},
-		parts: newPartTable(), groups: map[Fingerprint]receivedGroup{}, answeredParts: map[Part]time.Duration{}, reportedParts: map[Part]bool{},
+		nextTrials: map[Fingerprint]nextTrial{},
+		parts:      newPartTable(), groups: map[Fingerprint]receivedGroup{}, answeredParts: map[Part]time.Duration{}, reportedParts: map[Part]bool{},
 	}
 	// Evidence is removed with its entry in the table: otherwise callers with a new body each time would fill
 	// the memory while no coordinator is chosen.
@@ -131,14 +135,15 @@
 	request, backend := crash.Request.Content, crash.Backend
 	added := &localEvidence{Evidence: Evidence{
 		Request: request, Backend: backend, At: now, Parts: c.unansweredParts(now, crash.Request.Parts), Written: crash.Written,
+		Run: span{now - crash.Ago - crash.RanFor, now - crash.Ago},
 	}}
-	c.local.Add(now, request, backend)
+	c.local.AddRun(now, request, backend, added.Run)
 	c.parts.add(now, backend, request, added.Parts, added.Written)
 	c.noteReported(added.Parts)
 	c.evidence[request] = append(c.evidence[request], added)
 	c.hasRecords.Store(true)
 	c.mu.Unlock()
-	c.deliver(ctx, pendingReport{evidence: []*localEvidence{added}}, crashTimeout)
+	_, _ = c.deliver(ctx, pendingReport{evidence: []*localEvidence{added}}, crashTimeout) // What fails is sent again.
 	return c.Status(crash.Request)
 }
 
@@ -208,7 +213,7 @@
 			c.options.LocalCoordinator.Expire()
 		}
 		if unreported, due := c.unreported(); due {
-			c.deliver(ctx, unreported, reportTimeout)
+			_, _ = c.deliver(ctx, unreported, reportTimeout) // What fails is sent again.
 		}
 	})
 }
@@ -242,12 +247,15 @@
 	answered []Fingerprint
 	// answeredParts are suspected parts that have been answered.
 	answeredParts []answeredPart
-	all           bool
+	// trials are requests that are to run as a trial, endedTrials trials that have ended.
+	trials      []Fingerprint
+	endedTrials []endedTrial
+	all         bool
 }
 
 // report returns the report in the form that is sent.
 func (p pendingReport) report() report {
-	reported := report{answered: p.answered, answeredParts: p.answeredParts, all: p.all}
+	reported := report{answered: p.answered, answeredParts: p.answeredParts, trials: p.trials, endedTrials: p.endedTrials, all: p.all}
 	for _, crash := range p.evidence {
 		reported.evidence = append(reported.evidence, crash.Evidence)
 	}
@@ -259,11 +267,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, crashes := range c.evidence {
-		for _, crash := range crashes {
-			if !crash.reported {
-				unreported.evidence = append(unreported.evidence, crash)
-			}
-		}
+		unreported.evidence = append(unreported.evidence, unreportedOf(crashes)...)
 	}
 	unreported.all = c.needsAll
 	unreported.answered, c.answered = c.answered, nil
@@ -271,7 +275,20 @@
 		unreported.answeredParts = append(unreported.answeredParts, answeredPart{part, at})
 	}
 	clear(c.answeredParts)
-	return unreported, unreported.all || len(unreported.evidence)+len(unreported.answered)+len(unreported.answeredParts) > 0
+	unreported.endedTrials, c.endedTrials = c.endedTrials, nil
+	changes := len(unreported.evidence) + len(unreported.answered) + len(unreported.answeredParts) + len(unreported.endedTrials)
+	return unreported, unreported.all || changes > 0
+}
+
+// unreportedOf returns the evidence that the coordinator has not received.
+func unreportedOf(crashes []*localEvidence) []*localEvidence {
+	var unreported []*localEvidence
+	for _, crash := range crashes {
+		if !crash.reported {
+			unreported = append(unreported, crash)
+		}
+	}
+	return unreported
 }
 
 // expire removes expired crashes and received statuses.
@@ -287,17 +304,21 @@
 		}
 	}
 	c.expireGroups(now)
+	c.expireTrials(now)
 	c.parts.evaluate(now)
 	c.hasRecords.Store(!c.local.Empty() || len(c.received) > 0 || !c.parts.isEmpty() || len(c.groups) > 0)
 }
 
-// deliver sends a report to the coordinator, possibly this node, and applies the response. What was not delivered
-// is sent again.
-func (c *Client) deliver(ctx context.Context, unreported pendingReport, timeout time.Duration) {
+// errNoCoordinator is returned while no coordinator has been chosen.
+var errNoCoordinator = errors.New("quarantine: no coordinator")
+
+// deliver sends a report to the coordinator, possibly this node, and applies the response, which it returns. What was not delivered
+// is sent again, except for requests for trials.
+func (c *Client) deliver(ctx context.Context, unreported pendingReport, timeout time.Duration) (reportResponse, error) {
 	address, found := c.options.Coordinators.Coordinator(Scope)
 	if !found {
 		c.requeueAnswered(unreported)
-		return
+		return reportResponse{}, errNoCoordinator
 	}
 	response, err := c.send(ctx, address, unreported.report(), timeout)
 	if err != nil {
@@ -305,7 +326,7 @@
 		if ctx.Err() == nil {
 			c.options.Coordinators.Missed(address, err)
 		}
-		return
+		return reportResponse{}, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -326,6 +347,7 @@
 		}
 		c.receive(announcement.Request, announcement.Status())
 	}
+	return response, nil
 }
 
 // requeueAnswered queues what no coordinator has received of a report.
@@ -337,6 +359,7 @@
 	for _, answered := range unreported.answeredParts {
 		c.queueAnsweredPart(answered)
 	}
+	c.queueEndedTrials(unreported.endedTrials...)
 }
 
 // send sends a report to a coordinator, possibly this node.
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -21,6 +21,11 @@
 	Backends []string
 	// Quarantined is how long the request is still quarantined; zero if it is not.
 	Quarantined time.Duration
+	// Successive is how many of the backends ended one after the other, each under a run that began after the end of the one before;
+	// zero if that is not known.
+	Successive int
+	// Trials is the number of trials of the request that may have run since the third crash.
+	Trials int
 	// Parts are set if the announcement is of all requests whose prompts have all of these parts; Request is a name then.
 	Parts []Fingerprint
 	// Exempt are parts, as tenants send them, that backends have answered: requests with one of them are not meant.
@@ -42,6 +47,8 @@
 	table *Table
 	// announced is the last announced status of each request, unless the announcement has been revoked.
 	announced map[Fingerprint]receivedStatus
+	// trials are those of the requests in the table.
+	trials map[Fingerprint]*trials
 	// parts counts the crashes of parts of prompts, and announcedGroups are the announced groups of them.
 	parts           *partTable
 	announcedGroups map[Fingerprint]announcedGroup
@@ -54,7 +61,7 @@
 func NewCoordinator(options CoordinatorOptions) *Coordinator {
 	return &Coordinator{
 		options: options, table: NewTable(), announced: map[Fingerprint]receivedStatus{},
-		parts: newPartTable(), announcedGroups: map[Fingerprint]announcedGroup{},
+		trials: map[Fingerprint]*trials{}, parts: newPartTable(), announcedGroups: map[Fingerprint]announcedGroup{},
 	}
 }
 
@@ -64,8 +71,10 @@
 	defer c.mu.Unlock()
 	now := c.options.Now()
 	for _, request := range reported.answered {
-		c.table.Answered(request)
-		c.announce(now, request)
+		c.clear(now, request)
+	}
+	for _, ended := range reported.endedTrials {
+		c.endTrial(now, ended)
 	}
 	for _, answered := range reported.answeredParts {
 		c.parts.noteAnswered(answered)
@@ -73,13 +82,16 @@
 	response := reportResponse{statuses: make([]Status, len(reported.evidence)), countsParts: true}
 	for i, evidence := range reported.evidence {
 		if now-evidence.At < evidenceLifetime {
-			c.table.Add(evidence.At, evidence.Request, evidence.Backend)
+			c.table.AddRun(evidence.At, evidence.Request, evidence.Backend, evidence.Run)
 			c.parts.add(evidence.At, evidence.Backend, evidence.Request, evidence.Parts, evidence.Written)
 			c.noteCrash(evidence.At)
 		}
 		c.announce(now, evidence.Request)
 		response.statuses[i] = c.table.Status(now, evidence.Request)
 	}
+	for _, request := range reported.trials {
+		response.trials = append(response.trials, c.beginTrial(now, request))
+	}
 	if reported.all {
 		for request := range c.announced {
 			response.announced = append(response.announced, c.announcement(now, request))
@@ -89,6 +101,13 @@
 	return response
 }
 
+// clear removes the record of a request; the lock is held.
+func (c *Coordinator) clear(now time.Duration, request Fingerprint) {
+	c.table.Answered(request)
+	delete(c.trials, request)
+	c.announce(now, request)
+}
+
 // noteCrash records when a backend ended; the lock is held.
 func (c *Coordinator) noteCrash(at time.Duration) {
 	if !c.hasCrashed || at > c.crashedAt {
@@ -114,7 +133,13 @@
 		c.announcedGroups[earlier.Request] = announcedGroupOf(now, earlier)
 		return
 	}
+	c.adopt(now, earlier)
+}
+
+// adopt applies an earlier coordinator's announcement of a request; the lock is held.
+func (c *Coordinator) adopt(now time.Duration, earlier Announcement) {
 	c.table.Restore(now, earlier)
+	c.restoreTrials(now, earlier)
 	c.announced[earlier.Request] = c.table.announcedStatus(now, earlier.Request)
 }
 
@@ -129,6 +154,7 @@
 		return
 	}
 	c.table.Restore(now, earlier)
+	c.restoreTrials(now, earlier)
 	c.announce(now, earlier.Request)
 }
 
@@ -137,8 +163,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.options.Now()
-	c.table.Answered(request)
-	c.announce(now, request)
+	c.clear(now, request)
 	c.parts.end(now, request)
 }
 
@@ -149,6 +174,7 @@
 	defer c.mu.Unlock()
 	now := c.options.Now()
 	c.table.Expire(now)
+	c.expireTrials()
 	for request := range c.announced {
 		c.announce(now, request)
 	}
@@ -210,9 +236,14 @@
 
 // announcement returns a request's current record; the lock is held.
 func (c *Coordinator) announcement(now time.Duration, request Fingerprint) Announcement {
-	return Announcement{
+	announcement := Announcement{
 		Request: request, Backends: c.table.Backends(request), Quarantined: c.table.Status(now, request).Quarantined,
+		Successive: c.table.successive(request),
+	}
+	if known := c.trials[request]; known != nil {
+		announcement.Trials = known.recorded
 	}
+	return announcement
 }
 
 // announce announces a request if its status differs from the last announcement; the lock is held. Nodes detect
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -18,6 +18,10 @@
 	// UntilMillis is when the quarantine ends, as a Unix millisecond; zero if there is none. The quarantine's
 	// length of an hour is long compared to the seconds by which clocks differ.
 	UntilMillis int64 `json:"untilMillis,omitempty"`
+	// Successive is how many of the backends ended one after the other; zero if that is not known.
+	Successive int `json:"successive,omitempty"`
+	// Trials is the number of trials of the request that may have run.
+	Trials int `json:"trials,omitempty"`
 	// Parts are the parts of prompts that the record is about, and Exempt the parts, as tenants send them, that backends have
 	// answered. A build that does not know them takes the record for one of a request that nobody sends.
 	Parts  []string `json:"parts,omitempty"`
@@ -26,7 +30,10 @@
 
 // EncodeRecord returns an announcement as an object's name and content.
 func EncodeRecord(now time.Time, announcement Announcement) (name string, spec json.RawMessage, err error) {
-	stored := record{Backends: announcement.Backends, Parts: namesOf(announcement.Parts), Exempt: namesOf(announcement.Exempt)}
+	stored := record{
+		Backends: announcement.Backends, Successive: announcement.Successive, Trials: announcement.Trials,
+		Parts: namesOf(announcement.Parts), Exempt: namesOf(announcement.Exempt),
+	}
 	if announcement.Quarantined > 0 {
 		stored.UntilMillis = now.Add(announcement.Quarantined).UnixMilli()
 	}
@@ -49,7 +56,9 @@
 	if !validParts || !validExempt {
 		return Announcement{}, errors.Wrapf(ErrInvalidRecord, "parts of %q", name)
 	}
-	announcement := Announcement{Request: request, Backends: stored.Backends, Parts: parts, Exempt: exempt}
+	announcement := Announcement{
+		Request: request, Backends: stored.Backends, Successive: max(0, stored.Successive), Trials: min(max(0, stored.Trials), maxTrials), Parts: parts, Exempt: exempt,
+	}
 	if stored.UntilMillis > 0 {
 		// A wrong clock must not make a quarantine longer than the longest one.
 		announcement.Quarantined = min(max(0, time.UnixMilli(stored.UntilMillis).Sub(now)), quarantineDuration)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,22 +1,17 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
 
 const (
-	// suspectCrashes is the number of crashes in a row from which a request is quarantined for suspectDuration.
-	// On 81 days of ordinary crashes 359 requests were at one, and none at two; of the requests that share
-	// engines with requests that crash them, a few in a hundred are at two.
+	// suspectCrashes is the number of crashes without an answer from which a request is suspected for suspectDuration: all nodes
+	// count its crashes together.
 	suspectCrashes = 2
-	// quarantineCrashes is the number of crashes in a row from which a request is quarantined for
-	// quarantineDuration.
+	// quarantineCrashes is the number of crashes without an answer from which a request is quarantined for quarantineDuration.
 	quarantineCrashes = 3
-	// suspectDuration is how long a request is quarantined after two crashes. Callers that retry immediately do
-	// not reach a third crash in this time: of 500 streams sent alongside four such requests, 427 were served,
-	// instead of 394. A request that only shared an engine with a crashing one is served half a minute later.
+	// suspectDuration is how long a request is suspected after two crashes. Callers retry within seconds.
 	suspectDuration = 30 * time.Second
 	// evidenceLifetime is how long a crash counts. Callers retry within seconds; without a limit, a request
 	// that is sent once an hour would accumulate ordinary crashes for years.
@@ -24,8 +19,7 @@
 	// quarantineDuration is how long a request is quarantined after three crashes. Its backends may be repaired
 	// in this time. Until its evidence has expired as well, the next crash renews the quarantine.
 	quarantineDuration = time.Hour
-	// maxRequests bounds the recorded requests, at 320 bytes each (measured on a full table): 2.6 MB. A rack of
-	// 20 engines that fails has 1,280 in flight.
+	// maxRequests bounds the recorded requests, at 350 bytes each with three crashes. A rack of 20 engines that fails has 1,280 in flight.
 	maxRequests = 8192
 )
 
@@ -33,12 +27,16 @@
 type Status struct {
 	// Crashes is the number of backends that have ended with it in flight since it was last answered.
 	Crashes int
-	// Quarantined is how long the request is still quarantined; zero if it is not.
+	// Quarantined is how long the request is still quarantined, or suspected if fewer than quarantineCrashes backends have ended;
+	// zero if it is neither.
 	Quarantined time.Duration
 	// Record is the name of the record that quarantines the request; zero if none does.
 	Record Fingerprint
 }
 
+// IsBlocked reports whether the request must not run, except as a trial.
+func (s Status) IsBlocked() bool { return s.Quarantined > 0 }
+
 // Suspect reports whether the request is announced to all nodes.
 func (s Status) Suspect() bool { return s.Crashes >= suspectCrashes || s.Quarantined > 0 }
 
@@ -53,8 +51,10 @@
 
 // history is the record of one request.
 type history struct {
-	// crashes holds when each backend ended, by its incarnation.
-	crashes map[string]time.Duration
+	// crashes holds the end of each backend once. A list, as they are few: it takes half the memory of a map.
+	crashes []crashRun
+	// restored is how many of the restored crashes came one after the other.
+	restored int
 	// quarantinedUntil is when the quarantine ends; zero if there was none.
 	quarantinedUntil time.Duration
 }
@@ -65,16 +65,51 @@
 // Empty reports whether there is no record of any request.
 func (t *Table) Empty() bool { return len(t.requests) == 0 }
 
-// Add records that a backend incarnation ended with a request in flight, and returns the request's status.
+// crashRun is a request in flight at a backend that ended.
+type crashRun struct {
+	// backend is the incarnation of the backend.
+	backend string
+	// at is from when on the crash counts.
+	at time.Duration
+	// run is when the request was at the backend. Of several runs there it is the one that began first.
+	run span
+	// isRestored is set if the times of the run are not known.
+	isRestored bool
+}
+
+// Add records that a backend incarnation ended with a request in flight that had just begun, and returns the request's status.
 func (t *Table) Add(now time.Duration, request Fingerprint, backend string) Status {
+	return t.AddRun(now, request, backend, span{now, now})
+}
+
+// AddRun records that a backend incarnation ended with a request in flight, and returns the request's status.
+func (t *Table) AddRun(now time.Duration, request Fingerprint, backend string, run span) Status {
 	entry := t.history(now, request)
-	if _, counted := entry.crashes[backend]; !counted {
-		entry.crashes[backend] = now
-		entry.quarantinedUntil = max(entry.quarantinedUntil, now+durationAfter(len(entry.crashes)))
+	if known := entry.crashOf(backend); known != nil {
+		known.run.began = min(known.run.began, run.began)
+		return entry.status(now)
 	}
+	entry.crashes = append(entry.crashes, crashRun{backend: backend, at: now, run: run})
+	entry.quarantinedUntil = max(entry.quarantinedUntil, now+durationAfter(len(entry.crashes)))
 	return entry.status(now)
 }
 
+// successive returns how many backends ended under a request one after the other, each under a run that began after the end of
+// the one before.
+func (t *Table) successive(request Fingerprint) int {
+	entry := t.requests[request]
+	if entry == nil {
+		return 0
+	}
+	var runs []span
+	for _, crash := range entry.crashes {
+		if !crash.isRestored {
+			runs = append(runs, crash.run)
+		}
+	}
+	return min(entry.restored, len(entry.crashes)-len(runs)) + successive(runs)
+}
+
 // durationAfter returns how long a request is quarantined after a number of crashes.
 func durationAfter(crashes int) time.Duration {
 	switch {
@@ -90,11 +125,17 @@
 // Restore applies an earlier announcement. Its crashes count from now, but do not start a quarantine.
 func (t *Table) Restore(now time.Duration, earlier Announcement) {
 	entry := t.history(now, earlier.Request)
+	added := 0
 	for _, backend := range earlier.Backends {
-		if _, counted := entry.crashes[backend]; !counted {
-			entry.crashes[backend] = now
+		if entry.crashOf(backend) == nil {
+			entry.crashes = append(entry.crashes, crashRun{backend: backend, at: now, isRestored: true})
+			added++
 		}
 	}
+	if earlier.Successive > 0 {
+		added = min(added, earlier.Successive)
+	}
+	entry.restored += added
 	if earlier.Quarantined > 0 {
 		entry.quarantinedUntil = max(entry.quarantinedUntil, now+earlier.Quarantined)
 	}
@@ -139,7 +180,12 @@
 	if entry == nil {
 		return nil
 	}
-	return slices.Sorted(maps.Keys(entry.crashes))
+	backends := make([]string, len(entry.crashes))
+	for i, crash := range entry.crashes {
+		backends[i] = crash.backend
+	}
+	slices.Sort(backends)
+	return backends
 }
 
 // Expire removes expired crashes, and returns the requests that have no record left.
@@ -155,6 +201,18 @@
 	return forgotten
 }
 
+// includes reports whether there is a record of a request.
+func (t *Table) includes(request Fingerprint) bool { return t.requests[request] != nil }
+
+// lastCrash returns when the last backend ended under a request; zero if there is no record of it.
+func (t *Table) lastCrash(request Fingerprint) time.Duration {
+	entry := t.requests[request]
+	if entry == nil {
+		return 0
+	}
+	return entry.lastCrash()
+}
+
 // history returns the record of a request, which it creates if needed. A new one may evict another.
 func (t *Table) history(now time.Duration, request Fingerprint) *history {
 	entry := t.requests[request]
@@ -162,7 +220,7 @@
 		if len(t.requests) >= maxRequests {
 			t.evictOldest(now)
 		}
-		entry = &history{crashes: map[string]time.Duration{}}
+		entry = &history{}
 		t.requests[request] = entry
 	}
 	entry.expire(now)
@@ -195,6 +253,15 @@
 	}
 }
 
+// crashOf returns the end of a backend, or nil.
+func (h *history) crashOf(backend string) *crashRun {
+	i := slices.IndexFunc(h.crashes, func(crash crashRun) bool { return crash.backend == backend })
+	if i < 0 {
+		return nil
+	}
+	return &h.crashes[i]
+}
+
 // status returns the status at a time.
 func (h *history) status(now time.Duration) Status {
 	return Status{Crashes: len(h.crashes), Quarantined: max(0, h.quarantinedUntil-now)}
@@ -205,11 +272,7 @@
 	if now < h.quarantinedUntil+evidenceLifetime && h.quarantinedUntil > 0 {
 		return
 	}
-	for backend, at := range h.crashes {
-		if now-at >= evidenceLifetime {
-			delete(h.crashes, backend)
-		}
-	}
+	h.crashes = slices.DeleteFunc(h.crashes, func(crash crashRun) bool { return now-crash.at >= evidenceLifetime })
 }
 
 // isExpired reports whether the history carries no information any more.
@@ -220,8 +283,8 @@
 // lastCrash returns when the last backend ended.
 func (h *history) lastCrash() time.Duration {
 	var last time.Duration
-	for _, at := range h.crashes {
-		last = max(last, at)
+	for _, crash := range h.crashes {
+		last = max(last, crash.at)
 	}
 	return last
 }
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Tracker tracks the requests that crash backends, over all nodes. Client implements it.
 type Tracker interface {
@@ -12,6 +15,10 @@
 	Crashed(ctx context.Context, crash Crash) Status
 	// Answered records that a backend has answered a request to its end.
 	Answered(request Subject)
+	// BeginTrial asks whether a blocked request may run as a trial. EndTrial must follow a granted one.
+	BeginTrial(ctx context.Context, request Subject) TrialDecision
+	// EndTrial records that a trial is over, and whether a backend may have received the request.
+	EndTrial(request Fingerprint, reached bool)
 }
 
 // Subject is what a request may be held responsible by.
@@ -29,6 +36,8 @@
 	Backend string
 	// Written is set if the backend had begun to write its response to the request.
 	Written bool
+	// RanFor is how long the request was at the backend, and Ago how long ago the backend broke it off.
+	RanFor, Ago time.Duration
 }
 
 var _ Tracker = (*Client)(nil)
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -18,6 +18,8 @@
 	Parts []Part
 	// Written is set if the backend had begun to write the response.
 	Written bool
+	// Run is when the request was at the backend, by the same clock.
+	Run span
 }
 
 // answeredPart is a part of a prompt, and when a backend last answered it.
@@ -32,6 +34,9 @@
 	answered []Fingerprint
 	// answeredParts are suspected parts of prompts that backends have answered.
 	answeredParts []answeredPart
+	// trials are quarantined requests that the node wants to run as a trial, endedTrials trials that have ended.
+	trials      []Fingerprint
+	endedTrials []endedTrial
 	// all is set by a node that requests all announcements.
 	all bool
 }
@@ -44,14 +49,20 @@
 	announced []Announcement
 	// countsParts is set by a coordinator that counts the crashes of parts of prompts.
 	countsParts bool
+	// trials are the decisions on the trials of the report, in its order.
+	trials []TrialDecision
 }
 
 func encodeReport(now time.Duration, reported report) *peerpb.ReportCrashes {
-	encoded := &peerpb.ReportCrashes{All: reported.all}
+	encoded := &peerpb.ReportCrashes{All: reported.all, Trials: encodeFingerprints(reported.trials)}
+	for _, ended := range reported.endedTrials {
+		encoded.EndedTrials = append(encoded.EndedTrials, &peerpb.EndedTrial{Request: ended.request[:], Reached: ended.reached})
+	}
 	for _, evidence := range reported.evidence {
 		encoded.Evidence = append(encoded.Evidence, &peerpb.CrashEvidence{
 			Request: evidence.Request[:], Backend: evidence.Backend, AgeMs: (now - evidence.At).Milliseconds(),
 			Parts: encodeParts(evidence.Parts), Written: evidence.Written,
+			BeganAgoMs: (now - evidence.Run.began).Milliseconds(), EndedAgoMs: (now - evidence.Run.ended).Milliseconds(),
 		})
 	}
 	for _, answered := range reported.answeredParts {
@@ -67,7 +78,12 @@
 
 // decodeReport skips invalid fingerprints: another version may have sent them.
 func decodeReport(now time.Duration, encoded *peerpb.ReportCrashes) report {
-	reported := report{all: encoded.GetAll()}
+	reported := report{all: encoded.GetAll(), trials: decodeFingerprints(encoded.GetTrials())}
+	for _, ended := range encoded.GetEndedTrials() {
+		if request, valid := fromBytes(ended.GetRequest()); valid {
+			reported.endedTrials = append(reported.endedTrials, endedTrial{request, ended.GetReached()})
+		}
+	}
 	for _, evidence := range encoded.GetEvidence() {
 		request, valid := fromBytes(evidence.GetRequest())
 		if !valid {
@@ -76,7 +92,7 @@
 		age := peer.Millis(max(0, evidence.GetAgeMs()))
 		reported.evidence = append(reported.evidence, Evidence{
 			Request: request, Backend: evidence.GetBackend(), At: now - age,
-			Parts: decodeParts(evidence.GetParts()), Written: evidence.GetWritten(),
+			Parts: decodeParts(evidence.GetParts()), Written: evidence.GetWritten(), Run: decodeRun(now, age, evidence),
 		})
 	}
 	for _, answered := range encoded.GetAnsweredParts() {
@@ -93,6 +109,16 @@
 	return reported
 }
 
+// decodeRun returns when a request was at a backend. An earlier build states neither time: the run counts as one that began when
+// the backend ended.
+func decodeRun(now, age time.Duration, evidence *peerpb.CrashEvidence) span {
+	began, ended := peer.Millis(max(0, evidence.GetBeganAgoMs())), peer.Millis(max(0, evidence.GetEndedAgoMs()))
+	if began < ended || began == 0 {
+		return span{now - age, now - age}
+	}
+	return span{now - began, now - ended}
+}
+
 func encodeReportResponse(response reportResponse) *peerpb.CrashStandings {
 	encoded := &peerpb.CrashStandings{CountsParts: response.countsParts}
 	for _, status := range response.statuses {
@@ -103,6 +129,9 @@
 	for _, announcement := range response.announced {
 		encoded.Announced = append(encoded.Announced, EncodeAnnouncement(announcement))
 	}
+	for _, decision := range response.trials {
+		encoded.Trials = append(encoded.Trials, &peerpb.TrialDecision{Granted: decision.Granted, WaitMs: decision.Wait.Milliseconds()})
+	}
 	return encoded
 }
 
@@ -113,6 +142,10 @@
 			Crashes: int(status.GetCrashes()), Quarantined: peer.Millis(status.GetQuarantinedMs()),
 		})
 	}
+	for _, decision := range encoded.GetTrials() {
+		wait := min(max(minTrialWait, peer.Millis(decision.GetWaitMs())), quarantineDuration)
+		response.trials = append(response.trials, TrialDecision{Granted: decision.GetGranted(), Wait: wait})
+	}
 	for _, announcement := range encoded.GetAnnounced() {
 		if decoded, valid := decodeAnnouncement(announcement); valid {
 			response.announced = append(response.announced, decoded)
@@ -126,6 +159,7 @@
 	return &peerpb.CrashAnnouncement{
 		Request: announcement.Request[:], Backends: announcement.Backends, QuarantinedMs: announcement.Quarantined.Milliseconds(),
 		Parts: encodeFingerprints(announcement.Parts), Exempt: encodeFingerprints(announcement.Exempt),
+		Successive: int32(announcement.Successive),
 	}
 }
 
@@ -134,6 +168,7 @@
 	return Announcement{
 		Request: request, Backends: encoded.GetBackends(), Quarantined: min(max(0, peer.Millis(encoded.GetQuarantinedMs())), quarantineDuration),
 		Parts: decodeFingerprints(encoded.GetParts()), Exempt: decodeFingerprints(encoded.GetExempt()),
+		Successive: max(0, int(encoded.GetSuccessive())),
 	}, valid
 }
 
