Streams that two crashes have broken off go on

Cause: two ends without an answer were taken for proof. A sound stream that goes on at the next engine gives the same evidence.

Evidence: each refused stream logs quarantined=true at its second end, and no other reason for a rejection occurs.

Change: from two ends on nodes count together, and from three on the request is kept away. Why it works: what is certain after three ends is as before, BUDGET counts from the third crash, and nothing before that refuses a stream.

The tests of requests and parts that crash engines are unchanged.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -34,8 +34,9 @@
 	Record Fingerprint
 }
 
-// IsBlocked reports whether the request must not run, except as a trial.
-func (s Status) IsBlocked() bool { return s.Quarantined > 0 }
+// IsBlocked reports whether the request must not run, except as a trial. A request that fewer backends have ended under is
+// suspected, but runs on: two crashes may break off a sound one as well.
+func (s Status) IsBlocked() bool { return s.Quarantined > 0 && s.Crashes >= quarantineCrashes }
 
 // Suspect reports whether the request is announced to all nodes.
 func (s Status) Suspect() bool { return s.Crashes >= suspectCrashes || s.Quarantined > 0 }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -65,7 +65,7 @@
 	if t.isRunning(now, crashes.status) {
 		return min(t.runningUntil-now, maxRunningWait), true
 	}
-	if crashes.status.Crashes < quarantineCrashes || t.used >= maxTrials || crashes.successive >= quarantineCrashes {
+	if t.used >= maxTrials || crashes.successive >= quarantineCrashes {
 		return crashes.status.Quarantined, false
 	}
 	due := max(crashes.last, t.changedAt) + delayBefore(t.used)
