A new quarantine coordinator keeps what the one before has announced

Cause: nodes learn of a new coordinator before it does, and send it all their evidence. It announced the two crashes that it had counted, and its newer record replaced the one of seven crashes, before it adopted the earlier announcements.

Evidence: both records in the log, 1.2 s apart, and a run at each of two nodes after the second.

Change: with evidence of a request that it has no record of, a coordinator first adopts the last announcement that its node has received. Why it works: it then announces at least as much as was known, whichever call comes first.

Tests: TestReportBeforeAdoptionKeepsQuarantine fails without the change.

--- a/quarantine/archive_test.go
+++ b/quarantine/archive_test.go
@@ -113,6 +113,28 @@
 	g.Expect(second.announced[request].Status()).To(Equal(Status{}))
 }
 
+// TestReportBeforeAdoptionKeepsQuarantine has a node report a crash to a coordinator that has not adopted the announcements of the
+// one before. It guards against an announcement of this crash alone, which ended the quarantine at all nodes.
+func TestReportBeforeAdoptionKeepsQuarantine(t *testing.T) {
+	g := NewWithT(t)
+	request := testRequest(1)
+	earlier := Announcement{Request: request, Backends: []string{"a", "b", "c"}, Quarantined: quarantineDuration}
+	var announced []Announcement
+	coordinator := NewCoordinator(CoordinatorOptions{
+		Announce: func(announcement Announcement) { announced = append(announced, announcement) },
+		Known:    func(asked Fingerprint) (Announcement, bool) { return earlier, asked == request },
+		Now:      func() time.Duration { return time.Hour },
+	})
+	for _, backend := range []string{"a", "b"} {
+		coordinator.handle(report{evidence: []Evidence{{Request: request, Backend: backend, At: time.Hour - time.Minute}}})
+	}
+	g.Expect(announced).To(BeEmpty())
+	coordinator.handle(report{evidence: []Evidence{{Request: request, Backend: "d", At: time.Hour}}})
+	g.Expect(announced).To(HaveLen(1))
+	g.Expect(announced[0].Backends).To(Equal([]string{"a", "b", "c", "d"}))
+	g.Expect(announced[0].Quarantined).To(Equal(quarantineDuration))
+}
+
 // TestInvalidObjectsAreKept checks that objects that cannot be decoded restore nothing, and are not removed.
 func TestInvalidObjectsAreKept(t *testing.T) {
 	g := NewWithT(t)
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -9,6 +9,8 @@
 type CoordinatorOptions struct {
 	// Announce sends an announcement to all nodes. It must not call the coordinator.
 	Announce func(announcement Announcement)
+	// Known returns the last announcement of a request that this node has received, from whichever coordinator. Default: none.
+	Known func(request Fingerprint) (known Announcement, found bool)
 	// Now reads a clock that also advances while the machine is suspended.
 	Now func() time.Duration
 }
@@ -59,6 +61,9 @@
 
 // NewCoordinator returns a coordinator without records.
 func NewCoordinator(options CoordinatorOptions) *Coordinator {
+	if options.Known == nil {
+		options.Known = func(Fingerprint) (Announcement, bool) { return Announcement{}, false }
+	}
 	return &Coordinator{
 		options: options, table: NewTable(), announced: map[Fingerprint]receivedStatus{},
 		trials: map[Fingerprint]*trials{}, parts: newPartTable(), announcedGroups: map[Fingerprint]announcedGroup{},
@@ -82,6 +87,7 @@
 	response := reportResponse{statuses: make([]Status, len(reported.evidence)), countsParts: true}
 	for i, evidence := range reported.evidence {
 		if now-evidence.At < evidenceLifetime {
+			c.adoptKnown(now, evidence.Request)
 			c.table.AddRun(evidence.At, evidence.Request, evidence.Backend, evidence.Run)
 			c.parts.add(evidence.At, evidence.Backend, evidence.Request, evidence.Parts, evidence.Written)
 			c.noteCrash(evidence.At)
@@ -101,6 +107,17 @@
 	return response
 }
 
+// adoptKnown applies what an earlier coordinator has announced of a request that this one has no record of; the lock is held. Nodes
+// may report to a coordinator before it knows that it has been chosen, and what it announces then must not replace more with less.
+func (c *Coordinator) adoptKnown(now time.Duration, request Fingerprint) {
+	if c.table.includes(request) {
+		return
+	}
+	if earlier, found := c.options.Known(request); found && len(earlier.Parts) == 0 {
+		c.adopt(now, earlier)
+	}
+}
+
 // clear removes the record of a request; the lock is held.
 func (c *Coordinator) clear(now time.Duration, request Fingerprint) {
 	c.table.Answered(request)
--- a/router/quarantine.go
+++ b/router/quarantine.go
@@ -16,7 +16,9 @@
 // newQuarantines creates the node's parts of the quarantine protocol: the client, the coordinator
 // in case this node is selected for it, and the archive in the store.
 func (r *Router) newQuarantines() {
-	r.quarantineCoordinator = quarantine.NewCoordinator(quarantine.CoordinatorOptions{Announce: r.announceQuarantine, Now: r.now})
+	r.quarantineCoordinator = quarantine.NewCoordinator(quarantine.CoordinatorOptions{
+		Announce: r.announceQuarantine, Known: r.knownQuarantine, Now: r.now,
+	})
 	r.quarantines = quarantine.NewClient(quarantine.ClientOptions{
 		Coordinators: r.assigner, Peers: r.client, LocalCoordinator: r.quarantineCoordinator, BecameCoordinator: r.adoptQuarantines, Now: r.now,
 	})
@@ -73,6 +75,18 @@
 		"exempt", len(announcement.Exempt), "source", string(change.Source))
 }
 
+// knownQuarantine returns the last announcement of a request that this node has received.
+func (r *Router) knownQuarantine(request quarantine.Fingerprint) (quarantine.Announcement, bool) {
+	for _, known := range r.replica.Records([]replica.Key{{Kind: quarantine.Kind, Name: request.String()}}) {
+		if known.Deleted {
+			continue
+		}
+		announcement, err := quarantine.DecodeRecord(time.Now(), known.Object.Name, known.Object.Spec)
+		return announcement, err == nil
+	}
+	return quarantine.Announcement{}, false
+}
+
 // fingerprintNames returns the names of fingerprints, as logged.
 func fingerprintNames(fingerprints []quarantine.Fingerprint) []string {
 	names := make([]string, len(fingerprints))
