A response that is reset during the upload does not look complete

Cause: the operating system reports a reset once. It went to the goroutine that writes the upload, and the one that reads saw the end of the connection without an error, which is the regular end of a response without a length.

Change: package resetconn. At the end of a connection a read waits for a write in progress, which ends as well if the connection was reset, and fails if a write has failed. Why it works: whichever goroutine is told, the read knows before it reports the end. Used wherever responses are read: servers, tunnels at both nodes, the store, engines and services of the product's own interface.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/reelrun/reelrun/clock"
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/requesttarget"
+	"github.com/reelrun/reelrun/resetconn"
 )
 
 const (
@@ -115,7 +116,7 @@
 		t.recordDirectFailure(ctx, address)
 		return nil, dialError{err}
 	}
-	opened := &Conn{Conn: conn}
+	opened := &Conn{Conn: resetconn.New(conn)}
 	if t.tracker != nil {
 		t.tracker.DirectOpened(address)
 		opened.heard = t.tracker.Heard
--- a/backendhttp/paths.go
+++ b/backendhttp/paths.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backendpath"
+	"github.com/reelrun/reelrun/resetconn"
 )
 
 const (
@@ -75,7 +76,7 @@
 		return nil, dialError{err}
 	}
 	t.tracker.TunnelOpened(address)
-	return &Conn{Conn: conn, via: via, heard: t.tracker.Heard}, nil
+	return &Conn{Conn: resetconn.New(conn), via: via, heard: t.tracker.Heard}, nil
 }
 
 // Refuses reports whether nothing listens at an address. It is false if the connection is
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/reelrun/reelrun/objectapi"
 	"github.com/reelrun/reelrun/operator"
 	"github.com/reelrun/reelrun/requestbody"
+	"github.com/reelrun/reelrun/resetconn"
 	"github.com/reelrun/reelrun/service"
 	"github.com/reelrun/reelrun/settings"
 	"github.com/reelrun/reelrun/tlsfiles"
@@ -85,7 +86,7 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: backendDialTimeout}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerBackend,
+		DialContext: resetconn.Dialer(dialer.DialContext), MaxIdleConnsPerHost: maxIdlePerBackend,
 		IdleConnTimeout: idleTimeout, DisableCompression: true,
 	}
 }
--- a/peer/tunnel.go
+++ b/peer/tunnel.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/peer/peerpb"
+	"github.com/reelrun/reelrun/resetconn"
 )
 
 // LaneTunnel carries tunnels to backends, whose bytes must not delay the calls between nodes.
@@ -174,17 +175,18 @@
 
 // serveTunnel answers a request for a tunnel, and passes the bytes of both directions on until either end is closed.
 func (s *Server) serveTunnel(caller *stream, request *peerpb.Request) {
-	conn, state := s.openTunnel(s.ctx, request.GetOpenTunnel().GetAddress())
+	opened, state := s.openTunnel(s.ctx, request.GetOpenTunnel().GetAddress())
 	response := &peerpb.Response{
 		Stamp: uint64(s.clock.Now()),
 		Body:  &peerpb.Response_TunnelResult{TunnelResult: &peerpb.TunnelResult{State: state}},
 	}
-	if conn != nil {
-		defer func() { _ = conn.Close() }()
+	if opened != nil {
+		defer func() { _ = opened.Close() }()
 	}
-	if err := writeMessage(caller, response); err != nil || conn == nil {
+	if err := writeMessage(caller, response); err != nil || opened == nil {
 		return
 	}
+	conn := resetconn.New(opened)
 	closeBoth := func() {
 		_ = conn.Close()
 		_ = caller.SetDeadline(time.Now())
--- a/peer/tunnel_test.go
+++ b/peer/tunnel_test.go
@@ -112,6 +112,31 @@
 	g.Expect(conn.Close()).To(Succeed())
 }
 
+// TestResetDuringUploadThroughTunnelIsNoRegularEnd resets the connection to a backend while more is being written to it than it takes. It
+// guards against a response that looks complete behind a tunnel because the write was told of the reset, and not the read.
+func TestResetDuringUploadThroughTunnelIsNoRegularEnd(t *testing.T) {
+	checkLeaks(t)
+	g := NewWithT(t)
+	const response = "response"
+	backend := serveBackend(t, func(conn *net.TCPConn) {
+		_, _ = conn.Write([]byte(response))
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.SetLinger(0)
+		_ = conn.Close()
+	})
+	client, _, node := tunnelPair(t, dialTunnel)
+	for range 30 {
+		conn := openTunnel(t, client, node, backend)
+		var upload sync.WaitGroup
+		upload.Go(func() { _, _ = conn.Write(make([]byte, 16<<20)) })
+		received, err := io.ReadAll(conn)
+		g.Expect(string(received)).To(Equal(response))
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(conn.Close()).To(Succeed())
+		upload.Wait()
+	}
+}
+
 // TestCutTunnelDoesNotLookComplete guards against responses that are cut off behind a tunnel and look complete, because
 // their end is the end of their connection.
 func TestCutTunnelDoesNotLookComplete(t *testing.T) {
