Bytes that are no HTTP are not passed on as an answer

Cause: net/http accepts each status of three digits, any version, blanks in and behind names, joins a line that begins with a blank to the value before it and drops one without a name. Nothing behind it checked.

Change: package responsehead. The parsed head must be of HTTP/1, with a status from 200 to 599 and tokens as names; a scanner checks the names in the bytes as they are read, because the parsed head shows neither joined nor dropped lines. What fails closes its connection and counts as possibly run. Why it works: all calls to servers, direct and through tunnels, read through backendhttp; the store's and the own engines' clients check the parsed head.

--- a/backendhttp/exchange.go
+++ b/backendhttp/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/reelrun/reelrun/gateway"
 	"github.com/reelrun/reelrun/requesttarget"
 	"github.com/reelrun/reelrun/resetconn"
+	"github.com/reelrun/reelrun/responsehead"
 )
 
 const (
@@ -44,6 +45,8 @@
 	via string
 	// heard is called for each successful read; nil for nothing.
 	heard func()
+	// head checks the heads of its responses.
+	head responsehead.Scanner
 	// carried are the identifiers of its requests.
 	carried recentIdentifiers
 }
@@ -51,6 +54,7 @@
 // Read implements net.Conn.
 func (c *Conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	c.head.Scan(data[:n])
 	if n > 0 && c.heard != nil {
 		c.heard()
 	}
@@ -217,6 +221,7 @@
 		if used == nil {
 			return
 		}
+		used.head.Expect()
 		writtenBefore = used.written.Load()
 		if carriedBefore = used.carried.add(identifier); carriedBefore {
 			_ = used.Close()
@@ -227,7 +232,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	if err == nil {
-		return response, used, nil
+		return checked(response, used)
 	}
 	isUnsent := used == nil || used.written.Load() == writtenBefore
 	if carriedBefore && isUnsent {
@@ -248,6 +253,19 @@
 	return nil, used, err
 }
 
+// checked returns a response if what the backend has sent is one.
+func checked(response *http.Response, used *Conn) (*http.Response, *Conn, error) {
+	err := responsehead.Check(response)
+	if err == nil && used != nil {
+		err = used.head.Err()
+	}
+	if err != nil {
+		Abandon(response, used)
+		return nil, used, err
+	}
+	return response, used, nil
+}
+
 // notSentError is a failure before the first byte of a request was sent. Of its cause it has only the text: whether
 // the cause was a timeout does not matter to the sender of a request that has certainly not run.
 type notSentError struct{ cause error }
--- a/engine/client.go
+++ b/engine/client.go
@@ -17,6 +17,7 @@
 	"github.com/google/uuid"
 
 	"github.com/reelrun/reelrun/api"
+	"github.com/reelrun/reelrun/responsehead"
 )
 
 const (
@@ -219,6 +220,10 @@
 		}
 		return nil, unknownOutcome(err)
 	}
+	if err := responsehead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, unknownOutcome(err)
+	}
 	if named := response.Header.Get(HeaderCallID); named != callID {
 		_ = response.Body.Close()
 		return nil, unknownOutcome(errors.Wrapf(ErrCallMismatch, "status %d to call %q", response.StatusCode, named))
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/reelrun/reelrun/responsehead"
 )
 
 // APIVersion is the API group and version of reelrun's kinds.
@@ -219,6 +221,10 @@
 	if err != nil {
 		return nil, errors.CombineErrors(ErrUnavailable, err)
 	}
+	if err := responsehead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, errors.CombineErrors(ErrUnavailable, err)
+	}
 	return response, nil
 }
 
