--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -59,9 +59,9 @@
 	return nextTrialDelay
 }
 
-// wait returns how long it takes until the next trial is due; zero if it is due. It reports false if there will be none before the
+// wait returns how long it takes until the next trial is due; zero if it is due. It reports whether there will be one before the
 // quarantine ends.
-func (t *trials) wait(now time.Duration, crashes crashSummary) (wait time.Duration, any bool) {
+func (t *trials) wait(now time.Duration, crashes crashSummary) (wait time.Duration, isLeft bool) {
 	if t.isRunning(now, crashes.status) {
 		return min(t.runningUntil-now, maxRunningWait), true
 	}
@@ -79,8 +79,8 @@
 
 // isDue reports whether the next trial is due and has not been recorded.
 func (t *trials) isDue(now time.Duration, crashes crashSummary) bool {
-	wait, any := t.wait(now, crashes)
-	return any && wait == 0 && t.recorded == t.used
+	wait, isLeft := t.wait(now, crashes)
+	return isLeft && wait == 0 && t.recorded == t.used
 }
 
 // begin decides on a trial, and notes it if it is granted.
