New streams begin at a published version before others are published

Without the nodes' memory a stream goes on only where the record in the store names a single version, and a version serves before it is written there: within 200 ms, or for as long as the store is away.

Change: while the record as the node knows it names one version and engines of others are there, new streams that may be resumed begin at the published one if an engine of it is ready. Why it works: what is not proved yet does not begin what a proof will be asked for; nobody is turned away, and no stream waits.

--- a/backend/sample.go
+++ b/backend/sample.go
@@ -90,6 +90,18 @@
 	return false
 }
 
+// HasOtherVersion reports whether a service has backends of another software version than the given one.
+func (r *Registry) HasOtherVersion(service, version string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for key := range r.groups {
+		if key.service == service && key.version != version {
+			return true
+		}
+	}
+	return false
+}
+
 // SoftwareVersions returns the software versions of the backends of each service, sorted.
 func (r *Registry) SoftwareVersions() map[string][]string {
 	r.mu.RLock()
--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -38,6 +38,7 @@
 // is unresponsive for too long, another one continues its stream once it is ready to.
 func (x *exchange) generate(ctx context.Context, profile *routing.EngineProfile) error {
 	defer func() { x.freeKeptPrompt(ctx) }()
+	x.beginAtPublished()
 	stream := &streamRelay{exchange: x, profile: profile, lastID: x.request.Generation.LastEventID, avoid: map[string]bool{}}
 	var next *preparedRun
 	for {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -91,6 +91,9 @@
 	// Single returns the only version that a service has had for longer than callers wait for streams, or an error that says
 	// why that is not known.
 	Single(ctx context.Context, service string) (string, error)
+	// OnlyPublished returns the version of a service if no other one is known to be published. A stream that begins at another
+	// version would be taken for one of this version, once all nodes are lost.
+	OnlyPublished(service string) (version string, isOnly bool)
 }
 
 // Quotas enforces the quotas of tenants over all nodes.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -69,6 +69,23 @@
 	return streamorigin.Origin{Service: x.service, Version: version}, sourceSingleVersion, nil
 }
 
+// beginAtPublished has a new stream that may be resumed begin at the only published version of its service while backends of others
+// have appeared, unless none of that version is ready.
+func (x *exchange) beginAtPublished() {
+	versions := x.handler.options.SoftwareVersions
+	if versions == nil || !x.route.Resumable || x.request.Generation.resumesStream() {
+		return
+	}
+	published, isOnly := versions.OnlyPublished(x.service)
+	if !isOnly || !x.handler.options.Backends.HasOtherVersion(x.service, published) {
+		return
+	}
+	required := backend.RequireVersion(published)
+	if x.handler.options.Backends.HasReady(x.service, backend.RoleDecode, required) {
+		x.version = required
+	}
+}
+
 // beginningAttempt identifies the attempt that brought the first event of the request's stream; empty if unknown.
 func (x *exchange) beginningAttempt() string {
 	if x.request.Generation.resumesStream() {
--- a/router/router.go
+++ b/router/router.go
@@ -292,7 +292,7 @@
 		Quarantine:  r.quarantines,
 		Streams:     r.streams,
 		// The origin of a stream without a record is known if its service has had a single version.
-		SoftwareVersions: r.versionProver,
+		SoftwareVersions: recordedVersions{r.versionProver, r.versionPublisher},
 		Admission:        r.admission,
 		Freshness:        r.freshness,
 		// Failures of this node's own link must not exclude engines that other nodes reach.
--- a/router/streams.go
+++ b/router/streams.go
@@ -25,6 +25,12 @@
 	r.versionProver = softwareversions.NewProver(options)
 }
 
+// recordedVersions tells what is published of the software versions, as this node knows it and as the store has it.
+type recordedVersions struct {
+	*softwareversions.Prover
+	*softwareversions.Publisher
+}
+
 // streamKeepers returns the responsive nodes that keep records of where streams began, this one included. Nodes that are
 // cut off from the majority keep records as well: a record is right wherever it is found.
 func (r *Router) streamKeepers() []streamorigin.Node {
--- a/softwareversions/publisher.go
+++ b/softwareversions/publisher.go
@@ -72,6 +72,17 @@
 	return nil
 }
 
+// OnlyPublished returns the version of a service if this node knows of no other published one.
+func (p *Publisher) OnlyPublished(service string) (version string, isOnly bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	versions := p.published.Services[service]
+	if len(versions) != 1 {
+		return "", false
+	}
+	return versions[0], true
+}
+
 // Reconcile publishes what is missing. Position is the number of nodes that should do so before this one; negative for
 // a node that only observes.
 func (p *Publisher) Reconcile(ctx context.Context, position int) {
