--- a/gateway/generate.go
+++ b/gateway/generate.go
@@ -236,7 +236,7 @@
 	}
 	x.runs++
 	reserved.responded = true
-	if !x.confirmIncarnation(ctx, reserved) || !x.confirmBeginning(ctx, reserved) {
+	if !x.confirmIncarnation(ctx, reserved) {
 		// The engine may have restarted while the prompt was prefilled. None of its events has been passed on.
 		_ = response.Body.Close()
 		return nil, &attemptError{failure: unknown(ReasonVersionUnavailable, errOutdatedEntry), arrived: true, ran: true}
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
-	"github.com/reelrun/reelrun/coordinator"
 	"github.com/reelrun/reelrun/streamorigin"
 )
 
@@ -96,28 +95,6 @@
 	x.handler.options.Streams.Record(key, origin)
 }
 
-// confirmBeginning reports whether an engine may begin a stream that its caller may resume: not if it says that it runs since another start
-// than discovery describes, perhaps with another version. Once all nodes are lost, the version that discovery described would be taken for
-// that of the stream. An engine that does not answer may.
-func (x *exchange) confirmBeginning(ctx context.Context, reserved *reservedEngine) bool {
-	described := reserved.entry.Backend()
-	_, isLimited := reserved.entry.RequestLimit()
-	if !x.route.Resumable || x.originSource != "" || described.StartedAt == 0 || isLimited {
-		return true
-	}
-	startedAt, err := x.startOf(ctx, reserved.entry)
-	if err != nil {
-		return true
-	}
-	origin := streamorigin.Origin{StartedAt: described.StartedAt}.Started(startedAt, true)
-	reserved.isConfirmed = origin.IsConfirmed
-	if origin.IsUndescribed {
-		reserved.rejection = coordinator.RejectionUnavailable
-		x.handler.logUnconfirmed(x, described, startedAt, nil)
-	}
-	return !origin.IsUndescribed
-}
-
 // startOf asks a backend when it started, in Unix milliseconds; zero if the backend does not state it.
 func (x *exchange) startOf(ctx context.Context, entry *backend.Entry) (int64, error) {
 	if entry.BackoffRemaining() > 0 {
--- a/gateway/reserve.go
+++ b/gateway/reserve.go
@@ -37,8 +37,6 @@
 	reservation Reservation
 	// version is the version of the engine's software.
 	version string
-	// isConfirmed is set once the engine has confirmed that it runs since the start that discovery describes.
-	isConfirmed bool
 	// prefillEngine is the engine assigned to prefill the prompt; empty for any.
 	prefillEngine string
 	// localPrefill is set if the decode engine is to prefill the prompt.
--- a/gateway/resume.go
+++ b/gateway/resume.go
@@ -106,7 +106,6 @@
 		engine := reserved.entry.Backend()
 		x.origin = streamorigin.Origin{
 			Service: x.service, Version: reserved.version, Backend: engine.RegisteredAs, StartedAt: engine.StartedAt,
-			IsConfirmed: reserved.isConfirmed,
 		}
 		x.originSource = sourceResponse
 		x.version = backend.RequireVersion(reserved.version)
@@ -114,7 +113,7 @@
 	if streams := x.handler.options.Streams; streams == nil || !x.route.Resumable || x.beginningAttempt() == "" {
 		return
 	}
-	if x.originSource == sourceResponse && x.origin.StartedAt != 0 && !x.origin.IsConfirmed {
+	if x.originSource == sourceResponse && x.origin.StartedAt != 0 {
 		x.handler.options.Streams.Keep(x.streamKey(), x.origin)
 		go x.confirmOrigin(x.streamKey(), x.origin, reserved.entry)
 		return
