Streams of restarted engines do not join versions after the loss of all nodes

Cause: the record that proves a single version has the versions of entries only. That a stream began at a start that no entry describes was known to the nodes' memory alone.

Change: the node that has begun a stream asks the engine for its start anyway; if no entry describes it, the start is published in the same record, at once and by that node, until an entry describes it or ten minutes have passed by the time in the record, the same for all nodes. Whoever needs the proof takes the version of each published start from its entry, and has none otherwise. Why it works: the proof now covers what streams began with, not what entries said. A restart with the same version costs the proof only until the next entry. 256 starts of 80 bytes at most.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -21,6 +21,7 @@
 	"github.com/reelrun/reelrun/requesttarget"
 	"github.com/reelrun/reelrun/retrybudget"
 	"github.com/reelrun/reelrun/routing"
+	"github.com/reelrun/reelrun/softwareversions"
 	"github.com/reelrun/reelrun/streamorigin"
 	"github.com/reelrun/reelrun/tenant"
 )
@@ -94,6 +95,8 @@
 	// OnlyPublished returns the version of a service if no other one is known to be published. A stream that begins at another
 	// version would be taken for one of this version, once all nodes are lost.
 	OnlyPublished(service string) (version string, isOnly bool)
+	// Undescribed records that a stream has begun at a start of its backend that discovery did not describe.
+	Undescribed(start softwareversions.Start)
 }
 
 // Quotas enforces the quotas of tenants over all nodes.
--- a/gateway/incarnation.go
+++ b/gateway/incarnation.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/reelrun/reelrun/backend"
+	"github.com/reelrun/reelrun/softwareversions"
 	"github.com/reelrun/reelrun/streamorigin"
 )
 
@@ -91,6 +92,9 @@
 		startedAt, err := x.startOf(context.Background(), entry)
 		origin = origin.Started(startedAt, err == nil)
 	}
+	if versions := x.handler.options.SoftwareVersions; versions != nil && origin.IsUndescribed {
+		versions.Undescribed(softwareversions.Start{Service: origin.Service, Backend: origin.Backend, StartedAt: origin.StartedAt})
+	}
 	x.confirmedOrigin.Store(&origin)
 	x.handler.options.Streams.Record(key, origin)
 }
--- a/router/streams.go
+++ b/router/streams.go
@@ -18,13 +18,22 @@
 func (r *Router) newStreams() {
 	r.streams = streamorigin.NewClient(streamorigin.ClientOptions{Own: r.Own(), Nodes: r.streamKeepers, Peers: r.client, Now: r.now})
 	options := softwareversions.PublisherOptions{
-		Store: r.options.Environment.Store, Present: r.backends.SoftwareVersions, Epoch: r.storeEpoch.Load, Now: r.now, Logger: r.options.Logger,
+		Store: r.options.Environment.Store, Present: r.backends.SoftwareVersions, VersionOf: r.versionOfStart, Epoch: r.storeEpoch.Load, Now: r.now, Logger: r.options.Logger,
 		Announce: func(object objectapi.Object) { r.replica.Apply(replica.SourceStore, replica.Record{Object: object}) },
 	}
 	r.versionPublisher = softwareversions.NewPublisher(options)
 	r.versionProver = softwareversions.NewProver(options)
 }
 
+// versionOfStart returns the software version of a start of a backend, if its entry describes it.
+func (r *Router) versionOfStart(start softwareversions.Start) (string, bool) {
+	entry := r.backends.Registered(start.Backend)
+	if entry == nil || entry.Backend().StartedAt != start.StartedAt {
+		return "", false
+	}
+	return entry.Backend().SoftwareVersion, true
+}
+
 // recordedVersions tells what is published of the software versions, as this node knows it and as the store has it.
 type recordedVersions struct {
 	*softwareversions.Prover
--- a/softwareversions/prover.go
+++ b/softwareversions/prover.go
@@ -54,7 +54,10 @@
 }
 
 // NewProver returns a prover that has read nothing.
-func NewProver(options PublisherOptions) *Prover { return &Prover{options: options} }
+func NewProver(options PublisherOptions) *Prover {
+	options.setDefaults()
+	return &Prover{options: options}
+}
 
 // Single returns the only version that a service has had of late, or an error that says why that is not known.
 func (p *Prover) Single(ctx context.Context, service string) (string, error) {
@@ -75,7 +78,11 @@
 	if published.Epoch < max(p.options.Epoch(), objectapi.EpochOf(object.Version)) {
 		return "", ErrIncomplete
 	}
-	versions := slices.Concat(published.Services[service], p.options.Present()[service])
+	started, err := p.versionsOfStarts(service, published.Starts)
+	if err != nil {
+		return "", err
+	}
+	versions := slices.Concat(published.Services[service], p.options.Present()[service], started)
 	slices.Sort(versions)
 	versions = slices.Compact(versions)
 	if len(versions) != 1 || len(published.Services[service]) == 0 {
@@ -84,6 +91,25 @@
 	return versions[0], nil
 }
 
+// versionsOfStarts returns the versions of the published starts of a service's backends, or ErrSeveral if one is not known.
+func (p *Prover) versionsOfStarts(service string, starts []PublishedStart) ([]string, error) {
+	if len(starts) >= maxStarts {
+		return nil, errors.Wrap(ErrSeveral, "too many starts without a version")
+	}
+	var versions []string
+	for _, start := range starts {
+		if start.Service != service {
+			continue
+		}
+		version, isDescribed := p.options.VersionOf(start.Start)
+		if !isDescribed {
+			return nil, errors.Wrapf(ErrSeveral, "start of %s without a version", start.Backend)
+		}
+		versions = append(versions, version)
+	}
+	return versions, nil
+}
+
 // record returns the published object from a read that begins now or later.
 func (p *Prover) record(ctx context.Context) (objectapi.Object, error) {
 	p.mu.Lock()
--- a/softwareversions/publisher.go
+++ b/softwareversions/publisher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,10 @@
 	Store objectapi.Store
 	// Present returns the software versions of the backends of each service.
 	Present func() map[string][]string
+	// VersionOf returns the version of a start of a backend. Default: no start is described.
+	VersionOf StartVersion
+	// Wall reads the wall clock. Default: time.Now.
+	Wall func() time.Time
 	// Epoch returns the newest known epoch of the store.
 	Epoch func() int64
 	// Announce sends the published object to the other nodes.
@@ -41,6 +46,7 @@
 
 	mu      sync.Mutex
 	tracker tracker
+	starts  startTracker
 	// published is the record as this node last received or wrote it, and version that of its object; zero for none.
 	published Record
 	version   int64
@@ -53,7 +59,26 @@
 
 // NewPublisher returns a publisher that knows no record.
 func NewPublisher(options PublisherOptions) *Publisher {
-	return &Publisher{options: options, tracker: tracker{seen: versionSets[time.Duration]{}}}
+	options.setDefaults()
+	return &Publisher{options: options, tracker: tracker{seen: versionSets[time.Duration]{}}, starts: startTracker{}}
+}
+
+// setDefaults sets the options that are not set.
+func (o *PublisherOptions) setDefaults() {
+	if o.VersionOf == nil {
+		o.VersionOf = func(Start) (string, bool) { return "", false }
+	}
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+}
+
+// Undescribed has a start published at which a stream has begun although discovery describes another one.
+func (p *Publisher) Undescribed(start Start) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Wall()
+	p.starts.note(now, now.Add(retention), start)
 }
 
 // Received applies the published object, as read from the store or sent by another node.
@@ -69,6 +94,9 @@
 	}
 	p.published, p.version = record, object.Version
 	p.tracker.receive(p.options.Now(), record)
+	for _, published := range record.Starts {
+		p.starts.note(p.options.Wall(), time.UnixMilli(published.UntilMillis), published.Start)
+	}
 	return nil
 }
 
@@ -84,7 +112,7 @@
 }
 
 // Reconcile publishes what is missing. Position is the number of nodes that should do so before this one; negative for
-// a node that only observes.
+// a node that only observes. Starts are published by each node at once: others may not know of them.
 func (p *Publisher) Reconcile(ctx context.Context, position int) {
 	wanted, version, due := p.due(position)
 	if !due {
@@ -105,6 +133,10 @@
 	now, epoch := p.options.Now(), p.options.Epoch()
 	p.tracker.observe(now, p.options.Present(), epoch)
 	wanted = p.tracker.wanted(now, p.published, epoch)
+	wanted.Starts = p.starts.wanted(p.options.Wall(), p.options.VersionOf)
+	if lacksAny(p.published.Starts, wanted.Starts) {
+		position = 0
+	}
 	if wanted.equal(p.published) || len(wanted.Services) == 0 {
 		p.isIncomplete = false
 		return Record{}, 0, false
@@ -116,6 +148,13 @@
 	return wanted, p.version, isTurn && now >= p.pausedUntil
 }
 
+// lacksAny reports whether a list lacks any of the given starts.
+func lacksAny(list, starts []PublishedStart) bool {
+	return slices.ContainsFunc(starts, func(wanted PublishedStart) bool {
+		return !slices.ContainsFunc(list, func(published PublishedStart) bool { return published.Start == wanted.Start })
+	})
+}
+
 // publish writes the record. If the store has another object than the known one, that is read first, and the record
 // written in the next round if it still lacks something.
 func (p *Publisher) publish(ctx context.Context, wanted Record, version int64) error {
@@ -131,7 +170,7 @@
 		return err
 	}
 	written, err := p.options.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: Name, Version: version, Spec: spec})
-	p.options.Logger.Info("software versions published", "services", wanted.Services, "epoch", wanted.Epoch, "error", logging.ErrorText(err))
+	p.options.Logger.Info("software versions published", "services", wanted.Services, "starts", len(wanted.Starts), "epoch", wanted.Epoch, "error", logging.ErrorText(err))
 	if errors.Is(err, objectapi.ErrConflict) || errors.Is(err, objectapi.ErrNotFound) {
 		return p.reload(ctx)
 	}
--- a/softwareversions/record.go
+++ b/softwareversions/record.go
@@ -20,6 +20,8 @@
 type Record struct {
 	// Services holds the software versions of each service, sorted.
 	Services map[string][]string `json:"services"`
+	// Starts are starts of backends whose versions were not known when streams began there, sorted.
+	Starts []PublishedStart `json:"starts,omitempty"`
 	// Epoch is the store's epoch for which the record is complete. After a restore of the store from a copy, versions that
 	// were published after the copy are missing until the record is written again.
 	Epoch int64 `json:"epoch"`
@@ -42,7 +44,7 @@
 
 // equal reports whether two records are equal.
 func (r Record) equal(other Record) bool {
-	return r.Epoch == other.Epoch && maps.EqualFunc(r.Services, other.Services, slices.Equal)
+	return r.Epoch == other.Epoch && slices.Equal(r.Starts, other.Starts) && maps.EqualFunc(r.Services, other.Services, slices.Equal)
 }
 
 // versionSets holds a value for each version of each service.
--- a/softwareversions/softwareversions_test.go
+++ b/softwareversions/softwareversions_test.go
@@ -183,3 +183,65 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// startFixture is a node on which a stream has begun at a start that discovery does not describe, and the version that it is told of
+// later.
+func startFixture(t *testing.T) (f *fixture, described map[Start]string, start Start) {
+	t.Helper()
+	f = newFixture(platformsim.NewStore(platformsim.Options{}), oneVersion("v1"))
+	described, start = map[Start]string{}, Start{Service: "s", Backend: "b", StartedAt: 5}
+	versionOf := func(start Start) (string, bool) {
+		version, found := described[start]
+		return version, found
+	}
+	f.publisher.options.VersionOf, f.prover.options.VersionOf = versionOf, versionOf
+	f.reconcile(t.Context(), time.Second)
+	f.publisher.Undescribed(start)
+	return f, described, start
+}
+
+// TestStartWithoutVersionProvesNoSingleVersion guards against streams that began at a restarted backend whose entry was not written yet:
+// they went on at the version of the entry.
+func TestStartWithoutVersionProvesNoSingleVersion(t *testing.T) {
+	for _, version := range []string{"v1", "v2"} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			f, described, start := startFixture(t)
+			f.publisher.Reconcile(t.Context(), -1)
+			_, err := f.prover.Single(t.Context(), "s")
+			g.Expect(err).To(MatchError(ErrSeveral), "published at once, also by a node that only observes")
+			described[start] = version
+			got, err := f.prover.Single(t.Context(), "s")
+			if version == "v1" {
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(got).To(Equal(version))
+			} else {
+				g.Expect(err).To(MatchError(ErrSeveral))
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+// TestStartWithoutVersionIsForgotten has two nodes that learn of a start at different times, and whose checks are not at the same time: it
+// must not be published anew by the one that forgets it later.
+func TestStartWithoutVersionIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f, _, _ := startFixture(t)
+		f.publisher.Reconcile(t.Context(), 0)
+		other := newFixture(f.store.Store, oneVersion("v1"))
+		time.Sleep(time.Second)
+		for until := time.Now().Add(retention + time.Minute); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			for _, node := range []*fixture{f, other} {
+				object, err := f.store.Store.Get(t.Context(), Kind, Name)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(node.publisher.Received(object)).To(Succeed())
+				node.publisher.Reconcile(t.Context(), 0)
+				time.Sleep(70 * time.Millisecond)
+			}
+		}
+		g.Expect(f.prover.Single(t.Context(), "s")).To(Equal("v1"))
+		time.Sleep(time.Second)
+	})
+}
