Responses that were not read from a connection may name no version

Cause: the check asked for a version that only responses have that were read. What is read from a connection always names one.

Change: a response without any version passes; HTTP/0.9 and HTTP/2.0 in text do not, as before. The test is unchanged and passes; TestCheckRejectsStatusesAndVersionsThatDoNotExist covers the others.

--- a/responsehead/check.go
+++ b/responsehead/check.go
@@ -15,9 +15,10 @@
 	maxStatus = 599
 )
 
-// Check returns an error marked by ErrMalformed if the head of a response is not that of a final HTTP/1 response.
+// Check returns an error marked by ErrMalformed if the head of a response is not that of a final HTTP/1 response. One that was not read from
+// a connection may name no version.
 func Check(response *http.Response) error {
-	if response.ProtoMajor != 1 {
+	if response.Proto != "" && response.ProtoMajor != 1 {
 		return errors.Wrapf(ErrMalformed, "version %q", response.Proto)
 	}
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
