--- a/quarantine/client.go
+++ b/quarantine/client.go
@@ -97,8 +97,8 @@
 	}
 	client := &Client{
 		options: options, local: NewTable(), evidence: map[Fingerprint][]*localEvidence{}, received: map[Fingerprint]receivedStatus{},
-		nextTrials: map[Fingerprint]nextTrial{},
-		parts:      newPartTable(), groups: map[Fingerprint]receivedGroup{}, answeredParts: map[Part]time.Duration{}, reportedParts: map[Part]bool{},
+		nextTrials: map[Fingerprint]nextTrial{}, parts: newPartTable(), groups: map[Fingerprint]receivedGroup{},
+		answeredParts: map[Part]time.Duration{}, reportedParts: map[Part]bool{},
 	}
 	// Evidence is removed with its entry in the table: otherwise callers with a new body each time would fill
 	// the memory while no coordinator is chosen.
